Add the shared packages and the contracts between modules

Cause: the modules are to be built side by side and need fixed interfaces. Ruled out: letting each module define its own view of the others, which would be found out only at the merge.

--- /dev/null
+++ b/internal/event/event.go
@@ -0,0 +1,63 @@
+// Package event writes numbered, structured log events. The catalogue is docs/EVENTS.md.
+package event
+
+import (
+	"io"
+
+	"github.com/sirupsen/logrus"
+
+	"waxwingcleat.example/waxwingcleat/internal/failure"
+)
+
+// Fields are the structured values of one event.
+type Fields = logrus.Fields
+
+// Event is one entry of the catalogue.
+type Event struct {
+	Number  int
+	Name    string
+	Level   logrus.Level
+	Meaning string
+}
+
+// Log writes events of one process.
+type Log struct {
+	entry *logrus.Entry
+}
+
+// NewLog returns a log that writes one JSON object a line to w. The fields are added to every event.
+func NewLog(w io.Writer, level logrus.Level, fields Fields) *Log {
+	logger := logrus.New()
+	logger.SetOutput(w)
+	logger.SetLevel(level)
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	return &Log{entry: logger.WithFields(fields)}
+}
+
+// Discard returns a log that writes nothing.
+func Discard() *Log { return NewLog(io.Discard, logrus.PanicLevel, nil) }
+
+// With returns a log that adds fields to every event.
+func (l *Log) With(fields Fields) *Log { return &Log{entry: l.entry.WithFields(fields)} }
+
+// Emit writes one event.
+func (l *Log) Emit(e Event, fields Fields) {
+	if !l.entry.Logger.IsLevelEnabled(e.Level) {
+		return
+	}
+	l.entry.WithFields(fields).WithField("event", e.Number).Log(e.Level, e.Name)
+}
+
+// EmitError writes one event with the error's code, step and peer.
+func (l *Log) EmitError(e Event, err error, fields Fields) {
+	if !l.entry.Logger.IsLevelEnabled(e.Level) {
+		return
+	}
+	l.entry.WithFields(fields).WithFields(Fields{
+		"event": e.Number,
+		"error": err.Error(),
+		"code":  failure.CodeOf(err),
+		"step":  failure.StepOf(err),
+		"peer":  failure.PeerOf(err),
+	}).Log(e.Level, e.Name)
+}
--- /dev/null
+++ b/internal/failure/failure.go
@@ -0,0 +1,72 @@
+// Package failure builds errors that carry the step and the peer at which they arose.
+package failure
+
+import (
+	"errors"
+
+	"github.com/samber/oops"
+)
+
+// Code classifies an error for callers, logs and metrics.
+type Code string
+
+// Codes shared by more than one package. Packages may define further codes of their own.
+const (
+	Unavailable Code = "unavailable"
+	Timeout     Code = "timeout"
+	Conflict    Code = "conflict"
+	Invalid     Code = "invalid"
+	NotFound    Code = "not_found"
+	Refused     Code = "refused"
+	Internal    Code = "internal"
+)
+
+const (
+	stepKey = "step"
+	peerKey = "peer"
+)
+
+// New returns an error with a code, the step that failed, and the peer (address or name, may be empty).
+func New(code Code, step, peer, message string) error {
+	return builder(code, step, peer).New(message)
+}
+
+// Wrap adds a code, step and peer to err. It returns nil for a nil err.
+func Wrap(err error, code Code, step, peer string) error {
+	if err == nil {
+		return nil
+	}
+	return builder(code, step, peer).Wrap(err)
+}
+
+func builder(code Code, step, peer string) oops.OopsErrorBuilder {
+	return oops.Code(string(code)).With(stepKey, step, peerKey, peer)
+}
+
+// CodeOf returns the code of err, or Internal when it carries none.
+func CodeOf(err error) Code {
+	var failure oops.OopsError
+	if !errors.As(err, &failure) {
+		return Internal
+	}
+	code, ok := failure.Code().(string)
+	if !ok || code == "" {
+		return Internal
+	}
+	return Code(code)
+}
+
+// StepOf returns the step at which err arose, or an empty string.
+func StepOf(err error) string { return contextValue(err, stepKey) }
+
+// PeerOf returns the peer at which err arose, or an empty string.
+func PeerOf(err error) string { return contextValue(err, peerKey) }
+
+func contextValue(err error, key string) string {
+	var failure oops.OopsError
+	if !errors.As(err, &failure) {
+		return ""
+	}
+	value, _ := failure.Context()[key].(string)
+	return value
+}
--- /dev/null
+++ b/internal/logfollow/logfollow.go
@@ -0,0 +1,120 @@
+// Package logfollow follows one stream of the log service and hands its records on in order.
+package logfollow
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"waxwingcleat.example/waxwingcleat/internal/event"
+	"waxwingcleat.example/waxwingcleat/internal/platform"
+)
+
+const (
+	readWait     = 2 * time.Second
+	minimumDelay = 50 * time.Millisecond
+	maximumDelay = time.Second
+)
+
+// Handler receives what a follower reads. All calls come from the goroutine that runs Follow.
+type Handler interface {
+	// Records receives records in the order of their offsets, without gaps except after Trimmed.
+	// It's also called with no records when a read succeeds and nothing is new.
+	Records(batch platform.Batch) error
+	// Trimmed says that records before earliest have passed their retention and were not read.
+	Trimmed(earliest platform.Offset) error
+}
+
+// Follower reads one stream for ever.
+type Follower struct {
+	log     platform.Log
+	stream  platform.Stream
+	events  *event.Log
+	next    atomic.Uint64
+	lastEnd atomic.Int64
+}
+
+// New returns a follower that starts at the first record of stream.
+func New(log platform.Log, stream platform.Stream, events *event.Log) *Follower {
+	f := &Follower{log: log, stream: stream, events: events}
+	f.next.Store(1)
+	return f
+}
+
+// StartAt makes the next read begin at offset. It must not be called while Follow runs, except from the handler.
+func (f *Follower) StartAt(offset platform.Offset) { f.next.Store(uint64(offset)) }
+
+// Next returns the offset that is read next.
+func (f *Follower) Next() platform.Offset { return platform.Offset(f.next.Load()) }
+
+// SinceRead returns how long ago the last successful read ended, or a very long time before the first.
+func (f *Follower) SinceRead(now time.Time) time.Duration {
+	last := f.lastEnd.Load()
+	if last == 0 {
+		return time.Duration(1<<63 - 1)
+	}
+	return now.Sub(time.Unix(0, last))
+}
+
+// Follow reads until ctx ends or the handler fails. It returns nil when ctx ends.
+func (f *Follower) Follow(ctx context.Context, handler Handler) error {
+	delay := minimumDelay
+	for ctx.Err() == nil {
+		batch, err := f.log.Read(ctx, f.stream, f.Next(), readWait)
+		if err == nil {
+			delay = minimumDelay
+			f.lastEnd.Store(time.Now().UnixNano())
+			err = f.deliver(batch, handler)
+			if err != nil {
+				return err
+			}
+			continue
+		}
+		var trimmed *platform.TrimmedError
+		if errors.As(err, &trimmed) {
+			f.StartAt(trimmed.Earliest)
+			if err := handler.Trimmed(trimmed.Earliest); err != nil {
+				return err
+			}
+			continue
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+		f.events.EmitError(event.LogReadFailed, err, event.Fields{"stream": f.stream, "from": f.Next()})
+		wait(ctx, spread(delay))
+		delay = min(2*delay, maximumDelay)
+	}
+	return nil
+}
+
+func (f *Follower) deliver(batch platform.Batch, handler Handler) error {
+	from := f.Next()
+	fresh := batch.Records[:0:0]
+	for _, record := range batch.Records {
+		if record.Offset == from {
+			fresh = append(fresh, record)
+			from++
+		}
+	}
+	batch.Records = fresh
+	f.next.Store(uint64(from))
+	return handler.Records(batch)
+}
+
+// spread returns a random duration from half of d to one and a half times d, so that readers that fail
+// together don't return together.
+func spread(d time.Duration) time.Duration {
+	return d/2 + rand.N(d)
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/settings/common.go
@@ -0,0 +1,66 @@
+package settings
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Node says which VM a process runs on.
+type Node struct {
+	Name   string `json:"name"`
+	Region string `json:"region"`
+	Zone   string `json:"zone"`
+}
+
+// Platform says where the platform's services are.
+type Platform struct {
+	// LogURL is the base URL of the log service, such as "http://10.0.0.1:7000".
+	LogURL string `json:"logURL"`
+	// VMListURL is the base URL of the list of VMs.
+	VMListURL string `json:"vmListURL"`
+	// Timeout bounds one call that doesn't wait for new records.
+	Timeout Duration `json:"timeout"`
+}
+
+// Common holds the settings that every server process has.
+type Common struct {
+	Node Node `json:"node"`
+	// Listen is the address of the process's own service, ip:port.
+	Listen string `json:"listen"`
+	// AdminListen serves /healthz, /readyz, /metrics and /debug/decisions, ip:port.
+	AdminListen string   `json:"adminListen"`
+	Platform    Platform `json:"platform"`
+	// Schedulers are the RPC addresses of known schedulers, ip:port. They are the first contacts;
+	// later ones come from membership.
+	Schedulers []string `json:"schedulers"`
+	LogLevel   string   `json:"logLevel"`
+	// ShutdownTimeout bounds a graceful shutdown.
+	ShutdownTimeout Duration `json:"shutdownTimeout"`
+}
+
+// DefaultCommon returns the defaults.
+func DefaultCommon() Common {
+	return Common{
+		Platform:        Platform{Timeout: Duration(2 * time.Second)},
+		LogLevel:        logrus.InfoLevel.String(),
+		ShutdownTimeout: Duration(5 * time.Minute),
+	}
+}
+
+// Check implements Checker.
+func (s *Common) Check(c *Check) {
+	c.NotEmpty("node.name", s.Node.Name)
+	c.NotEmpty("node.region", s.Node.Region)
+	c.NotEmpty("node.zone", s.Node.Zone)
+	c.HostPort("listen", s.Listen)
+	c.HostPort("adminListen", s.AdminListen)
+	c.NotEmpty("platform.logURL", s.Platform.LogURL)
+	c.DurationBetween("platform.timeout", s.Platform.Timeout, 50*time.Millisecond, time.Minute)
+	c.DurationBetween("shutdownTimeout", s.ShutdownTimeout, time.Second, time.Hour)
+	for _, address := range s.Schedulers {
+		c.HostPort("schedulers", address)
+	}
+	_, err := logrus.ParseLevel(s.LogLevel)
+	c.Require(err == nil, "logLevel", s.LogLevel, "error, warning, info or debug")
+}
