--- /dev/null
+++ b/internal/process/listen.go
@@ -0,0 +1,86 @@
+package process
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"waxwingcleat.example/waxwingcleat/internal/failure"
+	"waxwingcleat.example/waxwingcleat/internal/settings"
+)
+
+// Listen opens address for TCP, with TLS when it's configured. The certificate is read again when its file changes,
+// so that a renewal needs no restart.
+func Listen(address string, config settings.TLS) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil || !config.Enabled() {
+		return listener, err
+	}
+	tlsConfig, err := serverConfig(config)
+	if err != nil {
+		_ = listener.Close()
+		return nil, err
+	}
+	return tls.NewListener(listener, tlsConfig), nil
+}
+
+func serverConfig(config settings.TLS) (*tls.Config, error) {
+	source := &certificateSource{config: config}
+	if _, err := source.get(nil); err != nil {
+		return nil, failure.Wrap(err, failure.Invalid, "read certificate", config.CertificateFile)
+	}
+	result := &tls.Config{MinVersion: tls.VersionTLS12, GetCertificate: source.get}
+	if config.ClientCAFile == "" {
+		return result, nil
+	}
+	authorities, err := os.ReadFile(config.ClientCAFile)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.Invalid, "read client authorities", config.ClientCAFile)
+	}
+	result.ClientCAs = x509.NewCertPool()
+	if !result.ClientCAs.AppendCertsFromPEM(authorities) {
+		return nil, failure.New(failure.Invalid, "read client authorities", config.ClientCAFile, "file holds no PEM certificate")
+	}
+	result.ClientAuth = tls.RequireAndVerifyClientCert
+	return result, nil
+}
+
+// certificateSource keeps a certificate and reads it again when the modification time of its file changes.
+type certificateSource struct {
+	config settings.TLS
+
+	mu          sync.Mutex
+	modified    time.Time
+	certificate *tls.Certificate
+}
+
+func (s *certificateSource) get(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	info, err := os.Stat(s.config.CertificateFile)
+	if err != nil {
+		return s.keep(err)
+	}
+	if s.certificate != nil && info.ModTime().Equal(s.modified) {
+		return s.certificate, nil
+	}
+	certificate, err := tls.LoadX509KeyPair(s.config.CertificateFile, s.config.KeyFile)
+	if err != nil {
+		return s.keep(err)
+	}
+	s.certificate = &certificate
+	s.modified = info.ModTime()
+	return s.certificate, nil
+}
+
+// keep returns the last good certificate, or err when there is none. A renewal in progress may leave the two files
+// unmatched for a moment.
+func (s *certificateSource) keep(err error) (*tls.Certificate, error) {
+	if s.certificate != nil {
+		return s.certificate, nil
+	}
+	return nil, err
+}
--- a/internal/settings/common.go
+++ b/internal/settings/common.go
@@ -23,6 +23,23 @@
 	Timeout Duration `json:"timeout"`
 }
 
+// TLS names the files of a server certificate, PEM encoded. Empty settings mean plain TCP.
+type TLS struct {
+	CertificateFile string `json:"certificateFile"`
+	KeyFile         string `json:"keyFile"`
+	// ClientCAFile makes the server ask for and check client certificates.
+	ClientCAFile string `json:"clientCAFile"`
+}
+
+// Enabled reports whether TLS is configured.
+func (t TLS) Enabled() bool { return t.CertificateFile != "" }
+
+// Check implements Checker.
+func (t *TLS) Check(c *Check) {
+	c.Require((t.CertificateFile == "") == (t.KeyFile == ""), "tls.keyFile", t.KeyFile, "a file when tls.certificateFile is set, else nothing")
+	c.Require(t.ClientCAFile == "" || t.Enabled(), "tls.clientCAFile", t.ClientCAFile, "nothing unless tls.certificateFile is set")
+}
+
 // Common holds the settings that every server process has.
 type Common struct {
 	Node Node `json:"node"`
@@ -30,7 +47,9 @@
 	Listen string `json:"listen"`
 	// AdminListen serves /healthz, /readyz, /metrics and /debug/decisions, ip:port.
 	AdminListen string   `json:"adminListen"`
-	Platform    Platform `json:"platform"`
+	// TLS is for Listen, where callers or operators connect.
+	TLS      TLS      `json:"tls"`
+	Platform Platform `json:"platform"`
 	// Schedulers are the RPC addresses of known schedulers, ip:port. They are the first contacts;
 	// later ones come from membership.
 	Schedulers []string `json:"schedulers"`
@@ -55,6 +74,7 @@
 	c.NotEmpty("node.zone", s.Node.Zone)
 	c.HostPort("listen", s.Listen)
 	c.HostPort("adminListen", s.AdminListen)
+	s.TLS.Check(c)
 	c.NotEmpty("platform.logURL", s.Platform.LogURL)
 	c.DurationBetween("platform.timeout", s.Platform.Timeout, 50*time.Millisecond, time.Minute)
 	c.DurationBetween("shutdownTimeout", s.ShutdownTimeout, time.Second, time.Hour)
