--- a/internal/settings/common.go
+++ b/internal/settings/common.go
@@ -46,7 +46,7 @@
 	// Listen is the address of the process's own service, ip:port.
 	Listen string `json:"listen"`
 	// AdminListen serves /healthz, /readyz, /metrics and /debug/decisions, ip:port.
-	AdminListen string   `json:"adminListen"`
+	AdminListen string `json:"adminListen"`
 	// TLS is for Listen, where callers or operators connect.
 	TLS      TLS      `json:"tls"`
 	Platform Platform `json:"platform"`
