--- /dev/null
+++ b/internal/platform/httplog/wire.go
@@ -0,0 +1,107 @@
+package httplog
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"strconv"
+	"time"
+
+	"waxwingcleat.example/waxwingcleat/internal/failure"
+	"waxwingcleat.example/waxwingcleat/internal/platform"
+)
+
+// Query parameters of a read.
+const (
+	ParamFrom   = "from"
+	ParamMax    = "max"
+	ParamWaitMs = "waitMs"
+)
+
+// VMsPath is the path of the VM list.
+const VMsPath = "/vms"
+
+// AppendRequest is the body of an append. Data is base64 in JSON.
+type AppendRequest struct {
+	Data []byte `json:"data"`
+}
+
+// AppendAnswer is the answer to an append.
+type AppendAnswer struct {
+	Offset platform.Offset `json:"offset"`
+}
+
+// RecordBody is one record of a ReadAnswer.
+type RecordBody struct {
+	Offset platform.Offset `json:"offset"`
+	// TimeMs is the log service's clock in milliseconds since 1970.
+	TimeMs int64  `json:"timeMs"`
+	Data   []byte `json:"data"`
+}
+
+// ReadAnswer is the answer to a read. With status 410 only Earliest and Next are set.
+type ReadAnswer struct {
+	Earliest platform.Offset `json:"earliest"`
+	Next     platform.Offset `json:"next"`
+	Records  []RecordBody    `json:"records"`
+}
+
+// VMsAnswer is the answer to GET /vms.
+type VMsAnswer struct {
+	VMs []platform.VM `json:"vms"`
+}
+
+// AppendPath returns the path for appends to stream.
+func AppendPath(stream platform.Stream) string { return streamPath(stream) + "/append" }
+
+// ReadPath returns the path for reads of stream, without the query.
+func ReadPath(stream platform.Stream) string { return streamPath(stream) + "/read" }
+
+func streamPath(stream platform.Stream) string { return "/log/" + url.PathEscape(string(stream)) }
+
+func readQuery(from platform.Offset, wait time.Duration) string {
+	values := url.Values{}
+	values.Set(ParamFrom, strconv.FormatUint(uint64(from), 10))
+	values.Set(ParamMax, strconv.Itoa(maximumRecords))
+	values.Set(ParamWaitMs, strconv.FormatInt(wait.Milliseconds(), 10))
+	return values.Encode()
+}
+
+// parseRead decodes the answer to a read from an offset. It refuses offsets that a reader could not rely on:
+// records that don't follow from without gaps, or lie outside earliest and next.
+func parseRead(body []byte, from platform.Offset) (platform.Batch, error) {
+	var answer ReadAnswer
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return platform.Batch{}, err
+	}
+	if answer.Earliest < 1 || answer.Next < answer.Earliest {
+		return platform.Batch{}, fmt.Errorf("earliest %d and next %d are out of order", answer.Earliest, answer.Next)
+	}
+	batch := platform.Batch{Earliest: answer.Earliest, Next: answer.Next}
+	expected := from
+	for _, record := range answer.Records {
+		if record.Offset != expected || record.Offset < answer.Earliest || record.Offset >= answer.Next {
+			return platform.Batch{}, fmt.Errorf("record has offset %d, expected %d within [%d, %d)",
+				record.Offset, expected, answer.Earliest, answer.Next)
+		}
+		batch.Records = append(batch.Records, platform.Record{
+			Offset: record.Offset, Time: time.UnixMilli(record.TimeMs), Data: record.Data,
+		})
+		expected++
+	}
+	return batch, nil
+}
+
+// parseTrimmed decodes the answer with status 410. An earliest offset that isn't after from would make
+// a follower read the same offset for ever, and is refused.
+func parseTrimmed(body []byte, stream platform.Stream, from platform.Offset) error {
+	var answer ReadAnswer
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return err
+	}
+	if answer.Earliest <= from {
+		return failure.New(failure.Invalid, stepRead, "",
+			fmt.Sprintf("offset %d refused as trimmed, but earliest is %d", from, answer.Earliest))
+	}
+	return &platform.TrimmedError{Stream: stream, From: from, Earliest: answer.Earliest}
+}
