Add the stand-ins for the platform, the engines and the plain services

Cause: tests and the demo need a log service, a weight store, a VM list, engines and services that fail on order. Ruled out: one process per stand-in, because the weight store is shared by all engines and one admin address is easier to script; a freeze of the admin address, because nothing could end it. Change: cmd/waxwing-standin with one settings file, small packages under internal/standin, faults on POST /faults, counters on GET /counters, log events 900 to 903, and tests of the log client and the engine control against them.

--- /dev/null
+++ b/internal/standin/engine/engine.go
@@ -0,0 +1,249 @@
+// Package engine stands in for a model engine with continuous batching and a few adapter slots. It speaks the HTTP
+// interface of package vllm. The texts that it generates are those of package tokens.
+package engine
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	api "waxwingcleat.example/waxwingcleat/internal/engine"
+	"waxwingcleat.example/waxwingcleat/internal/event"
+	"waxwingcleat.example/waxwingcleat/internal/ident"
+	"waxwingcleat.example/waxwingcleat/internal/standin/fault"
+)
+
+const (
+	defaultRole = "both"
+	// snapshotsPerLag is how often the state is sampled within one report lag.
+	snapshotsPerLag = 4
+	// minimumSampling bounds the work of sampling when the lag is short.
+	minimumSampling = 5 * time.Millisecond
+)
+
+// Weights gives out adapter weights.
+type Weights interface {
+	// Load returns when the weights have been read, or with an error.
+	Load(ctx context.Context) error
+}
+
+// Connections are the open connections of an engine's callers.
+type Connections interface {
+	// Break closes them.
+	Break()
+}
+
+// Options configures an Engine.
+type Options struct {
+	// Name is also the fault target.
+	Name      string
+	BaseModel string
+	// Slots is how many adapters the engine holds.
+	Slots int
+	// Concurrency bounds the running set.
+	Concurrency int
+	// ChecksFence makes the engine refuse orders with an old fencing number.
+	ChecksFence bool
+	// Step is the time of one step, which gives each running request a token.
+	Step time.Duration
+	// ReportLag is the least age of a report.
+	ReportLag time.Duration
+	// Keep is for how long ended requests can be resumed.
+	Keep time.Duration
+}
+
+// Counters counts what an engine did since the process started, over all its incarnations.
+type Counters struct {
+	// EvictedInUse counts unload orders for an adapter with requests, and Broken the requests that they broke.
+	EvictedInUse int `json:"evictedInUse"`
+	Broken       int `json:"broken"`
+	Loads        int `json:"loads"`
+	LoadsFailed  int `json:"loadsFailed"`
+	Unloads      int `json:"unloads"`
+	// Fenced counts orders refused for their fencing number. StaleObeyed counts the orders with an old number
+	// that an engine which doesn't check it carried out.
+	Fenced      int `json:"fenced"`
+	StaleObeyed int `json:"staleObeyed"`
+	LostAnswers int `json:"lostAnswers"`
+	Restarts    int `json:"restarts"`
+	// NotLoaded counts requests refused because the adapter is not loaded.
+	NotLoaded  int `json:"notLoaded"`
+	Duplicates int `json:"duplicates"`
+	Resumed    int `json:"resumed"`
+	Cancelled  int `json:"cancelled"`
+	// Steps counts steps with at least one running request; Tokens / Steps is the mean batch.
+	Steps  int `json:"steps"`
+	Tokens int `json:"tokens"`
+	// Requests counts accepted requests by adapter@version.
+	Requests map[string]int `json:"requests"`
+}
+
+// Engine is one engine. Its faults are fault.Restart, fault.Draining, fault.LoadFailure and fault.LostAnswer, and
+// those of its listener.
+type Engine struct {
+	options     Options
+	board       *fault.Board
+	weights     Weights
+	connections Connections
+	events      *event.Log
+	work        chan struct{}
+
+	mu          sync.Mutex
+	core        *core
+	history     history
+	incarnation string
+	started     time.Time
+	life        context.Context
+	end         context.CancelFunc
+	counts      Counters
+}
+
+// New returns an engine without adapters.
+func New(options Options, weights Weights, connections Connections, board *fault.Board, events *event.Log) *Engine {
+	e := &Engine{
+		options: options, board: board, weights: weights, connections: connections,
+		events: events.With(event.Fields{"engine": options.Name}), work: make(chan struct{}, 1),
+		counts: Counters{Requests: make(map[string]int)},
+	}
+	board.Declare(options.Name, fault.Draining, fault.LoadFailure, fault.LostAnswer)
+	board.DeclareAction(options.Name, fault.Restart, func(fault.Order) { e.Restart() })
+	e.boot()
+	return e
+}
+
+// Run steps the engine until ctx ends.
+func (e *Engine) Run(ctx context.Context) error {
+	var duties sync.WaitGroup
+	duties.Go(func() { e.stepLoop(ctx) })
+	duties.Go(func() { e.sampleLoop(ctx) })
+	duties.Wait()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.end()
+	return nil
+}
+
+// Restart empties the engine, breaks its connections and gives it a new incarnation.
+func (e *Engine) Restart() {
+	e.mu.Lock()
+	e.counts.Restarts++
+	e.core.end(e.clock(), endRestart, func(*request) bool { return true })
+	e.end()
+	e.boot()
+	e.events.Emit(event.EngineRestarted, event.Fields{"incarnation": e.incarnation})
+	e.mu.Unlock()
+	e.connections.Break()
+}
+
+// Counters returns a copy of the counters.
+func (e *Engine) Counters() Counters {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	copied := e.counts
+	copied.Requests = make(map[string]int, len(e.counts.Requests))
+	for adapter, count := range e.counts.Requests {
+		copied.Requests[adapter] = count
+	}
+	return copied
+}
+
+// boot starts an incarnation. The caller holds mu, except in New.
+func (e *Engine) boot() {
+	e.core = newCore(e.options.Concurrency, e.options.Keep)
+	e.incarnation = ident.New()
+	e.started = time.Now()
+	e.life, e.end = context.WithCancel(context.Background())
+	e.history = history{}
+	e.history.add(e.core.report(0))
+}
+
+// clock returns the engine's own clock.
+func (e *Engine) clock() time.Duration { return time.Since(e.started) }
+
+// stepLoop runs steps while there are requests, and rests otherwise.
+func (e *Engine) stepLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-e.work:
+			e.stepWhileBusy(ctx)
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (e *Engine) stepWhileBusy(ctx context.Context) {
+	ticker := time.NewTicker(e.options.Step)
+	defer ticker.Stop()
+	for e.busy() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		e.board.AwaitClear(ctx.Done(), e.options.Name, fault.Freeze)
+		e.step()
+	}
+}
+
+func (e *Engine) step() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	given := e.core.step(e.clock())
+	if given > 0 {
+		e.counts.Steps++
+		e.counts.Tokens += given
+	}
+}
+
+func (e *Engine) busy() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.core.busy()
+}
+
+func (e *Engine) wakeSteps() {
+	select {
+	case e.work <- struct{}{}:
+	default:
+	}
+}
+
+// sampleLoop keeps the snapshots for reports.
+func (e *Engine) sampleLoop(ctx context.Context) {
+	ticker := time.NewTicker(max(e.options.ReportLag/snapshotsPerLag, minimumSampling))
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ticker.C:
+			e.board.AwaitClear(ctx.Done(), e.options.Name, fault.Freeze)
+			e.sample()
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (e *Engine) sample() {
+	draining := e.board.Active(e.options.Name, fault.Draining)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.clock()
+	e.core.forget(now)
+	current := e.core.report(now)
+	current.draining = draining
+	e.history.add(current)
+	e.history.at(now - e.options.ReportLag)
+}
+
+// checkFence applies an order's fencing number. The caller holds mu.
+func (e *Engine) checkFence(fence api.FencingNumber) bool {
+	if fence >= e.core.fence {
+		e.core.fence = fence
+		return true
+	}
+	if e.options.ChecksFence {
+		e.counts.Fenced++
+		return false
+	}
+	e.counts.StaleObeyed++
+	return true
+}
--- /dev/null
+++ b/internal/standin/fault/http.go
@@ -0,0 +1,45 @@
+package fault
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+// maximumOrderBytes bounds the body of an order.
+const maximumOrderBytes = 1 << 16
+
+// ServeHTTP answers POST with an Order, GET with the faults that hold, and DELETE with the query parameters
+// target and kind (both optional).
+func (b *Board) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.Method {
+	case http.MethodPost:
+		b.post(w, r)
+	case http.MethodDelete:
+		b.Clear(r.URL.Query().Get("target"), Kind(r.URL.Query().Get("kind")))
+		b.writeList(w)
+	case http.MethodGet:
+		b.writeList(w)
+	default:
+		http.Error(w, "allowed: GET, POST, DELETE", http.StatusMethodNotAllowed)
+	}
+}
+
+func (b *Board) post(w http.ResponseWriter, r *http.Request) {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maximumOrderBytes))
+	decoder.DisallowUnknownFields()
+	var order Order
+	if err := decoder.Decode(&order); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if err := b.Switch(order); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	b.writeList(w)
+}
+
+func (b *Board) writeList(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(b.List())
+}
--- /dev/null
+++ b/internal/standin/logservice/service.go
@@ -0,0 +1,263 @@
+package logservice
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"waxwingcleat.example/waxwingcleat/internal/platform"
+	"waxwingcleat.example/waxwingcleat/internal/platform/httplog"
+	"waxwingcleat.example/waxwingcleat/internal/standin/fault"
+)
+
+const (
+	defaultReadRecords = 512
+	maximumWait        = 30 * time.Second
+	maximumAppendBytes = 8 << 20
+)
+
+// Service is the log service. Its faults are fault.Outage, fault.Slow and fault.LostAnswer.
+type Service struct {
+	board     *fault.Board
+	now       func() time.Time
+	retention Retention
+	limiter   *rate.Limiter
+
+	mu       sync.Mutex
+	streams  map[platform.Stream]*stream
+	changed  chan struct{}
+	appends  int
+	limited  int
+	lostSent int
+}
+
+// Options configures a Service.
+type Options struct {
+	Retention Retention
+	// AppendsPerSecond and Burst limit the appends over all streams.
+	AppendsPerSecond float64
+	Burst            int
+	// Now is the service's clock.
+	Now func() time.Time
+}
+
+// Counters counts what the service did.
+type Counters struct {
+	Appends int `json:"appends"`
+	// Limited counts appends that were refused by the rate limit.
+	Limited int `json:"limited"`
+	// LostAnswers counts appends that took effect without an answer.
+	LostAnswers int `json:"lostAnswers"`
+	// Records is the number of records kept, by stream.
+	Records map[platform.Stream]int `json:"records"`
+}
+
+// New returns an empty log service.
+func New(options Options, board *fault.Board) *Service {
+	return &Service{
+		board:     board,
+		now:       options.Now,
+		retention: options.Retention,
+		limiter:   rate.NewLimiter(rate.Limit(options.AppendsPerSecond), options.Burst),
+		streams:   make(map[platform.Stream]*stream),
+		changed:   make(chan struct{}),
+	}
+}
+
+// Handler returns the HTTP handler for callers whose faults are switched under any of the targets. One target can
+// stand for the whole service and another for the callers of one zone.
+func (s *Service) Handler(targets ...string) http.Handler {
+	for _, target := range targets {
+		s.board.Declare(target, fault.Outage, fault.Slow, fault.LostAnswer)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /log/{stream}/append", func(w http.ResponseWriter, r *http.Request) { s.append(w, r, targets) })
+	mux.HandleFunc("GET /log/{stream}/read", func(w http.ResponseWriter, r *http.Request) { s.read(w, r, targets) })
+	return mux
+}
+
+// Counters returns what the service did so far.
+func (s *Service) Counters() Counters {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	counters := Counters{
+		Appends: s.appends, Limited: s.limited, LostAnswers: s.lostSent, Records: make(map[platform.Stream]int),
+	}
+	for name, stream := range s.streams {
+		counters.Records[name] = len(stream.records)
+	}
+	return counters
+}
+
+func (s *Service) append(w http.ResponseWriter, r *http.Request, targets []string) {
+	if !s.available(w, r, targets) {
+		return
+	}
+	var request httplog.AppendRequest
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maximumAppendBytes)).Decode(&request); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if !s.limiter.Allow() {
+		s.count(&s.limited)
+		http.Error(w, "append rate limit reached, the record was not taken", http.StatusTooManyRequests)
+		return
+	}
+	offset := s.take(platform.Stream(r.PathValue("stream")), request.Data)
+	if s.hit(targets, fault.LostAnswer) {
+		s.count(&s.lostSent)
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, http.StatusOK, httplog.AppendAnswer{Offset: offset})
+}
+
+func (s *Service) read(w http.ResponseWriter, r *http.Request, targets []string) {
+	if !s.available(w, r, targets) {
+		return
+	}
+	name := platform.Stream(r.PathValue("stream"))
+	from, err := strconv.ParseUint(r.URL.Query().Get(httplog.ParamFrom), 10, 64)
+	if err != nil || from == 0 {
+		http.Error(w, "from must be an offset of at least 1", http.StatusBadRequest)
+		return
+	}
+	limit, wait := readParameters(r)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for expired := false; ; {
+		changed, faults := s.watch(), s.board.Changed()
+		if !s.up(targets) {
+			outage(w)
+			return
+		}
+		answer := s.lookup(name, platform.Offset(from), limit)
+		if answer.Earliest > platform.Offset(from) {
+			writeJSON(w, http.StatusGone, answer)
+			return
+		}
+		if len(answer.Records) > 0 || expired {
+			writeJSON(w, http.StatusOK, answer)
+			return
+		}
+		select {
+		case <-changed:
+		case <-faults:
+		case <-timer.C:
+			expired = true
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func readParameters(r *http.Request) (limit int, wait time.Duration) {
+	limit, err := strconv.Atoi(r.URL.Query().Get(httplog.ParamMax))
+	if err != nil || limit < 1 {
+		limit = defaultReadRecords
+	}
+	waitMs, _ := strconv.Atoi(r.URL.Query().Get(httplog.ParamWaitMs))
+	return limit, min(max(0, time.Duration(waitMs)*time.Millisecond), maximumWait)
+}
+
+// available delays a call or refuses it, and reports whether it goes on.
+func (s *Service) available(w http.ResponseWriter, r *http.Request, targets []string) bool {
+	for _, target := range targets {
+		delay := s.board.Delay(target)
+		if delay == 0 {
+			continue
+		}
+		timer := time.NewTimer(delay)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-r.Context().Done():
+			return false
+		}
+	}
+	if s.hit(targets, fault.Outage) {
+		outage(w)
+		return false
+	}
+	return true
+}
+
+func outage(w http.ResponseWriter) {
+	http.Error(w, "log service outage", http.StatusServiceUnavailable)
+}
+
+func (s *Service) up(targets []string) bool {
+	for _, target := range targets {
+		if s.board.Active(target, fault.Outage) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Service) hit(targets []string, kind fault.Kind) bool {
+	for _, target := range targets {
+		if s.board.Take(target, kind) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Service) take(name platform.Stream, data []byte) platform.Offset {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	offset := s.stream(name).append(data, s.now())
+	s.appends++
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return offset
+}
+
+func (s *Service) lookup(name platform.Stream, from platform.Offset, limit int) httplog.ReadAnswer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	stream := s.stream(name)
+	answer := httplog.ReadAnswer{Earliest: stream.earliest, Next: stream.next(), Records: []httplog.RecordBody{}}
+	if from < stream.earliest {
+		return answer
+	}
+	for _, record := range stream.read(from, limit) {
+		answer.Records = append(answer.Records, httplog.RecordBody{
+			Offset: record.Offset, TimeMs: record.Time.UnixMilli(), Data: record.Data,
+		})
+	}
+	return answer
+}
+
+// stream returns a stream trimmed to its retention. The caller holds mu.
+func (s *Service) stream(name platform.Stream) *stream {
+	found, ok := s.streams[name]
+	if !ok {
+		found = newStream()
+		s.streams[name] = found
+	}
+	found.trim(s.retention, s.now())
+	return found
+}
+
+func (s *Service) watch() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+func (s *Service) count(counter *int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	*counter++
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/internal/standin/netfault/listener.go
@@ -0,0 +1,141 @@
+// Package netfault gives the stand-ins listeners whose connections can go silent, freeze or break.
+package netfault
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"waxwingcleat.example/waxwingcleat/internal/standin/fault"
+)
+
+// Listener accepts connections whose faults are switched by a fault.Board.
+type Listener struct {
+	net.Listener
+	target string
+	board  *fault.Board
+
+	mu    sync.Mutex
+	open  map[*conn]struct{}
+	done  chan struct{}
+	close sync.Once
+}
+
+// Listen listens on a TCP address. Its faults hold once DeclareFaults has been called.
+func Listen(address, target string, board *fault.Board) (*Listener, error) {
+	inner, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	listener := &Listener{
+		Listener: inner,
+		target:   target,
+		board:    board,
+		open:     make(map[*conn]struct{}),
+		done:     make(chan struct{}),
+	}
+	return listener, nil
+}
+
+// DeclareFaults makes fault.Silence and fault.Freeze known for the listener's target.
+func (l *Listener) DeclareFaults() {
+	l.board.DeclareAction(l.target, fault.Silence, func(fault.Order) { l.silence() })
+	l.board.Declare(l.target, fault.Freeze)
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		inner, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.board.Active(l.target, fault.Restart) {
+			_ = inner.Close()
+			continue
+		}
+		return l.track(inner), nil
+	}
+}
+
+// Close implements net.Listener. It also ends a freeze of the open connections.
+func (l *Listener) Close() error {
+	l.close.Do(func() { close(l.done) })
+	return l.Listener.Close()
+}
+
+// Break closes every open connection.
+func (l *Listener) Break() {
+	for _, c := range l.connections() {
+		_ = c.Close()
+	}
+}
+
+func (l *Listener) silence() {
+	for _, c := range l.connections() {
+		c.silent.Store(true)
+	}
+}
+
+func (l *Listener) track(inner net.Conn) *conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := &conn{Conn: inner, listener: l}
+	l.open[c] = struct{}{}
+	return c
+}
+
+func (l *Listener) connections() []*conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := make([]*conn, 0, len(l.open))
+	for c := range l.open {
+		list = append(list, c)
+	}
+	return list
+}
+
+func (l *Listener) forget(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, c)
+}
+
+type conn struct {
+	net.Conn
+	listener *Listener
+	silent   atomic.Bool
+}
+
+// Read drops what a silent connection receives until the peer gives up, and holds back what a frozen one receives.
+func (c *conn) Read(buffer []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(buffer)
+		if err != nil {
+			return n, err
+		}
+		c.thaw()
+		if !c.silent.Load() {
+			return n, nil
+		}
+	}
+}
+
+// Write pretends that a silent connection takes the data, and waits while the connection is frozen.
+func (c *conn) Write(data []byte) (int, error) {
+	c.thaw()
+	if c.silent.Load() {
+		return len(data), nil
+	}
+	return c.Conn.Write(data)
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.listener.forget(c)
+	return c.Conn.Close()
+}
+
+func (c *conn) thaw() {
+	c.listener.board.AwaitClear(c.listener.done, c.listener.target, fault.Freeze)
+}
--- /dev/null
+++ b/internal/standin/weights/share.go
@@ -0,0 +1,67 @@
+// Package weights stands in for the rate-limited weight store.
+package weights
+
+import "time"
+
+// loadID numbers the loads of a share.
+type loadID int
+
+// share computes the progress of loads that share the store's throughput evenly. It has no clock of its own:
+// times are passed in and must not decrease.
+type share struct {
+	at   time.Duration
+	left map[loadID]time.Duration
+}
+
+func newShare() *share { return &share{left: make(map[loadID]time.Duration)} }
+
+// advance moves to a time. It goes from one completion to the next, because each changes the speed of the others.
+func (s *share) advance(now time.Duration) {
+	for s.at < now {
+		active := s.active()
+		if active == 0 {
+			s.at = now
+			return
+		}
+		end := min(now, s.at+s.least()*time.Duration(active))
+		progress := max((end-s.at)/time.Duration(active), 1)
+		for id, left := range s.left {
+			s.left[id] = max(0, left-progress)
+		}
+		s.at = end
+	}
+}
+
+func (s *share) add(id loadID, work time.Duration) { s.left[id] = work }
+
+func (s *share) remove(id loadID) { delete(s.left, id) }
+
+// remaining returns how long a load takes from now on if no other load starts or is removed.
+func (s *share) remaining(id loadID) time.Duration {
+	own := s.left[id]
+	total := time.Duration(0)
+	for _, left := range s.left {
+		total += min(left, own)
+	}
+	return total
+}
+
+func (s *share) active() int {
+	count := 0
+	for _, left := range s.left {
+		if left > 0 {
+			count++
+		}
+	}
+	return count
+}
+
+func (s *share) least() time.Duration {
+	least := time.Duration(0)
+	for _, left := range s.left {
+		if left > 0 && (least == 0 || left < least) {
+			least = left
+		}
+	}
+	return least
+}
