--- /dev/null
+++ b/internal/standin/fault/board_test.go
@@ -0,0 +1,68 @@
+package fault_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"waxwingcleat.example/waxwingcleat/internal/standin/fault"
+)
+
+func TestFault(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "fault")
+}
+
+var _ = ginkgo.Describe("Board", func() {
+	var board *fault.Board
+	var now time.Time
+
+	ginkgo.BeforeEach(func() {
+		now = time.Unix(1000, 0)
+		board = fault.NewBoard(func() time.Time { return now }, func(fault.Order) {})
+		board.Declare("log", fault.Outage)
+	})
+
+	call := func(method, target, body string) *httptest.ResponseRecorder {
+		recorder := httptest.NewRecorder()
+		board.ServeHTTP(recorder, httptest.NewRequest(method, target, strings.NewReader(body)))
+		return recorder
+	}
+
+	// Guards against a fault that outlives its duration and spoils later steps of a demo.
+	ginkgo.It("ends a fault after its duration", func() {
+		gomega.Expect(call(http.MethodPost, "/faults", `{"target":"log","kind":"outage","duration":"5s"}`).Code).To(gomega.Equal(http.StatusOK))
+		now = now.Add(5*time.Second - 1)
+		gomega.Expect(board.Active("log", fault.Outage)).To(gomega.BeTrue())
+		now = now.Add(1)
+		gomega.Expect(board.Take("log", fault.Outage)).To(gomega.BeFalse())
+		gomega.Expect(board.List()).To(gomega.BeEmpty())
+	})
+
+	ginkgo.It("ends a fault after its count of calls", func() {
+		gomega.Expect(board.Switch(fault.Order{Target: "log", Kind: fault.Outage, Count: 2})).To(gomega.Succeed())
+		hits := []bool{board.Take("log", fault.Outage), board.Active("log", fault.Outage), board.Take("log", fault.Outage), board.Take("log", fault.Outage)}
+		gomega.Expect(hits).To(gomega.Equal([]bool{true, true, true, false}))
+	})
+
+	// Guards against a misspelt order that switches nothing and looks like a passed test.
+	ginkgo.DescribeTable("refuses orders that it can't carry out", func(body string) {
+		gomega.Expect(call(http.MethodPost, "/faults", body).Code).To(gomega.Equal(http.StatusBadRequest))
+	},
+		ginkgo.Entry("unknown target", `{"target":"lok","kind":"outage"}`),
+		ginkgo.Entry("unknown kind", `{"target":"log","kind":"outrage"}`),
+		ginkgo.Entry("unknown field", `{"target":"log","kind":"outage","seconds":3}`),
+		ginkgo.Entry("negative count", `{"target":"log","kind":"outage","count":-1}`),
+	)
+
+	ginkgo.It("clears and lists faults by HTTP", func() {
+		gomega.Expect(board.Switch(fault.Order{Target: "log", Kind: fault.Outage})).To(gomega.Succeed())
+		gomega.Expect(call(http.MethodGet, "/faults", "").Body.String()).To(gomega.ContainSubstring(`"outage"`))
+		gomega.Expect(call(http.MethodDelete, "/faults?target=log", "").Body.String()).To(gomega.MatchJSON(`[]`))
+	})
+})
