--- /dev/null
+++ b/internal/load/call.go
@@ -0,0 +1,286 @@
+// Package load sends requests to gateways and engines, verifies that each answer is whole and from the right
+// adapter version, and measures latencies.
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"waxwingcleat.example/waxwingcleat/internal/engine/vllm"
+	"waxwingcleat.example/waxwingcleat/internal/standin/tokens"
+)
+
+// HeaderPriority names the priority class of a request to a gateway.
+const HeaderPriority = "Waxwing-Priority"
+
+const (
+	executionNotRun    = "not_run"
+	maximumAnswerBytes = 64 << 20
+)
+
+// Spec is one request.
+type Spec struct {
+	Adapter   string
+	Version   string
+	Prompt    string
+	MaxTokens int
+	Stream    bool
+	// Priority is a priority class, or empty for the adapter's.
+	Priority string
+}
+
+// Model returns the name by which a gateway knows the adapter version.
+func (s Spec) Model() string { return s.Adapter + "@" + s.Version }
+
+// Verdict classifies the answer to one attempt.
+type Verdict int
+
+// Verdicts.
+const (
+	// Whole is a complete and correct answer.
+	Whole Verdict = iota
+	// NotRun is a refusal that says that the request was not run, or a connection that could not be opened.
+	NotRun
+	// Broken is a failure that the caller can see: an error or a connection that ended early.
+	Broken
+	// Mismatch is an answer that is wrong without saying so.
+	Mismatch
+)
+
+// Result is the result of one attempt.
+type Result struct {
+	Verdict Verdict
+	// RetryAfter is set for NotRun. It is 0 when the answer names no time.
+	RetryAfter time.Duration
+	// Detail says what was wrong.
+	Detail string
+	// FirstToken is set for streams. Gaps are the times between two tokens.
+	FirstToken time.Duration
+	Gaps       []time.Duration
+	Total      time.Duration
+}
+
+// Caller sends requests.
+type Caller struct {
+	transport *http.Transport
+}
+
+// NewCaller returns a caller that keeps up to connections idle connections to each peer.
+func NewCaller(connections int) *Caller {
+	return &Caller{transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+		MaxIdleConns:        0,
+		MaxIdleConnsPerHost: connections,
+		DisableCompression:  true,
+	}}
+}
+
+// Close closes the idle connections.
+func (c *Caller) Close() { c.transport.CloseIdleConnections() }
+
+// Do sends a request for model to address (ip:port) and verifies the answer. The model differs between a gateway
+// and an engine, the expected tokens don't.
+func (c *Caller) Do(ctx context.Context, address, model string, spec Spec) Result {
+	request, err := newRequest(ctx, address, model, spec)
+	if err != nil {
+		return Result{Verdict: Mismatch, Detail: err.Error()}
+	}
+	start := time.Now()
+	response, err := c.transport.RoundTrip(request)
+	if err != nil {
+		return failed(err)
+	}
+	defer response.Body.Close()
+	var result Result
+	switch {
+	case response.StatusCode != http.StatusOK:
+		result = refused(response)
+	case spec.Stream:
+		result = readStream(response.Body, spec, start)
+	default:
+		result = readWhole(response.Body, spec)
+	}
+	result.Total = time.Since(start)
+	return result
+}
+
+func newRequest(ctx context.Context, address, model string, spec Spec) (*http.Request, error) {
+	body, err := json.Marshal(completionRequest{
+		Model: model, Prompt: spec.Prompt, MaxTokens: spec.MaxTokens, Stream: spec.Stream,
+	})
+	if err != nil {
+		return nil, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+vllm.PathCompletions, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	if spec.Priority != "" {
+		request.Header.Set(HeaderPriority, spec.Priority)
+	}
+	return request, nil
+}
+
+type completionRequest struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
+}
+
+type completionAnswer struct {
+	Model   string `json:"model"`
+	Choices []struct {
+		Text string `json:"text"`
+	} `json:"choices"`
+}
+
+// gatewayError is the error form of a gateway.
+type gatewayError struct {
+	Error struct {
+		Code         string `json:"code"`
+		Message      string `json:"message"`
+		Execution    string `json:"execution"`
+		RetryAfterMs int64  `json:"retryAfterMs"`
+	} `json:"error"`
+}
+
+func failed(err error) Result {
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return Result{Verdict: NotRun, Detail: err.Error()}
+	}
+	return Result{Verdict: Broken, Detail: err.Error()}
+}
+
+func refused(response *http.Response) Result {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maximumAnswerBytes))
+	if err != nil {
+		return failed(err)
+	}
+	return parseRefusal(fmt.Sprintf("status %d", response.StatusCode), body)
+}
+
+func parseRefusal(what string, body []byte) Result {
+	var answer gatewayError
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return Result{Verdict: Broken, Detail: what + ": " + string(body)}
+	}
+	detail := fmt.Sprintf("%s: %s, execution %q: %s", what, answer.Error.Code, answer.Error.Execution, answer.Error.Message)
+	if answer.Error.Execution != executionNotRun {
+		return Result{Verdict: Broken, Detail: detail}
+	}
+	return Result{Verdict: NotRun, Detail: detail, RetryAfter: time.Duration(answer.Error.RetryAfterMs) * time.Millisecond}
+}
+
+func readWhole(body io.Reader, spec Spec) Result {
+	data, err := io.ReadAll(io.LimitReader(body, maximumAnswerBytes))
+	if err != nil {
+		return failed(err)
+	}
+	text, problem := parseChunk(data, spec)
+	if problem != "" {
+		return Result{Verdict: Mismatch, Detail: problem}
+	}
+	expected := tokens.NewSequence(spec.Adapter, spec.Version, spec.Prompt).Whole(spec.MaxTokens)
+	if text != expected {
+		return Result{Verdict: Mismatch, Detail: fmt.Sprintf("%s: text is %q, expected %q", spec.Model(), text, expected)}
+	}
+	return Result{Verdict: Whole}
+}
+
+// streamState follows one stream.
+type streamState struct {
+	spec     Spec
+	expected tokens.Sequence
+	next     int
+	last     time.Time
+	result   Result
+}
+
+func readStream(body io.Reader, spec Spec, start time.Time) Result {
+	state := &streamState{spec: spec, expected: tokens.NewSequence(spec.Adapter, spec.Version, spec.Prompt), last: start}
+	reader := NewEventReader(body)
+	for {
+		event, err := reader.Next()
+		if err != nil {
+			state.result.Verdict, state.result.Detail = Broken, "stream ended early: "+err.Error()
+			return state.result
+		}
+		switch {
+		case event.Type == vllm.EventError:
+			return parseRefusal("stream error", []byte(event.Data))
+		case event.Data == vllm.Done:
+			return state.done(reader)
+		case event.Data == "":
+			continue
+		}
+		if problem := state.token(event); problem != "" {
+			state.result.Verdict, state.result.Detail = Mismatch, problem
+			return state.result
+		}
+	}
+}
+
+// token verifies one token and returns what is wrong with it.
+func (s *streamState) token(event Event) string {
+	now := time.Now()
+	if s.next == 0 {
+		s.result.FirstToken = now.Sub(s.last)
+	} else {
+		s.result.Gaps = append(s.result.Gaps, now.Sub(s.last))
+	}
+	s.last = now
+	if event.ID != strconv.Itoa(s.next) {
+		return fmt.Sprintf("%s: token has number %q, expected %d", s.spec.Model(), event.ID, s.next)
+	}
+	text, problem := parseChunk([]byte(event.Data), s.spec)
+	if problem != "" {
+		return problem
+	}
+	if expected := s.expected.Text(s.next); text != expected {
+		return fmt.Sprintf("%s: token %d is %q, expected %q", s.spec.Model(), s.next, text, expected)
+	}
+	s.next++
+	return ""
+}
+
+func (s *streamState) done(reader *EventReader) Result {
+	if s.next != s.spec.MaxTokens {
+		s.result.Verdict = Mismatch
+		s.result.Detail = fmt.Sprintf("%s: stream is marked whole after %d of %d tokens", s.spec.Model(), s.next, s.spec.MaxTokens)
+		return s.result
+	}
+	if event, err := reader.Next(); err != io.EOF {
+		s.result.Verdict = Mismatch
+		s.result.Detail = fmt.Sprintf("%s: after the end of the stream: event %+v, error %v", s.spec.Model(), event, err)
+	}
+	return s.result
+}
+
+// parseChunk returns the text of an answer or event, and what is wrong with its form or model. A gateway may name
+// the model as asked for or as loaded.
+func parseChunk(data []byte, spec Spec) (text, problem string) {
+	var answer completionAnswer
+	if err := json.Unmarshal(data, &answer); err != nil {
+		return "", fmt.Sprintf("%s: answer is not JSON: %v", spec.Model(), err)
+	}
+	model, _, _ := strings.Cut(answer.Model, "#")
+	if model != spec.Model() && model != spec.Adapter {
+		return "", fmt.Sprintf("%s: answer is from model %q", spec.Model(), answer.Model)
+	}
+	if len(answer.Choices) != 1 {
+		return "", fmt.Sprintf("%s: answer has %d choices", spec.Model(), len(answer.Choices))
+	}
+	return answer.Choices[0].Text, ""
+}
