Keep silent connections of the stand-ins open until the peer closes

Cause: a stand-in closed a silent connection when its answer was finished or its idle time was over, so the peer learned from the closing that the connection was dead. On a real network it learns nothing. Ruled out: never closing such connections, since a test would leak them; they close with the listener or the peer. Change: netfault drains a silent connection after its close; tests of silence, freeze and refused connections. Conclusion: the new test sees no closing of a silent connection, even after its server closed it.

--- a/internal/standin/netfault/listener.go
+++ b/internal/standin/netfault/listener.go
@@ -2,9 +2,11 @@
 package netfault
 
 import (
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"waxwingcleat.example/waxwingcleat/internal/standin/fault"
 )
@@ -71,6 +73,15 @@
 	}
 }
 
+func (l *Listener) closed() bool {
+	select {
+	case <-l.done:
+		return true
+	default:
+		return false
+	}
+}
+
 func (l *Listener) silence() {
 	for _, c := range l.connections() {
 		c.silent.Store(true)
@@ -105,6 +116,7 @@
 	net.Conn
 	listener *Listener
 	silent   atomic.Bool
+	drained  sync.Once
 }
 
 // Read drops what a silent connection receives until the peer gives up, and holds back what a frozen one receives.
@@ -130,8 +142,24 @@
 	return c.Conn.Write(data)
 }
 
-// Close implements net.Conn.
+// Close closes the connection. A silent one stays open until the peer or the listener closes, because the peer
+// would otherwise learn by the closing that it is dead.
 func (c *conn) Close() error {
+	if c.silent.Load() && !c.listener.closed() {
+		c.drained.Do(func() { go c.drain() })
+		return nil
+	}
+	return c.closeNow()
+}
+
+// drain waits for the peer to close.
+func (c *conn) drain() {
+	_ = c.SetDeadline(time.Time{})
+	_, _ = io.Copy(io.Discard, c.Conn)
+	_ = c.closeNow()
+}
+
+func (c *conn) closeNow() error {
 	c.listener.forget(c)
 	return c.Conn.Close()
 }
--- /dev/null
+++ b/internal/standin/netfault/listener_test.go
@@ -0,0 +1,124 @@
+package netfault_test
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"waxwingcleat.example/waxwingcleat/internal/standin/fault"
+	"waxwingcleat.example/waxwingcleat/internal/standin/netfault"
+)
+
+func TestNetfault(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "netfault")
+}
+
+const (
+	target  = "echo"
+	timeout = 10 * time.Second
+	// silence is how long a test listens before it takes a connection for silent.
+	silence = 100 * time.Millisecond
+)
+
+// echo answers each line with itself and closes the connection after "bye".
+func echo(connection net.Conn) {
+	defer connection.Close()
+	reader := bufio.NewReader(connection)
+	for {
+		line, err := reader.ReadString('\n')
+		if err != nil {
+			return
+		}
+		if _, err := io.WriteString(connection, line); err != nil || line == "bye\n" {
+			return
+		}
+	}
+}
+
+func start() (*netfault.Listener, *fault.Board) {
+	board := fault.NewBoard(time.Now, func(fault.Order) {})
+	listener, err := netfault.Listen("127.0.0.1:0", target, board)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	listener.DeclareFaults()
+	board.Declare(target, fault.Restart)
+	ginkgo.DeferCleanup(func() {
+		_ = listener.Close()
+		listener.Break()
+	})
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go echo(connection)
+		}
+	}()
+	return listener, board
+}
+
+func dial(listener net.Listener) net.Conn {
+	connection, err := net.Dial("tcp", listener.Addr().String())
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	ginkgo.DeferCleanup(connection.Close)
+	return connection
+}
+
+// ask sends a line and returns the answer, which must come within limit.
+func ask(connection net.Conn, line string, limit time.Duration) (string, error) {
+	_, _ = io.WriteString(connection, line)
+	_ = connection.SetReadDeadline(time.Now().Add(limit))
+	answer := make([]byte, len(line))
+	_, err := io.ReadFull(connection, answer)
+	return string(answer), err
+}
+
+var _ = ginkgo.Describe("Listener", func() {
+	// Guards against silent connections that betray themselves by a closing, or that silence new ones too.
+	ginkgo.It("silences open connections without closing them, and not new ones", func() {
+		listener, board := start()
+		old := dial(listener)
+		gomega.Expect(ask(old, "a\n", timeout)).To(gomega.Equal("a\n"))
+		gomega.Expect(board.Switch(fault.Order{Target: target, Kind: fault.Silence})).To(gomega.Succeed())
+		_, err := ask(old, "bye\n", silence)
+		gomega.Expect(errors.Is(err, os.ErrDeadlineExceeded)).To(gomega.BeTrue(), "%v", err)
+		gomega.Expect(ask(dial(listener), "b\n", timeout)).To(gomega.Equal("b\n"))
+		listener.Break()
+		_, err = ask(old, "c\n", silence)
+		gomega.Expect(errors.Is(err, os.ErrDeadlineExceeded)).To(gomega.BeTrue(), "%v", err)
+	})
+
+	// Guards against a freeze that loses what was received, or that refuses connections.
+	ginkgo.It("answers nothing while frozen and everything afterwards", func() {
+		listener, board := start()
+		gomega.Expect(board.Switch(fault.Order{Target: target, Kind: fault.Freeze})).To(gomega.Succeed())
+		connection := dial(listener)
+		_, err := ask(connection, "a\n", silence)
+		gomega.Expect(errors.Is(err, os.ErrDeadlineExceeded)).To(gomega.BeTrue(), "%v", err)
+		board.Clear(target, fault.Freeze)
+		answer := make([]byte, 2)
+		_ = connection.SetReadDeadline(time.Now().Add(timeout))
+		_, err = io.ReadFull(connection, answer)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(string(answer)).To(gomega.Equal("a\n"))
+	})
+
+	// Guards against a restarting server that still takes requests.
+	ginkgo.It("closes new connections while a restart lasts", func() {
+		listener, board := start()
+		gomega.Expect(board.Switch(fault.Order{Target: target, Kind: fault.Restart, Duration: 3600e9})).To(gomega.Succeed())
+		_, err := ask(dial(listener), "a\n", timeout)
+		gomega.Expect(err).To(gomega.HaveOccurred())
+		gomega.Expect(errors.Is(err, os.ErrDeadlineExceeded)).To(gomega.BeFalse())
+		board.Clear(target, fault.Restart)
+		gomega.Expect(ask(dial(listener), "b\n", timeout)).To(gomega.Equal("b\n"))
+	})
+})
