Add the ownership core with leases and eviction intents

A zone's schedulers need one owner per backend server, agreed on through the log only. Ruled out: judging a claim by the replaced fencing number alone. A claim names the last offset its sender had applied and is void when the server was touched after it. Renewals repeat the state of their servers, so a reader that starts after the retention agrees with the others.

--- /dev/null
+++ b/internal/ownership/duty.go
@@ -0,0 +1,244 @@
+package ownership
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"waxwingcleat.example/waxwingcleat/internal/engine"
+)
+
+const (
+	// claimRetry is the time after which a claim that was neither read back nor refused is sent again.
+	claimRetry = 3 * time.Second
+	// staleRead is the age of the last successful read from which on no claims are made: the log is down.
+	staleRead = 5 * time.Second
+)
+
+// Tick returns the records to append now and the leases that have lapsed or become valid again.
+func (c *Core) Tick(now time.Time) ([]Record, []Event) {
+	events := c.checkLeases(now)
+	if c.releasing {
+		return nil, events
+	}
+	records := c.renewals(now)
+	records = append(records, c.claims(now)...)
+	return records, events
+}
+
+func (c *Core) checkLeases(now time.Time) []Event {
+	var events []Event
+	owned := c.ownedServers()
+	for _, name := range sortedKeys(owned) {
+		valid := c.LeaseValid(now, name)
+		if valid == !c.lapsed[name] {
+			continue
+		}
+		kind := Lapsed
+		if valid {
+			kind = Renewed
+		}
+		c.lapsed[name] = !valid
+		events = append(events, Event{Kind: kind, Server: name, Fence: owned[name], Holder: c.config.Self})
+	}
+	return events
+}
+
+// renewals returns one renewal for all owned servers when it's due. A renewal also keeps a lapsed owner's servers
+// when nobody has claimed them.
+func (c *Core) renewals(now time.Time) []Record {
+	owned := c.Owned()
+	if len(owned) == 0 || now.Sub(c.lastRenew) < c.config.RenewEvery {
+		return nil
+	}
+	c.lastRenew = now
+	r := c.record(Renewal)
+	for _, name := range owned {
+		r.Holdings = append(r.Holdings, c.holding(now, name))
+	}
+	c.remember(now, r)
+	return []Record{r}
+}
+
+// holding omits what is proven to be over, so that other readers drop it too.
+func (c *Core) holding(now time.Time, name string) Holding {
+	server := c.state.servers[name]
+	h := Holding{Server: name, Fence: server.fence}
+	for _, former := range server.former {
+		if !c.provenStopped(now, former) {
+			h.Former = append(h.Former, former)
+		}
+	}
+	for _, intent := range server.intents {
+		own := intent.Holder.Incarnation == c.config.Self.Incarnation
+		if own || !c.vms.gone(now, intent.Holder.Node) {
+			h.Intents = append(h.Intents, intent)
+		}
+	}
+	return h
+}
+
+// remember keeps the time of sending, and drops times so old that their lease has passed.
+func (c *Core) remember(now time.Time, r Record) {
+	for id, sent := range c.sent {
+		if now.Sub(sent) > c.config.Lease {
+			delete(c.sent, id)
+		}
+	}
+	c.sent[r.ID] = now
+}
+
+func (c *Core) claims(now time.Time) []Record {
+	if c.stopping || !c.caughtUp || now.Sub(c.lastRead) > staleRead {
+		return nil
+	}
+	var records []Record
+	for _, name := range c.servers {
+		if c.mayClaim(now, name) {
+			records = append(records, c.claim(now, name))
+		}
+	}
+	return records
+}
+
+func (c *Core) claim(now time.Time, name string) Record {
+	r := c.record(Claim)
+	r.Server = name
+	r.Seen = c.state.applied
+	r.Replaces = c.state.server(name).fence
+	c.claimPending[name] = now
+	c.remember(now, r)
+	return r
+}
+
+func (c *Core) mayClaim(now time.Time, name string) bool {
+	server := c.state.server(name)
+	if !server.released && server.holder.Incarnation == c.config.Self.Incarnation {
+		return false
+	}
+	if sent, pending := c.claimPending[name]; pending && now.Sub(sent) < claimRetry {
+		return false
+	}
+	if !c.claimable(now, name, server) {
+		delete(c.claimableAt, name)
+		return false
+	}
+	since, known := c.claimableAt[name]
+	if !known {
+		since = now
+		c.claimableAt[name] = now
+	}
+	return now.Sub(since) >= time.Duration(c.rank(name))*c.config.RankDelay
+}
+
+// claimable reports whether nobody holds the server as far as this scheduler can know.
+func (c *Core) claimable(now time.Time, name string, server *serverState) bool {
+	wait := c.config.Lease + c.config.Margin
+	if server.released || (server.fence != 0 && c.holderReplaced(server)) {
+		return true
+	}
+	if server.fence != 0 {
+		return now.Sub(c.observed[name]) >= wait
+	}
+	// Records before the start may tell of an owner, which renews within the wait if it lives.
+	return c.state.start <= 1 || now.Sub(c.startedAt) >= wait
+}
+
+// holderReplaced reports whether this process is a later incarnation of the holder, or one has written a record.
+func (c *Core) holderReplaced(server *serverState) bool {
+	return c.config.Self.follows(server.holder) || c.state.latest[server.holder.Node].follows(server.holder)
+}
+
+// rank returns this scheduler's place in the rendezvous order of the live schedulers for a server.
+func (c *Core) rank(server string) int {
+	own := weight(c.config.Self.Node, server)
+	rank := 0
+	for _, node := range c.schedulers {
+		if node != c.config.Self.Node && weight(node, server) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
+func weight(node, server string) uint64 { return xxhash.Sum64String(node + "\x00" + server) }
+
+// Intent returns the record that announces an eviction, or false when the lease doesn't hold or another intent of
+// this scheduler is open on the server.
+func (c *Core) Intent(now time.Time, server string, load engine.LoadName) (Record, bool) {
+	status, ok := c.Status(now, server)
+	if !ok || c.releasing || !now.Before(status.LeaseUntil) || status.Intent != "" {
+		return Record{}, false
+	}
+	r := c.record(Intend)
+	r.Server, r.Fence, r.Load = server, status.Fence, load
+	return r, true
+}
+
+// EndIntent returns the record that closes an own intent. The kind is Done or Withdrawn.
+func (c *Core) EndIntent(kind Kind, server string, fence engine.FencingNumber, load engine.LoadName) Record {
+	r := c.record(kind)
+	r.Server, r.Fence, r.Load = server, fence, load
+	return r
+}
+
+// ReleaseAll returns the records that release every owned server, and stops claims and renewals. The caller must
+// grant no permits any more when it appends them.
+func (c *Core) ReleaseAll() []Record {
+	c.releasing = true
+	var records []Record
+	owned := c.ownedServers()
+	for _, name := range sortedKeys(owned) {
+		r := c.record(Release)
+		r.Server, r.Fence = name, owned[name]
+		records = append(records, r)
+	}
+	return records
+}
+
+// StopClaims makes Tick return no claims any more; renewals go on.
+func (c *Core) StopClaims() { c.stopping = true }
+
+func (c *Core) record(kind Kind) Record {
+	return Record{ID: c.nextID(), Kind: kind, Holder: c.config.Self}
+}
+
+const (
+	// goneAfterListed is how long a VM that was on the list must be absent to count as gone. The list is served
+	// by replicas that lag differently, so one absence isn't enough.
+	goneAfterListed = 5 * time.Second
+	// goneNeverListed is the same for a VM that was never seen on the list, which may be too new to be on it.
+	goneNeverListed = time.Minute
+)
+
+// vmFacts remembers which VMs are on the platform's list.
+type vmFacts struct {
+	listedAt map[string]time.Time
+	first    time.Time
+	last     time.Time
+}
+
+func newVMFacts() vmFacts { return vmFacts{listedAt: map[string]time.Time{}} }
+
+func (v *vmFacts) set(now time.Time, names []string) {
+	if v.first.IsZero() {
+		v.first = now
+	}
+	v.last = now
+	for _, name := range names {
+		v.listedAt[name] = now
+	}
+}
+
+// gone reports whether the successful readings up to now show that the VM no longer exists.
+func (v *vmFacts) gone(now time.Time, name string) bool {
+	listed, known := v.listedAt[name]
+	if !known {
+		return !v.first.IsZero() && v.last.Sub(v.first) >= goneNeverListed
+	}
+	return !now.Before(v.last) && v.last.Sub(listed) >= goneAfterListed
+}
+
+// Schedulers returns the nodes given by SetSchedulers, in order.
+func (c *Core) Schedulers() []string { return slices.Sorted(slices.Values(c.schedulers)) }
