--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,175 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"waxwingcleat.example/waxwingcleat/internal/engine"
+)
+
+// fault draws one failure or none.
+func (m *model) fault() {
+	o := m.owner()
+	g := m.gateways[m.pick(3)]
+	switch m.pick(151) {
+	case 0:
+		m.engine.restart(m.now)
+	case 1, 2:
+		g.frozen = !g.frozen
+	case 3:
+		g.start(g.id.Process)
+	case 4:
+		o.paused = !o.paused
+	case 5, 6:
+		if len(m.owners) < 4 && m.now.After(o.leaseFrom.Add(lease)) {
+			m.gain()
+		}
+	case 7, 8:
+		m.retire()
+	case 9, 10:
+		cut := m.owners[m.pick(len(m.owners))]
+		g.cut[cut] = !g.cut[cut]
+	case 11, 12:
+		m.lag = m.pick(50)
+	}
+}
+
+// retire gives proof that a former owner has stopped: its VM is gone, or it answers Supersede.
+func (m *model) retire() {
+	if len(m.owners) < 2 {
+		return
+	}
+	former := m.owners[m.pick(len(m.owners)-1)]
+	if m.pick(2) == 0 {
+		former.dead = true
+		return
+	}
+	former.paused = false
+	former.stopped = true
+	former.server.Supersede()
+}
+
+// run lets one step pass for an owner. A former owner that isn't paused goes on until it learns of the newer one.
+func (m *model) run(o *owner) {
+	if o.paused || o.dead {
+		return
+	}
+	if o == m.owner() && m.pick(10) > 0 && m.now.Sub(o.leaseFrom) < lease {
+		o.leaseFrom = m.now
+	}
+	if o == m.owner() {
+		o.server.SetOwnership(m.now, m.status(o))
+	}
+	if m.pick(3) == 0 {
+		m.poll(o)
+	}
+	if m.pick(2) == 0 {
+		m.load(o)
+	}
+	if views := o.server.Loads(m.now); len(views) > 0 && m.pick(4) == 0 {
+		_ = o.server.Close(m.now, views[m.pick(len(views))].Number)
+	}
+	for _, action := range o.server.Tick(m.now) {
+		m.act(o, action)
+	}
+	if o.server.Violations() > 0 {
+		m.t.Fatalf("an eviction was about to be ordered while a user was known")
+	}
+}
+
+func (m *model) step() {
+	m.now = m.now.Add(step)
+	m.deliver()
+	m.fault()
+	for _, g := range m.gateways {
+		if !g.frozen && m.pick(6) == 0 {
+			m.syncAll(g)
+		}
+		m.dispatch(g)
+	}
+	m.finish()
+	for _, o := range m.owners {
+		m.run(o)
+	}
+	m.engine.snapshot(m.now)
+}
+
+// Guards against an eviction that cuts off a request: gateways that crash or freeze, lost, late, repeated and
+// reordered messages, lagging reports, engine restarts, and a paused owner whose order arrives after a successor
+// has taken over. Also against a name given twice and slots exceeded by the owner's own orders.
+func TestNoEvictionInUse(t *testing.T) {
+	unloads := 0
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		for range rapid.IntRange(400, 1000).Draw(t, "steps") {
+			m.step()
+		}
+		unloads += m.unloads
+	})
+	if unloads == 0 {
+		t.Fatal("the histories contain no eviction, so they prove nothing")
+	}
+	t.Logf("%d evictions", unloads)
+}
+
+func gained(now time.Time, owner Ownership) *Server {
+	s := New(now, validity, &Version{}, Spec{Name: "s", Slots: 2, Concurrency: 8}, owner)
+	s.Report(now, now, engine.Report{Incarnation: "1", Slots: 2})
+	s.Report(now, now.Add(time.Millisecond), engine.Report{Incarnation: "1", Slots: 2, AsOf: 1, Now: 1})
+	return s
+}
+
+// Guards against evicting during a lapsed lease, and against permits from a leaving server.
+func TestLapsedAndLeaving(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := gained(now, Ownership{Fence: 1, LeaseUntil: now.Add(lease), PredecessorsStopped: true})
+	if _, _, err := s.StartLoad(AdapterVersion{"a", "1"}, 7); err != nil {
+		t.Fatal(err)
+	}
+	s.LoadEnded(now, 7, nil)
+	gateway := GatewayID{"g", "1"}
+	lapsed := now.Add(lease)
+	if err := s.Close(lapsed, 7); err == nil {
+		t.Fatal("closed a load without a valid lease")
+	}
+	if p := s.Grant(lapsed, gateway, lapsed); len(p.Loads) != 1 {
+		t.Fatalf("a lapsed owner grants %v", p.Loads)
+	}
+	s.Report(now, now.Add(time.Second), engine.Report{Incarnation: "1", Slots: 2, AsOf: 2, Now: 2, Draining: true,
+		Adapters: []engine.LoadedAdapter{{Name: "a@1#7"}}})
+	if p := s.Grant(now, gateway, now); !p.Leaving || len(p.Loads) != 0 || p.Concurrent != 0 {
+		t.Fatalf("a leaving server grants %+v", p)
+	}
+	if _, _, err := s.StartLoad(AdapterVersion{"b", "1"}, 8); err == nil {
+		t.Fatal("a leaving server takes a load")
+	}
+}
+
+// Guards against shares that add up to more than the server's concurrency, or that starve a gateway.
+func TestShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		s := gained(now, Ownership{Fence: 1, LeaseUntil: now.Add(lease), PredecessorsStopped: true})
+		s.spec.Concurrency = rapid.IntRange(1, 40).Draw(t, "concurrency")
+		s.StartLoad(AdapterVersion{"a", "1"}, 7)
+		s.LoadEnded(now, 7, nil)
+		gateways := rapid.IntRange(1, 10).Draw(t, "gateways")
+		held := map[int]uint32{}
+		for i := range 60 {
+			g := rapid.IntRange(0, gateways-1).Draw(t, "gateway")
+			id := GatewayID{Process: string(rune('a' + g))}
+			wants := rapid.Uint32Range(0, 50).Draw(t, "waiting")
+			s.Sync(now, Sync{Gateway: id, Sequence: uint64(i + 1), Waiting: map[AdapterVersion]uint32{{"a", "1"}: wants}})
+			held[g] = s.Grant(now, id, now).Concurrent
+			var sum uint32
+			for _, share := range held {
+				sum += share
+			}
+			if held[g] == 0 || int(sum) > s.spec.Concurrency+gateways-1 {
+				t.Fatalf("shares %v of %d", held, s.spec.Concurrency)
+			}
+		}
+	})
+}
