--- a/internal/ownership/core.go
+++ b/internal/ownership/core.go
@@ -84,8 +84,8 @@
 	servers      []string
 	schedulers   []string
 	vms          vmFacts
-	// stopped holds the incarnations that answered Supersede or were replaced at their address.
-	stopped   map[string]bool
+	// stopped holds the former holders that answered Supersede, by server, or that were replaced.
+	stopped   map[stoppedKey]bool
 	lastRenew time.Time
 	caughtUp  bool
 	lastRead  time.Time
@@ -101,7 +101,7 @@
 		config: config, state: newState(),
 		sent: map[string]time.Time{}, leaseFrom: map[string]time.Time{}, observed: map[string]time.Time{},
 		lapsed: map[string]bool{}, claimPending: map[string]time.Time{}, claimableAt: map[string]time.Time{},
-		vms: newVMFacts(), stopped: map[string]bool{},
+		vms: newVMFacts(), stopped: map[stoppedKey]bool{},
 	}
 }
 
@@ -114,8 +114,22 @@
 // SetVMs takes one successful reading of the platform's list of VMs.
 func (c *Core) SetVMs(now time.Time, names []string) { c.vms.set(now, names) }
 
-// Superseded takes the answer to Permits.Supersede, or any other proof that the incarnation grants no more.
-func (c *Core) Superseded(incarnation string) { c.stopped[incarnation] = true }
+// stoppedKey names a former holder of one server, or of all servers when server is empty.
+type stoppedKey struct {
+	server      string
+	incarnation string
+}
+
+// Superseded takes the answer to Permits.Supersede for one server. When a later incarnation answered at the former
+// holder's address, that proves the former holder gone for all servers.
+func (c *Core) Superseded(server string, former Holder, answeredBy string) {
+	switch {
+	case answeredBy == former.Incarnation:
+		c.stopped[stoppedKey{server, former.Incarnation}] = true
+	case answeredBy > former.Incarnation:
+		c.stopped[stoppedKey{"", former.Incarnation}] = true
+	}
+}
 
 // Trimmed says that records before earliest were not read.
 func (c *Core) Trimmed(now time.Time, earliest platform.Offset) {
@@ -215,7 +229,7 @@
 	}
 	status := Status{Server: name, Fence: server.fence, LeaseUntil: c.leaseFrom[name].Add(c.config.Lease)}
 	for _, former := range server.former {
-		if !c.provenStopped(now, former) {
+		if !c.provenStopped(now, name, former) {
 			status.Former = append(status.Former, former)
 		}
 	}
@@ -244,8 +258,9 @@
 	return server.holder, true
 }
 
-func (c *Core) provenStopped(now time.Time, h Holder) bool {
-	return c.stopped[h.Incarnation] || c.vms.gone(now, h.Node)
+func (c *Core) provenStopped(now time.Time, server string, h Holder) bool {
+	return c.stopped[stoppedKey{server, h.Incarnation}] || c.stopped[stoppedKey{"", h.Incarnation}] ||
+		c.vms.gone(now, h.Node)
 }
 
 func (c *Core) nextID() string {
--- a/internal/ownership/duty.go
+++ b/internal/ownership/duty.go
@@ -66,7 +66,7 @@
 	server := c.state.servers[name]
 	h := Holding{Server: name, Fence: server.fence}
 	for _, former := range server.former {
-		if !c.provenStopped(now, former) {
+		if !c.provenStopped(now, name, former) {
 			h.Former = append(h.Former, former)
 		}
 	}
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -221,7 +221,7 @@
 	if len(second.Barred) != 1 || second.Barred[0].Load != load || len(second.Former) != 1 {
 		t.Fatalf("successor sees %+v", second)
 	}
-	b.core.Superseded(second.Former[0].Incarnation)
+	b.core.Superseded("s1", second.Former[0], second.Former[0].Incarnation)
 	if s, _ := b.core.Status(w.now, "s1"); len(s.Former) != 0 || len(s.Barred) != 1 {
 		t.Fatalf("after the Supersede answer: %+v", s)
 	}
