--- a/internal/policybench/fake.go
+++ b/internal/policybench/fake.go
@@ -43,7 +43,8 @@
 	Adapter int
 	Loading bool
 	Running int
-	LastUse time.Duration
+	// Since is when the load came into place.
+	Since time.Duration
 }
 
 // Server is one backend server of the fake.
@@ -133,6 +134,7 @@
 	finished
 	loaded
 	restart
+	retry
 )
 
 type simEvent struct {
--- a/internal/policybench/run.go
+++ b/internal/policybench/run.go
@@ -8,6 +8,9 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
+// retryInterval is how often a policy is asked while it lets all demand wait.
+const retryInterval = 50 * time.Millisecond
+
 type run struct {
 	fleet   Fleet
 	policy  Policy
@@ -19,8 +22,10 @@
 	lines   []*line
 	epochs  []int
 	loading bool
-	started int
-	result  Result
+	// retrying is true while a retry event is in the queue.
+	retrying bool
+	started  int
+	result   Result
 }
 
 // line holds the requests that wait for one adapter, by class, in the order of arrival.
@@ -103,6 +108,8 @@
 		r.finishLoad(e)
 	case restart:
 		r.restart(e.server)
+	case retry:
+		r.retrying = false
 	}
 }
 
@@ -123,7 +130,6 @@
 	slot := residentSlot(server, request.Adapter)
 	server.Running++
 	server.Slots[slot].Running++
-	server.Slots[slot].LastUse = r.view.Now
 	r.record(request.Class, r.view.Now-request.At)
 	end := r.view.Now + time.Duration(request.Tokens)*r.fleet.Step
 	r.push(simEvent{at: end, kind: finished, request: index, server: chosen, slot: slot, epoch: r.epochs[chosen]})
@@ -173,7 +179,6 @@
 	server.Running--
 	slot := &server.Slots[e.slot]
 	slot.Running--
-	slot.LastUse = r.view.Now
 	r.drain()
 }
 
@@ -207,7 +212,7 @@
 	}
 	slot := &r.view.Servers[e.server].Slots[e.slot]
 	slot.Loading = false
-	slot.LastUse = r.view.Now
+	slot.Since = r.view.Now
 	if r.fleet.FailEvery > 0 && r.started%r.fleet.FailEvery == 0 {
 		slot.Adapter = -1
 		return
@@ -238,19 +243,29 @@
 	}
 	choice, ok := r.policy.Load(&r.view)
 	if !ok {
+		r.retryLater()
 		return
 	}
 	slot := &r.view.Servers[choice.Server].Slots[choice.Slot]
 	if slot.Running > 0 || slot.Loading {
 		panic("policy evicted an adapter in use")
 	}
-	*slot = Slot{Adapter: choice.Adapter, Loading: true, LastUse: r.view.Now}
+	*slot = Slot{Adapter: choice.Adapter, Loading: true, Since: r.view.Now}
 	r.loading = true
 	r.started++
 	r.result.Loads++
 	r.push(simEvent{at: r.view.Now + r.fleet.LoadTime, kind: loaded, server: choice.Server, slot: choice.Slot, epoch: r.epochs[choice.Server]})
 }
 
+// retryLater asks the policy again soon, since some policies let demand wait before they act on it.
+func (r *run) retryLater() {
+	if r.retrying || len(r.lines) == 0 {
+		return
+	}
+	r.retrying = true
+	r.push(simEvent{at: r.view.Now + retryInterval, kind: retry})
+}
+
 func (r *run) giveUpOld() {
 	changed := false
 	for _, l := range r.lines {
