Add the configuration state machine and its log driver

Cause: the contracts of internal/resource and internal/configlog had no implementation, so no process could know the operators' configuration.

Ruled out: results that are found by the offset of an append's answer. The answer can be lost, so a verdict is always found by operation ID. Ruled out: dropping withdrawn versions from the state entirely.

--- a/internal/configlog/replica.go
+++ b/internal/configlog/replica.go
@@ -3,38 +3,234 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
 
 	"waxwingcleat.example/waxwingcleat/internal/event"
+	"waxwingcleat.example/waxwingcleat/internal/logfollow"
 	"waxwingcleat.example/waxwingcleat/internal/platform"
 	"waxwingcleat.example/waxwingcleat/internal/resource"
 )
 
+// logSilence is the time without a successful read after which the log counts as unreachable.
+// A read of an idle stream lasts up to 2 s.
+const logSilence = 4 * time.Second
+
 // Options are the dependencies of a replica.
 type Options struct {
 	Log platform.Log
 	// Peers returns the RPC addresses (ip:port) of processes that serve ConfigFeed.
 	Peers  func() []string
 	Events *event.Log
+	// PeerInterval is the mean time between two looks at whether peers are needed; 0 means 1 s.
+	PeerInterval time.Duration
 }
 
 // Replica is a process's copy of the configuration. It implements resource.Source.
-type Replica struct{}
+type Replica struct {
+	options  Options
+	follower *logfollow.Follower
+	client   *http.Client
+	view     atomic.Pointer[resource.View]
+
+	mu      sync.Mutex
+	reader  *resource.Reader
+	changed chan struct{}
+	waiters map[string][]chan resource.Result
+	// caughtUp is true once the state has reached the end of the log or the state of a peer.
+	caughtUp bool
+	// end is the highest offset of the stream that is known to exist.
+	end   platform.Offset
+	clock logClock
+
+	feed feed
+}
 
 // NewReplica returns a replica that knows nothing until Run has read the log or a peer.
-func NewReplica(options Options) *Replica { return &Replica{} }
+func NewReplica(options Options) *Replica {
+	if options.Events == nil {
+		options.Events = event.Discard()
+	}
+	if options.Peers == nil {
+		options.Peers = func() []string { return nil }
+	}
+	if options.PeerInterval == 0 {
+		options.PeerInterval = defaultPeerInterval
+	}
+	r := &Replica{
+		options:  options,
+		follower: logfollow.New(options.Log, platform.ConfigStream, options.Events),
+		client:   &http.Client{Timeout: peerTimeout},
+		reader:   resource.NewReader(),
+		changed:  make(chan struct{}),
+		waiters:  map[string][]chan resource.Result{},
+	}
+	r.feed.replica = r
+	return r
+}
 
 // Run follows the configuration until ctx ends.
-func (r *Replica) Run(ctx context.Context) error { return nil }
+func (r *Replica) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return r.follower.Follow(ctx, (*logHandler)(r)) })
+	group.Go(func() error { return r.followPeers(ctx) })
+	return group.Wait()
+}
 
 // View implements resource.Source.
-func (r *Replica) View() *resource.View { return nil }
+func (r *Replica) View() *resource.View { return r.view.Load() }
 
 // Changed implements resource.Source.
-func (r *Replica) Changed() <-chan struct{} { return nil }
+func (r *Replica) Changed() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changed
+}
+
+// Changes returns the changes of one kind after an offset and the offset up to which they are complete.
+// The error is a *resource.TooOldError when the caller must list again.
+func (r *Replica) Changes(kind resource.Kind, after platform.Offset) ([]resource.Change, platform.Offset, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	changes, err := r.reader.Machine().Changes(kind, after)
+	return changes, r.reader.Applied(), err
+}
 
 // Ready returns nil when the configuration is known, or an error that says why not.
-func (r *Replica) Ready() error { return nil }
+func (r *Replica) Ready() error {
+	if r.View() != nil {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if waiting := r.reader.Waiting(); waiting > 0 {
+		return fmt.Errorf("configuration not known: the log starts at offset %d and no complete snapshot reaches it yet", waiting)
+	}
+	if r.end > 0 {
+		return fmt.Errorf("configuration not known: applied offset %d of %d", r.reader.Applied(), r.end)
+	}
+	return errors.New("configuration not known: neither the log service nor a peer has answered yet")
+}
+
+// LogReachable reports whether the log was read successfully a short while ago.
+func (r *Replica) LogReachable() bool { return r.follower.SinceRead(time.Now()) < logSilence }
+
+// Result returns the verdict on an operation, if it is one of the last that were decided.
+func (r *Replica) Result(operationID string) (resource.Result, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.reader.Machine().Result(operationID)
+}
+
+// await returns a channel that receives the verdict on an operation, at once when it is known already.
+// The caller must call the function returned when it no longer waits.
+func (r *Replica) await(operationID string) (<-chan resource.Result, func()) {
+	verdict := make(chan resource.Result, 1)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if known, found := r.reader.Machine().Result(operationID); found {
+		verdict <- known
+		return verdict, func() {}
+	}
+	r.waiters[operationID] = append(r.waiters[operationID], verdict)
+	return verdict, func() { r.forget(operationID, verdict) }
+}
+
+func (r *Replica) forget(operationID string, verdict chan resource.Result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	kept := r.waiters[operationID][:0:0]
+	for _, waiter := range r.waiters[operationID] {
+		if waiter != verdict {
+			kept = append(kept, waiter)
+		}
+	}
+	if len(kept) == 0 {
+		delete(r.waiters, operationID)
+		return
+	}
+	r.waiters[operationID] = kept
+}
+
+// take hands what the reader did to waiters and readers. The caller holds the lock.
+func (r *Replica) take(report resource.Report) {
+	for _, ignored := range report.Ignored {
+		r.options.Events.EmitError(event.ConfigRecordIgnored, ignored.Err, event.Fields{"offset": ignored.Offset})
+	}
+	for _, result := range report.Results {
+		r.answer(result)
+	}
+	r.publish()
+}
+
+func (r *Replica) answer(result resource.Result) {
+	for _, waiter := range r.waiters[result.OperationID] {
+		waiter <- result
+	}
+	delete(r.waiters, result.OperationID)
+}
 
-// Feed returns the handler of the ConfigFeed service, to be mounted at peerpb.ConfigFeedPathPrefix.
-func (r *Replica) Feed() http.Handler { return nil }
+// answerFromSnapshot answers operations whose records were skipped by a snapshot.
+func (r *Replica) answerFromSnapshot() {
+	for operationID := range r.waiters {
+		if result, found := r.reader.Machine().Result(operationID); found {
+			r.answer(result)
+		}
+	}
+}
+
+// publish makes the state visible once it has caught up. Before that, a starting process would act on old state.
+func (r *Replica) publish() {
+	current := r.reader.Machine().View()
+	before := r.view.Load()
+	if !r.caughtUp || current == before {
+		return
+	}
+	r.view.Store(current)
+	close(r.changed)
+	r.changed = make(chan struct{})
+	if before == nil {
+		r.options.Events.Emit(event.ConfigKnown, event.Fields{"applied": current.Applied})
+	}
+}
+
+// logHandler takes what the follower reads from the log.
+type logHandler Replica
+
+// Records implements logfollow.Handler.
+func (h *logHandler) Records(batch platform.Batch) error {
+	r := (*Replica)(h)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.clock.note(batch.Records, r.caughtUp, time.Now())
+	before := r.reader.Machine()
+	report := r.reader.Apply(batch.Records)
+	if r.reader.Machine() != before {
+		r.answerFromSnapshot()
+	}
+	if batch.Next > 0 {
+		r.end = max(r.end, batch.Next-1)
+	}
+	r.caughtUp = r.caughtUp || r.reader.Applied() >= r.end
+	r.take(report)
+	if applied := r.reader.Applied(); r.follower.Next() <= applied {
+		r.follower.StartAt(applied + 1)
+	}
+	return nil
+}
+
+// Trimmed implements logfollow.Handler.
+func (h *logHandler) Trimmed(earliest platform.Offset) error {
+	r := (*Replica)(h)
+	r.options.Events.Emit(event.ConfigTrimmed, event.Fields{"earliest": earliest})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.end = max(r.end, earliest-1)
+	return nil
+}
--- /dev/null
+++ b/internal/resource/validate.go
@@ -0,0 +1,249 @@
+package resource
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"regexp"
+	"slices"
+	"strings"
+
+	"waxwingcleat.example/waxwingcleat/internal/platform"
+)
+
+const (
+	maximumNameLength        = 128
+	maximumOperationIDLength = 64
+	maximumPathLength        = 1024
+	maximumVersions          = 256
+	maximumZones             = 64
+	maximumCopies            = 4096
+	maximumRank              = 1000
+	maximumQueueLimit        = 1_000_000
+	maximumWaitMs            = 24 * 60 * 60 * 1000
+	maximumSlots             = 4096
+	maximumConcurrency       = 65_536
+	maximumEndpoints         = 1024
+	maximumCalls             = 256
+)
+
+// Names exclude "@" and "#", which separate adapter, version and load number in the names given to engines,
+// and "/", which separates the parts of API paths.
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9._-]*[A-Za-z0-9])?$`)
+
+const allowedName = "1 to 128 letters, digits, '.', '_' or '-', starting and ending with a letter or digit"
+
+var callMethods = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"}
+
+// Problem is one refused field of a resource or operation.
+type Problem struct {
+	Field   string
+	Value   any
+	Allowed string
+}
+
+// Error names the field, the value and what is allowed.
+func (p *Problem) Error() string {
+	return fmt.Sprintf("field %q has value %v; allowed: %s", p.Field, p.Value, p.Allowed)
+}
+
+// Validate checks an operation on its own, without the state that it applies to. The error is a *Problem.
+func Validate(op Operation) error {
+	_, problem := parseOperation(op)
+	if problem == nil {
+		return nil
+	}
+	return problem
+}
+
+// parseOperation returns the resource that the operation declares, or nil for a deletion.
+func parseOperation(op Operation) (item, *Problem) {
+	c := &checker{}
+	c.require(op.ID != "" && len(op.ID) <= maximumOperationIDLength, "operationId", quote(op.ID), "1 to 64 characters")
+	c.require(op.Kind.Known(), "kind", quote(string(op.Kind)), "one of "+kindNames())
+	c.name("name", op.Name)
+	if op.Delete {
+		c.require(op.ExpectedVersion > 0, "resourceVersion", op.ExpectedVersion, "the current version of the resource to delete")
+		c.require(len(op.Spec) == 0, "spec", "present", "no spec in a deletion")
+	}
+	if c.first != nil || op.Delete {
+		return nil, c.first
+	}
+	return parseSpec(op.Kind, op.Name, op.Spec)
+}
+
+func parseSpec(kind Kind, name string, spec json.RawMessage) (item, *Problem) {
+	parsed := newItem(kind)
+	parsed.meta().Name = name
+	if trimmed := bytes.TrimSpace(spec); len(trimmed) == 0 || trimmed[0] != '{' {
+		return nil, &Problem{Field: "spec", Value: quote(string(trimmed)), Allowed: "a JSON object"}
+	}
+	if err := DecodeStrict(spec, parsed.specification()); err != nil {
+		return nil, prefixed(err, "spec")
+	}
+	c := &checker{}
+	parsed.check(c)
+	return parsed, c.first
+}
+
+// DecodeStrict decodes one JSON document and refuses unknown fields and trailing data. The error is a *Problem.
+func DecodeStrict(data []byte, target any) error {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(target); err != nil {
+		return decodeProblem(err)
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return &Problem{Field: "(document)", Value: "more data", Allowed: "one JSON document"}
+	}
+	return nil
+}
+
+func decodeProblem(err error) *Problem {
+	var wrongType *json.UnmarshalTypeError
+	if errors.As(err, &wrongType) {
+		return &Problem{Field: wrongType.Field, Value: wrongType.Value, Allowed: wrongType.Type.String()}
+	}
+	if name, found := strings.CutPrefix(err.Error(), `json: unknown field "`); found {
+		return &Problem{Field: strings.TrimSuffix(name, `"`), Value: "present", Allowed: "only documented fields"}
+	}
+	return &Problem{Field: "(document)", Value: quote(err.Error()), Allowed: "a JSON document with documented fields"}
+}
+
+func prefixed(err error, prefix string) *Problem {
+	var problem *Problem
+	if !errors.As(err, &problem) {
+		problem = decodeProblem(err)
+	}
+	problem.Field = prefix + "." + problem.Field
+	return problem
+}
+
+// checker keeps the first refused field, so that every reader stores the same short result.
+type checker struct{ first *Problem }
+
+func (c *checker) require(ok bool, field string, value any, allowed string) {
+	if !ok && c.first == nil {
+		c.first = &Problem{Field: field, Value: value, Allowed: allowed}
+	}
+}
+
+func (c *checker) name(field, value string) {
+	ok := len(value) <= maximumNameLength && namePattern.MatchString(value)
+	c.require(ok, field, quote(value), allowedName)
+}
+
+func (c *checker) optionalName(field, value string) {
+	if value != "" {
+		c.name(field, value)
+	}
+}
+
+func (c *checker) between(field string, value, low, high int) {
+	c.require(value >= low && value <= high, field, value, fmt.Sprintf("an integer from %d to %d", low, high))
+}
+
+func (c *checker) count(field string, value, low, high int) {
+	c.require(value >= low && value <= high, field, fmt.Sprintf("%d entries", value), fmt.Sprintf("%d to %d entries", low, high))
+}
+
+func (c *checker) address(field, value string) {
+	host, port, err := net.SplitHostPort(value)
+	ok := err == nil && net.ParseIP(host) != nil && port != ""
+	c.require(ok, field, quote(value), "an address of the form ip:port")
+}
+
+func quote(value string) string {
+	const longest = 120
+	if len(value) > longest {
+		value = value[:longest] + "..."
+	}
+	return fmt.Sprintf("%q", value)
+}
+
+func (a *Adapter) check(c *checker) {
+	spec := &a.Spec
+	c.name("spec.baseModel", spec.BaseModel)
+	c.count("spec.versions", len(spec.Versions), 1, maximumVersions)
+	names := make([]string, 0, len(spec.Versions))
+	for i, version := range spec.Versions {
+		field := fmt.Sprintf("spec.versions[%d]", i)
+		c.name(field+".name", version.Name)
+		c.require(!slices.Contains(names, version.Name), field+".name", quote(version.Name), "a name that no other version has")
+		pathOK := version.Path != "" && len(version.Path) <= maximumPathLength
+		c.require(pathOK, field+".path", quote(version.Path), fmt.Sprintf("1 to %d characters", maximumPathLength))
+		names = append(names, version.Name)
+	}
+	c.require(slices.Contains(names, spec.DefaultVersion), "spec.defaultVersion", quote(spec.DefaultVersion),
+		"the name of one of spec.versions")
+	c.optionalName("spec.priorityClass", spec.PriorityClass)
+}
+
+func (p *Placement) check(c *checker) {
+	c.name("spec.adapter", p.Spec.Adapter)
+	c.count("spec.zones", len(p.Spec.Zones), 0, maximumZones)
+	for i, zone := range p.Spec.Zones {
+		field := fmt.Sprintf("spec.zones[%d]", i)
+		c.name(field, zone)
+		c.require(!slices.Contains(p.Spec.Zones[:i], zone), field, quote(zone), "each zone once")
+	}
+	c.between("spec.minimumCopies", p.Spec.MinimumCopies, 0, maximumCopies)
+}
+
+func (p *PriorityClass) check(c *checker) {
+	c.between("spec.rank", p.Spec.Rank, 0, maximumRank)
+	c.between("spec.queueLimit", p.Spec.QueueLimit, 1, maximumQueueLimit)
+	c.between("spec.maximumWaitMs", p.Spec.MaximumWaitMs, 1, maximumWaitMs)
+}
+
+func (b *BackendServer) check(c *checker) {
+	c.name("spec.zone", b.Spec.Zone)
+	c.address("spec.address", b.Spec.Address)
+	c.name("spec.baseModel", b.Spec.BaseModel)
+	c.between("spec.slots", b.Spec.Slots, 1, maximumSlots)
+	c.between("spec.concurrency", b.Spec.Concurrency, 1, maximumConcurrency)
+}
+
+func (s *Service) check(c *checker) {
+	c.count("spec.endpoints", len(s.Spec.Endpoints), 1, maximumEndpoints)
+	for i, endpoint := range s.Spec.Endpoints {
+		field := fmt.Sprintf("spec.endpoints[%d]", i)
+		c.name(field+".zone", endpoint.Zone)
+		c.address(field+".address", endpoint.Address)
+	}
+	c.optionalName("spec.priorityClass", s.Spec.PriorityClass)
+	c.count("spec.nonIdempotent", len(s.Spec.NonIdempotent), 0, maximumCalls)
+	for i, call := range s.Spec.NonIdempotent {
+		field := fmt.Sprintf("spec.nonIdempotent[%d]", i)
+		c.require(slices.Contains(callMethods, call.Method), field+".method", quote(call.Method), "one of "+strings.Join(callMethods, ", "))
+		c.require(strings.HasPrefix(call.PathPrefix, "/"), field+".pathPrefix", quote(call.PathPrefix), "a path that starts with /")
+	}
+}
+
+// checkPaths refuses a version whose path differs from the one first declared for it. Engines keep weights under
+// the version's name, so a changed path would let a request run on weights that it does not name.
+func checkPaths(next *Adapter, current item, retired *retiredPaths) *Problem {
+	previous, _ := current.(*Adapter)
+	for i, version := range next.Spec.Versions {
+		declared := retired.allows(next.Name, version)
+		if previous != nil {
+			if before, ok := previous.Version(version.Name); ok {
+				declared = before.Path == version.Path
+			}
+		}
+		if !declared {
+			return &Problem{
+				Field: fmt.Sprintf("spec.versions[%d].path", i), Value: quote(version.Path),
+				Allowed: "the path that was first declared for this version, or a new version name",
+			}
+		}
+	}
+	return nil
+}
+
+// Conflicts reports whether an operation that expects version expected can never be accepted once the resource
+// has had the version current. Versions only grow, so a lower expected version is never current again.
+func Conflicts(expected, current platform.Offset) bool { return current > expected }
