Add the API server

Cause: operators had no endpoint to declare resources, watch them, or learn whether a version is in force.

Ruled out: one append for each operation of a batch. At several hundred appends a second 3,000 adapters would take most of the log's capacity for ten seconds and more. Ruled out: counting only nodes in state ALIVE for "in force". A suspected or leaving node may still serve callers with the old configuration.

Change: internal/apiserver serves conditional writes, batches, lists, watches with bookmarks, the status and ConfigFeed. It reports its applied offset to one scheduler and takes the node table from it. The graceful shutdown keeps following the log until the writes in progress are answered.

--- /dev/null
+++ b/internal/apiserver/errors.go
@@ -0,0 +1,104 @@
+package apiserver
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+
+	"waxwingcleat.example/waxwingcleat/internal/configlog"
+	"waxwingcleat.example/waxwingcleat/internal/platform"
+	"waxwingcleat.example/waxwingcleat/internal/resource"
+)
+
+// Codes of errors that the API answers with.
+const (
+	codeInvalid    = "invalid"
+	codeNotFound   = "not_found"
+	codeConflict   = "conflict"
+	codeTooOld     = "too_old"
+	codeTooLarge   = "too_large"
+	codeTooMany    = "too_many_watches"
+	codeNotReady   = "not_ready"
+	codeNotWritten = "not_written"
+	codeUnknown    = "unknown"
+	codeInternal   = "internal"
+)
+
+var statusOf = map[string]int{
+	codeInvalid:    http.StatusBadRequest,
+	codeNotFound:   http.StatusNotFound,
+	codeConflict:   http.StatusConflict,
+	codeTooOld:     http.StatusGone,
+	codeTooLarge:   http.StatusRequestEntityTooLarge,
+	codeTooMany:    http.StatusServiceUnavailable,
+	codeNotReady:   http.StatusServiceUnavailable,
+	codeNotWritten: http.StatusServiceUnavailable,
+	codeUnknown:    http.StatusGatewayTimeout,
+	codeInternal:   http.StatusInternalServerError,
+}
+
+// apiError is the JSON form of an error.
+type apiError struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+	Field   string `json:"field,omitempty"`
+	// CurrentVersion is set in conflicts; 0 means that the resource does not exist.
+	CurrentVersion *platform.Offset `json:"currentVersion,omitempty"`
+	OperationID    string           `json:"operationId,omitempty"`
+}
+
+type errorBody struct {
+	Error *apiError `json:"error"`
+}
+
+func writeError(w http.ResponseWriter, failure *apiError) {
+	writeJSON(w, statusOf[failure.Code], errorBody{Error: failure})
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func invalidField(field, message string) *apiError {
+	return &apiError{Code: codeInvalid, Field: field, Message: message}
+}
+
+// bodyError classifies a failure to read or decode a request's body.
+func bodyError(err error) *apiError {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return &apiError{Code: codeTooLarge, Message: err.Error()}
+	}
+	var problem *resource.Problem
+	if errors.As(err, &problem) {
+		return invalidField(problem.Field, problem.Error())
+	}
+	return &apiError{Code: codeInvalid, Message: err.Error()}
+}
+
+// resultError returns the error of an operation that was not accepted, or nil.
+func resultError(result resource.Result) *apiError {
+	failure := &apiError{Message: result.Message, Field: result.Field, OperationID: result.OperationID}
+	switch result.Outcome {
+	case resource.Accepted:
+		return nil
+	case resource.Conflict:
+		failure.Code = codeConflict
+		failure.Message = "the resource does not have the expected version"
+		failure.CurrentVersion = &result.Version
+	case resource.Invalid:
+		failure.Code = codeInvalid
+	case configlog.NotWritten:
+		failure.Code = codeNotWritten
+		failure.Message = "not written: the log service can't be reached"
+	case configlog.Unknown:
+		failure.Code = codeUnknown
+		failure.Message = "the change was not read back in time and may take effect; repeat it with the same operationId"
+	default:
+		failure.Code = codeInternal
+		failure.Message = "outcome " + string(result.Outcome)
+	}
+	return failure
+}
--- /dev/null
+++ b/internal/apiserver/resources.go
@@ -0,0 +1,150 @@
+package apiserver
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"waxwingcleat.example/waxwingcleat/internal/ident"
+	"waxwingcleat.example/waxwingcleat/internal/platform"
+	"waxwingcleat.example/waxwingcleat/internal/resource"
+)
+
+// change is the body of a PUT or DELETE and one element of a batch.
+type change struct {
+	Kind resource.Kind `json:"kind,omitempty"`
+	Name string        `json:"name,omitempty"`
+	// ResourceVersion is the version that the resource must have; 0 means that it must not exist.
+	ResourceVersion *platform.Offset `json:"resourceVersion"`
+	OperationID     string           `json:"operationId,omitempty"`
+	Delete          bool             `json:"delete,omitempty"`
+	Spec            json.RawMessage  `json:"spec,omitempty"`
+}
+
+// changed is the answer to an accepted change.
+type changed struct {
+	Kind            resource.Kind   `json:"kind"`
+	Name            string          `json:"name"`
+	ResourceVersion platform.Offset `json:"resourceVersion"`
+	OperationID     string          `json:"operationId"`
+}
+
+type list struct {
+	Kind            resource.Kind     `json:"kind"`
+	ResourceVersion platform.Offset   `json:"resourceVersion"`
+	Items           []resource.Object `json:"items"`
+}
+
+func (s *Server) get(w http.ResponseWriter, request *http.Request) {
+	kind, failure := kindOf(request)
+	if failure != nil {
+		writeError(w, failure)
+		return
+	}
+	name := request.PathValue("name")
+	object, found := s.replica.View().Get(kind, name)
+	if !found {
+		writeError(w, &apiError{Code: codeNotFound, Message: fmt.Sprintf("%s/%s does not exist", kind, name)})
+		return
+	}
+	writeJSON(w, http.StatusOK, object)
+}
+
+func (s *Server) list(w http.ResponseWriter, request *http.Request) {
+	kind, failure := kindOf(request)
+	if failure != nil {
+		writeError(w, failure)
+		return
+	}
+	if watch := request.URL.Query().Get("watch"); watch == "1" || watch == "true" {
+		s.watch(w, request, kind)
+		return
+	}
+	view := s.replica.View()
+	writeJSON(w, http.StatusOK, list{Kind: kind, ResourceVersion: view.Applied, Items: view.List(kind)})
+}
+
+func (s *Server) put(w http.ResponseWriter, request *http.Request) { s.changeOne(w, request, false) }
+
+func (s *Server) remove(w http.ResponseWriter, request *http.Request) { s.changeOne(w, request, true) }
+
+func (s *Server) changeOne(w http.ResponseWriter, request *http.Request, deletion bool) {
+	var body change
+	if err := s.readBody(w, request, s.settings.Limits.BodyBytes, &body); err != nil {
+		writeError(w, bodyError(err))
+		return
+	}
+	op, failure := body.operationAt(resource.Kind(request.PathValue("kind")), request.PathValue("name"), deletion)
+	if failure != nil {
+		writeError(w, failure)
+		return
+	}
+	ctx, cancel := s.writeContext(request)
+	defer cancel()
+	result := s.writer.Apply(ctx, []resource.Operation{op})[0]
+	if failure := resultError(result); failure != nil {
+		writeError(w, failure)
+		return
+	}
+	status := http.StatusOK
+	if op.ExpectedVersion == 0 {
+		status = http.StatusCreated
+	}
+	writeJSON(w, status, changed{Kind: op.Kind, Name: op.Name, ResourceVersion: result.Version, OperationID: op.ID})
+}
+
+// operationAt returns the operation of a body that was sent to the path of one resource.
+func (c *change) operationAt(kind resource.Kind, name string, deletion bool) (resource.Operation, *apiError) {
+	if c.Kind != "" && c.Kind != kind {
+		return resource.Operation{}, invalidField("kind", fmt.Sprintf("field \"kind\" has value %q; allowed: %q as in the path", c.Kind, kind))
+	}
+	if c.Name != "" && c.Name != name {
+		return resource.Operation{}, invalidField("name", fmt.Sprintf("field \"name\" has value %q; allowed: %q as in the path", c.Name, name))
+	}
+	if c.Delete && !deletion {
+		return resource.Operation{}, invalidField("delete", "field \"delete\" has value true; allowed: false in a PUT")
+	}
+	c.Kind, c.Name, c.Delete = kind, name, deletion
+	return c.operation()
+}
+
+func (c *change) operation() (resource.Operation, *apiError) {
+	if c.ResourceVersion == nil {
+		return resource.Operation{}, invalidField("resourceVersion",
+			"field \"resourceVersion\" is missing; allowed: the current version of the resource, or 0 to create it")
+	}
+	if c.OperationID == "" {
+		c.OperationID = ident.New()
+	}
+	return resource.Operation{
+		ID: c.OperationID, Kind: c.Kind, Name: c.Name, ExpectedVersion: *c.ResourceVersion, Delete: c.Delete, Spec: c.Spec,
+	}, nil
+}
+
+func (s *Server) writeContext(request *http.Request) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(request.Context(), s.settings.Config.WriteTimeout.Std())
+}
+
+// readBody decodes a body of limited size that must arrive in limited time.
+func (s *Server) readBody(w http.ResponseWriter, request *http.Request, limit int, target any) error {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(s.settings.Limits.BodyTimeout.Std()))
+	data, err := io.ReadAll(http.MaxBytesReader(w, request.Body, int64(limit)))
+	if err != nil {
+		return err
+	}
+	// The server watches the connection while the handler runs; a deadline left in place would cancel the request.
+	_ = control.SetReadDeadline(time.Time{})
+	return resource.DecodeStrict(data, target)
+}
+
+func kindOf(request *http.Request) (resource.Kind, *apiError) {
+	kind := resource.Kind(request.PathValue("kind"))
+	if !kind.Known() {
+		return "", &apiError{Code: codeNotFound, Field: "kind", Message: fmt.Sprintf("kind %q does not exist; allowed: %v", kind, resource.Kinds())}
+	}
+	return kind, nil
+}
--- /dev/null
+++ b/internal/apiserver/server.go
@@ -0,0 +1,121 @@
+package apiserver
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"golang.org/x/sync/errgroup"
+
+	"waxwingcleat.example/waxwingcleat/internal/configlog"
+	"waxwingcleat.example/waxwingcleat/internal/event"
+	"waxwingcleat.example/waxwingcleat/internal/platform"
+	"waxwingcleat.example/waxwingcleat/internal/process"
+	"waxwingcleat.example/waxwingcleat/internal/rpc/peerpb"
+)
+
+// Server is one API server process.
+type Server struct {
+	settings Settings
+	events   *event.Log
+	replica  *configlog.Replica
+	writer   *configlog.Writer
+	nodes    *nodeTable
+	watches  atomic.Int64
+	// stopping is closed when the graceful shutdown begins.
+	stopping chan struct{}
+}
+
+// New returns a server over a log service. Run starts it.
+func New(settings Settings, log platform.Log, events *event.Log) *Server {
+	s := &Server{settings: settings, events: events, stopping: make(chan struct{})}
+	s.nodes = newNodeTable(s)
+	s.replica = configlog.NewReplica(configlog.Options{Log: log, Peers: s.nodes.feeds, Events: events})
+	s.writer = configlog.NewWriter(s.replica, configlog.WriterOptions{RecordBytes: settings.Config.RecordBytes})
+	return s
+}
+
+// Listen opens the listeners of the settings and runs the server on them.
+func (s *Server) Listen(ctx context.Context) error {
+	listener, err := net.Listen("tcp", s.settings.Listen)
+	if err != nil {
+		return err
+	}
+	admin, err := net.Listen("tcp", s.settings.AdminListen)
+	if err != nil {
+		return errors.Join(err, listener.Close())
+	}
+	s.events.Emit(event.ProcessStarted, event.Fields{"listen": s.settings.Listen, "admin": s.settings.AdminListen})
+	return s.Run(ctx, listener, admin)
+}
+
+// Run serves until ctx ends. The graceful shutdown closes watches with a bookmark and finishes other requests;
+// the configuration is followed until they are done, because writes wait for their records.
+func (s *Server) Run(ctx context.Context, listener, admin net.Listener) error {
+	duties, stopDuties := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopDuties()
+	group, groupCtx := errgroup.WithContext(duties)
+	snapshots := configlog.NewSnapshotWriter(s.replica, s.settings.Config.snapshotOptions())
+	group.Go(func() error { return s.replica.Run(groupCtx) })
+	group.Go(func() error { return snapshots.Run(groupCtx) })
+	group.Go(func() error { return s.nodes.run(groupCtx) })
+	group.Go(func() error { return s.serveAdmin(groupCtx, admin) })
+
+	serving, stopServing := context.WithCancel(ctx)
+	defer stopServing()
+	context.AfterFunc(groupCtx, stopServing)
+	context.AfterFunc(serving, s.beginStop)
+	err := process.ServeListener(serving, listener, s.Handler(), s.settings.ShutdownTimeout.Std())
+	stopDuties()
+	err = errors.Join(err, group.Wait())
+	s.events.Emit(event.ProcessStopped, nil)
+	return err
+}
+
+func (s *Server) beginStop() {
+	s.events.Emit(event.ProcessStopping, nil)
+	close(s.stopping)
+}
+
+func (s *Server) serveAdmin(ctx context.Context, listener net.Listener) error {
+	admin := process.NewAdmin(s.ready)
+	return process.ServeListener(ctx, listener, admin.Mux, s.settings.ShutdownTimeout.Std())
+}
+
+func (s *Server) ready() error {
+	select {
+	case <-s.stopping:
+		return errors.New("the process is stopping")
+	default:
+		return s.replica.Ready()
+	}
+}
+
+// Handler returns the handler of the resource API and of ConfigFeed.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /apis/v1/{kind}", s.known(s.list))
+	mux.HandleFunc("GET /apis/v1/{kind}/{name}", s.known(s.get))
+	mux.HandleFunc("PUT /apis/v1/{kind}/{name}", s.known(s.put))
+	mux.HandleFunc("DELETE /apis/v1/{kind}/{name}", s.known(s.remove))
+	mux.HandleFunc("POST /apis/v1/batch", s.known(s.batch))
+	mux.HandleFunc("GET /apis/v1/status", s.known(s.status))
+	mux.Handle(peerpb.ConfigFeedPathPrefix, s.replica.Feed())
+	mux.HandleFunc("/", func(w http.ResponseWriter, request *http.Request) {
+		writeError(w, &apiError{Code: codeNotFound, Message: "no endpoint " + request.Method + " " + request.URL.Path})
+	})
+	return mux
+}
+
+// known refuses requests until the configuration is known.
+func (s *Server) known(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, request *http.Request) {
+		if err := s.replica.Ready(); err != nil {
+			writeError(w, &apiError{Code: codeNotReady, Message: err.Error()})
+			return
+		}
+		next(w, request)
+	}
+}
