Add the operators' command line

Cause: operators had no program to apply, watch and wait for resources.

Ruled out: retrying a write at another server under a new operation ID. A write whose answer was lost would then be reported as a conflict with itself.

A batch refuses two changes of one resource, because its records have no defined order, and the state machine refuses a second change of a resource in one record, because both states would have the same version.

--- a/internal/apiserver/apiserver_test.go
+++ b/internal/apiserver/apiserver_test.go
@@ -65,6 +65,9 @@
 		ginkgo.Entry("unknown kind", "GET", "/apis/v1/pods", "", "not_found", "kind"),
 		ginkgo.Entry("unknown path", "POST", "/apis/v1/adapters", "", "not_found", ""),
 		ginkgo.Entry("empty batch", "POST", "/apis/v1/batch", `{"operations":[]}`, "invalid", "operations"),
+		ginkgo.Entry("resource twice in a batch", "POST", "/apis/v1/batch",
+			`{"operations":[{"kind":"services","name":"s","resourceVersion":0},{"kind":"services","name":"s","resourceVersion":0}]}`,
+			"invalid", "operations[1].name"),
 		ginkgo.Entry("bad version", "GET", "/apis/v1/status?resourceVersion=x", "", "invalid", "resourceVersion"),
 	)
 
@@ -170,7 +173,11 @@
 		}()
 		gomega.Eventually(func() int { r.log.mu.Lock(); defer r.log.mu.Unlock(); return r.log.waiting }).Should(gomega.Equal(1))
 		r.stop()
-		leaving := func() bool { r.scheduler.mu.Lock(); defer r.scheduler.mu.Unlock(); return r.scheduler.last.GetLeaving() }
+		leaving := func() bool {
+			r.scheduler.mu.Lock()
+			defer r.scheduler.mu.Unlock()
+			return r.scheduler.last.GetLeaving()
+		}
 		gomega.Eventually(leaving).Should(gomega.BeTrue())
 		close(held)
 		gomega.Expect((<-answered).status).To(gomega.Equal(http.StatusCreated))
--- a/internal/apiserver/batch.go
+++ b/internal/apiserver/batch.go
@@ -38,19 +38,35 @@
 		writeError(w, invalidField("operations", fmt.Sprintf("field \"operations\" has %d entries; allowed: 1 to %d", count, limit)))
 		return
 	}
-	operations := make([]resource.Operation, 0, count)
-	for i := range body.Operations {
-		op, failure := body.Operations[i].operation()
+	operations, failure := batchOperations(body.Operations)
+	if failure != nil {
+		writeError(w, failure)
+		return
+	}
+	ctx, cancel := s.writeContext(request)
+	defer cancel()
+	writeJSON(w, http.StatusOK, batchAnswer(operations, s.writer.Apply(ctx, operations)))
+}
+
+// batchOperations refuses two changes of one resource, because the records of a batch have no defined order.
+func batchOperations(changes []change) ([]resource.Operation, *apiError) {
+	operations := make([]resource.Operation, 0, len(changes))
+	named := map[string]bool{}
+	for i := range changes {
+		op, failure := changes[i].operation()
 		if failure != nil {
 			failure.Field = fmt.Sprintf("operations[%d].%s", i, failure.Field)
-			writeError(w, failure)
-			return
+			return nil, failure
+		}
+		target := string(op.Kind) + "/" + op.Name
+		if named[target] {
+			field := fmt.Sprintf("operations[%d].name", i)
+			return nil, invalidField(field, fmt.Sprintf("field %q has value %q; allowed: each resource once in a batch", field, changes[i].Name))
 		}
+		named[target] = true
 		operations = append(operations, op)
 	}
-	ctx, cancel := s.writeContext(request)
-	defer cancel()
-	writeJSON(w, http.StatusOK, batchAnswer(operations, s.writer.Apply(ctx, operations)))
+	return operations, nil
 }
 
 func batchAnswer(operations []resource.Operation, results []resource.Result) batchResponse {
--- /dev/null
+++ b/internal/ctl/client.go
@@ -0,0 +1,212 @@
+// Package ctl is the operators' command line over the resource API.
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"waxwingcleat.example/waxwingcleat/internal/platform"
+	"waxwingcleat.example/waxwingcleat/internal/resource"
+)
+
+const (
+	dialTimeout = 2 * time.Second
+	// answerTimeout is longer than the API server's default write timeout, so that its verdict arrives.
+	answerTimeout = 20 * time.Second
+)
+
+// Codes of the API's errors that the command line reacts to.
+const (
+	codeConflict   = "conflict"
+	codeNotFound   = "not_found"
+	codeNotReady   = "not_ready"
+	codeNotWritten = "not_written"
+	codeTooMany    = "too_many_watches"
+	codeUnknown    = "unknown"
+)
+
+// APIError is an error that an API server answered with.
+type APIError struct {
+	Code           string           `json:"code"`
+	Message        string           `json:"message"`
+	Field          string           `json:"field,omitempty"`
+	CurrentVersion *platform.Offset `json:"currentVersion,omitempty"`
+	OperationID    string           `json:"operationId,omitempty"`
+}
+
+// Error implements error.
+func (e *APIError) Error() string {
+	text := e.Code + ": " + e.Message
+	if e.CurrentVersion != nil {
+		text += fmt.Sprintf(" (current version %d)", *e.CurrentVersion)
+	}
+	if e.Code == codeUnknown {
+		text += " (operation " + e.OperationID + ")"
+	}
+	return text
+}
+
+// elsewhere reports whether another API server may give a better answer.
+func (e *APIError) elsewhere() bool {
+	switch e.Code {
+	case codeNotReady, codeNotWritten, codeTooMany, codeUnknown:
+		return true
+	}
+	return false
+}
+
+// Client calls the first API server that can be reached. Every write carries an operation ID, so that a write whose
+// answer was lost is repeated at the next server without taking effect twice.
+type Client struct {
+	servers []string
+	http    *http.Client
+	// current is the index of the server that answered last.
+	current int
+}
+
+// NewClient returns a client of API servers, each given as ip:port or as a URL.
+func NewClient(servers []string) *Client {
+	c := &Client{http: &http.Client{Transport: &http.Transport{
+		DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		ResponseHeaderTimeout: answerTimeout,
+	}}}
+	for _, server := range servers {
+		if !strings.Contains(server, "://") {
+			server = "http://" + server
+		}
+		c.servers = append(c.servers, strings.TrimSuffix(server, "/"))
+	}
+	return c
+}
+
+// call sends a request with a JSON body (nil for none) and decodes the answer into target.
+func (c *Client) call(ctx context.Context, method, path string, body, target any) error {
+	response, err := c.send(ctx, method, path, body)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if err := json.NewDecoder(response.Body).Decode(target); err != nil {
+		return fmt.Errorf("%s %s: answer can't be read: %w", method, response.Request.URL, err)
+	}
+	return nil
+}
+
+// send tries each server once, beginning with the one that answered last.
+func (c *Client) send(ctx context.Context, method, path string, body any) (*http.Response, error) {
+	var data []byte
+	if body != nil {
+		var err error
+		if data, err = json.Marshal(body); err != nil {
+			return nil, err
+		}
+	}
+	var last error
+	for range c.servers {
+		response, err := c.sendTo(ctx, c.servers[c.current], method, path, data)
+		if err == nil {
+			return response, nil
+		}
+		last = err
+		if refusal, ok := err.(*APIError); ok && !refusal.elsewhere() || ctx.Err() != nil {
+			return nil, err
+		}
+		c.current = (c.current + 1) % len(c.servers)
+	}
+	return nil, last
+}
+
+func (c *Client) sendTo(ctx context.Context, server, method, path string, body []byte) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, method, server+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode < http.StatusBadRequest {
+		return response, nil
+	}
+	defer response.Body.Close()
+	return nil, decodeError(response)
+}
+
+func decodeError(response *http.Response) error {
+	const longestError = 1 << 20
+	data, err := io.ReadAll(io.LimitReader(response.Body, longestError))
+	if err != nil {
+		return err
+	}
+	var body struct {
+		Error *APIError `json:"error"`
+	}
+	if json.Unmarshal(data, &body) != nil || body.Error == nil {
+		return fmt.Errorf("%s answered %s", response.Request.URL, response.Status)
+	}
+	return body.Error
+}
+
+// object is a resource as the API writes it.
+type object struct {
+	Kind            resource.Kind   `json:"kind"`
+	Name            string          `json:"name"`
+	ResourceVersion platform.Offset `json:"resourceVersion"`
+	Spec            json.RawMessage `json:"spec,omitempty"`
+}
+
+type objectList struct {
+	Kind            resource.Kind   `json:"kind"`
+	ResourceVersion platform.Offset `json:"resourceVersion"`
+	Items           []object        `json:"items"`
+}
+
+// change is one conditional write.
+type change struct {
+	Kind            resource.Kind   `json:"kind"`
+	Name            string          `json:"name"`
+	ResourceVersion platform.Offset `json:"resourceVersion"`
+	OperationID     string          `json:"operationId"`
+	Delete          bool            `json:"delete,omitempty"`
+	Spec            json.RawMessage `json:"spec,omitempty"`
+}
+
+// verdict is the API's answer to one change of a batch.
+type verdict struct {
+	Kind            resource.Kind    `json:"kind"`
+	Name            string           `json:"name"`
+	OperationID     string           `json:"operationId"`
+	Outcome         resource.Outcome `json:"outcome"`
+	ResourceVersion platform.Offset  `json:"resourceVersion,omitempty"`
+	Error           *APIError        `json:"error,omitempty"`
+}
+
+type status struct {
+	ResourceVersion platform.Offset `json:"resourceVersion"`
+	Applied         platform.Offset `json:"applied"`
+	InForce         bool            `json:"inForce"`
+	Reason          string          `json:"reason,omitempty"`
+	Pending         []string        `json:"pending"`
+	NodeTableAgeMs  int64           `json:"nodeTableAgeMs"`
+	Nodes           []nodeStatus    `json:"nodes"`
+}
+
+type nodeStatus struct {
+	Name    string          `json:"name"`
+	Zone    string          `json:"zone"`
+	State   string          `json:"state"`
+	Applied platform.Offset `json:"applied"`
+	InForce bool            `json:"inForce"`
+}
+
+func resourcePath(kind resource.Kind, name string) string {
+	return "/apis/v1/" + string(kind) + "/" + name
+}
--- /dev/null
+++ b/internal/ctl/resources.go
@@ -0,0 +1,160 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/spf13/cobra"
+
+	"waxwingcleat.example/waxwingcleat/internal/ident"
+	"waxwingcleat.example/waxwingcleat/internal/platform"
+	"waxwingcleat.example/waxwingcleat/internal/resource"
+)
+
+func (a *app) getCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "get KIND [NAME]",
+		Short: "Print one resource or all resources of a kind",
+		Args:  arguments(cobra.RangeArgs(1, 2)),
+		RunE: func(command *cobra.Command, args []string) error {
+			kind, err := kindArgument(args[0])
+			if err != nil {
+				return err
+			}
+			client, err := a.client()
+			if err != nil {
+				return err
+			}
+			if len(args) == 2 {
+				return a.getOne(command.Context(), client, kind, args[1])
+			}
+			return a.getAll(command.Context(), client, kind)
+		},
+	}
+}
+
+func (a *app) getOne(ctx context.Context, client *Client, kind resource.Kind, name string) error {
+	var found object
+	if err := client.call(ctx, http.MethodGet, resourcePath(kind, name), nil, &found); err != nil {
+		return err
+	}
+	return a.print(found, func(out io.Writer) { printObject(out, found) })
+}
+
+func (a *app) getAll(ctx context.Context, client *Client, kind resource.Kind) error {
+	var all objectList
+	if err := client.call(ctx, http.MethodGet, "/apis/v1/"+string(kind), nil, &all); err != nil {
+		return err
+	}
+	return a.print(all, func(out io.Writer) {
+		for _, item := range all.Items {
+			printObject(out, item)
+		}
+	})
+}
+
+func printObject(out io.Writer, o object) {
+	fmt.Fprintf(out, "%s\tversion %d\t%s\n", o.Name, o.ResourceVersion, o.Spec)
+}
+
+func (a *app) deleteCommand() *cobra.Command {
+	var version uint64
+	command := &cobra.Command{
+		Use:   "delete KIND NAME",
+		Short: "Delete a resource, if it still has the version given or read",
+		Args:  arguments(cobra.ExactArgs(2)),
+		RunE: func(command *cobra.Command, args []string) error {
+			kind, err := kindArgument(args[0])
+			if err != nil {
+				return err
+			}
+			client, err := a.client()
+			if err != nil {
+				return err
+			}
+			target := object{Kind: kind, Name: args[1], ResourceVersion: platform.Offset(version)}
+			return a.delete(command.Context(), client, target)
+		},
+	}
+	command.Flags().Uint64Var(&version, "resource-version", 0, "delete this version only; 0 reads the current version first")
+	return command
+}
+
+func (a *app) delete(ctx context.Context, client *Client, target object) error {
+	if target.ResourceVersion == 0 {
+		if err := client.call(ctx, http.MethodGet, resourcePath(target.Kind, target.Name), nil, &target); err != nil {
+			return err
+		}
+	}
+	c := change{Kind: target.Kind, Name: target.Name, ResourceVersion: target.ResourceVersion, OperationID: ident.New(), Delete: true}
+	deleted, err := writeOne(ctx, client, c)
+	if err != nil {
+		return err
+	}
+	return a.print(deleted, func(out io.Writer) {
+		fmt.Fprintf(out, "%s/%s deleted at version %d\n", deleted.Kind, deleted.Name, deleted.ResourceVersion)
+	})
+}
+
+// writeOne writes one change and returns the refusal as an error.
+func writeOne(ctx context.Context, client *Client, c change) (verdict, error) {
+	verdicts, err := writeBatch(ctx, client, []change{c})
+	if err != nil {
+		return verdict{}, err
+	}
+	if verdicts[0].Error != nil {
+		return verdict{}, verdicts[0].Error
+	}
+	return verdicts[0], nil
+}
+
+func (a *app) explainCommand() *cobra.Command {
+	var admins []string
+	command := &cobra.Command{
+		Use:   "explain NAME",
+		Short: "Show the latest decisions about a request or adapter",
+		Args:  arguments(cobra.ExactArgs(1)),
+		RunE: func(command *cobra.Command, args []string) error {
+			if len(admins) == 0 {
+				return usage("flag --admin is missing")
+			}
+			return a.explain(command.Context(), admins, args[0])
+		},
+	}
+	command.Flags().StringArrayVar(&admins, "admin", nil, "admin address of a gateway or scheduler, ip:port; may be repeated")
+	return command
+}
+
+// explained are the decisions of one process.
+type explained struct {
+	Admin     string            `json:"admin"`
+	Decisions []json.RawMessage `json:"decisions"`
+	Error     string            `json:"error,omitempty"`
+}
+
+// explain asks every admin endpoint, because each process knows its own decisions only.
+func (a *app) explain(ctx context.Context, admins []string, subject string) error {
+	answers := make([]explained, 0, len(admins))
+	var failures []error
+	for _, admin := range admins {
+		answer := explained{Admin: admin, Decisions: []json.RawMessage{}}
+		path := "/debug/decisions?name=" + queryEscape(subject)
+		if err := NewClient([]string{admin}).call(ctx, http.MethodGet, path, nil, &answer.Decisions); err != nil {
+			answer.Error = err.Error()
+			failures = append(failures, fmt.Errorf("%s: %w", admin, err))
+		}
+		answers = append(answers, answer)
+	}
+	err := a.print(answers, func(out io.Writer) {
+		for _, answer := range answers {
+			for _, decision := range answer.Decisions {
+				fmt.Fprintf(out, "%s\t%s\n", answer.Admin, decision)
+			}
+		}
+	})
+	return errors.Join(append(failures, err)...)
+}
--- a/internal/resource/machine.go
+++ b/internal/resource/machine.go
@@ -89,7 +89,8 @@
 	if problem != nil {
 		return invalid(op, version, problem)
 	}
-	if version != op.ExpectedVersion {
+	// A second change in one record would give two states of a resource the same version.
+	if version != op.ExpectedVersion || version == offset {
 		return Result{OperationID: op.ID, Outcome: Conflict, Version: version}
 	}
 	if op.Delete {
--- a/internal/resource/resource_test.go
+++ b/internal/resource/resource_test.go
@@ -69,6 +69,12 @@
 		gomega.Expect(log.operate(adapter("5", "a", 0, "p"))[0].Outcome).To(gomega.Equal(resource.Accepted))
 	})
 
+	// Guards against two states of a resource with one version, which a conditional write can't tell apart.
+	ginkgo.It("changes a resource once in a record", func() {
+		results := log.operate(class("1", "a", 0, 1), class("2", "a", 1, 2))
+		gomega.Expect(results[1]).To(gomega.Equal(resource.Result{OperationID: "2", Outcome: resource.Conflict, Version: 1}))
+	})
+
 	// Guards against a reader that sees a view change under it.
 	ginkgo.It("leaves earlier views unchanged", func() {
 		log.operate(class("1", "a", 0, 1))
