--- a/internal/apiserver/apiserver_test.go
+++ b/internal/apiserver/apiserver_test.go
@@ -104,7 +104,7 @@
 		r.scheduler.setOther(1)
 		gomega.Eventually(func() any { return r.call("GET", "/apis/v1/status?resourceVersion=1", "").body["inForce"] }).Should(gomega.BeTrue())
 		gomega.Expect(r.call("GET", "/apis/v1/status?resourceVersion=2", "").body["inForce"]).To(gomega.BeFalse())
-		gomega.Expect(r.scheduler.last.GetRole()).To(gomega.Equal("apiserver"))
+		gomega.Expect(r.scheduler.lastSync().GetRole()).To(gomega.Equal("apiserver"))
 	})
 
 	// Guards against "in force" without knowledge of the nodes.
--- a/internal/apiserver/errors.go
+++ b/internal/apiserver/errors.go
@@ -92,7 +92,7 @@
 		failure.Code = codeInvalid
 	case configlog.NotWritten:
 		failure.Code = codeNotWritten
-		failure.Message = "not written: the log service can't be reached"
+		failure.Message = "this request wrote nothing, because the log service can't be reached; repeat it with the same operationId"
 	case configlog.Unknown:
 		failure.Code = codeUnknown
 		failure.Message = "the change was not read back in time and may take effect; repeat it with the same operationId"
--- a/internal/apiserver/fake_test.go
+++ b/internal/apiserver/fake_test.go
@@ -97,6 +97,12 @@
 	}}, nil
 }
 
+func (f *fakeScheduler) lastSync() *peerpb.SyncRequest {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.last
+}
+
 func (f *fakeScheduler) setOther(applied uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/configlog/configlog_test.go
+++ b/internal/configlog/configlog_test.go
@@ -299,6 +299,8 @@
 
 		log.set(func() { log.earliest = 21 })
 		late := start(log)
+		verdict, forget := late.await("fill-7")
+		defer forget()
 		gomega.Eventually(func() error { return late.Ready() }).Should(gomega.MatchError(gomega.ContainSubstring("applied offset 0 of 20")))
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan error)
@@ -307,6 +309,7 @@
 		cancel()
 		gomega.Expect(<-done).To(gomega.Succeed())
 		gomega.Expect(late.View().PriorityClasses).To(gomega.HaveLen(20))
+		gomega.Expect(verdict).To(gomega.Receive(gomega.HaveField("Version", platform.Offset(8))))
 		gomega.Expect(snapshots.due(time.Now())).To(gomega.BeFalse())
 		_, _, err := late.Changes(resource.KindPriorityClass, 3)
 		gomega.Expect(err).To(gomega.BeAssignableToTypeOf(&resource.TooOldError{}))
--- a/internal/configlog/peers.go
+++ b/internal/configlog/peers.go
@@ -44,7 +44,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.reader.Waiting() > 0 || r.reader.Applied() < r.end && !r.caughtUp
+	return r.reader.Waiting() > 0 || (r.reader.Applied() < r.end && !r.caughtUp)
 }
 
 // fetchFromAny asks the peers in random order until one has answered.
@@ -92,12 +92,9 @@
 		if err != nil {
 			return false, failure.Wrap(err, failure.Invalid, "config snapshot", peer)
 		}
-		if restored {
-			r.answerFromSnapshot()
-		}
-		r.take(report)
+		r.take(report, restored)
 	}
-	r.take(r.reader.Apply(recordsOf(answer.GetRecords())))
+	r.take(r.reader.Apply(recordsOf(answer.GetRecords())), false)
 	applied := r.reader.Applied()
 	r.end = max(r.end, platform.Offset(answer.GetApplied()))
 	// While the log answers, it decides what is the newest state; a peer's may be old.
--- a/internal/configlog/replica.go
+++ b/internal/configlog/replica.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
 	"waxwingcleat.example/waxwingcleat/internal/event"
@@ -158,15 +159,19 @@
 	r.waiters[operationID] = kept
 }
 
-// take hands what the reader did to waiters and readers. The caller holds the lock.
-func (r *Replica) take(report resource.Report) {
+// take hands what the reader did to readers and waiters. The caller holds the lock.
+func (r *Replica) take(report resource.Report, restored bool) {
 	for _, ignored := range report.Ignored {
 		r.options.Events.EmitError(event.ConfigRecordIgnored, ignored.Err, event.Fields{"offset": ignored.Offset})
 	}
+	// The view comes first, so that an operator who was answered reads what was written.
+	r.publish()
 	for _, result := range report.Results {
 		r.answer(result)
 	}
-	r.publish()
+	if restored {
+		r.answerFromSnapshot()
+	}
 }
 
 func (r *Replica) answer(result resource.Result) {
@@ -193,6 +198,7 @@
 		return
 	}
 	r.view.Store(current)
+	metrics.GetOrRegisterGauge("config.applied", nil).Update(int64(current.Applied))
 	close(r.changed)
 	r.changed = make(chan struct{})
 	if before == nil {
@@ -211,14 +217,11 @@
 	r.clock.note(batch.Records, r.caughtUp, time.Now())
 	before := r.reader.Machine()
 	report := r.reader.Apply(batch.Records)
-	if r.reader.Machine() != before {
-		r.answerFromSnapshot()
-	}
 	if batch.Next > 0 {
 		r.end = max(r.end, batch.Next-1)
+		r.caughtUp = r.caughtUp || r.reader.Applied() >= r.end
 	}
-	r.caughtUp = r.caughtUp || r.reader.Applied() >= r.end
-	r.take(report)
+	r.take(report, r.reader.Machine() != before)
 	if applied := r.reader.Applied(); r.follower.Next() <= applied {
 		r.follower.StartAt(applied + 1)
 	}
--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -188,28 +188,46 @@
 	return versions, nil
 }
 
-// writeBatch sends changes and sends the undecided ones again under their operation IDs.
+// writeBatch sends changes and sends the undecided ones again, at another server, under their operation IDs.
 func writeBatch(ctx context.Context, client *Client, changes []change) ([]verdict, error) {
 	verdicts := make([]verdict, len(changes))
 	open := make([]int, len(changes))
 	for i := range changes {
 		open[i] = i
 	}
+	client.doubtful = false
 	for attempt := 1; ; attempt++ {
 		undecided, err := sendOpen(ctx, client, changes, open, verdicts)
-		if err != nil && (attempt == attempts || ctx.Err() != nil || !repeatable(err)) {
+		last := attempt == attempts || ctx.Err() != nil
+		if err != nil && (last || !repeatable(err)) {
+			if client.doubtful {
+				err = fmt.Errorf("the changes may have been written, read them before a repeat: %w", err)
+			}
 			return nil, err
 		}
 		if err == nil {
 			open = undecided
 		}
-		if len(open) == 0 || attempt == attempts || ctx.Err() != nil {
+		if len(open) == 0 || last {
+			doubt(client, verdicts)
 			return verdicts, nil
 		}
+		client.next()
 		pause(ctx, attemptPause)
 	}
 }
 
+// doubt turns "not written" into "unknown" when an earlier attempt may have been written: each answer speaks of its
+// own request only.
+func doubt(client *Client, verdicts []verdict) {
+	for _, v := range verdicts {
+		if v.Error != nil && v.Error.Code == codeNotWritten && client.doubtful {
+			v.Error.Code = codeUnknown
+			v.Error.Message = "an earlier attempt may have been written"
+		}
+	}
+}
+
 // repeatable reports whether a batch that failed as a whole may be sent again.
 func repeatable(err error) bool {
 	var refusal *APIError
@@ -237,6 +255,7 @@
 		verdicts[i] = answer.Results[at]
 		if failure := verdicts[i].Error; failure != nil && failure.elsewhere() {
 			undecided = append(undecided, i)
+			client.doubtful = client.doubtful || failure.Code == codeUnknown
 		}
 	}
 	return undecided, nil
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -69,6 +70,8 @@
 	http    *http.Client
 	// current is the index of the server that answered last.
 	current int
+	// doubtful is true once a request was lost after it may have reached a server.
+	doubtful bool
 }
 
 // NewClient returns a client of API servers, each given as ip:port or as a URL.
@@ -118,11 +121,14 @@
 		if refusal, ok := err.(*APIError); ok && !refusal.elsewhere() || ctx.Err() != nil {
 			return nil, err
 		}
-		c.current = (c.current + 1) % len(c.servers)
+		c.next()
 	}
 	return nil, last
 }
 
+// next makes the following request go to another server first.
+func (c *Client) next() { c.current = (c.current + 1) % len(c.servers) }
+
 func (c *Client) sendTo(ctx context.Context, server, method, path string, body []byte) (*http.Response, error) {
 	request, err := http.NewRequestWithContext(ctx, method, server+path, bytes.NewReader(body))
 	if err != nil {
@@ -131,6 +137,7 @@
 	request.Header.Set("Content-Type", "application/json")
 	response, err := c.http.Do(request)
 	if err != nil {
+		c.doubtful = c.doubtful || !neverSent(err)
 		return nil, err
 	}
 	if response.StatusCode < http.StatusBadRequest {
@@ -140,6 +147,12 @@
 	return nil, decodeError(response)
 }
 
+// neverSent reports whether a request failed before a connection was open.
+func neverSent(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
+
 func decodeError(response *http.Response) error {
 	const longestError = 1 << 20
 	data, err := io.ReadAll(io.LimitReader(response.Body, longestError))
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -189,6 +189,22 @@
 		gomega.Expect(strings.Count(string(out.Contents()), "ADDED")).To(gomega.Equal(1))
 	})
 
+	// Guards against "not written" for a change that an earlier, lost attempt may have written.
+	ginkgo.It("says unknown when an attempt was lost and the next server can't write", func() {
+		lost := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+			panic(http.ErrAbortHandler)
+		}))
+		ginkgo.DeferCleanup(lost.Close)
+		cut := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+			fmt.Fprint(w, `{"results":[{"error":{"code":"not_written"}}]}`)
+		}))
+		ginkgo.DeferCleanup(cut.Close)
+		document := strings.Replace(server, `"spec"`, `"resourceVersion":0,"spec"`, 1)
+		code, out := run(document, "apply", "-f", "-", "--server", lost.URL, "--server", cut.URL)
+		gomega.Expect(code).To(gomega.Equal(ctl.ExitFailed))
+		gomega.Expect(out).To(gomega.ContainSubstring("refused: unknown"))
+	})
+
 	// Guards against an explanation that leaves out a process that could not be asked.
 	ginkgo.It("explains decisions from every admin endpoint", func() {
 		admin := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
--- a/internal/ctl/progress.go
+++ b/internal/ctl/progress.go
@@ -217,7 +217,7 @@
 		if errors.As(err, &refusal) && !refusal.elsewhere() {
 			return err
 		}
-		client.current = (client.current + 1) % len(client.servers)
+		client.next()
 		pause(ctx, watchPause)
 	}
 	return nil
--- a/internal/resource/reader.go
+++ b/internal/resource/reader.go
@@ -11,9 +11,10 @@
 	// A reader that waits for a snapshot keeps this many records and bytes. Snapshots are written every 1,000 records.
 	maximumPending      = 4096
 	maximumPendingBytes = 32 << 20
-	// A reader keeps this many applied records and bytes for peers that fetch them.
+	// A reader keeps this many applied records and bytes for peers that fetch them. A snapshot of 37,000 adapters has
+	// about 300 KiB, so that more bytes of records would cost a peer more than a snapshot.
 	maximumRecent      = 1024
-	maximumRecentBytes = 4 << 20
+	maximumRecentBytes = 512 << 10
 )
 
 // SnapshotMark says where the last complete snapshot that a reader has seen is on the stream.
--- a/internal/resource/remembered.go
+++ b/internal/resource/remembered.go
@@ -12,38 +12,39 @@
 	rememberedPaths = 16_384
 )
 
-// operationLog keeps the results of the last operations in the order of their records.
+// operationLog keeps the results of the last operations. The map holds positions and not results, to keep it small.
 type operationLog struct {
-	byID  map[string]Result
-	order []string
-	next  int
+	position map[string]int
+	results  []Result
+	// next is the position of the oldest result once the log is full.
+	next int
 }
 
-func newOperationLog() *operationLog { return &operationLog{byID: map[string]Result{}} }
+func newOperationLog() *operationLog { return &operationLog{position: map[string]int{}} }
 
 func (l *operationLog) find(id string) (Result, bool) {
-	result, found := l.byID[id]
-	return result, found
+	at, found := l.position[id]
+	if !found {
+		return Result{}, false
+	}
+	return l.results[at], true
 }
 
 func (l *operationLog) add(result Result) {
-	l.byID[result.OperationID] = result
-	if len(l.order) < rememberedOperations {
-		l.order = append(l.order, result.OperationID)
+	if len(l.results) < rememberedOperations {
+		l.position[result.OperationID] = len(l.results)
+		l.results = append(l.results, result)
 		return
 	}
-	delete(l.byID, l.order[l.next])
-	l.order[l.next] = result.OperationID
+	delete(l.position, l.results[l.next].OperationID)
+	l.position[result.OperationID] = l.next
+	l.results[l.next] = result
 	l.next = (l.next + 1) % rememberedOperations
 }
 
-// results returns the kept results, oldest first.
-func (l *operationLog) results() []Result {
-	kept := make([]Result, 0, len(l.order))
-	for i := range l.order {
-		kept = append(kept, l.byID[l.order[(l.next+i)%len(l.order)]])
-	}
-	return kept
+// list returns the kept results, oldest first.
+func (l *operationLog) list() []Result {
+	return append(append(make([]Result, 0, len(l.results)), l.results[l.next:]...), l.results[:l.next]...)
 }
 
 // RetiredPath is a withdrawn adapter version and its path, as hashes to keep it small.
@@ -103,9 +104,5 @@
 
 // paths returns the kept entries, oldest first.
 func (r *retiredPaths) paths() []RetiredPath {
-	kept := make([]RetiredPath, 0, len(r.order))
-	for i := range r.order {
-		kept = append(kept, r.order[(r.next+i)%len(r.order)])
-	}
-	return kept
+	return append(append(make([]RetiredPath, 0, len(r.order)), r.order[r.next:]...), r.order[:r.next]...)
 }
--- a/internal/resource/snapshot.go
+++ b/internal/resource/snapshot.go
@@ -96,7 +96,7 @@
 
 // Capture returns the current state at the cost of copying the remembered operations.
 func (m *Machine) Capture() Capture {
-	return Capture{view: m.view, operations: m.operations.results(), retired: m.retired.paths()}
+	return Capture{view: m.view, operations: m.operations.list(), retired: m.retired.paths()}
 }
 
 // AsOf returns the offset of the last record in the state.
