--- a/internal/apiserver/nodes.go
+++ b/internal/apiserver/nodes.go
@@ -98,11 +98,26 @@
 		case <-stopping:
 			leaving, stopping = true, nil
 		case <-ctx.Done():
+			if !leaving {
+				t.sayLeaving(ctx)
+			}
 			return nil
 		}
 	}
 }
 
+// sayLeaving tells the last scheduler when the shutdown was over before the next sync.
+func (t *nodeTable) sayLeaving(ctx context.Context) {
+	if t.scheduler == "" {
+		return
+	}
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), syncTimeout)
+	defer cancel()
+	if err := t.sync(last, t.scheduler, true); err != nil {
+		t.server.events.EmitError(event.ConfigSyncFailed, err, nil)
+	}
+}
+
 // syncAny syncs with the first scheduler that answers.
 func (t *nodeTable) syncAny(ctx context.Context, leaving bool) {
 	var last error
--- a/internal/apiserver/settings.go
+++ b/internal/apiserver/settings.go
@@ -86,7 +86,7 @@
 
 func (s *ConfigSettings) check(c *settings.Check) {
 	c.DurationBetween("config.retention", s.Retention, time.Second, 10*365*24*time.Hour)
-	c.Between("config.snapshotRecords", s.SnapshotRecords, 10, 100_000)
+	c.Between("config.snapshotRecords", s.SnapshotRecords, 100, 100_000)
 	c.Between("config.snapshotChunkBytes", s.SnapshotChunkBytes, 1<<10, 16<<20)
 	c.DurationBetween("config.snapshotCheckInterval", s.SnapshotCheckInterval, 10*time.Millisecond, time.Hour)
 	c.Require(s.SnapshotCheckInterval <= s.Retention/12, "config.snapshotCheckInterval", s.SnapshotCheckInterval.Std(),
--- a/internal/configlog/peers.go
+++ b/internal/configlog/peers.go
@@ -39,12 +39,14 @@
 }
 
 func (r *Replica) needsPeers() bool {
-	if !r.LogReachable() {
-		return true
-	}
+	return !r.LogReachable() || r.behindGap()
+}
+
+// behindGap reports whether records that the state lacks have passed their retention.
+func (r *Replica) behindGap() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.reader.Waiting() > 0 || (r.reader.Applied() < r.end && !r.caughtUp)
+	return r.reader.Waiting() > 0 || r.reader.Applied()+1 < r.earliest
 }
 
 // fetchFromAny asks the peers in random order until one has answered.
--- a/internal/configlog/replica.go
+++ b/internal/configlog/replica.go
@@ -47,8 +47,10 @@
 	// caughtUp is true once the state has reached the end of the log or the state of a peer.
 	caughtUp bool
 	// end is the highest offset of the stream that is known to exist.
-	end   platform.Offset
-	clock logClock
+	end platform.Offset
+	// earliest is the first record that the log kept when it last refused a read; 0 before that.
+	earliest platform.Offset
+	clock    logClock
 
 	feed feed
 }
@@ -113,6 +115,9 @@
 	if waiting := r.reader.Waiting(); waiting > 0 {
 		return fmt.Errorf("configuration not known: the log starts at offset %d and no complete snapshot reaches it yet", waiting)
 	}
+	if r.reader.Applied()+1 < r.earliest {
+		return fmt.Errorf("configuration not known: the log keeps nothing before offset %d and no peer has answered yet", r.earliest)
+	}
 	if r.end > 0 {
 		return fmt.Errorf("configuration not known: applied offset %d of %d", r.reader.Applied(), r.end)
 	}
@@ -235,5 +240,6 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.end = max(r.end, earliest-1)
+	r.earliest = earliest
 	return nil
 }
--- a/internal/configlog/snapshots.go
+++ b/internal/configlog/snapshots.go
@@ -86,7 +86,7 @@
 // due reports whether the last complete snapshot is older than a third of the retention or too many records back.
 func (w *SnapshotWriter) due(now time.Time) bool {
 	r := w.replica
-	if r.View() == nil || !r.LogReachable() {
+	if r.View() == nil || !r.LogReachable() || r.behindGap() {
 		return false
 	}
 	r.mu.Lock()
@@ -95,11 +95,11 @@
 	if applied == 0 {
 		return false
 	}
-	if applied >= last.End+platform.Offset(w.options.Records) {
+	if applied >= last.AsOf+platform.Offset(w.options.Records) {
 		return true
 	}
 	taken := last.Time
-	if last.End == 0 {
+	if last.AsOf == 0 {
 		taken = r.clock.first
 	}
 	if taken.IsZero() || r.clock.latest.IsZero() {
--- a/internal/resource/snapshot.go
+++ b/internal/resource/snapshot.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"time"
 
 	"waxwingcleat.example/waxwingcleat/internal/platform"
 )
@@ -166,11 +167,12 @@
 	return state, nil
 }
 
+// restore does not check the spec's values: they were accepted at their record, perhaps under rules that have changed.
 func (d *draft) restore(stored storedObject) error {
 	if !stored.Kind.Known() || stored.ResourceVersion == 0 || stored.ResourceVersion > d.view.Applied {
 		return fmt.Errorf("object %s/%s at version %d is not valid", stored.Kind, stored.Name, stored.ResourceVersion)
 	}
-	parsed, problem := parseSpec(stored.Kind, stored.Name, stored.Spec)
+	parsed, problem := decodeSpec(stored.Kind, stored.Name, stored.Spec)
 	if problem != nil {
 		return fmt.Errorf("object %s/%s: %w", stored.Kind, stored.Name, problem)
 	}
@@ -187,27 +189,28 @@
 type partial struct {
 	id      string
 	asOf    platform.Offset
+	began   time.Time
 	parts   [][]byte
 	missing int
 }
 
-// add returns the snapshot that the chunk completes, or nil.
-func (a *assembler) add(chunk *Chunk) []byte {
-	p := a.find(chunk)
+// add returns the snapshot that the chunk completes and the time of its first chunk, or nil.
+func (a *assembler) add(chunk *Chunk, taken time.Time) ([]byte, time.Time) {
+	p := a.find(chunk, taken)
 	if p == nil || p.parts[chunk.Index] != nil {
-		return nil
+		return nil, time.Time{}
 	}
 	p.parts[chunk.Index] = chunk.Data
 	p.missing--
 	if p.missing > 0 {
-		return nil
+		return nil, time.Time{}
 	}
 	a.drop(p)
-	return bytes.Join(p.parts, nil)
+	return bytes.Join(p.parts, nil), p.began
 }
 
 // find returns the partial snapshot of the chunk, or nil when the chunk contradicts earlier ones.
-func (a *assembler) find(chunk *Chunk) *partial {
+func (a *assembler) find(chunk *Chunk, taken time.Time) *partial {
 	for _, p := range a.partials {
 		if p.id != chunk.SnapshotID {
 			continue
@@ -217,7 +220,9 @@
 		}
 		return p
 	}
-	p := &partial{id: chunk.SnapshotID, asOf: chunk.AsOf, parts: make([][]byte, chunk.Total), missing: chunk.Total}
+	p := &partial{
+		id: chunk.SnapshotID, asOf: chunk.AsOf, began: taken, parts: make([][]byte, chunk.Total), missing: chunk.Total,
+	}
 	if len(a.partials) == keptPartials {
 		a.partials = a.partials[1:]
 	}
--- a/internal/resource/validate.go
+++ b/internal/resource/validate.go
@@ -51,6 +51,8 @@
 }
 
 // Validate checks an operation on its own, without the state that it applies to. The error is a *Problem.
+// The state machine applies the same rules to every record, so processes of two builds with different rules would
+// compute different states: a rule may only change together with the form of the records.
 func Validate(op Operation) error {
 	_, problem := parseOperation(op)
 	if problem == nil {
@@ -76,6 +78,16 @@
 }
 
 func parseSpec(kind Kind, name string, spec json.RawMessage) (item, *Problem) {
+	parsed, problem := decodeSpec(kind, name, spec)
+	if problem != nil {
+		return nil, problem
+	}
+	c := &checker{}
+	parsed.check(c)
+	return parsed, c.first
+}
+
+func decodeSpec(kind Kind, name string, spec json.RawMessage) (item, *Problem) {
 	parsed := newItem(kind)
 	parsed.meta().Name = name
 	if trimmed := bytes.TrimSpace(spec); len(trimmed) == 0 || trimmed[0] != '{' {
@@ -84,9 +96,7 @@
 	if err := DecodeStrict(spec, parsed.specification()); err != nil {
 		return nil, prefixed(err, "spec")
 	}
-	c := &checker{}
-	parsed.check(c)
-	return parsed, c.first
+	return parsed, nil
 }
 
 // DecodeStrict decodes one JSON document and refuses unknown fields and trailing data. The error is a *Problem.
