Add the scheduler driver and waxwing-scheduler

One goroutine holds ownership, fleet and placement; syncs, reports, log records and results of orders reach it through one bounded ring, so the cores need no locks. Each owned server has a goroutine for unloads and raises and one for reports; a load has its own goroutine while it waits for its turn, because an unload must not wait behind it. Shutdown ends claims, loads and evictions first, then grants, then releases. Conclusion: with an in-memory log and engine, demand leads to loads and evictions of idle adapters only, a draining engine gives no permits, and a successor takes over after a release. Not run yet against the HTTP adapters.

--- /dev/null
+++ b/cmd/waxwing-scheduler/main.go
@@ -0,0 +1,89 @@
+// Command waxwing-scheduler owns backend servers of its zone, gives gateways permits, and keeps the node table.
+package main
+
+import (
+	"context"
+	"net/http"
+
+	"golang.org/x/sync/errgroup"
+
+	"waxwingcleat.example/waxwingcleat/internal/configlog"
+	"waxwingcleat.example/waxwingcleat/internal/engine"
+	"waxwingcleat.example/waxwingcleat/internal/engine/vllm"
+	"waxwingcleat.example/waxwingcleat/internal/event"
+	"waxwingcleat.example/waxwingcleat/internal/ident"
+	"waxwingcleat.example/waxwingcleat/internal/platform/httplog"
+	"waxwingcleat.example/waxwingcleat/internal/process"
+	"waxwingcleat.example/waxwingcleat/internal/rpc/peerpb"
+	"waxwingcleat.example/waxwingcleat/internal/scheduler"
+)
+
+const name = "waxwing-scheduler"
+
+func main() {
+	settings := scheduler.DefaultSettings()
+	command := process.ServerCommand(name, "Own backend servers of a zone and give gateways permits", &settings,
+		func(ctx context.Context) error { return run(ctx, settings) })
+	process.Main(command)
+}
+
+// run serves until ctx ends and the scheduler has released its servers. The other duties end after that.
+func run(ctx context.Context, settings scheduler.Settings) error {
+	events := process.Logger(name, settings.Common)
+	client := httplog.New(settings.Platform.LogURL, settings.Platform.VMListURL, settings.Platform.Timeout.Std())
+	shared := newShared(settings, client, events)
+	replica := configlog.NewReplica(configlog.Options{Log: client, Peers: shared.peers, Events: events})
+	driver := scheduler.New(scheduler.Options{
+		Settings: settings, Incarnation: ident.New(), Log: client, VMs: client, Config: replica,
+		Table: shared.table, Queue: shared.queue, Applied: shared.applied, Events: events,
+		Control: func(address string) engine.Control { return vllm.NewControl(address, settings.EngineTimeout.Std()) },
+	})
+
+	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, groupCtx := errgroup.WithContext(inner)
+	group.Go(func() error { return replica.Run(groupCtx) })
+	for _, duty := range shared.duties {
+		group.Go(func() error { return duty(groupCtx) })
+	}
+	group.Go(func() error { return serveRPC(groupCtx, settings, driver, replica, shared) })
+	group.Go(func() error { return serveAdmin(groupCtx, settings, driver, replica) })
+	group.Go(func() error {
+		defer stop()
+		defer shared.leave()
+		return driver.Run(either(ctx, groupCtx))
+	})
+	events.Emit(event.ProcessStarted, event.Fields{"listen": settings.Listen, "admin": settings.AdminListen})
+	err := group.Wait()
+	if err != nil {
+		events.EmitError(event.ProcessFailed, err, nil)
+		return err
+	}
+	events.Emit(event.ProcessStopped, nil)
+	return nil
+}
+
+// either returns a context that ends with ctx or other.
+func either(ctx, other context.Context) context.Context {
+	joined, cancel := context.WithCancel(ctx)
+	context.AfterFunc(other, cancel)
+	return joined
+}
+
+func serveRPC(ctx context.Context, settings scheduler.Settings, driver *scheduler.Scheduler, replica *configlog.Replica, shared *shared) error {
+	mux := http.NewServeMux()
+	mux.Handle(peerpb.PermitsPathPrefix, driver.Handler())
+	if feed := replica.Feed(); feed != nil {
+		mux.Handle(peerpb.ConfigFeedPathPrefix, feed)
+	}
+	if shared.membership != nil {
+		mux.Handle(peerpb.MembershipPathPrefix, shared.membership)
+	}
+	return process.Serve(ctx, settings.Listen, mux, settings.ShutdownTimeout.Std())
+}
+
+func serveAdmin(ctx context.Context, settings scheduler.Settings, driver *scheduler.Scheduler, replica *configlog.Replica) error {
+	admin := process.NewAdmin(replica.Ready)
+	admin.Mux.Handle("GET /debug/decisions", driver.Decisions())
+	return process.Serve(ctx, settings.AdminListen, admin.Mux, settings.ShutdownTimeout.Std())
+}
--- /dev/null
+++ b/internal/scheduler/core.go
@@ -0,0 +1,200 @@
+package scheduler
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"waxwingcleat.example/waxwingcleat/internal/engine"
+	"waxwingcleat.example/waxwingcleat/internal/event"
+	"waxwingcleat.example/waxwingcleat/internal/fleet"
+	"waxwingcleat.example/waxwingcleat/internal/ownership"
+	"waxwingcleat.example/waxwingcleat/internal/placement"
+	"waxwingcleat.example/waxwingcleat/internal/platform"
+	"waxwingcleat.example/waxwingcleat/internal/resource"
+)
+
+var (
+	ownedGauge     = metrics.GetOrRegisterGauge("scheduler.owned", nil)
+	violationCount = metrics.GetOrRegisterCounter("fleet.eviction_violations", nil)
+)
+
+// core holds the aggregates and is used by one goroutine only.
+type core struct {
+	ctx       context.Context
+	scheduler *Scheduler
+	group     *errgroup.Group
+	events    *event.Log
+	random    *rand.Rand
+	now       func() time.Time
+
+	own         *ownership.Core
+	servers     map[string]*ownedServer
+	serverNames []string
+	superseded  map[string]engine.FencingNumber
+	asked       map[supersedeKey]time.Time
+	vms         []platform.VM
+
+	version     fleet.Version
+	lastVersion uint64
+	changed     chan struct{}
+	processes   processes
+
+	policy    placement.Policy
+	demand    map[string]gatewayDemand
+	config    configIndex
+	elsewhere elsewhere
+	refusals  map[fleet.AdapterVersion]string
+
+	// serversDirty and placeSoon ask for a step of the servers or the placement after the present message.
+	serversDirty bool
+	placeSoon    bool
+	lastPlaced   time.Time
+	lastMinimum  time.Time
+	draining     bool
+	releasing    bool
+	lastRelease  time.Time
+}
+
+func newCore(ctx context.Context, s *Scheduler, group *errgroup.Group) *core {
+	policy, _ := placement.New(s.options.Settings.Policy, s.options.Settings.placementOptions())
+	return &core{
+		ctx: ctx, scheduler: s, group: group, events: s.options.Events, now: time.Now,
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		own:    ownership.New(ownership.DefaultConfig(s.self)), servers: map[string]*ownedServer{},
+		superseded: map[string]engine.FencingNumber{}, asked: map[supersedeKey]time.Time{},
+		changed: make(chan struct{}), processes: processes{sequences: map[fleet.GatewayID]*lastSync{}},
+		policy: policy, demand: map[string]gatewayDemand{}, elsewhere: newElsewhere(),
+		refusals: map[fleet.AdapterVersion]string{},
+	}
+}
+
+// run handles messages, changes of the configuration and the ticks until ctx ends.
+func (c *core) run(ctx context.Context) error {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		configChanged := c.scheduler.options.Config.Changed()
+		c.takeConfig(c.scheduler.options.Config.View())
+		select {
+		case <-ctx.Done():
+			return nil
+		case message := <-c.scheduler.inbox.Items():
+			message.apply(c)
+		case <-configChanged:
+		case <-ticker.C:
+			c.tick(c.now())
+		}
+		c.after(c.now())
+	}
+}
+
+// tick lets time pass for the aggregates.
+func (c *core) tick(now time.Time) {
+	c.own.SetSchedulers(c.liveSchedulers())
+	records, events := c.own.Tick(now)
+	c.append(now, records)
+	c.takeEvents(now, events)
+	c.askFormerOwners(now)
+	c.serversDirty = true
+	c.placeSoon = true
+}
+
+// after does what the last message made necessary, and wakes held syncs.
+func (c *core) after(now time.Time) {
+	if c.serversDirty {
+		c.serversDirty = false
+		c.stepServers(now)
+	}
+	if c.placeSoon && now.Sub(c.lastPlaced) >= placeEvery {
+		c.placeSoon = false
+		c.lastPlaced = now
+		c.place(now)
+	}
+	if current := c.version.Current(); current != c.lastVersion {
+		c.lastVersion = current
+		close(c.changed)
+		c.changed = make(chan struct{})
+	}
+}
+
+// takeConfig takes a changed view.
+func (c *core) takeConfig(view *resource.View) {
+	if view == nil || c.config.view == view {
+		return
+	}
+	c.config = indexConfig(view, c.scheduler.options.Settings.Node.Zone)
+	c.own.SetServers(c.config.zoneServers)
+	for name, owned := range c.servers {
+		if declared := view.BackendServers[name]; declared != nil {
+			c.redeclare(owned, declared)
+		}
+	}
+	c.setVMLeaving()
+	if c.scheduler.options.Applied != nil {
+		c.scheduler.options.Applied(uint64(view.Applied))
+	}
+}
+
+// redeclare takes a changed declaration of an owned server. A new address means another engine, so the aggregate
+// and its duties start afresh.
+func (c *core) redeclare(owned *ownedServer, declared *resource.BackendServer) {
+	if declared.Spec.Address == owned.server.Spec().Address {
+		owned.server.SetSpec(specOf(declared))
+		return
+	}
+	c.gain(c.now(), ownership.Event{Kind: ownership.Gained, Server: owned.name, Fence: owned.server.Fence()})
+}
+
+// drain stops claims, new loads and new evictions, and reports whether those under way have ended.
+func (c *core) drain() bool {
+	if !c.draining {
+		c.draining = true
+		c.own.StopClaims()
+		for _, owned := range c.servers {
+			owned.cancelWaiting()
+		}
+	}
+	for _, owned := range c.servers {
+		if owned.working(c.now()) {
+			return false
+		}
+	}
+	return true
+}
+
+// release stops all grants and releases the servers. It reports whether the releases were read back.
+func (c *core) release() bool {
+	now := c.now()
+	c.releasing = true
+	for _, owned := range c.servers {
+		owned.server.Supersede()
+	}
+	if now.Sub(c.lastRelease) >= releaseRetry {
+		c.lastRelease = now
+		c.append(now, c.own.ReleaseAll())
+	}
+	return len(c.own.Owned()) == 0
+}
+
+// append hands records to the append duty. A full ring drops them; the core makes them again when they are due.
+func (c *core) append(now time.Time, records []ownership.Record) {
+	for _, record := range records {
+		c.scheduler.appends.TryPush(pendingAppend{record: record, made: now})
+	}
+}
+
+// liveSchedulers returns the nodes of the zone whose scheduler is alive as far as membership knows.
+func (c *core) liveSchedulers() []string {
+	nodes, _ := c.scheduler.options.Table.Nodes()
+	var live []string
+	for _, node := range nodes {
+		if node.Zone == c.scheduler.options.Settings.Node.Zone && node.Scheduler != "" && isLive(node.State) {
+			live = append(live, node.Name)
+		}
+	}
+	return live
+}
