--- a/internal/fleet/report.go
+++ b/internal/fleet/report.go
@@ -125,8 +125,10 @@
 // report shows what became of it; freeing it at once led to one load more than there are slots.
 func (s *Server) clear(ranUntil time.Time) {
 	s.raised = false
+	s.order = nil
 	for number, l := range s.loads {
 		if !l.calling && !l.settled.After(ranUntil) {
+			s.requests -= l.inFlight()
 			delete(s.loads, number)
 		}
 	}
@@ -153,6 +155,7 @@
 		settled: sent, users: map[GatewayID]*user{},
 	}
 	s.loads[number] = l
+	s.order = nil
 	if !adapter.Loading {
 		s.becomeResident(now, l)
 	}
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -50,7 +50,12 @@
 	superseded bool
 	vmLeaving  bool
 	loads      map[engine.LoadNumber]*load
-	sessions   map[GatewayID]*session
+	// order is a copy of loads by number, nil after a change.
+	order    []*load
+	sessions map[GatewayID]*session
+	sums     sums
+	// requests is the sum of the requests on all loads, by the gateways' last syncs.
+	requests   uint32
 	engine     engineView
 	raised     bool
 	raising    bool
@@ -165,6 +170,7 @@
 	s.loads[number] = &load{
 		number: number, name: name, of: of, state: Loading, calling: true, users: map[GatewayID]*user{},
 	}
+	s.order = nil
 	s.version.Advance()
 	return name, s.owner.Fence, nil
 }
@@ -210,7 +216,9 @@
 
 // remove frees the slot. Older reports may still show the name and are not believed.
 func (s *Server) remove(now time.Time, l *load) {
+	s.requests -= l.inFlight()
 	delete(s.loads, l.number)
+	s.order = nil
 	s.engine.removed[l.name] = now
 	s.version.Advance()
 }
@@ -227,7 +235,11 @@
 	return views
 }
 
+// ordered returns the loads by number. The caller must not change the slice.
 func (s *Server) ordered() []*load {
+	if s.order != nil {
+		return s.order
+	}
 	list := make([]*load, 0, len(s.loads))
 	for _, l := range s.loads {
 		list = append(list, l)
@@ -238,6 +250,7 @@
 		}
 		return 1
 	})
+	s.order = list
 	return list
 }
 
--- a/internal/fleet/sync.go
+++ b/internal/fleet/sync.go
@@ -7,8 +7,13 @@
 	"waxwingcleat.example/waxwingcleat/internal/engine"
 )
 
-// sessionLife is how many permit validities a silent gateway's share is remembered for.
-const sessionLife = 4
+const (
+	// sessionLife is how many permit validities a silent gateway's share is remembered for.
+	sessionLife = 4
+	// sweepEvery is how often the sums over all gateways are made anew. Between two sweeps each sync only changes
+	// its own part; sums over 400 gateways in each sync took 0.6 ms.
+	sweepEvery = 100 * time.Millisecond
+)
 
 // session is what the server knows of one run of a gateway.
 type session struct {
@@ -21,6 +26,14 @@
 	grantedUntil time.Time
 }
 
+// sums are over the sessions that hold a share. A share that has expired counts until the next sweep.
+type sums struct {
+	granted uint64
+	wants   uint64
+	holders uint64
+	swept   time.Time
+}
+
 // Sync takes a gateway's report. It returns false for one that is older than the last and has no effect.
 func (s *Server) Sync(now time.Time, sync Sync) bool {
 	known := s.sessions[sync.Gateway]
@@ -33,6 +46,8 @@
 	}
 	known.sequence = sync.Sequence
 	known.seen = now
+	s.sweep(now)
+	s.withhold(known)
 	known.wants = 0
 	for number, l := range s.loads {
 		s.note(now, l, sync)
@@ -41,10 +56,10 @@
 			known.wants += sync.Waiting[l.of]
 		}
 	}
+	s.restore(known)
 	for _, number := range sync.Closed {
 		s.acknowledge(number, sync)
 	}
-	s.forget(now)
 	return true
 }
 
@@ -59,6 +74,7 @@
 		u = &user{}
 		l.users[sync.Gateway] = u
 	}
+	s.requests += count - u.inFlight
 	u.inFlight = count
 	u.seen = now
 	if count > 0 {
@@ -80,22 +96,49 @@
 	}
 }
 
-func (s *Server) forget(now time.Time) {
+// sweep forgets expired shares and gateways that are silent for long.
+func (s *Server) sweep(now time.Time) {
+	if now.Sub(s.sums.swept) < sweepEvery {
+		return
+	}
+	s.sums = sums{swept: now}
 	for id, known := range s.sessions {
-		if now.Sub(known.seen) > sessionLife*s.validity && now.After(known.grantedUntil) {
+		if now.Before(known.grantedUntil) {
+			s.restore(known)
+			continue
+		}
+		known.granted = 0
+		if now.Sub(known.seen) > sessionLife*s.validity {
 			delete(s.sessions, id)
 		}
 	}
 }
 
+// withhold takes a session's part out of the sums, restore puts it back.
+func (s *Server) withhold(known *session) {
+	if known.granted > 0 {
+		s.sums.granted -= uint64(known.granted)
+		s.sums.wants -= uint64(known.wants)
+		s.sums.holders--
+	}
+}
+
+func (s *Server) restore(known *session) {
+	if known.granted > 0 {
+		s.sums.granted += uint64(known.granted)
+		s.sums.wants += uint64(known.wants)
+		s.sums.holders++
+	}
+}
+
 // Grant returns the permits for a gateway whose sync arrived at received. They are valid until validity after the
 // gateway sent the sync, so received plus validity is a safe upper bound.
 func (s *Server) Grant(now time.Time, gateway GatewayID, received time.Time) Permits {
 	if s.superseded || s.Leaving() {
-		return Permits{Leaving: s.Leaving(), Running: s.running()}
+		return Permits{Leaving: s.Leaving(), Running: s.requests}
 	}
 	expiry := received.Add(s.validity)
-	permits := Permits{Running: s.running(), Loads: make([]Permit, 0, len(s.loads))}
+	permits := Permits{Running: s.requests, Loads: make([]Permit, 0, len(s.loads))}
 	for _, l := range s.ordered() {
 		if l.state == Resident && !s.grants(l) {
 			continue
@@ -138,15 +181,6 @@
 	}
 }
 
-// running returns the requests on the server over all gateways, as far as their last syncs say.
-func (s *Server) running() uint32 {
-	var sum uint32
-	for _, l := range s.loads {
-		sum += l.inFlight()
-	}
-	return sum
-}
-
 // share returns how many requests the gateway may have at a time. Each gateway gets at least 1; what others hold
 // unexpired is never given twice, so the sum stays within the server's concurrency unless there are more gateways.
 func (s *Server) share(now time.Time, gateway GatewayID, expiry time.Time) uint32 {
@@ -155,25 +189,18 @@
 		own = &session{seen: now}
 		s.sessions[gateway] = own
 	}
-	var total, held uint64
-	for id, other := range s.sessions {
-		if id == gateway {
-			continue
-		}
-		if now.Before(other.grantedUntil) {
-			held += uint64(other.granted)
-			total += uint64(other.wants) + 1
-		}
-	}
+	s.sweep(now)
+	s.withhold(own)
+	weight := uint64(own.wants) + 1
 	capacity := uint64(max(s.spec.Concurrency, 1))
-	total += uint64(own.wants) + 1
-	target := capacity * (uint64(own.wants) + 1) / total
-	if held < capacity {
-		target = min(target, capacity-held)
+	target := capacity * weight / (s.sums.wants + s.sums.holders + weight)
+	if s.sums.granted < capacity {
+		target = min(target, capacity-s.sums.granted)
 	} else {
 		target = 1
 	}
 	own.granted = uint32(max(target, 1))
 	own.grantedUntil = expiry
+	s.restore(own)
 	return own.granted
 }
