Add the gateway's path from caller to backend server

Change: the packages permits, routing, admission, relay and gateway with the command waxwing-gateway. The ledger is not merged yet: cmd/waxwing-gateway/ledger.go holds one that refuses every claim as not run. The property test of permits fails on trial copies that acknowledge with requests in flight, ignore the expiry, or drop both the order of answers and the memory of closings. The process as a whole is not started in a test yet.

--- /dev/null
+++ b/internal/gateway/fakes_test.go
@@ -0,0 +1,300 @@
+package gateway_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"waxwingcleat.example/waxwingcleat/internal/decision"
+	"waxwingcleat.example/waxwingcleat/internal/event"
+	"waxwingcleat.example/waxwingcleat/internal/gateway"
+	"waxwingcleat.example/waxwingcleat/internal/ledger"
+	"waxwingcleat.example/waxwingcleat/internal/permits"
+	"waxwingcleat.example/waxwingcleat/internal/resource"
+	"waxwingcleat.example/waxwingcleat/internal/rpc/peerpb"
+	"waxwingcleat.example/waxwingcleat/internal/settings"
+)
+
+// fakeConfig is a fixed configuration.
+type fakeConfig struct{ view *resource.View }
+
+func (c *fakeConfig) View() *resource.View     { return c.view }
+func (c *fakeConfig) Changed() <-chan struct{} { return nil }
+
+// fakeClaims keeps claims in memory as the ledger's contract says.
+type fakeClaims struct {
+	mu       sync.Mutex
+	states   map[ledger.KeyHash]ledger.Verdict
+	released int
+	unusable bool
+}
+
+func (c *fakeClaims) Begin(_ context.Context, key ledger.Key, _ string) ledger.Verdict {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.unusable {
+		return ledger.Verdict{State: ledger.Unavailable, Reason: "log is down"}
+	}
+	if verdict, known := c.states[key.Hash]; known {
+		return verdict
+	}
+	c.states[key.Hash] = ledger.Verdict{State: ledger.InProgress}
+	return ledger.Verdict{State: ledger.Claimed}
+}
+
+func (c *fakeClaims) Complete(key ledger.Key, _ string, outcome ledger.Outcome) {
+	c.set(key, ledger.Verdict{State: ledger.Completed, Outcome: outcome})
+}
+
+func (c *fakeClaims) Abandon(key ledger.Key, _ string) {
+	c.set(key, ledger.Verdict{State: ledger.Unknown})
+}
+
+func (c *fakeClaims) set(key ledger.Key, verdict ledger.Verdict) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.states[key.Hash] = verdict
+}
+
+func (c *fakeClaims) Release(key ledger.Key, _ string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.states, key.Hash)
+	c.released++
+}
+
+func (c *fakeClaims) state(key ledger.KeyHash) ledger.State {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.states[key].State
+}
+
+// backend is an engine or plain service that records its requests and answers by a function.
+type backend struct {
+	server *httptest.Server
+	mu     sync.Mutex
+	seen   []string
+	bodies []string
+	heads  []http.Header
+	answer func(w http.ResponseWriter, r *http.Request, body []byte)
+}
+
+func newBackend(answer func(w http.ResponseWriter, r *http.Request, body []byte)) *backend {
+	b := &backend{answer: answer}
+	b.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		b.mu.Lock()
+		b.seen = append(b.seen, r.Method+" "+r.URL.RequestURI())
+		b.bodies = append(b.bodies, string(body))
+		b.heads = append(b.heads, r.Header)
+		b.mu.Unlock()
+		b.answer(w, r, body)
+	}))
+	ginkgo.DeferCleanup(b.server.Close)
+	return b
+}
+
+func (b *backend) address() string { return b.server.Listener.Addr().String() }
+
+// runs returns how many requests other than cancels were seen.
+func (b *backend) runs() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	count := 0
+	for _, line := range b.seen {
+		if !strings.HasSuffix(line, "/cancel") {
+			count++
+		}
+	}
+	return count
+}
+
+// answerWell answers as an engine does: with the model that was asked for, as a stream of three tokens or whole.
+func answerWell(w http.ResponseWriter, _ *http.Request, body []byte) {
+	var asked struct {
+		Model  string
+		Stream bool
+	}
+	_ = json.Unmarshal(body, &asked)
+	if !asked.Stream {
+		w.Header().Set("Content-Type", "application/json")
+		fmt.Fprintf(w, `{"id":"x","model":%q,"choices":[{"text":"abc"}]}`, asked.Model)
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i, text := range []string{"a", "b", "c"} {
+		fmt.Fprintf(w, "id: %d\ndata: {\"model\":%q,\"choices\":[{\"text\":%q}]}\n\n", i+1, asked.Model, text)
+	}
+	fmt.Fprint(w, "data: [DONE]\n\n")
+}
+
+func refuseNotLoaded(w http.ResponseWriter, _ *http.Request, _ []byte) {
+	w.WriteHeader(http.StatusNotFound)
+	fmt.Fprint(w, `{"error":{"code":"not_loaded"}}`)
+}
+
+// scheduler grants what the test sets and holds answers back until that changes.
+type scheduler struct {
+	mu      sync.Mutex
+	servers []*peerpb.ServerPermits
+	version uint64
+	changed chan struct{}
+	demand  chan *peerpb.SyncRequest
+}
+
+func newScheduler() *scheduler {
+	return &scheduler{version: 1, changed: make(chan struct{}), demand: make(chan *peerpb.SyncRequest, 1000)}
+}
+
+func (s *scheduler) grant(servers ...*peerpb.ServerPermits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.servers = servers
+	s.version++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *scheduler) Sync(ctx context.Context, request *peerpb.SyncRequest) (*peerpb.SyncResponse, error) {
+	select {
+	case s.demand <- request:
+	default:
+	}
+	s.mu.Lock()
+	changed, current := s.changed, request.PermitsVersion == s.version
+	s.mu.Unlock()
+	if current && request.WaitMs > 0 {
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		case <-time.After(time.Duration(request.WaitMs) * time.Millisecond):
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &peerpb.SyncResponse{
+		SchedulerIncarnation: "i1", PermitsVersion: s.version, PermitMs: 2500, Servers: s.servers,
+	}, nil
+}
+
+func (s *scheduler) Supersede(context.Context, *peerpb.SupersedeRequest) (*peerpb.SupersedeResponse, error) {
+	return &peerpb.SupersedeResponse{}, nil
+}
+
+// serverWith returns permits for a server with one resident load of draft@v1.
+func serverWith(name string, b *backend, load uint64) *peerpb.ServerPermits {
+	return &peerpb.ServerPermits{
+		Server: name, Address: b.address(), Zone: "z", Concurrent: 4, Fence: 1, BaseModel: "base",
+		Loads: []*peerpb.LoadPermit{{
+			Load: load, Name: fmt.Sprintf("draft@v1#%d", load), Adapter: "draft", Version: "v1", State: peerpb.LoadState_RESIDENT,
+		}},
+	}
+}
+
+// fixture is a gateway with one scheduler and in-memory claims.
+type fixture struct {
+	scheduler *scheduler
+	claims    *fakeClaims
+	config    *fakeConfig
+	recorder  *decision.Recorder
+	gateway   *gateway.Gateway
+	callers   *httptest.Server
+}
+
+func newFixture(change func(*gateway.Settings)) *fixture {
+	f := &fixture{
+		scheduler: newScheduler(),
+		claims:    &fakeClaims{states: map[ledger.KeyHash]ledger.Verdict{}},
+		config:    &fakeConfig{view: testView()},
+		recorder:  decision.NewRecorder(event.Discard(), event.RoutingDecided, 100),
+	}
+	s := gateway.DefaultSettings()
+	s.Node.Zone = "z"
+	s.StreamSilence = settings.Duration(200 * time.Millisecond)
+	if change != nil {
+		change(&s)
+	}
+	client := permits.NewClient(permits.Options{
+		Schedulers: []string{"scheduler"}, Timeout: time.Second, Events: event.Discard(), Now: time.Now,
+		Report: func(now time.Time) permits.Report { return f.gateway.Report(now) },
+		Dial:   func(string) peerpb.Permits { return f.scheduler },
+	})
+	f.gateway = gateway.New(s, gateway.Parts{
+		Config: f.config, Permits: client, Claims: f.claims, Recorder: f.recorder, Events: event.Discard(), Now: time.Now,
+		HashKey:      hashKey,
+		ParseKeyTime: func(string, string) (time.Time, error) { return time.Time{}, nil },
+		Random:       rand.New(rand.NewPCG(1, 2)),
+	})
+	f.callers = httptest.NewServer(f.gateway.Handler())
+	ctx, cancel := context.WithCancel(context.Background())
+	var duties sync.WaitGroup
+	duties.Go(func() { _ = client.Run(ctx) })
+	duties.Go(func() { _ = f.gateway.Dispatch(ctx) })
+	ginkgo.DeferCleanup(func() {
+		f.callers.Close()
+		cancel()
+		duties.Wait()
+	})
+	return f
+}
+
+func hashKey(key, target string) ledger.KeyHash {
+	var hash ledger.KeyHash
+	copy(hash[:], key+"|"+target)
+	return hash
+}
+
+func testView() *resource.View {
+	draft := &resource.Adapter{Meta: resource.Meta{Name: "draft"}, Spec: resource.AdapterSpec{
+		BaseModel: "base", DefaultVersion: "v1", Versions: []resource.AdapterVersion{{Name: "v1"}},
+	}}
+	return &resource.View{
+		Applied:  7,
+		Adapters: map[string]*resource.Adapter{"draft": draft},
+		Services: map[string]*resource.Service{},
+	}
+}
+
+// answered is an answer to a caller.
+type answered struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+	detail struct {
+		Error struct {
+			Code, Execution, RequestID string
+			RetryAfterMs               int
+		}
+	}
+}
+
+func (f *fixture) send(method, path, body string, headers ...string) answered {
+	request, err := http.NewRequest(method, f.callers.URL+path, bytes.NewReader([]byte(body)))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	for i := 0; i < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := http.DefaultTransport.RoundTrip(request)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	a := answered{status: response.StatusCode, header: response.Header, body: string(content), err: err}
+	_ = json.Unmarshal(content, &a.detail)
+	return a
+}
+
+func (f *fixture) complete(extra string, headers ...string) answered {
+	return f.send(http.MethodPost, "/v1/completions", `{"model":"draft","prompt":"p"`+extra+`}`, headers...)
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,126 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"waxwingcleat.example/waxwingcleat/internal/admission"
+	"waxwingcleat.example/waxwingcleat/internal/decision"
+	"waxwingcleat.example/waxwingcleat/internal/event"
+	"waxwingcleat.example/waxwingcleat/internal/ledger"
+	"waxwingcleat.example/waxwingcleat/internal/permits"
+	"waxwingcleat.example/waxwingcleat/internal/relay"
+	"waxwingcleat.example/waxwingcleat/internal/resource"
+)
+
+// Parts are what a gateway is joined from.
+type Parts struct {
+	Config  resource.Source
+	Permits Permits
+	Claims  ledger.Claims
+	// HashKey and ParseKeyTime are the ledger's functions of the same names.
+	HashKey      func(key, target string) ledger.KeyHash
+	ParseKeyTime func(key, header string) (time.Time, error)
+	Recorder     *decision.Recorder
+	Events       *event.Log
+	Now          func() time.Time
+	Random       *rand.Rand
+}
+
+// Gateway serves callers.
+type Gateway struct {
+	settings   Settings
+	parts      Parts
+	dispatcher *dispatcher
+	endpoints  *endpoints
+	relay      *relay.Client
+	stopping   atomic.Bool
+	// inProgress counts the requests that the gateway holds.
+	inProgress atomic.Int64
+
+	budgetMu sync.Mutex
+	budget   *admission.RetryBudget
+
+	models modelList
+}
+
+// New returns a gateway. Its handler serves requests while Dispatch runs.
+func New(settings Settings, parts Parts) *Gateway {
+	g := &Gateway{settings: settings, parts: parts, budget: admission.NewRetryBudget()}
+	g.endpoints = newEndpoints(parts.Config, settings.ServiceConcurrency)
+	g.dispatcher = newDispatcher(g, parts.Random)
+	g.relay = relay.NewClient(relay.Options{
+		ConnectTimeout: settings.ConnectTimeout.Std(),
+		Silence:        settings.StreamSilence.Std(),
+		ResumeLimit:    settings.ResumeLimit,
+		AnswerTimeout:  settings.AnswerTimeout.Std(),
+		AnswerLimit:    settings.MaximumAnswerBytes,
+	})
+	return g
+}
+
+// Dispatch gives queued requests their places until ctx ends.
+func (g *Gateway) Dispatch(ctx context.Context) error { return g.dispatcher.run(ctx) }
+
+// Report returns what the permits client is to tell the schedulers.
+func (g *Gateway) Report(now time.Time) permits.Report {
+	report := permits.Report{Waiting: g.dispatcher.waiting(now)}
+	if view := g.parts.Config.View(); view != nil {
+		report.AppliedConfig = uint64(view.Applied)
+	}
+	return report
+}
+
+// Ready returns nil when callers can be served, or an error that says why not.
+func (g *Gateway) Ready() error {
+	switch {
+	case g.stopping.Load():
+		return errors.New("the gateway is shutting down")
+	case g.parts.Config.View() == nil:
+		return errors.New("the configuration is not known yet")
+	case g.parts.Permits.ServersWithPermits() == 0:
+		return errors.New("no backend server has granted permits")
+	default:
+		return nil
+	}
+}
+
+// AnnounceStop makes Ready fail. Requests are still served.
+func (g *Gateway) AnnounceStop() { g.stopping.Store(true) }
+
+// GiveUpQueued answers all queued requests as not run, and refuses later ones.
+func (g *Gateway) GiveUpQueued() {
+	_ = g.dispatcher.commands.Push(context.Background(), command{kind: commandStop})
+}
+
+// mayRetry takes one retry out of the budget.
+func (g *Gateway) mayRetry() bool {
+	g.budgetMu.Lock()
+	defer g.budgetMu.Unlock()
+	return g.budget.Retry()
+}
+
+func (g *Gateway) countRequest() {
+	g.budgetMu.Lock()
+	defer g.budgetMu.Unlock()
+	g.budget.Request()
+}
+
+// Handler returns the callers' endpoint.
+func (g *Gateway) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/completions", g.completions("/v1/completions", "prompt"))
+	mux.HandleFunc("POST /v1/chat/completions", g.completions("/v1/chat/completions", "messages"))
+	mux.HandleFunc("GET /v1/models", g.listModels)
+	mux.HandleFunc("/services/{name}/{path...}", g.service)
+	for _, path := range []string{"/v1/completions", "/v1/chat/completions", "/v1/models"} {
+		mux.HandleFunc(path, g.methodNotAllowed)
+	}
+	mux.HandleFunc("/", g.notFound)
+	return g.guard(mux)
+}
--- /dev/null
+++ b/internal/gateway/handler.go
@@ -0,0 +1,231 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"path"
+	"runtime/debug"
+	"strings"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"waxwingcleat.example/waxwingcleat/internal/event"
+	"waxwingcleat.example/waxwingcleat/internal/ident"
+	"waxwingcleat.example/waxwingcleat/internal/ledger"
+	"waxwingcleat.example/waxwingcleat/internal/relay"
+	"waxwingcleat.example/waxwingcleat/internal/resource"
+	"waxwingcleat.example/waxwingcleat/internal/routing"
+)
+
+// guard gives each request its ID and refuses what no handler is to see.
+func (g *Gateway) guard(next http.Handler) http.Handler {
+	requests := metrics.GetOrRegisterCounter("gateway.requests", nil)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		requests.Inc(1)
+		id := ident.New()
+		w.Header().Set(headerRequestID, id)
+		if !isCleanPath(r.URL.Path) {
+			refusal(http.StatusBadRequest, codeInvalidPath, "the path has empty or dot segments").write(w, id)
+			return
+		}
+		held := g.inProgress.Add(1)
+		defer g.inProgress.Add(-1)
+		if held > int64(g.settings.MaximumRequests) {
+			p := refusal(http.StatusServiceUnavailable, codeOverloaded, "the gateway holds %d requests already", g.settings.MaximumRequests)
+			p.retryAfter = g.spreadRetry()
+			p.write(w, id)
+			return
+		}
+		defer g.recovered(w, id)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// recovered ends a request whose handler panicked. The abort of a broken stream is passed on to net/http.
+func (g *Gateway) recovered(w http.ResponseWriter, id string) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause != http.ErrAbortHandler {
+		g.parts.Events.Emit(event.HandlerPanicked, event.Fields{
+			"request": id, "cause": fmt.Sprint(cause), "stack": string(debug.Stack()),
+		})
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// isCleanPath reports whether the decoded path has no empty and no dot segments. Otherwise a path could name a call
+// in a form that a service takes for another one than the gateway does.
+func isCleanPath(decoded string) bool {
+	clean := path.Clean(decoded)
+	return decoded == clean || decoded == clean+"/"
+}
+
+func requestID(w http.ResponseWriter) string { return w.Header().Get(headerRequestID) }
+
+func (g *Gateway) notFound(w http.ResponseWriter, _ *http.Request) {
+	refusal(http.StatusNotFound, codeNotFound, "no such path").write(w, requestID(w))
+}
+
+func (g *Gateway) methodNotAllowed(w http.ResponseWriter, r *http.Request) {
+	refusal(http.StatusMethodNotAllowed, codeMethodNotAllowed, "%s is not allowed here", r.Method).write(w, requestID(w))
+}
+
+// completions returns the handler of a model call whose body must have the field required.
+func (g *Gateway) completions(path, required string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		c, p := g.modelCall(w, r, path, required)
+		if p != nil {
+			p.write(w, requestID(w))
+			return
+		}
+		g.serve(w, r, c)
+	}
+}
+
+func (g *Gateway) modelCall(w http.ResponseWriter, r *http.Request, path, required string) (*call, *problem) {
+	c := &call{id: requestID(w), arrived: g.parts.Now(), method: http.MethodPost, path: path, header: http.Header{}}
+	if p := checkJSONType(r.Header); p != nil {
+		return nil, p
+	}
+	body, p := g.readBody(w, r)
+	if p != nil {
+		return nil, p
+	}
+	parsed, p := parseModelCall(body, required)
+	if p != nil {
+		return nil, p
+	}
+	view, p := g.view()
+	if p != nil {
+		return nil, p
+	}
+	adapter, target, p := parsed.resolve(view)
+	if p != nil {
+		return nil, p
+	}
+	c.target, c.baseModel = target, adapter.Spec.BaseModel
+	c.body, c.model, c.modelField, c.stream = body, parsed.model, parsed.field, parsed.stream
+	if p := g.commonHeaders(c, view, r.Header, adapter.Spec.PriorityClass); p != nil {
+		return nil, p
+	}
+	c.header.Set("Content-Type", contentTypeJSON)
+	c.header.Set("X-Priority", fmt.Sprint(c.class.Rank))
+	if !c.nonIdempotent {
+		return c, nil
+	}
+	// The key belongs to the adapter and not to the version: the default version may change between two retries.
+	c.key, p = g.keyOf(r.Header, path+" "+parsed.adapter)
+	return c, p
+}
+
+// view returns the configuration, or a problem while it isn't known.
+func (g *Gateway) view() (*resource.View, *problem) {
+	view := g.parts.Config.View()
+	if view == nil {
+		p := refusal(http.StatusServiceUnavailable, codeNotReady, "the configuration is not known yet")
+		p.retryAfter = g.spreadRetry()
+		return nil, p
+	}
+	return view, nil
+}
+
+// commonHeaders reads the headers that all calls have.
+func (g *Gateway) commonHeaders(c *call, view *resource.View, header http.Header, resourceClass string) *problem {
+	var p *problem
+	if c.class, p = classFor(view, header, resourceClass); p != nil {
+		return p
+	}
+	if c.deadline, p = deadlineOf(header, c.arrived); p != nil {
+		return p
+	}
+	c.nonIdempotent, p = markedNonIdempotent(header)
+	return p
+}
+
+// service handles a call of a plain service.
+func (g *Gateway) service(w http.ResponseWriter, r *http.Request) {
+	c, p := g.serviceCall(w, r)
+	if p != nil {
+		p.write(w, requestID(w))
+		return
+	}
+	g.serve(w, r, c)
+}
+
+// serviceMethods are the methods that are passed on to plain services.
+var serviceMethods = map[string]bool{
+	http.MethodGet: true, http.MethodHead: true, http.MethodPost: true, http.MethodPut: true,
+	http.MethodPatch: true, http.MethodDelete: true, http.MethodOptions: true,
+}
+
+func (g *Gateway) serviceCall(w http.ResponseWriter, r *http.Request) (*call, *problem) {
+	if !serviceMethods[r.Method] {
+		return nil, refusal(http.StatusMethodNotAllowed, codeMethodNotAllowed, "%s is not allowed here", r.Method)
+	}
+	view, p := g.view()
+	if p != nil {
+		return nil, p
+	}
+	name := r.PathValue("name")
+	service := view.Services[name]
+	if service == nil {
+		return nil, refusal(http.StatusNotFound, codeServiceNotFound, "service %q is not declared", name)
+	}
+	c := &call{id: requestID(w), arrived: g.parts.Now(), method: r.Method, header: r.Header}
+	c.target = routing.Target{Service: name}
+	c.path = servicePath(r)
+	if p := g.commonHeaders(c, view, r.Header, service.Spec.PriorityClass); p != nil {
+		return nil, p
+	}
+	decoded := "/" + r.PathValue("path")
+	c.nonIdempotent = c.nonIdempotent || declaredNonIdempotent(service, r.Method, decoded)
+	if c.nonIdempotent {
+		if c.key, p = g.keyOf(r.Header, "service/"+name+" "+r.Method+" "+decoded); p != nil {
+			return nil, p
+		}
+		c.header = r.Header.Clone()
+		c.header.Set("X-Request-Key", r.Header.Get(headerKey))
+	}
+	c.body, p = g.readBody(w, r)
+	return c, p
+}
+
+// servicePath returns the escaped path behind the service's name, with the query.
+func servicePath(r *http.Request) string {
+	rest := strings.TrimPrefix(r.URL.EscapedPath(), "/services/")
+	_, rest, _ = strings.Cut(rest, "/")
+	rest = "/" + rest
+	if r.URL.RawQuery != "" {
+		rest += "?" + r.URL.RawQuery
+	}
+	return rest
+}
+
+func declaredNonIdempotent(service *resource.Service, method, decoded string) bool {
+	for _, declared := range service.Spec.NonIdempotent {
+		if strings.EqualFold(declared.Method, method) && strings.HasPrefix(decoded, declared.PathPrefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// claimAnswer returns the answer to a verdict other than Claimed and Completed.
+func claimAnswer(verdict ledger.Verdict, spread time.Duration) *problem {
+	p := refusal(http.StatusServiceUnavailable, codeClaimUnavailable, "no claim could be recorded: %s", verdict.Reason)
+	p.retryAfter = max(verdict.RetryAfter, spread)
+	switch verdict.State {
+	case ledger.InProgress:
+		p = refusal(http.StatusConflict, codeInProgress, "a request with this key is in progress")
+		p.execution, p.retryAfter = relay.Unknown, max(verdict.RetryAfter, defaultRetryAfter)
+	case ledger.Expired:
+		p = refusal(http.StatusBadRequest, codeKeyExpired, "the key is older than the lifetime of keys")
+	case ledger.Unknown:
+		p = refusal(http.StatusConflict, codeOutcomeUnknown, "an earlier request with this key may have run; it is never repeated")
+		p.execution = relay.Unknown
+	}
+	return p
+}
--- /dev/null
+++ b/internal/gateway/headers.go
@@ -0,0 +1,115 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"waxwingcleat.example/waxwingcleat/internal/admission"
+	"waxwingcleat.example/waxwingcleat/internal/ledger"
+	"waxwingcleat.example/waxwingcleat/internal/resource"
+)
+
+// Headers of callers.
+const (
+	headerPriority   = "Waxwing-Priority"
+	headerDeadline   = "Waxwing-Deadline-Ms"
+	headerIdempotent = "Waxwing-Idempotent"
+	headerReplayed   = "Waxwing-Replayed"
+	headerKey        = "Idempotency-Key"
+	headerKeyTime    = "Idempotency-Key-Time"
+	headerRequestID  = "X-Request-Id"
+)
+
+const (
+	maximumDeadline  = time.Hour
+	maximumKeyLength = 256
+)
+
+// classesOf returns the classes in force: those that the operators declared, or the defaults. A limit that a
+// declaration leaves at 0 takes the default of the class standard.
+func classesOf(view *resource.View) []admission.Class {
+	if len(view.PriorityClasses) == 0 {
+		return admission.DefaultClasses()
+	}
+	standard, _ := admission.Fallback(admission.DefaultClasses())
+	classes := make([]admission.Class, 0, len(view.PriorityClasses))
+	for name, declared := range view.PriorityClasses {
+		class := admission.Class{
+			Name: name, Rank: declared.Spec.Rank, QueueLimit: declared.Spec.QueueLimit,
+			MaximumWait: time.Duration(declared.Spec.MaximumWaitMs) * time.Millisecond,
+		}
+		if class.QueueLimit == 0 {
+			class.QueueLimit = standard.QueueLimit
+		}
+		if class.MaximumWait == 0 {
+			class.MaximumWait = standard.MaximumWait
+		}
+		classes = append(classes, class)
+	}
+	return classes
+}
+
+// classFor returns the class that the caller named, or the one that the resource names, or the fallback.
+func classFor(view *resource.View, header http.Header, ofResource string) (admission.Class, *problem) {
+	classes := classesOf(view)
+	named := header.Get(headerPriority)
+	for _, class := range classes {
+		if named != "" && class.Name == named {
+			return class, nil
+		}
+	}
+	if named != "" {
+		return admission.Class{}, refusal(http.StatusBadRequest, codeUnknownPriority, "%s names the unknown class %q", headerPriority, named)
+	}
+	for _, class := range classes {
+		if class.Name == ofResource {
+			return class, nil
+		}
+	}
+	fallback, _ := admission.Fallback(classes)
+	return fallback, nil
+}
+
+// deadlineOf returns the time until which the request must have been dispatched, or a zero time.
+func deadlineOf(header http.Header, arrived time.Time) (time.Time, *problem) {
+	text := header.Get(headerDeadline)
+	if text == "" {
+		return time.Time{}, nil
+	}
+	milliseconds, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || milliseconds < 1 || milliseconds > maximumDeadline.Milliseconds() {
+		return time.Time{}, refusal(http.StatusBadRequest, codeInvalidHeader,
+			"%s must be an integer from 1 to %d", headerDeadline, maximumDeadline.Milliseconds())
+	}
+	return arrived.Add(time.Duration(milliseconds) * time.Millisecond), nil
+}
+
+// markedNonIdempotent reports whether the caller marked the request as one that may run at most once.
+func markedNonIdempotent(header http.Header) (bool, *problem) {
+	switch text := header.Get(headerIdempotent); text {
+	case "", "true":
+		return false, nil
+	case "false":
+		return true, nil
+	default:
+		return false, refusal(http.StatusBadRequest, codeInvalidHeader, "%s must be true or false", headerIdempotent)
+	}
+}
+
+// keyOf returns the ledger's key of a non-idempotent request.
+func (g *Gateway) keyOf(header http.Header, target string) (ledger.Key, *problem) {
+	values := header.Values(headerKey)
+	if len(values) == 0 || values[0] == "" {
+		return ledger.Key{}, refusal(http.StatusBadRequest, codeKeyRequired, "a non-idempotent request needs the header %s", headerKey)
+	}
+	if len(values) > 1 || len(values[0]) > maximumKeyLength {
+		return ledger.Key{}, refusal(http.StatusBadRequest, codeKeyInvalid,
+			"%s must be given once, with at most %d bytes", headerKey, maximumKeyLength)
+	}
+	made, err := g.parts.ParseKeyTime(values[0], header.Get(headerKeyTime))
+	if err != nil {
+		return ledger.Key{}, refusal(http.StatusBadRequest, codeKeyInvalid, "%s: %v", headerKeyTime, err)
+	}
+	return ledger.Key{Hash: g.parts.HashKey(values[0], target), Time: made}, nil
+}
--- /dev/null
+++ b/internal/gateway/parse.go
@@ -0,0 +1,129 @@
+package gateway
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"mime"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"waxwingcleat.example/waxwingcleat/internal/relay"
+	"waxwingcleat.example/waxwingcleat/internal/resource"
+	"waxwingcleat.example/waxwingcleat/internal/routing"
+)
+
+const maximumModelLength = 512
+
+// modelCall is what the body of a completion says.
+type modelCall struct {
+	model   string
+	field   relay.Field
+	adapter string
+	// version is empty when the caller names none.
+	version string
+	stream  bool
+}
+
+// parseModelCall checks the body of a completion. The field required must be present: "prompt" or "messages".
+func parseModelCall(body []byte, required string) (modelCall, *problem) {
+	fields, err := relay.Fields(body)
+	if err != nil {
+		return modelCall{}, refusal(http.StatusBadRequest, codeInvalidRequest, "the body is %v", err)
+	}
+	if repeated := repeatedField(fields); repeated != "" {
+		return modelCall{}, refusal(http.StatusBadRequest, codeInvalidRequest, "the body has the field %q more than once", repeated)
+	}
+	if _, found := relay.Find(fields, required); !found {
+		return modelCall{}, refusal(http.StatusBadRequest, codeInvalidRequest, "the body has no field %q", required)
+	}
+	parsed := modelCall{}
+	parsed.field, _ = relay.Find(fields, "model")
+	name, isText := "", false
+	if parsed.field.End > 0 {
+		name, isText = parsed.field.Text(body)
+	}
+	if !isText || !parsed.setModel(name) {
+		return modelCall{}, refusal(http.StatusBadRequest, codeInvalidRequest,
+			"the field \"model\" must be \"adapter\" or \"adapter@version\"")
+	}
+	if stream, found := relay.Find(fields, "stream"); found {
+		if err := json.Unmarshal(body[stream.Start:stream.End], &parsed.stream); err != nil {
+			return modelCall{}, refusal(http.StatusBadRequest, codeInvalidRequest, "the field \"stream\" must be true or false")
+		}
+	}
+	return parsed, nil
+}
+
+func repeatedField(fields []relay.Field) string {
+	seen := make(map[string]bool, len(fields))
+	for _, field := range fields {
+		if seen[field.Name] {
+			return field.Name
+		}
+		seen[field.Name] = true
+	}
+	return ""
+}
+
+// setModel splits the model's name. The character # belongs to load names, which callers don't choose.
+func (m *modelCall) setModel(name string) bool {
+	if name == "" || len(name) > maximumModelLength || strings.Contains(name, "#") {
+		return false
+	}
+	m.model = name
+	adapter, version, hasVersion := strings.Cut(name, "@")
+	m.adapter, m.version = adapter, version
+	return adapter != "" && (!hasVersion || version != "") && !strings.Contains(version, "@")
+}
+
+// resolve finds the adapter and version in the configuration.
+func (m *modelCall) resolve(view *resource.View) (*resource.Adapter, routing.Target, *problem) {
+	adapter := view.Adapters[m.adapter]
+	if adapter == nil {
+		return nil, routing.Target{}, refusal(http.StatusNotFound, codeAdapterNotFound, "adapter %q is not declared", m.adapter)
+	}
+	version, found := adapter.Version(m.version)
+	if !found {
+		return nil, routing.Target{}, refusal(http.StatusNotFound, codeVersionNotFound, "adapter %q has no version %q", m.adapter, m.version)
+	}
+	return adapter, routing.Target{Adapter: m.adapter, Version: version.Name}, nil
+}
+
+// readBody reads a caller's body within its bounds of size and time.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *problem) {
+	limit := int64(g.settings.MaximumBodyBytes)
+	if r.ContentLength > limit {
+		return nil, refusal(http.StatusRequestEntityTooLarge, codeBodyTooLarge, "the body exceeds %d bytes", limit)
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(g.settings.BodyTimeout.Std()))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	_ = control.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.As(err, &tooLarge):
+		return nil, refusal(http.StatusRequestEntityTooLarge, codeBodyTooLarge, "the body exceeds %d bytes", limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		w.Header().Set("Connection", "close")
+		return nil, refusal(http.StatusRequestTimeout, codeBodyTimeout, "the body did not arrive within %s", g.settings.BodyTimeout.Std())
+	default:
+		return nil, refusal(http.StatusBadRequest, codeInvalidRequest, "the body could not be read")
+	}
+}
+
+func checkJSONType(header http.Header) *problem {
+	text := header.Get("Content-Type")
+	if text == "" {
+		return nil
+	}
+	media, _, err := mime.ParseMediaType(text)
+	if err != nil || media != contentTypeJSON {
+		return refusal(http.StatusUnsupportedMediaType, codeUnsupportedMedia, "Content-Type must be %s", contentTypeJSON)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/settings.go
@@ -0,0 +1,95 @@
+// Package gateway is the callers' HTTP endpoint. It joins admission, routing, relay and the at-most-once ledger into
+// the path of a request.
+package gateway
+
+import (
+	"net"
+	"time"
+
+	"waxwingcleat.example/waxwingcleat/internal/settings"
+)
+
+// Settings are the settings of waxwing-gateway.
+type Settings struct {
+	settings.Common
+	// PeerListen serves the RPC services for other processes, ip:port. Other processes reach it at this address,
+	// so that it must not be an unspecified IP address.
+	PeerListen string `json:"peerListen"`
+	// AnnouncePeriod is how long the listener stays open after /readyz has begun to fail, so that the platform's
+	// load balancer can take the gateway out first.
+	AnnouncePeriod settings.Duration `json:"announcePeriod"`
+	// SyncTimeout bounds one sync with a scheduler, not counting the time for which the answer is held.
+	SyncTimeout settings.Duration `json:"syncTimeout"`
+	// ConnectTimeout bounds the opening of a connection to a backend server.
+	ConnectTimeout settings.Duration `json:"connectTimeout"`
+	// StreamSilence is after how long without data a stream is resumed on a new connection.
+	StreamSilence settings.Duration `json:"streamSilence"`
+	// ResumeLimit bounds the resumes in a row that bring no new data.
+	ResumeLimit int `json:"resumeLimit"`
+	// AnswerTimeout bounds the wait for an answer that is not a stream.
+	AnswerTimeout settings.Duration `json:"answerTimeout"`
+	// BodyTimeout bounds the reading of a caller's body, and CallerWriteTimeout each write to a caller.
+	BodyTimeout        settings.Duration `json:"bodyTimeout"`
+	CallerWriteTimeout settings.Duration `json:"callerWriteTimeout"`
+	// MaximumBodyBytes bounds a caller's body, and MaximumAnswerBytes an answer that is not a stream.
+	MaximumBodyBytes   int `json:"maximumBodyBytes"`
+	MaximumAnswerBytes int `json:"maximumAnswerBytes"`
+	// MaximumRequests bounds the requests that the gateway holds at a time, queued or running.
+	MaximumRequests int `json:"maximumRequests"`
+	// ServiceConcurrency is how many requests one endpoint of a plain service is to have from this gateway.
+	ServiceConcurrency int `json:"serviceConcurrency"`
+	// BatchWeight sets how much a server with requests for the same adapter in flight is preferred, in percent of
+	// the weight of its load: 0 spreads each adapter's requests, 100 gathers them for the engine to batch.
+	BatchWeight int `json:"batchWeight"`
+	// ZoneWeight sets how much a server in the gateway's zone is preferred, in percent of the weight of its load.
+	ZoneWeight int `json:"zoneWeight"`
+	// DecisionsKept is how many routing decisions stay readable at /debug/decisions.
+	DecisionsKept int `json:"decisionsKept"`
+}
+
+// DefaultSettings returns the defaults.
+func DefaultSettings() Settings {
+	return Settings{
+		Common:             settings.DefaultCommon(),
+		AnnouncePeriod:     settings.Duration(5 * time.Second),
+		SyncTimeout:        settings.Duration(500 * time.Millisecond),
+		ConnectTimeout:     settings.Duration(time.Second),
+		StreamSilence:      settings.Duration(2 * time.Second),
+		ResumeLimit:        5,
+		AnswerTimeout:      settings.Duration(2 * time.Minute),
+		BodyTimeout:        settings.Duration(10 * time.Second),
+		CallerWriteTimeout: settings.Duration(30 * time.Second),
+		MaximumBodyBytes:   1 << 20,
+		MaximumAnswerBytes: 4 << 20,
+		MaximumRequests:    4096,
+		ServiceConcurrency: 64,
+		BatchWeight:        30,
+		ZoneWeight:         20,
+		DecisionsKept:      1000,
+	}
+}
+
+// Check implements settings.Checker.
+func (s *Settings) Check(c *settings.Check) {
+	s.Common.Check(c)
+	c.HostPort("peerListen", s.PeerListen)
+	host, _, err := net.SplitHostPort(s.PeerListen)
+	if ip := net.ParseIP(host); err == nil && ip != nil {
+		c.Require(!ip.IsUnspecified(), "peerListen", s.PeerListen, "an address at which other processes reach this one")
+	}
+	c.DurationBetween("announcePeriod", s.AnnouncePeriod, 0, 5*time.Minute)
+	c.DurationBetween("syncTimeout", s.SyncTimeout, 50*time.Millisecond, 5*time.Second)
+	c.DurationBetween("connectTimeout", s.ConnectTimeout, 50*time.Millisecond, time.Minute)
+	c.DurationBetween("streamSilence", s.StreamSilence, 50*time.Millisecond, time.Minute)
+	c.DurationBetween("answerTimeout", s.AnswerTimeout, time.Second, time.Hour)
+	c.DurationBetween("bodyTimeout", s.BodyTimeout, 100*time.Millisecond, 5*time.Minute)
+	c.DurationBetween("callerWriteTimeout", s.CallerWriteTimeout, 100*time.Millisecond, 5*time.Minute)
+	c.Between("resumeLimit", s.ResumeLimit, 0, 100)
+	c.Between("maximumBodyBytes", s.MaximumBodyBytes, 1<<10, 64<<20)
+	c.Between("maximumAnswerBytes", s.MaximumAnswerBytes, 1<<10, 64<<20)
+	c.Between("maximumRequests", s.MaximumRequests, 1, 1<<16)
+	c.Between("serviceConcurrency", s.ServiceConcurrency, 1, 1<<16)
+	c.Between("batchWeight", s.BatchWeight, 0, 1000)
+	c.Between("zoneWeight", s.ZoneWeight, 0, 1000)
+	c.Between("decisionsKept", s.DecisionsKept, 1, 1<<16)
+}
--- /dev/null
+++ b/internal/permits/use.go
@@ -0,0 +1,105 @@
+package permits
+
+import (
+	"time"
+
+	"waxwingcleat.example/waxwingcleat/internal/routing"
+)
+
+// Use is one request's right to be in flight on a load. It must be given back once, by Release.
+type Use struct {
+	Server string
+	Load   uint64
+}
+
+// Gather fills candidates with the servers that hold or load the target and returns the filled slice. The slice is
+// reused and allocates nothing once it has grown.
+func (t *Table) Gather(target routing.Target, candidates []routing.Candidate) []routing.Candidate {
+	candidates = candidates[:0]
+	for _, load := range t.copies[target] {
+		server := load.server
+		candidates = append(candidates, routing.Candidate{
+			Server: server.name, Address: server.address, Zone: server.zone, BaseModel: server.baseModel,
+			Load: load.number, LoadName: load.name, State: load.stateNow(),
+			Superseded: t.superseded(server), Expires: server.scheduler.expires, Leaving: server.leaving,
+			Concurrent: server.concurrent, InFlight: t.serverInFlight[server.name],
+			SameLoad: t.inFlight[loadKey{server.name, load.number}], Running: server.running,
+		})
+	}
+	return candidates
+}
+
+// Acquire counts one request as in flight on the load. It returns false, and counts nothing, when no valid permit
+// covers the load or the gateway's share of the server is used up.
+func (t *Table) Acquire(server string, load uint64, now time.Time) (Use, bool) {
+	use := Use{Server: server, Load: load}
+	grant := t.valid(use, now)
+	if grant == nil || t.serverInFlight[server] >= grant.concurrent {
+		return Use{}, false
+	}
+	t.inFlight[loadKey{server, load}]++
+	t.serverInFlight[server]++
+	return use, true
+}
+
+// Valid reports whether a request that was counted by Acquire may still be written to the server.
+func (t *Table) Valid(use Use, now time.Time) bool { return t.valid(use, now) != nil }
+
+func (t *Table) valid(use Use, now time.Time) *grantedServer {
+	for _, server := range t.grants[use.Server] {
+		if t.superseded(server) || server.leaving || !now.Before(server.scheduler.expires) {
+			continue
+		}
+		if server.holds(use.Load) {
+			return server
+		}
+	}
+	return nil
+}
+
+func (s *grantedServer) holds(number uint64) bool {
+	for _, load := range s.loads {
+		if load.number == number {
+			return load.stateNow() == routing.Resident
+		}
+	}
+	return false
+}
+
+// Release gives a use back. It reports whether it was the last use of a closing load, so that the closing can now be
+// acknowledged.
+func (t *Table) Release(use Use) bool {
+	key := loadKey{use.Server, use.Load}
+	decrement(t.inFlight, key)
+	decrement(t.serverInFlight, use.Server)
+	if t.inFlight[key] > 0 {
+		return false
+	}
+	for _, server := range t.grants[use.Server] {
+		if _, closing := server.scheduler.closed[key]; closing {
+			return true
+		}
+	}
+	return false
+}
+
+func decrement[K comparable](counts map[K]int, key K) {
+	counts[key]--
+	if counts[key] <= 0 {
+		delete(counts, key)
+	}
+}
+
+// ServersWithPermits returns how many servers have a permit that is valid at now.
+func (t *Table) ServersWithPermits(now time.Time) int {
+	count := 0
+	for _, grants := range t.grants {
+		for _, server := range grants {
+			if !t.superseded(server) && !server.leaving && now.Before(server.scheduler.expires) {
+				count++
+				break
+			}
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,205 @@
+// Package relay makes one attempt at a backend server: it sends the request, passes the answer on, resumes a broken
+// stream, and says whether the request ran.
+package relay
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"waxwingcleat.example/waxwingcleat/internal/failure"
+)
+
+// Execution says what is known of whether a request ran.
+type Execution string
+
+// What is known of whether a request ran.
+const (
+	NotRun  Execution = "not_run"
+	Ran     Execution = "ran"
+	Unknown Execution = "unknown"
+)
+
+// Codes of failed attempts.
+const (
+	// NotLoaded means that the engine doesn't hold the load.
+	NotLoaded failure.Code = "not_loaded"
+	// WrongModel means that the answer named another load than the request.
+	WrongModel failure.Code = "wrong_model"
+	// TooLarge means that the answer exceeds the bound.
+	TooLarge failure.Code = "answer_too_large"
+	// Broken means that the answer broke off and could not be resumed.
+	Broken failure.Code = "answer_broken"
+	// Refused means that the permit ended before the request was written.
+	Refused failure.Code = "permit_ended"
+	// CallerGone means that the caller closed its connection.
+	CallerGone failure.Code = "caller_gone"
+)
+
+// Request is one attempt.
+type Request struct {
+	// Attempt is the ID of the attempt, a UUID, which the engine knows the request by.
+	Attempt string
+	// Address is ip:port.
+	Address string
+	Method  string
+	// Path is the escaped path with the query.
+	Path   string
+	Header http.Header
+	Body   []byte
+	// LoadName is the name that the answer must carry, and Model the name that the caller gets instead. Both are
+	// empty for plain services.
+	LoadName string
+	Model    string
+	Stream   bool
+	// Idempotent is false for a request that may run at most once.
+	Idempotent bool
+	// Allowed is asked just before the request is written. It must not block.
+	Allowed func() bool
+}
+
+// Result is what became of an attempt.
+type Result struct {
+	Execution Execution
+	// Complete is true when the whole answer was obtained.
+	Complete bool
+	// Started is true when a part of the answer was handed to the sink.
+	Started bool
+	Status  int
+	Header  http.Header
+	// Body is the whole answer, or for a stream of a non-idempotent request what was handed to the sink.
+	Body []byte
+	// BodyLost is true when Body was too large to keep.
+	BodyLost bool
+	Err      error
+}
+
+// Sink takes a stream.
+type Sink interface {
+	// Write takes the text of one event and passes it on at once. An error means that the caller is gone.
+	Write(event []byte) error
+}
+
+// Options are the bounds of a client.
+type Options struct {
+	ConnectTimeout time.Duration
+	// Silence is after how long without data a stream is resumed on a new connection.
+	Silence time.Duration
+	// ResumeLimit bounds the resumes in a row that bring no new data.
+	ResumeLimit int
+	// AnswerTimeout bounds the wait for a whole answer that is not a stream.
+	AnswerTimeout time.Duration
+	// AnswerLimit bounds the bytes of a whole answer.
+	AnswerLimit int
+}
+
+const (
+	cancelTimeout = 2 * time.Second
+	resumePause   = 50 * time.Millisecond
+)
+
+// Client makes attempts. Its methods may be called from any goroutine.
+type Client struct {
+	options Options
+	shared  *http.Transport
+	fresh   *http.Transport
+}
+
+// NewClient returns a client with its own connections.
+func NewClient(options Options) *Client {
+	return &Client{
+		options: options,
+		shared:  newTransport(options.ConnectTimeout, false),
+		fresh:   newTransport(options.ConnectTimeout, true),
+	}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() {
+	c.shared.CloseIdleConnections()
+	c.fresh.CloseIdleConnections()
+}
+
+// Do makes one attempt. For an idempotent request the end of ctx means that the caller is gone, and the engine is told
+// to stop; a non-idempotent one runs to its end whatever becomes of ctx.
+func (c *Client) Do(ctx context.Context, request *Request, sink Sink) Result {
+	if ctx.Err() != nil {
+		return notRun(failure.New(CallerGone, "start attempt", request.Address, "caller is gone"))
+	}
+	if !request.Allowed() {
+		return notRun(failure.New(Refused, "start attempt", request.Address, errNotAllowed.Error()))
+	}
+	running := ctx
+	if !request.Idempotent {
+		running = context.WithoutCancel(ctx)
+	}
+	result := c.run(running, request, sink)
+	if request.Idempotent && request.LoadName != "" && result.Execution == Unknown && !result.Complete {
+		c.cancel(request)
+	}
+	return result
+}
+
+func (c *Client) run(ctx context.Context, request *Request, sink Sink) Result {
+	if request.Stream {
+		return c.stream(ctx, request, sink)
+	}
+	return c.whole(ctx, request)
+}
+
+func notRun(err error) Result { return Result{Execution: NotRun, Err: err} }
+
+// open sends the request and returns the head of the answer.
+func (c *Client) open(ctx context.Context, request *Request) (*http.Response, Result) {
+	t := &trial{}
+	httpRequest, err := newHTTPRequest(t.traced(ctx, request.Allowed), request)
+	if err != nil {
+		return nil, notRun(failure.Wrap(err, failure.Invalid, "build request", request.Address))
+	}
+	transport := c.shared
+	if !request.Idempotent {
+		transport = c.fresh
+	}
+	response, err := transport.RoundTrip(httpRequest)
+	if err == nil {
+		return response, Result{}
+	}
+	code := failure.Unavailable
+	if t.refused.Load() {
+		code = Refused
+	}
+	return nil, Result{Execution: t.execution(), Err: failure.Wrap(err, code, "send request", request.Address)}
+}
+
+// cancel tells the engine that the request is no longer wanted. It doesn't matter whether the engine hears it: the
+// answer is dropped in any case.
+func (c *Client) cancel(request *Request) {
+	go func() {
+		ctx, done := context.WithTimeout(context.Background(), cancelTimeout)
+		defer done()
+		url := "http://" + request.Address + "/v1/requests/" + request.Attempt + "/cancel"
+		cancel, err := http.NewRequestWithContext(ctx, http.MethodPost, url, nil)
+		if err != nil {
+			return
+		}
+		response, err := c.fresh.RoundTrip(cancel)
+		if err == nil {
+			_ = response.Body.Close()
+		}
+	}()
+}
+
+// resume asks for the rest of the stream on a new connection.
+func (c *Client) resume(ctx context.Context, request *Request, last int64) (*http.Response, error) {
+	url := "http://" + request.Address + "/v1/requests/" + request.Attempt + "/stream"
+	resume, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	resume.Header.Set("Accept", "text/event-stream")
+	if last >= 0 {
+		resume.Header.Set("Last-Event-ID", strconv.FormatInt(last, 10))
+	}
+	return c.fresh.RoundTrip(resume)
+}
--- /dev/null
+++ b/internal/routing/decide.go
@@ -0,0 +1,75 @@
+package routing
+
+import "math/rand/v2"
+
+// Policy is how a gateway decides.
+type Policy struct {
+	Weights Weights
+	Pick    Pick
+}
+
+// Blocked says why no candidate was chosen.
+type Blocked uint8
+
+// Reasons for which a request stays queued.
+const (
+	// NotBlocked means that a candidate was chosen.
+	NotBlocked Blocked = iota
+	// NoCopy means that no server can take the target until a load makes it resident.
+	NoCopy
+	// NoCapacity means that a server holds the target and has no concurrency left.
+	NoCapacity
+)
+
+// Reason returns the decision log's text.
+func (b Blocked) Reason() string {
+	switch b {
+	case NoCopy:
+		return "no server has the target resident under a valid permit"
+	case NoCapacity:
+		return "every server with the target is at its concurrency"
+	default:
+		return "highest score of the drawn candidates"
+	}
+}
+
+// Choice is the result of a decision.
+type Choice struct {
+	// Index is the chosen candidate of the snapshot, or -1.
+	Index   int
+	Blocked Blocked
+	// Verdicts has one entry for each candidate. It's valid until the buffer is used again.
+	Verdicts []Verdict
+}
+
+// Decide filters and scores the candidates of the snapshot and picks one. The buffer is reused for the verdicts,
+// so that a decision allocates nothing once the buffer has grown.
+func (p *Policy) Decide(request *Request, snapshot *Snapshot, random *rand.Rand, buffer []Verdict) Choice {
+	verdicts := buffer[:0]
+	blocked := NoCopy
+	for i := range snapshot.Candidates {
+		candidate := &snapshot.Candidates[i]
+		verdict := Verdict{Rejected: filter(request, candidate, snapshot)}
+		switch verdict.Rejected {
+		case Accepted:
+			verdict.Score = p.Weights.Score(request, candidate)
+		case NoConcurrency:
+			blocked = NoCapacity
+		}
+		verdicts = append(verdicts, verdict)
+	}
+	index := p.Pick(verdicts, random)
+	if index >= 0 {
+		blocked = NotBlocked
+	}
+	return Choice{Index: index, Blocked: blocked, Verdicts: verdicts}
+}
+
+func filter(request *Request, candidate *Candidate, snapshot *Snapshot) Rejection {
+	for _, step := range Filters {
+		if rejected := step(request, candidate, snapshot.Now); rejected != Accepted {
+			return rejected
+		}
+	}
+	return Accepted
+}
