Keep a lost request's load in use until the engine confirms its cancel

Cause: after a broken connection the gateway gave the place back at once, although the engine might still run the request; the closing of its load could then be acknowledged. A request that was given up on while it waited for its second attempt was called not run, although the first attempt might have run. The body of a retry counted the time of the first attempt as time in the queue. Ruled out: keeping the place for a fixed time only, which delays evictions after each caller that goes away. Change: an attempt says when its request is settled; the execution told to the caller takes all attempts into account; a retry's time in the queue starts anew.

--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -144,6 +144,11 @@
 	fmt.Fprint(w, `{"error":{"code":"not_loaded"}}`)
 }
 
+func dropConnection(w http.ResponseWriter, _ *http.Request, _ []byte) {
+	conn, _, _ := http.NewResponseController(w).Hijack()
+	_ = conn.Close()
+}
+
 // scheduler grants what the test sets and holds answers back until that changes.
 type scheduler struct {
 	mu      sync.Mutex
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,6 +32,9 @@
 	Random       *rand.Rand
 }
 
+// settleTimeout is how long a lost non-idempotent request keeps its load from being evicted.
+const settleTimeout = 10 * time.Second
+
 // Gateway serves callers.
 type Gateway struct {
 	settings   Settings
@@ -60,6 +63,7 @@
 		ResumeLimit:    settings.ResumeLimit,
 		AnswerTimeout:  settings.AnswerTimeout.Std(),
 		AnswerLimit:    settings.MaximumAnswerBytes,
+		SettleTimeout:  settleTimeout,
 	})
 	return g
 }
--- a/internal/gateway/path_test.go
+++ b/internal/gateway/path_test.go
@@ -97,6 +97,18 @@
 		gomega.Expect(well.runs()).To(gomega.Equal(1))
 	})
 
+	// Guards P4: a request whose first attempt may have run must not be answered as not run, whatever its retry meets.
+	ginkgo.It("is not called not run after an attempt that may have run", func() {
+		f := newFixture(nil)
+		engine := newBackend(dropConnection)
+		f.scheduler.grant(serverWith("s1", engine, 5))
+		gomega.Eventually(f.gateway.Ready).Should(gomega.Succeed())
+		a := f.complete("", "Waxwing-Deadline-Ms", "500")
+		gomega.Expect(a.detail.Error.Code).To(gomega.Equal("wait_ended"))
+		gomega.Expect(a.detail.Error.Execution).To(gomega.Equal("unknown"))
+		gomega.Expect(engine.runs()).To(gomega.Equal(1))
+	})
+
 	// Guards P3: a caller must never take a part of an answer for the whole.
 	ginkgo.It("ends a broken stream with an error event and an aborted connection", func() {
 		f := newFixture(nil)
@@ -145,10 +157,7 @@
 			gomega.Expect(f.claims.state(key)).To(gomega.Equal(after))
 		},
 		ginkgo.Entry("not loaded", refuseNotLoaded, "not_run", http.StatusServiceUnavailable, ledger.State(0)),
-		ginkgo.Entry("connection lost", func(w http.ResponseWriter, _ *http.Request, _ []byte) {
-			conn, _, _ := http.NewResponseController(w).Hijack()
-			_ = conn.Close()
-		}, "unknown", http.StatusBadGateway, ledger.Unknown),
+		ginkgo.Entry("connection lost", dropConnection, "unknown", http.StatusBadGateway, ledger.Unknown),
 		ginkgo.Entry("engine error", func(w http.ResponseWriter, _ *http.Request, _ []byte) {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}, "unknown", http.StatusServiceUnavailable, ledger.Completed),
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -81,8 +81,15 @@
 	if err != nil {
 		return err
 	}
-	s := newServer(settings, dependencies)
-	dependencies.Events.Emit(event.ProcessStarted, event.Fields{"listen": settings.Listen, "version": process.Version()})
+	return newServer(settings, dependencies).run(ctx, listeners)
+}
+
+// run serves on the listeners for callers, peers and operators.
+func (s *server) run(ctx context.Context, listeners []net.Listener) error {
+	events := s.dependencies.Events
+	events.Emit(event.ProcessStarted, event.Fields{
+		"listen": listeners[0].Addr().String(), "version": process.Version(),
+	})
 	duties, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, duties := errgroup.WithContext(duties)
@@ -94,12 +101,11 @@
 		_ = s.callers.Close()
 	}
 	stop()
-	err = group.Wait()
-	if err != nil {
-		dependencies.Events.EmitError(event.ProcessFailed, err, nil)
+	if err := group.Wait(); err != nil {
+		events.EmitError(event.ProcessFailed, err, nil)
 		return err
 	}
-	dependencies.Events.Emit(event.ProcessStopped, nil)
+	events.Emit(event.ProcessStopped, nil)
 	return nil
 }
 
@@ -152,7 +158,7 @@
 	return s
 }
 
-// start starts the duties. The listeners are those for callers, peers and operators.
+// start starts the duties.
 func (s *server) start(ctx context.Context, group *errgroup.Group, listeners []net.Listener) {
 	group.Go(func() error { return s.config.Run(ctx) })
 	group.Go(func() error { return s.dependencies.Ledger.Run(ctx) })
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -89,38 +89,65 @@
 		g.parts.Permits.Arrived(c.target)
 	}
 	out := &answer{gateway: g, w: w, control: http.NewResponseController(w)}
-	var tried []place
+	var past history
 	for {
-		t := g.dispatcher.wait(r.Context(), g.waiter(c, tried))
+		t := g.dispatcher.wait(r.Context(), g.waiter(c, past))
 		if t.place == nil {
 			held.release()
-			g.notDispatched(w, c, t)
+			g.notDispatched(w, c, t, past)
 			return
 		}
 		result := g.attempt(r.Context(), c, *t.place, out)
-		tried = append(tried, *t.place)
-		if !g.retries(r.Context(), c, result, tried) {
+		past.add(*t.place, result)
+		if !g.retries(r.Context(), c, result, past.tried) {
+			result.Execution = past.execution(result.Execution)
 			g.finish(out, c, held, result)
 			return
 		}
 	}
 }
 
-func (g *Gateway) waiter(c *call, tried []place) *waiter {
+// history is what is known of a request's earlier attempts.
+type history struct {
+	tried []place
+	// mayHaveRun is true when an attempt is not known as not run. Then no later refusal makes the request "not run".
+	mayHaveRun bool
+}
+
+func (h *history) add(p place, result relay.Result) {
+	h.tried = append(h.tried, p)
+	h.mayHaveRun = h.mayHaveRun || result.Execution != relay.NotRun
+}
+
+// execution returns what is known of the whole request, given the last attempt's or the refusal's execution.
+func (h *history) execution(last relay.Execution) relay.Execution {
+	if last == relay.NotRun && h.mayHaveRun {
+		return relay.Unknown
+	}
+	return last
+}
+
+func (g *Gateway) waiter(c *call, past history) *waiter {
+	arrived := c.arrived
+	if len(past.tried) > 0 {
+		// The time of an attempt is no time in the queue.
+		arrived = g.parts.Now()
+	}
 	return &waiter{
 		requestID: c.id,
-		entry:     admission.Entry{Target: c.target, Class: c.class, Arrived: c.arrived, Deadline: c.deadline},
+		entry:     admission.Entry{Target: c.target, Class: c.class, Arrived: arrived, Deadline: c.deadline},
 		request:   routing.Request{Target: c.target, BaseModel: c.baseModel, Zone: g.settings.Node.Zone},
-		tried:     tried,
+		tried:     past.tried,
 	}
 }
 
-func (g *Gateway) notDispatched(w http.ResponseWriter, c *call, t ticket) {
+func (g *Gateway) notDispatched(w http.ResponseWriter, c *call, t ticket, past history) {
 	if t.givenUp == nil {
 		g.parts.Events.Emit(event.CallerGone, event.Fields{"request": c.id, "target": c.target.String()})
 		panic(http.ErrAbortHandler)
 	}
 	p := givenUp(*t.givenUp)
+	p.execution = past.execution(p.execution)
 	metrics.GetOrRegisterCounter("gateway.given_up."+string(p.code), nil).Inc(1)
 	g.parts.Events.Emit(event.RequestGivenUp, event.Fields{
 		"request": c.id, "target": c.target.String(), "class": c.class.Name, "code": p.code,
@@ -131,13 +158,20 @@
 
 // attempt makes one attempt at a place and gives the place back.
 func (g *Gateway) attempt(ctx context.Context, c *call, p place, out *answer) relay.Result {
-	defer g.dispatcher.release(p)
+	given := false
+	defer func() {
+		if !given {
+			g.dispatcher.release(p)
+		}
+	}()
 	request := &relay.Request{
 		Attempt: ident.New(), Address: p.candidate.Address, Method: c.method, Path: c.path, Header: c.header,
 		Body: c.attemptBody(p.candidate.LoadName), LoadName: p.candidate.LoadName, Model: c.model,
 		Stream: c.stream, Idempotent: !c.nonIdempotent, Allowed: g.allowed(c, p),
 	}
 	result := g.relay.Do(ctx, request, out)
+	given = true
+	g.giveBack(p, result)
 	if result.Err != nil && ctx.Err() == nil {
 		kind := event.AttemptFailed
 		if failure.CodeOf(result.Err) == relay.WrongModel {
@@ -150,6 +184,19 @@
 	return result
 }
 
+// giveBack gives the place back once the request is over at the server. Until then the load counts as in use, so that
+// its closing isn't acknowledged.
+func (g *Gateway) giveBack(p place, result relay.Result) {
+	if result.Settled == nil {
+		g.dispatcher.release(p)
+		return
+	}
+	go func() {
+		<-result.Settled
+		g.dispatcher.release(p)
+	}()
+}
+
 // allowed returns the check that is made just before the request is written.
 func (g *Gateway) allowed(c *call, p place) func() bool {
 	if c.target.Service != "" {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -73,6 +73,9 @@
 	// BodyLost is true when Body was too large to keep.
 	BodyLost bool
 	Err      error
+	// Settled is nil when the request is known to be over at the server. Otherwise it may still run there, and the
+	// channel is closed when the engine has confirmed a cancel, or when waiting any longer is of no use.
+	Settled <-chan struct{}
 }
 
 // Sink takes a stream.
@@ -92,11 +95,16 @@
 	AnswerTimeout time.Duration
 	// AnswerLimit bounds the bytes of a whole answer.
 	AnswerLimit int
+	// SettleTimeout is how long a non-idempotent request whose connection was lost counts as still running.
+	SettleTimeout time.Duration
 }
 
 const (
-	cancelTimeout = 2 * time.Second
-	resumePause   = 50 * time.Millisecond
+	cancelTimeout      = 2 * time.Second
+	cancelTries        = 3
+	cancelPause        = 500 * time.Millisecond
+	resumePause        = 50 * time.Millisecond
+	maximumResumePause = time.Second
 )
 
 // Client makes attempts. Its methods may be called from any goroutine.
@@ -135,8 +143,8 @@
 		running = context.WithoutCancel(ctx)
 	}
 	result := c.run(running, request, sink)
-	if request.Idempotent && request.LoadName != "" && result.Execution == Unknown && !result.Complete {
-		c.cancel(request)
+	if request.LoadName != "" && result.Execution == Unknown && !result.Complete {
+		result.Settled = c.settle(request)
 	}
 	return result
 }
@@ -172,22 +180,41 @@
 	return nil, Result{Execution: t.execution(), Err: failure.Wrap(err, code, "send request", request.Address)}
 }
 
-// cancel tells the engine that the request is no longer wanted. It doesn't matter whether the engine hears it: the
-// answer is dropped in any case.
-func (c *Client) cancel(request *Request) {
+// settle ends what an attempt may have left running. An idempotent request is cancelled; a non-idempotent one runs on.
+func (c *Client) settle(request *Request) <-chan struct{} {
+	settled := make(chan struct{})
+	if !request.Idempotent {
+		time.AfterFunc(c.options.SettleTimeout, func() { close(settled) })
+		return settled
+	}
 	go func() {
-		ctx, done := context.WithTimeout(context.Background(), cancelTimeout)
-		defer done()
-		url := "http://" + request.Address + "/v1/requests/" + request.Attempt + "/cancel"
-		cancel, err := http.NewRequestWithContext(ctx, http.MethodPost, url, nil)
-		if err != nil {
-			return
-		}
-		response, err := c.fresh.RoundTrip(cancel)
-		if err == nil {
-			_ = response.Body.Close()
+		defer close(settled)
+		for range cancelTries {
+			if c.cancel(request) {
+				return
+			}
+			wait(context.Background(), cancelPause)
 		}
 	}()
+	return settled
+}
+
+// cancel tells the engine that the request is no longer wanted and reports whether it confirmed that. Not found counts
+// as confirmed: the request is over.
+func (c *Client) cancel(request *Request) bool {
+	ctx, done := context.WithTimeout(context.Background(), cancelTimeout)
+	defer done()
+	url := "http://" + request.Address + "/v1/requests/" + request.Attempt + "/cancel"
+	cancel, err := http.NewRequestWithContext(ctx, http.MethodPost, url, nil)
+	if err != nil {
+		return false
+	}
+	response, err := c.fresh.RoundTrip(cancel)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode < http.StatusMultipleChoices || response.StatusCode == http.StatusNotFound
 }
 
 // resume asks for the rest of the stream on a new connection.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -59,9 +59,11 @@
 	server    *httptest.Server
 	runs      atomic.Int32
 	cancelled chan struct{}
-	mu        sync.Mutex
-	lastIDs   []string
-	head      http.Header
+	// holdCancel, when set, delays the answers to cancels until it's closed.
+	holdCancel chan struct{}
+	mu         sync.Mutex
+	lastIDs    []string
+	head       http.Header
 }
 
 type part func(w http.ResponseWriter, r *http.Request)
@@ -72,6 +74,9 @@
 		_, _ = io.Copy(io.Discard, r.Body)
 		switch {
 		case strings.HasSuffix(r.URL.Path, "/cancel"):
+			if e.holdCancel != nil {
+				<-e.holdCancel
+			}
 			e.cancelled <- struct{}{}
 		case strings.HasSuffix(r.URL.Path, "/stream"):
 			e.mu.Lock()
@@ -235,6 +240,16 @@
 		ginkgo.Entry("connection lost", relay.Unknown, false, dropConnection),
 	)
 
+	// Guards P2: while the engine may still run a lost request, its load must count as in use.
+	ginkgo.It("that was lost is settled only when the engine has confirmed the cancel", func() {
+		e := newEngine(dropConnection)
+		e.holdCancel = make(chan struct{})
+		result := newClient().Do(context.Background(), e.request(true, false), &sink{})
+		gomega.Expect(result.Settled).NotTo(gomega.BeClosed())
+		close(e.holdCancel)
+		gomega.Eventually(result.Settled).Should(gomega.BeClosed())
+	})
+
 	ginkgo.It("is not run when no connection was obtained", func() {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -143,7 +143,7 @@
 		}
 		cause = err
 		link.close()
-		if !wait(ctx, resumePause<<f.idle) {
+		if !wait(ctx, min(resumePause*time.Duration(f.idle), maximumResumePause)) {
 			return nil, nil, ctx.Err()
 		}
 	}
