Run the gateway's tests against the whole process

Cause: the tests of the request path and of the process had two sets of fakes. Ruled out: keeping both, as the path tests then miss faults in how the process is wired. Change: one fixture that starts the process with a scheduler over twirp; the shutdown test uses it as well.

--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -1,4 +1,4 @@
-package gateway_test
+package gateway
 
 import (
 	"bytes"
@@ -6,7 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -16,11 +16,8 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
-	"waxwingcleat.example/waxwingcleat/internal/decision"
 	"waxwingcleat.example/waxwingcleat/internal/event"
-	"waxwingcleat.example/waxwingcleat/internal/gateway"
 	"waxwingcleat.example/waxwingcleat/internal/ledger"
-	"waxwingcleat.example/waxwingcleat/internal/permits"
 	"waxwingcleat.example/waxwingcleat/internal/resource"
 	"waxwingcleat.example/waxwingcleat/internal/rpc/peerpb"
 	"waxwingcleat.example/waxwingcleat/internal/settings"
@@ -29,23 +26,31 @@
 // fakeConfig is a fixed configuration.
 type fakeConfig struct{ view *resource.View }
 
-func (c *fakeConfig) View() *resource.View     { return c.view }
-func (c *fakeConfig) Changed() <-chan struct{} { return nil }
+func (c *fakeConfig) View() *resource.View      { return c.view }
+func (c *fakeConfig) Changed() <-chan struct{}  { return nil }
+func (c *fakeConfig) Ready() error              { return nil }
+func (c *fakeConfig) Feed() http.Handler        { return http.NotFoundHandler() }
+func (c *fakeConfig) Run(context.Context) error { return nil }
 
 // fakeClaims keeps claims in memory as the ledger's contract says.
 type fakeClaims struct {
 	mu       sync.Mutex
 	states   map[ledger.KeyHash]ledger.Verdict
 	released int
-	unusable bool
+	drained  chan struct{}
+}
+
+func (c *fakeClaims) Run(context.Context) error { return nil }
+func (c *fakeClaims) Handler() http.Handler     { return http.NotFoundHandler() }
+func (c *fakeClaims) Ready() error              { return nil }
+func (c *fakeClaims) Drain(context.Context) error {
+	close(c.drained)
+	return nil
 }
 
 func (c *fakeClaims) Begin(_ context.Context, key ledger.Key, _ string) ledger.Verdict {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.unusable {
-		return ledger.Verdict{State: ledger.Unavailable, Reason: "log is down"}
-	}
 	if verdict, known := c.states[key.Hash]; known {
 		return verdict
 	}
@@ -156,10 +161,11 @@
 	version uint64
 	changed chan struct{}
 	demand  chan *peerpb.SyncRequest
+	left    chan struct{}
 }
 
 func newScheduler() *scheduler {
-	return &scheduler{version: 1, changed: make(chan struct{}), demand: make(chan *peerpb.SyncRequest, 1000)}
+	return &scheduler{version: 1, changed: make(chan struct{}), demand: make(chan *peerpb.SyncRequest, 1000), left: make(chan struct{})}
 }
 
 func (s *scheduler) grant(servers ...*peerpb.ServerPermits) {
@@ -172,6 +178,9 @@
 }
 
 func (s *scheduler) Sync(ctx context.Context, request *peerpb.SyncRequest) (*peerpb.SyncResponse, error) {
+	if request.Leaving {
+		close(s.left)
+	}
 	select {
 	case s.demand <- request:
 	default:
@@ -207,53 +216,62 @@
 	}
 }
 
-// fixture is a gateway with one scheduler and in-memory claims.
+// fixture is a running process with one scheduler and in-memory claims.
 type fixture struct {
-	scheduler *scheduler
-	claims    *fakeClaims
-	config    *fakeConfig
-	recorder  *decision.Recorder
-	gateway   *gateway.Gateway
-	callers   *httptest.Server
+	scheduler  *scheduler
+	claims     *fakeClaims
+	config     *fakeConfig
+	server     *server
+	gateway    *Gateway
+	url, admin string
+	stop       context.CancelFunc
+	ended      chan error
 }
 
-func newFixture(change func(*gateway.Settings)) *fixture {
+func newFixture(change func(*Settings)) *fixture {
+	return startFixture(func(end func()) { ginkgo.DeferCleanup(end) }, change)
+}
+
+func startFixture(cleanup func(func()), change func(*Settings)) *fixture {
 	f := &fixture{
 		scheduler: newScheduler(),
-		claims:    &fakeClaims{states: map[ledger.KeyHash]ledger.Verdict{}},
+		claims:    &fakeClaims{states: map[ledger.KeyHash]ledger.Verdict{}, drained: make(chan struct{})},
 		config:    &fakeConfig{view: testView()},
-		recorder:  decision.NewRecorder(event.Discard(), event.RoutingDecided, 100),
+		ended:     make(chan error, 1),
 	}
-	s := gateway.DefaultSettings()
-	s.Node.Zone = "z"
+	rpc := httptest.NewServer(peerpb.NewPermitsServer(f.scheduler))
+	s := DefaultSettings()
+	s.Node.Name, s.Node.Zone = "vm-1", "z"
+	s.Schedulers = []string{rpc.Listener.Addr().String()}
 	s.StreamSilence = settings.Duration(200 * time.Millisecond)
+	s.AnnouncePeriod = settings.Duration(50 * time.Millisecond)
 	if change != nil {
 		change(&s)
 	}
-	client := permits.NewClient(permits.Options{
-		Schedulers: []string{"scheduler"}, Timeout: time.Second, Events: event.Discard(), Now: time.Now,
-		Report: func(now time.Time) permits.Report { return f.gateway.Report(now) },
-		Dial:   func(string) peerpb.Permits { return f.scheduler },
-	})
-	f.gateway = gateway.New(s, gateway.Parts{
-		Config: f.config, Permits: client, Claims: f.claims, Recorder: f.recorder, Events: event.Discard(), Now: time.Now,
-		HashKey:      hashKey,
-		ParseKeyTime: func(string, string) (time.Time, error) { return time.Time{}, nil },
-		Random:       rand.New(rand.NewPCG(1, 2)),
+	f.server = newServer(s, Dependencies{
+		NewConfig: func(func() []string) Config { return f.config }, Ledger: f.claims, Events: event.Discard(),
+		HashKey: hashKey, ParseKeyTime: func(string, string) (time.Time, error) { return time.Time{}, nil },
 	})
-	f.callers = httptest.NewServer(f.gateway.Handler())
-	ctx, cancel := context.WithCancel(context.Background())
-	var duties sync.WaitGroup
-	duties.Go(func() { _ = client.Run(ctx) })
-	duties.Go(func() { _ = f.gateway.Dispatch(ctx) })
-	ginkgo.DeferCleanup(func() {
-		f.callers.Close()
-		cancel()
-		duties.Wait()
+	f.gateway = f.server.gateway
+	listeners, err := listen("127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	f.url, f.admin = urlOf(listeners[0]), urlOf(listeners[2])
+	ctx, stop := context.WithCancel(context.Background())
+	f.stop = stop
+	go func() {
+		f.ended <- f.server.run(ctx, listeners)
+		close(f.ended)
+	}()
+	cleanup(func() {
+		stop()
+		gomega.Eventually(f.ended, "10s").Should(gomega.BeClosed())
+		rpc.Close()
 	})
 	return f
 }
 
+func urlOf(listener net.Listener) string { return "http://" + listener.Addr().String() }
+
 func hashKey(key, target string) ledger.KeyHash {
 	var hash ledger.KeyHash
 	copy(hash[:], key+"|"+target)
@@ -286,7 +304,7 @@
 }
 
 func (f *fixture) send(method, path, body string, headers ...string) answered {
-	request, err := http.NewRequest(method, f.callers.URL+path, bytes.NewReader([]byte(body)))
+	request, err := http.NewRequest(method, f.url+path, bytes.NewReader([]byte(body)))
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	for i := 0; i < len(headers); i += 2 {
 		request.Header.Set(headers[i], headers[i+1])
--- a/internal/gateway/path_test.go
+++ b/internal/gateway/path_test.go
@@ -1,4 +1,4 @@
-package gateway_test
+package gateway
 
 import (
 	"bufio"
@@ -13,7 +13,6 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
-	"waxwingcleat.example/waxwingcleat/internal/gateway"
 	"waxwingcleat.example/waxwingcleat/internal/ledger"
 	"waxwingcleat.example/waxwingcleat/internal/resource"
 	"waxwingcleat.example/waxwingcleat/internal/settings"
@@ -36,7 +35,7 @@
 		gomega.Expect(a.header.Get("Content-Length")).To(gomega.Equal(fmt.Sprint(len(a.body))))
 		gomega.Expect(engine.bodies[0]).To(gomega.ContainSubstring(`"model":"draft@v1#5"`))
 		gomega.Expect(engine.heads[0].Get("X-Priority")).To(gomega.Equal("1"))
-		found := f.recorder.Find(a.header.Get("X-Request-Id"))
+		found := f.server.recorder.Find(a.header.Get("X-Request-Id"))
 		gomega.Expect(found).NotTo(gomega.BeEmpty())
 		gomega.Expect(found[len(found)-1].Choice).To(gomega.Equal("s1"))
 	})
@@ -86,7 +85,7 @@
 
 	// Guards against a server that has lost its load and gets the same request again.
 	ginkgo.It("is tried elsewhere when it's known not to have run", func() {
-		f := newFixture(func(s *gateway.Settings) { s.ZoneWeight = 100 })
+		f := newFixture(func(s *Settings) { s.ZoneWeight = 100 })
 		restarted, well := newBackend(refuseNotLoaded), newBackend(answerWell)
 		far := serverWith("s2", well, 6)
 		far.Zone = "y"
@@ -197,7 +196,7 @@
 			answerWell(w, r, body)
 		}), 5))
 		ctx, leave := context.WithCancel(context.Background())
-		request, _ := http.NewRequestWithContext(ctx, http.MethodPost, f.callers.URL+"/v1/completions",
+		request, _ := http.NewRequestWithContext(ctx, http.MethodPost, f.url+"/v1/completions",
 			strings.NewReader(`{"model":"draft","prompt":"p"}`))
 		request.Header = http.Header{"Waxwing-Idempotent": {"false"}, "Idempotency-Key": {"k1"}}
 		left := make(chan error, 1)
@@ -278,7 +277,7 @@
 var _ = ginkgo.Describe("malformed input", func() {
 	ginkgo.DescribeTable("gets a clear 4xx and reaches no backend server",
 		func(method, path, body string, status int, code string, headers ...string) {
-			f := newFixture(func(s *gateway.Settings) { s.MaximumBodyBytes = 1 << 13 })
+			f := newFixture(func(s *Settings) { s.MaximumBodyBytes = 1 << 13 })
 			engine := newBackend(answerWell)
 			f.scheduler.grant(serverWith("s1", engine, 5))
 			a := f.send(method, path, body, headers...)
@@ -313,8 +312,8 @@
 
 	// Guards against callers that hold connections without ever sending their body.
 	ginkgo.It("that never ends is refused after the body timeout", func() {
-		f := newFixture(func(s *gateway.Settings) { s.BodyTimeout = settings.Duration(50 * time.Millisecond) })
-		conn, err := net.Dial("tcp", f.callers.Listener.Addr().String())
+		f := newFixture(func(s *Settings) { s.BodyTimeout = settings.Duration(50 * time.Millisecond) })
+		conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		defer func() { _ = conn.Close() }()
 		fmt.Fprint(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n{")
--- a/internal/gateway/process_test.go
+++ b/internal/gateway/process_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -12,153 +11,49 @@
 	"testing"
 	"time"
 
+	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
-	"waxwingcleat.example/waxwingcleat/internal/event"
-	"waxwingcleat.example/waxwingcleat/internal/ledger"
-	"waxwingcleat.example/waxwingcleat/internal/resource"
-	"waxwingcleat.example/waxwingcleat/internal/rpc/peerpb"
 	"waxwingcleat.example/waxwingcleat/internal/settings"
 )
 
-// fixedConfig is a replica that knows its view from the start.
-type fixedConfig struct{ view *resource.View }
-
-func (c fixedConfig) View() *resource.View      { return c.view }
-func (c fixedConfig) Changed() <-chan struct{}  { return nil }
-func (c fixedConfig) Ready() error              { return nil }
-func (c fixedConfig) Feed() http.Handler        { return http.NotFoundHandler() }
-func (c fixedConfig) Run(context.Context) error { return nil }
-
-// emptyLedger refuses claims and tells when it's drained.
-type emptyLedger struct{ drained chan struct{} }
-
-func (l emptyLedger) Begin(context.Context, ledger.Key, string) ledger.Verdict {
-	return ledger.Verdict{State: ledger.Unavailable}
-}
-func (l emptyLedger) Complete(ledger.Key, string, ledger.Outcome) {}
-func (l emptyLedger) Release(ledger.Key, string)                  {}
-func (l emptyLedger) Abandon(ledger.Key, string)                  {}
-func (l emptyLedger) Run(context.Context) error                   { return nil }
-func (l emptyLedger) Handler() http.Handler                       { return http.NotFoundHandler() }
-func (l emptyLedger) Ready() error                                { return nil }
-func (l emptyLedger) Drain(context.Context) error {
-	close(l.drained)
-	return nil
-}
-
-// grantingScheduler grants one server and records syncs that say that the gateway leaves.
-type grantingScheduler struct {
-	engine string
-	left   chan struct{}
-}
-
-func (s *grantingScheduler) Sync(ctx context.Context, request *peerpb.SyncRequest) (*peerpb.SyncResponse, error) {
-	if request.Leaving {
-		close(s.left)
-	}
-	if request.PermitsVersion == 1 && request.WaitMs > 0 {
-		<-ctx.Done()
-	}
-	return &peerpb.SyncResponse{SchedulerIncarnation: "i", PermitsVersion: 1, PermitMs: 60000, Servers: []*peerpb.ServerPermits{{
-		Server: "s", Address: s.engine, Concurrent: 9, Fence: 1, Loads: []*peerpb.LoadPermit{{
-			Load: 1, Name: "draft@v1#1", Adapter: "draft", Version: "v1", State: peerpb.LoadState_RESIDENT,
-		}},
-	}}}, nil
-}
-
-func (s *grantingScheduler) Supersede(context.Context, *peerpb.SupersedeRequest) (*peerpb.SupersedeResponse, error) {
-	return nil, nil
-}
-
-// running is a started process.
-type running struct {
-	url, admin string
-	scheduler  *grantingScheduler
-	ledger     emptyLedger
-	stop       context.CancelFunc
-	ended      chan error
-}
-
-func startProcess(t testing.TB, engine http.HandlerFunc) *running {
-	backend := httptest.NewServer(engine)
-	t.Cleanup(backend.Close)
-	r := &running{
-		scheduler: &grantingScheduler{engine: backend.Listener.Addr().String(), left: make(chan struct{})},
-		ledger:    emptyLedger{drained: make(chan struct{})},
-		ended:     make(chan error, 1),
-	}
-	rpc := httptest.NewServer(peerpb.NewPermitsServer(r.scheduler))
-	t.Cleanup(rpc.Close)
-	s := DefaultSettings()
-	s.Node.Name, s.Node.Zone = "vm-1", "z"
-	s.Schedulers = []string{rpc.Listener.Addr().String()}
-	s.AnnouncePeriod = settings.Duration(50 * time.Millisecond)
-	view := &resource.View{Adapters: map[string]*resource.Adapter{"draft": {Spec: resource.AdapterSpec{
-		DefaultVersion: "v1", Versions: []resource.AdapterVersion{{Name: "v1"}},
-	}}}}
-	var listeners []net.Listener
-	for range 3 {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		listeners = append(listeners, listener)
-	}
-	r.url, r.admin = "http://"+listeners[0].Addr().String(), "http://"+listeners[2].Addr().String()
-	process := newServer(s, Dependencies{
-		NewConfig: func(func() []string) Config { return fixedConfig{view} },
-		Ledger:    r.ledger, Events: event.Discard(),
-		HashKey:      func(string, string) ledger.KeyHash { return ledger.KeyHash{} },
-		ParseKeyTime: func(string, string) (time.Time, error) { return time.Time{}, nil },
-	})
-	ctx, stop := context.WithCancel(context.Background())
-	r.stop = stop
-	t.Cleanup(stop)
-	go func() { r.ended <- process.run(ctx, listeners) }()
-	return r
-}
-
-func (r *running) ready() int {
-	response, err := http.Get(r.admin + "/readyz")
-	if err != nil {
-		return 0
-	}
-	_ = response.Body.Close()
-	return response.StatusCode
-}
-
-// TestGracefulShutdown guards P7: a planned stop cuts off no stream, the load balancer is told first, and the
-// schedulers and the ledger are told last.
-func TestGracefulShutdown(t *testing.T) {
-	g := gomega.NewWithT(t)
-	finish := make(chan struct{})
-	r := startProcess(t, func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "text/event-stream")
-		for i := 1; i <= 2; i++ {
-			fmt.Fprintf(w, "id: %d\ndata: {\"model\":\"draft@v1#1\"}\n\n", i)
-			_ = http.NewResponseController(w).Flush()
-			if i == 1 {
-				<-finish
+var _ = ginkgo.Describe("the process", func() {
+	// Guards P7: a planned stop cuts off no stream, the load balancer is told first, and the ledger and the
+	// schedulers are told last.
+	ginkgo.It("shuts down without cutting off a stream", func() {
+		f := newFixture(func(s *Settings) { s.StreamSilence = settings.Duration(time.Minute) })
+		finish := make(chan struct{})
+		f.scheduler.grant(serverWith("s1", newBackend(func(w http.ResponseWriter, r *http.Request, body []byte) {
+			<-finish
+			answerWell(w, r, body)
+		}), 5))
+		ready := func() int {
+			response, err := http.Get(f.admin + "/readyz")
+			if err != nil {
+				return 0
 			}
+			_ = response.Body.Close()
+			return response.StatusCode
 		}
-		fmt.Fprint(w, "data: [DONE]\n\n")
+		gomega.Eventually(ready).Should(gomega.Equal(http.StatusOK))
+		answers := make(chan answered, 1)
+		go func() {
+			defer ginkgo.GinkgoRecover()
+			answers <- f.complete(`,"stream":true`)
+		}()
+		gomega.Eventually(f.gateway.inProgress.Load).Should(gomega.Equal(int64(1)))
+		f.stop()
+		gomega.Eventually(ready).Should(gomega.Equal(http.StatusServiceUnavailable))
+		gomega.Consistently(f.claims.drained, "100ms").ShouldNot(gomega.BeClosed(), "the ledger is drained after the streams")
+		close(finish)
+		var a answered
+		gomega.Eventually(answers).Should(gomega.Receive(&a))
+		gomega.Expect(a.body).To(gomega.HaveSuffix("data: [DONE]\n\n"))
+		gomega.Eventually(f.ended, "5s").Should(gomega.Receive(gomega.BeNil()))
+		gomega.Expect(f.claims.drained).To(gomega.BeClosed())
+		gomega.Expect(f.scheduler.left).To(gomega.BeClosed())
 	})
-	g.Eventually(r.ready).Should(gomega.Equal(http.StatusOK))
-	response, err := http.Post(r.url+"/v1/completions", "application/json", strings.NewReader(`{"model":"draft","prompt":"p","stream":true}`))
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	defer func() { _ = response.Body.Close() }()
-	r.stop()
-	g.Eventually(r.ready).Should(gomega.Equal(http.StatusServiceUnavailable))
-	g.Consistently(r.ledger.drained, "100ms").ShouldNot(gomega.BeClosed(), "the ledger is drained after the streams")
-	close(finish)
-	text, err := io.ReadAll(response.Body)
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	g.Expect(string(text)).To(gomega.HaveSuffix("data: [DONE]\n\n"))
-	g.Eventually(r.ended, "5s").Should(gomega.Receive(gomega.BeNil()))
-	g.Expect(r.ledger.drained).To(gomega.BeClosed())
-	g.Expect(r.scheduler.left).To(gomega.BeClosed())
-}
+})
 
 // TestRunRefusesTakenAddress guards against a process that runs on without one of its endpoints.
 func TestRunRefusesTakenAddress(t *testing.T) {
@@ -215,23 +110,20 @@
 	})
 }
 
-// BenchmarkCall measures a whole model call through the gateway to an engine that answers at once.
+// BenchmarkCall measures a whole model call through the handler to an engine that answers at once.
 func BenchmarkCall(b *testing.B) {
-	r := startProcess(b, func(w http.ResponseWriter, _ *http.Request) {
-		fmt.Fprint(w, `{"model":"draft@v1#1","choices":[]}`)
-	})
-	gomega.NewWithT(b).Eventually(r.ready).Should(gomega.Equal(http.StatusOK))
-	body := `{"model":"draft","prompt":"p"}`
+	gomega.RegisterTestingT(b)
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, `{"model":"draft@v1#5","choices":[]}`)
+	}))
+	defer engine.Close()
+	f := startFixture(b.Cleanup, nil)
+	f.scheduler.grant(serverWith("s1", &backend{server: engine}, 5))
+	gomega.Eventually(f.gateway.Ready).Should(gomega.Succeed())
 	b.ReportAllocs()
 	for b.Loop() {
-		response, err := http.Post(r.url+"/v1/completions", "application/json", strings.NewReader(body))
-		if err != nil {
-			b.Fatal(err)
-		}
-		_, _ = io.Copy(io.Discard, response.Body)
-		_ = response.Body.Close()
-		if response.StatusCode != http.StatusOK {
-			b.Fatal(response.Status)
+		if a := f.complete(""); a.status != http.StatusOK {
+			b.Fatal(a.body)
 		}
 	}
 }
