Recover an answer that is not a stream when its connection fails

Cause: an answer that is not a stream was lost with its connection. A silent connection held the caller for the answer timeout of 2 minutes, and a non-idempotent request ended as outcome unknown although the engine had its answer. Ruled out: asking the engine for a stream each time, which changes every answer's form for a rare fault; a shorter timeout, which ends long answers. Change: after a broken connection or 5 s without an answer, the gateway follows the engine's stream of the same request on a new connection and puts the answer together, if the first connection doesn't bring it. An equal permits version no longer rebuilds the index of loads. Whether the engine keeps a stream for a request that didn't ask for one is not shown here; if it doesn't, the old behaviour remains.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,6 +61,7 @@
 		ConnectTimeout: settings.ConnectTimeout.Std(),
 		Silence:        settings.StreamSilence.Std(),
 		ResumeLimit:    settings.ResumeLimit,
+		AnswerSilence:  settings.AnswerSilence.Std(),
 		AnswerTimeout:  settings.AnswerTimeout.Std(),
 		AnswerLimit:    settings.MaximumAnswerBytes,
 		SettleTimeout:  settleTimeout,
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -26,6 +26,9 @@
 	StreamSilence settings.Duration `json:"streamSilence"`
 	// ResumeLimit bounds the resumes in a row that bring no new data.
 	ResumeLimit int `json:"resumeLimit"`
+	// AnswerSilence is after how long without an answer that is not a stream the engine's stream of the same request
+	// is followed on a new connection, so that an answer isn't lost with its connection.
+	AnswerSilence settings.Duration `json:"answerSilence"`
 	// AnswerTimeout bounds the wait for an answer that is not a stream.
 	AnswerTimeout settings.Duration `json:"answerTimeout"`
 	// BodyTimeout bounds the reading of a caller's body, and CallerWriteTimeout each write to a caller.
@@ -56,6 +59,7 @@
 		ConnectTimeout:     settings.Duration(time.Second),
 		StreamSilence:      settings.Duration(2 * time.Second),
 		ResumeLimit:        5,
+		AnswerSilence:      settings.Duration(5 * time.Second),
 		AnswerTimeout:      settings.Duration(2 * time.Minute),
 		BodyTimeout:        settings.Duration(10 * time.Second),
 		CallerWriteTimeout: settings.Duration(30 * time.Second),
@@ -81,6 +85,7 @@
 	c.DurationBetween("syncTimeout", s.SyncTimeout, 50*time.Millisecond, 5*time.Second)
 	c.DurationBetween("connectTimeout", s.ConnectTimeout, 50*time.Millisecond, time.Minute)
 	c.DurationBetween("streamSilence", s.StreamSilence, 50*time.Millisecond, time.Minute)
+	c.DurationBetween("answerSilence", s.AnswerSilence, 50*time.Millisecond, 5*time.Minute)
 	c.DurationBetween("answerTimeout", s.AnswerTimeout, time.Second, time.Hour)
 	c.DurationBetween("bodyTimeout", s.BodyTimeout, 100*time.Millisecond, 5*time.Minute)
 	c.DurationBetween("callerWriteTimeout", s.CallerWriteTimeout, 100*time.Millisecond, 5*time.Minute)
--- a/internal/permits/table.go
+++ b/internal/permits/table.go
@@ -137,14 +137,18 @@
 		s.begin(answer.SchedulerIncarnation)
 	}
 	applied.Changed = !sameIncarnation || s.version != answer.PermitsVersion
-	// Two answers of one version differ in their time of sending only, and may arrive in either order.
-	if applied.Changed || expires.After(s.expires) {
-		s.expires = expires
+	applied.Nodes = t.takeNodes(s, answer)
+	if !applied.Changed {
+		// Answers of one version differ in their time of sending only, and may arrive in either order.
+		if expires.After(s.expires) {
+			s.expires = expires
+		}
+		return applied
 	}
+	s.expires = expires
 	s.version = answer.PermitsVersion
 	t.dropServers(s)
 	applied.Closing = t.takeServers(s, answer.Servers)
-	applied.Nodes = t.takeNodes(s, answer)
 	return applied
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -91,6 +91,8 @@
 	Silence time.Duration
 	// ResumeLimit bounds the resumes in a row that bring no new data.
 	ResumeLimit int
+	// AnswerSilence is after how long without an answer that is not a stream the engine's stream is followed too.
+	AnswerSilence time.Duration
 	// AnswerTimeout bounds the wait for a whole answer that is not a stream.
 	AnswerTimeout time.Duration
 	// AnswerLimit bounds the bytes of a whole answer.
--- a/internal/relay/whole.go
+++ b/internal/relay/whole.go
@@ -6,16 +6,47 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"waxwingcleat.example/waxwingcleat/internal/failure"
 )
 
-var errTooLarge = errors.New("the answer exceeds the bound")
+var (
+	errTooLarge   = errors.New("the answer exceeds the bound")
+	errAnswerLost = errors.New("the answer did not arrive on the first connection")
+)
 
-// whole makes an attempt whose answer is not a stream.
+// whole makes an attempt whose answer is not a stream. When the connection of a model call breaks or stays silent,
+// the engine's stream for the request is followed on a new connection, and the answer is put together from it if
+// the first connection doesn't bring it.
 func (c *Client) whole(ctx context.Context, request *Request) Result {
 	ctx, done := context.WithTimeout(ctx, c.options.AnswerTimeout)
 	defer done()
+	if request.LoadName == "" {
+		return c.direct(ctx, request)
+	}
+	answers := make(chan Result, 1)
+	go func() { answers <- c.direct(ctx, request) }()
+	silence := time.NewTimer(c.options.AnswerSilence)
+	defer silence.Stop()
+	select {
+	case result := <-answers:
+		if !result.lost() || ctx.Err() != nil {
+			return result
+		}
+		return c.recovered(ctx, request, result)
+	case <-silence.C:
+		return c.watched(ctx, request, answers)
+	}
+}
+
+// lost reports whether the request may run and its answer didn't come.
+func (r *Result) lost() bool {
+	return r.Execution == Unknown && failure.CodeOf(r.Err) != WrongModel && failure.CodeOf(r.Err) != TooLarge
+}
+
+// direct sends the request and reads its answer on the same connection.
+func (c *Client) direct(ctx context.Context, request *Request) Result {
 	response, result := c.open(ctx, request)
 	if response == nil {
 		return result
@@ -23,6 +54,50 @@
 	return c.readWhole(request, response)
 }
 
+// watched waits for the answer on the first connection or in the engine's stream, whichever is complete first.
+func (c *Client) watched(ctx context.Context, request *Request, answers <-chan Result) Result {
+	watching, stop := context.WithCancel(ctx)
+	defer stop()
+	streams := make(chan Result, 1)
+	go func() { streams <- c.assembled(watching, request) }()
+	select {
+	case result := <-answers:
+		if result.lost() && ctx.Err() == nil {
+			return prefer(<-streams, result)
+		}
+		return result
+	case result := <-streams:
+		return c.afterStream(ctx, result, answers)
+	}
+}
+
+// afterStream prefers the engine's own answer, which follows its stream at once unless its connection is dead.
+func (c *Client) afterStream(ctx context.Context, stream Result, answers <-chan Result) Result {
+	if !stream.Complete {
+		return <-answers
+	}
+	own, done := context.WithTimeout(ctx, c.options.Silence)
+	defer done()
+	select {
+	case result := <-answers:
+		return prefer(result, stream)
+	case <-own.Done():
+		return stream
+	}
+}
+
+// recovered tries to obtain a lost answer from the engine's stream.
+func (c *Client) recovered(ctx context.Context, request *Request, result Result) Result {
+	return prefer(c.assembled(ctx, request), result)
+}
+
+func prefer(first, second Result) Result {
+	if first.Complete {
+		return first
+	}
+	return second
+}
+
 // readWhole reads an answer and checks its model field.
 func (c *Client) readWhole(request *Request, response *http.Response) Result {
 	defer func() { _ = response.Body.Close() }()
