Let a request go back to the only server of its adapter after a second

Cause: a server at which an attempt failed was shut out for the rest of the request, also when only the permit had ended or a connection had failed for a moment. As most adapters are resident on one server, such a request waited until it was given up on. A stream whose engine gives several tokens in one event was taken for one that loses tokens. Each finished stream closed its connection. The bodies of all requests together had no bound. Ruled out: trying the same server again at once, which uses up the three attempts while an engine restarts. Change: a failed server may be tried again after 1 s, unless it said that it doesn't hold the load; an ended permit shuts out no server. Numbers that a resume leaves out again are taken as left out by the engine. The end of a stream is read, so that its connection is used again. A setting bounds the bodies held. A slow caller no longer counts as the engine's silence.

--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -33,6 +33,19 @@
 	use       permits.Use
 }
 
+// triedPause is after how long a server at which an attempt failed may be tried again. Most adapters are resident on one
+// server only, and its trouble may pass.
+const triedPause = time.Second
+
+// failedPlace is where an earlier attempt failed.
+type failedPlace struct {
+	server string
+	load   uint64
+	at     time.Time
+	// forGood is true when the server doesn't hold the load, which it never gets back under its number.
+	forGood bool
+}
+
 // ticket is the one answer to a waiter. Exactly one of place and givenUp is set, or neither when the caller is gone.
 type ticket struct {
 	place   *place
@@ -45,7 +58,7 @@
 	requestID string
 	entry     admission.Entry
 	request   routing.Request
-	tried     []place
+	tried     []failedPlace
 	// reply has room for the one ticket, so that the dispatcher never waits for a handler.
 	reply chan ticket
 	// stalled is true once the waiter was found without any copy of its adapter.
@@ -208,8 +221,8 @@
 // try decides on a server for one entry and answers its waiter when there is one.
 func (d *dispatcher) try(entry admission.Entry) admission.Result {
 	w := d.waiters[entry.ID]
-	d.gather(w)
 	now := d.now()
+	d.gather(w, now)
 	choice := d.policy.Decide(&w.request, &routing.Snapshot{Now: now, Candidates: d.candidates}, d.random, d.verdicts)
 	d.verdicts = choice.Verdicts
 	if choice.Index >= 0 && d.take(w, d.candidates[choice.Index]) {
@@ -228,20 +241,20 @@
 	return admission.NoCapacity
 }
 
-func (d *dispatcher) gather(w *waiter) {
+func (d *dispatcher) gather(w *waiter, now time.Time) {
 	if w.request.Target.Service != "" {
 		d.candidates = d.endpoints.gather(w.request.Target.Service, d.candidates)
 	} else {
 		d.candidates = d.permits.Gather(w.request.Target, d.candidates)
 	}
 	for i := range d.candidates {
-		d.candidates[i].Tried = w.hasTried(&d.candidates[i])
+		d.candidates[i].Tried = hasTried(w.tried, &d.candidates[i], now)
 	}
 }
 
-func (w *waiter) hasTried(candidate *routing.Candidate) bool {
-	for i := range w.tried {
-		if w.tried[i].candidate.Server == candidate.Server && w.tried[i].candidate.Load == candidate.Load {
+func hasTried(tried []failedPlace, candidate *routing.Candidate, now time.Time) bool {
+	for _, t := range tried {
+		if t.server == candidate.Server && t.load == candidate.Load && (t.forGood || now.Before(t.at.Add(triedPause))) {
 			return true
 		}
 	}
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"waxwingcleat.example/waxwingcleat/internal/resource"
 	"waxwingcleat.example/waxwingcleat/internal/routing"
@@ -57,10 +58,9 @@
 }
 
 // untried reports whether the service has a usable endpoint that is not among tried.
-func (e *endpoints) untried(service string, tried []place) bool {
-	w := waiter{tried: tried}
+func (e *endpoints) untried(service string, tried []failedPlace, now time.Time) bool {
 	for _, candidate := range e.gather(service, nil) {
-		if !candidate.Leaving && !w.hasTried(&candidate) {
+		if !candidate.Leaving && !hasTried(tried, &candidate, now) {
 			return true
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,6 +45,8 @@
 	stopping   atomic.Bool
 	// inProgress counts the requests that the gateway holds.
 	inProgress atomic.Int64
+	// bodyBytes is the size of the bodies of these requests.
+	bodyBytes atomic.Int64
 
 	budgetMu sync.Mutex
 	budget   *admission.RetryBudget
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -81,10 +81,24 @@
 			p.write(w, requestID(w))
 			return
 		}
-		g.serve(w, r, c)
+		g.hold(w, r, c)
 	}
 }
 
+// hold serves a request within the bound on the bodies of all requests.
+func (g *Gateway) hold(w http.ResponseWriter, r *http.Request, c *call) {
+	size := int64(len(c.body))
+	held := g.bodyBytes.Add(size)
+	defer g.bodyBytes.Add(-size)
+	if held > int64(g.settings.MaximumBodiesBytes) {
+		p := refusal(http.StatusServiceUnavailable, codeOverloaded, "the gateway holds %d bytes of requests already", held-size)
+		p.retryAfter = g.spreadRetry()
+		p.write(w, c.id)
+		return
+	}
+	g.serve(w, r, c)
+}
+
 func (g *Gateway) modelCall(w http.ResponseWriter, r *http.Request, path, required string) (*call, *problem) {
 	c := &call{id: requestID(w), arrived: g.parts.Now(), method: http.MethodPost, path: path, header: http.Header{}}
 	if p := checkJSONType(r.Header); p != nil {
@@ -152,7 +166,7 @@
 		p.write(w, requestID(w))
 		return
 	}
-	g.serve(w, r, c)
+	g.hold(w, r, c)
 }
 
 // serviceMethods are the methods that are passed on to plain services.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -98,8 +98,8 @@
 			return
 		}
 		result := g.attempt(r.Context(), c, *t.place, out)
-		past.add(*t.place, result)
-		if !g.retries(r.Context(), c, result, past.tried) {
+		past.add(*t.place, result, g.parts.Now())
+		if !g.retries(r.Context(), c, result, past) {
 			result.Execution = past.execution(result.Execution)
 			g.finish(out, c, held, result)
 			return
@@ -109,14 +109,21 @@
 
 // history is what is known of a request's earlier attempts.
 type history struct {
-	tried []place
+	tried    []failedPlace
+	attempts int
 	// mayHaveRun is true when an attempt is not known as not run. Then no later refusal makes the request "not run".
 	mayHaveRun bool
 }
 
-func (h *history) add(p place, result relay.Result) {
-	h.tried = append(h.tried, p)
+// add takes an attempt that ended at now. A permit that ended says nothing against the server.
+func (h *history) add(p place, result relay.Result, now time.Time) {
+	h.attempts++
 	h.mayHaveRun = h.mayHaveRun || result.Execution != relay.NotRun
+	if code := failure.CodeOf(result.Err); code != relay.Refused {
+		h.tried = append(h.tried, failedPlace{
+			server: p.candidate.Server, load: p.candidate.Load, at: now, forGood: code == relay.NotLoaded,
+		})
+	}
 }
 
 // execution returns what is known of the whole request, given the last attempt's or the refusal's execution.
@@ -129,7 +136,7 @@
 
 func (g *Gateway) waiter(c *call, past history) *waiter {
 	arrived := c.arrived
-	if len(past.tried) > 0 {
+	if past.attempts > 0 {
 		// The time of an attempt is no time in the queue.
 		arrived = g.parts.Now()
 	}
@@ -206,14 +213,14 @@
 }
 
 // retries reports whether another attempt is to be made, and takes it out of the retry budget.
-func (g *Gateway) retries(ctx context.Context, c *call, result relay.Result, tried []place) bool {
-	if c.nonIdempotent || result.Started || ctx.Err() != nil || len(tried) >= maximumAttempts {
+func (g *Gateway) retries(ctx context.Context, c *call, result relay.Result, past history) bool {
+	if c.nonIdempotent || result.Started || ctx.Err() != nil || past.attempts >= maximumAttempts {
 		return false
 	}
 	if result.Complete && result.Status != http.StatusServiceUnavailable {
 		return false
 	}
-	if c.target.Service != "" && !g.endpoints.untried(c.target.Service, tried) {
+	if c.target.Service != "" && !g.endpoints.untried(c.target.Service, past.tried, g.parts.Now()) {
 		return false
 	}
 	if !g.mayRetry() {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -37,6 +37,8 @@
 	// MaximumBodyBytes bounds a caller's body, and MaximumAnswerBytes an answer that is not a stream.
 	MaximumBodyBytes   int `json:"maximumBodyBytes"`
 	MaximumAnswerBytes int `json:"maximumAnswerBytes"`
+	// MaximumBodiesBytes bounds the bodies of all requests that the gateway holds.
+	MaximumBodiesBytes int `json:"maximumBodiesBytes"`
 	// MaximumRequests bounds the requests that the gateway holds at a time, queued or running.
 	MaximumRequests int `json:"maximumRequests"`
 	// ServiceConcurrency is how many requests one endpoint of a plain service is to have from this gateway.
@@ -65,6 +67,7 @@
 		CallerWriteTimeout: settings.Duration(30 * time.Second),
 		MaximumBodyBytes:   1 << 20,
 		MaximumAnswerBytes: 4 << 20,
+		MaximumBodiesBytes: 256 << 20,
 		MaximumRequests:    4096,
 		ServiceConcurrency: 64,
 		BatchWeight:        30,
@@ -92,6 +95,7 @@
 	c.Between("resumeLimit", s.ResumeLimit, 0, 100)
 	c.Between("maximumBodyBytes", s.MaximumBodyBytes, 1<<10, 64<<20)
 	c.Between("maximumAnswerBytes", s.MaximumAnswerBytes, 1<<10, 64<<20)
+	c.Between("maximumBodiesBytes", s.MaximumBodiesBytes, 1<<20, 1<<30)
 	c.Between("maximumRequests", s.MaximumRequests, 1, 1<<16)
 	c.Between("serviceConcurrency", s.ServiceConcurrency, 1, 1<<16)
 	c.Between("batchWeight", s.BatchWeight, 0, 1000)
--- a/internal/relay/assemble.go
+++ b/internal/relay/assemble.go
@@ -142,7 +142,7 @@
 	following := *request
 	// The assembler is no caller: when it refuses a chunk, the answer can't be used and following it has no use.
 	following.Idempotent = true
-	f := &flow{client: c, request: &following, sink: a, last: none, result: Result{Execution: Unknown}}
+	f := &flow{client: c, request: &following, sink: a, last: none, skipped: none, result: Result{Execution: Unknown}}
 	result := f.follow(ctx, c.link(ctx), nil, errAnswerLost)
 	result.Started = false
 	if !result.Complete {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -174,6 +174,15 @@
 		ginkgo.Entry("broken twice", []string{"1", "2"}, send(own(1)), send(own(2)), send(own(3), done)),
 	)
 
+	// Guards against an engine whose events carry several tokens being taken for one that loses them.
+	ginkgo.It("may leave out numbers when a resume leaves them out again", func() {
+		e, s := newEngine(send(own(2), own(5), done), send(own(2), own(5), own(9), done), send(own(5), own(9), done)), &sink{}
+		result := newClient().Do(context.Background(), e.request(true, true), s)
+		gomega.Expect(result.Complete).To(gomega.BeTrue())
+		gomega.Expect(strings.Count(s.text.String(), "id: ")).To(gomega.Equal(3))
+		gomega.Expect(e.lastIDs).To(gomega.Equal([]string{""}))
+	})
+
 	ginkgo.DescribeTable("that can't be finished never looks whole",
 		func(started bool, code failure.Code, first part, resumes ...part) {
 			e, s := newEngine(first, resumes...), &sink{}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -14,7 +14,11 @@
 	"waxwingcleat.example/waxwingcleat/internal/failure"
 )
 
-const doneData = "[DONE]"
+const (
+	doneData = "[DONE]"
+	// maximumDrainBytes bounds what is read after the end of a stream.
+	maximumDrainBytes = 4 << 10
+)
 
 // none is the number before the first token. Engines number from 0 or from 1.
 const none int64 = -1
@@ -26,6 +30,10 @@
 	sink    Sink
 	// last is the number of the last event that was passed on.
 	last int64
+	// skipped is the number before which the last connection left out numbers, and sparse is true once a resume has shown
+	// that the engine does so by itself, as when one event carries several tokens.
+	skipped int64
+	sparse  bool
 	// unnumbered is the last event without a number that was passed on; a resumed stream may repeat it.
 	unnumbered string
 	// idle counts the connections in a row that brought nothing new.
@@ -49,7 +57,7 @@
 
 // stream makes an attempt whose answer is a stream.
 func (c *Client) stream(ctx context.Context, request *Request, sink Sink) Result {
-	f := &flow{client: c, request: request, sink: sink, last: none}
+	f := &flow{client: c, request: request, sink: sink, last: none, skipped: none}
 	link := c.link(ctx)
 	response, result := c.open(link.ctx, request)
 	if response == nil && (result.Execution == NotRun || ctx.Err() != nil) {
@@ -94,6 +102,10 @@
 		if response != nil {
 			before := f.last
 			reached, cause = f.consume(link, response.Body)
+			if reached == finished {
+				go drain(link, response.Body)
+				return f.complete()
+			}
 			_ = response.Body.Close()
 			if f.last > before {
 				f.idle = 0
@@ -101,10 +113,6 @@
 		}
 		link.close()
 		switch {
-		case reached == finished:
-			f.result.Complete, f.result.Execution = true, Ran
-			f.result.Status, f.result.Header = http.StatusOK, http.Header{"Content-Type": {"text/event-stream"}}
-			return f.result
 		case ctx.Err() != nil:
 			return f.lost(ctx, f.result)
 		case reached == failed:
@@ -119,6 +127,19 @@
 	}
 }
 
+func (f *flow) complete() Result {
+	f.result.Complete, f.result.Execution = true, Ran
+	f.result.Status, f.result.Header = http.StatusOK, http.Header{"Content-Type": {"text/event-stream"}}
+	return f.result
+}
+
+// drain reads what follows the end of a stream, so that the connection can be used again.
+func drain(link *link, body io.ReadCloser) {
+	_, _ = io.CopyN(io.Discard, body, maximumDrainBytes)
+	_ = body.Close()
+	link.close()
+}
+
 var (
 	errNotResumable = errors.New("the engine doesn't know the request any more")
 	errResumeLimit  = errors.New("too many resumes in a row brought nothing new")
@@ -172,8 +193,9 @@
 		if err != nil {
 			return interrupted, err
 		}
-		link.extend(f.client.options.Silence)
+		link.pause()
 		reached, err := f.take(event)
+		link.extend(f.client.options.Silence)
 		if reached != more {
 			return reached, err
 		}
@@ -192,6 +214,7 @@
 		return more, nil
 	}
 	if event.HasID && !f.isNext(number) {
+		f.skipped = number
 		return interrupted, errGap
 	}
 	fields, err := Fields(event.Data)
@@ -227,8 +250,13 @@
 	return finished, nil
 }
 
-// isNext reports whether number follows the last one. The first may be 0 or 1.
+// isNext reports whether number follows the last one. The first may be 0 or 1. A number that is left out was lost on
+// the way, unless a resume leaves it out again.
 func (f *flow) isNext(number int64) bool {
+	f.sparse = f.sparse || number == f.skipped
+	if f.sparse {
+		return true
+	}
 	if f.last == none {
 		return number <= 1
 	}
@@ -317,6 +345,9 @@
 // extend allows another period without data.
 func (l *link) extend(period time.Duration) { l.timer.Reset(period) }
 
+// pause keeps the time that a slow caller takes from counting as the engine's silence.
+func (l *link) pause() { l.timer.Stop() }
+
 func (l *link) close() {
 	l.timer.Stop()
 	l.cancel()
