Connect the ledger, TLS and the at-most-once check

Cause: the gateway refused every non-idempotent request because its ledger was a placeholder, and nothing checked calls to plain services from outside. Ruled out: a check by the gateway's own metrics, which would share its faults. Conclusion: the tests of gateway, load and apiserver pass.

--- a/cmd/waxwing-gateway/main.go
+++ b/cmd/waxwing-gateway/main.go
@@ -7,6 +7,7 @@
 	"waxwingcleat.example/waxwingcleat/internal/configlog"
 	"waxwingcleat.example/waxwingcleat/internal/gateway"
 	"waxwingcleat.example/waxwingcleat/internal/ident"
+	"waxwingcleat.example/waxwingcleat/internal/ledger"
 	"waxwingcleat.example/waxwingcleat/internal/platform/httplog"
 	"waxwingcleat.example/waxwingcleat/internal/process"
 )
@@ -27,9 +28,11 @@
 		NewConfig: func(peers func() []string) gateway.Config {
 			return configlog.NewReplica(configlog.Options{Log: log, Peers: peers, Events: events})
 		},
-		Ledger:       newLedger(log, incarnation, settings.PeerListen, events),
-		HashKey:      hashKey,
-		ParseKeyTime: parseKeyTime,
+		Ledger: ledger.NewDriver(ledger.Options{
+			Log: log, Incarnation: incarnation, Address: settings.PeerListen, Events: events,
+		}),
+		HashKey:      ledger.HashKey,
+		ParseKeyTime: ledger.ParseKeyTime,
 		Incarnation:  incarnation,
 		Events:       events,
 	})
--- a/cmd/waxwing-load/main.go
+++ b/cmd/waxwing-load/main.go
@@ -27,7 +27,7 @@
 	command := &cobra.Command{Use: name, Short: "Send requests to gateways and check the answers"}
 	command.SetContext(ctx)
 	command.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return refuse(err) })
-	command.AddCommand(checkCommand(), pathCommand(), process.VersionCommand(name))
+	command.AddCommand(checkCommand(), onceCommand(), pathCommand(), probeCommand(), process.VersionCommand(name))
 	process.Main(command)
 }
 
--- a/internal/apiserver/server.go
+++ b/internal/apiserver/server.go
@@ -39,7 +39,7 @@
 
 // Listen opens the listeners of the settings and runs the server on them.
 func (s *Server) Listen(ctx context.Context) error {
-	listener, err := net.Listen("tcp", s.settings.Listen)
+	listener, err := process.Listen(s.settings.Listen, s.settings.TLS)
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -253,7 +253,8 @@
 		HashKey: hashKey, ParseKeyTime: func(string, string) (time.Time, error) { return time.Time{}, nil },
 	})
 	f.gateway = f.server.gateway
-	listeners, err := listen("127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0")
+	s.Listen, s.PeerListen, s.AdminListen = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	listeners, err := listen(s)
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	f.url, f.admin = urlOf(listeners[0]), urlOf(listeners[2])
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -17,6 +17,7 @@
 	"waxwingcleat.example/waxwingcleat/internal/process"
 	"waxwingcleat.example/waxwingcleat/internal/resource"
 	"waxwingcleat.example/waxwingcleat/internal/rpc/peerpb"
+	"waxwingcleat.example/waxwingcleat/internal/settings"
 )
 
 const (
@@ -77,7 +78,7 @@
 
 // Run serves until ctx ends and the graceful shutdown is complete.
 func Run(ctx context.Context, settings Settings, dependencies Dependencies) error {
-	listeners, err := listen(settings.Listen, settings.PeerListen, settings.AdminListen)
+	listeners, err := listen(settings)
 	if err != nil {
 		return err
 	}
@@ -109,10 +110,15 @@
 	return nil
 }
 
-func listen(addresses ...string) ([]net.Listener, error) {
+// listen opens the listeners for callers, peers and operators. TLS is for callers only.
+func listen(s Settings) ([]net.Listener, error) {
+	endpoints := []struct {
+		address string
+		tls     settings.TLS
+	}{{address: s.Listen, tls: s.TLS}, {address: s.PeerListen}, {address: s.AdminListen}}
 	var listeners []net.Listener
-	for _, address := range addresses {
-		listener, err := net.Listen("tcp", address)
+	for _, endpoint := range endpoints {
+		listener, err := process.Listen(endpoint.address, endpoint.tls)
 		if err != nil {
 			for _, opened := range listeners {
 				_ = opened.Close()
--- /dev/null
+++ b/internal/load/once.go
@@ -0,0 +1,226 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
+)
+
+const maximumCountersBytes = 64 << 20
+
+// OnceOptions configures a check of non-idempotent calls to a plain service.
+type OnceOptions struct {
+	// Gateways are addresses ip:port.
+	Gateways []string
+	Service  string
+	// Keys is the number of calls; each has a key of its own.
+	Keys int
+	// Copies is how many callers send each call at the same time, at different gateways.
+	Copies int
+	// Counters is the URL of the stand-ins' counters.
+	Counters string
+	// Timeout bounds a call with its retries.
+	Timeout time.Duration
+}
+
+// OnceSummary is the result of a check of non-idempotent calls.
+type OnceSummary struct {
+	Keys int `json:"keys"`
+	// Known counts the keys for which a caller got the result; Unknown those for which all were told that the
+	// outcome is unknown; Unanswered the rest.
+	Known      int `json:"known"`
+	Unknown    int `json:"unknown"`
+	Unanswered int `json:"unanswered"`
+	Attempts   int `json:"attempts"`
+	// Repeated counts the calls that ran more than once on the services. It must be 0.
+	Repeated int `json:"repeated"`
+	// Differing counts the keys whose callers got different results. It must be 0.
+	Differing int `json:"differing"`
+	// Lost counts the keys with a result whose call never ran. It must be 0.
+	Lost int `json:"lost"`
+}
+
+// OK reports whether no call ran twice and every caller that got a result got the same true one.
+func (s OnceSummary) OK() bool {
+	return s.Repeated == 0 && s.Differing == 0 && s.Lost == 0 && s.Unanswered == 0
+}
+
+type onceCheck struct {
+	options OnceOptions
+	client  *http.Client
+
+	mu      sync.Mutex
+	summary OnceSummary
+	results map[string]map[string]bool
+	unknown map[string]bool
+}
+
+// Once sends each call several times at once through different gateways and checks that it ran at most once.
+func Once(ctx context.Context, options OnceOptions) (OnceSummary, error) {
+	o := &onceCheck{
+		options: options, client: &http.Client{Timeout: options.Timeout},
+		results: map[string]map[string]bool{}, unknown: map[string]bool{},
+	}
+	keys := make([]string, options.Keys)
+	group, groupCtx := errgroup.WithContext(ctx)
+	group.SetLimit(64)
+	for i := range keys {
+		keys[i] = uuid.Must(uuid.NewV7()).String()
+		for copyIndex := range options.Copies {
+			group.Go(func() error { return o.send(groupCtx, keys[i], i+copyIndex) })
+		}
+	}
+	if err := group.Wait(); err != nil {
+		return o.summary, err
+	}
+	runs, err := o.runs(ctx)
+	if err != nil {
+		return o.summary, err
+	}
+	o.judge(keys, runs)
+	return o.summary, nil
+}
+
+// send sends one call until its outcome is known, changing the gateway after each attempt.
+func (o *onceCheck) send(ctx context.Context, key string, first int) error {
+	ctx, cancel := context.WithTimeout(ctx, o.options.Timeout)
+	defer cancel()
+	for attempt := first; ctx.Err() == nil; attempt++ {
+		gateway := o.options.Gateways[attempt%len(o.options.Gateways)]
+		retryAfter, done := o.attempt(ctx, gateway, key)
+		if done {
+			return nil
+		}
+		pause(ctx, retryAfter)
+	}
+	return nil
+}
+
+func (o *onceCheck) attempt(ctx context.Context, gateway, key string) (time.Duration, bool) {
+	url := fmt.Sprintf("http://%s/services/%s/entries", gateway, o.options.Service)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewBufferString(body(key)))
+	if err != nil {
+		return 0, true
+	}
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("Idempotency-Key", key)
+	o.mu.Lock()
+	o.summary.Attempts++
+	o.mu.Unlock()
+	response, err := o.client.Do(request)
+	if err != nil {
+		return defaultRetryAfter, false
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(response.Body, maximumAnswerBytes))
+	if err != nil {
+		return defaultRetryAfter, false
+	}
+	if response.StatusCode == http.StatusOK {
+		o.note(key, string(answer))
+		return 0, true
+	}
+	return o.classify(key, answer)
+}
+
+func (o *onceCheck) note(key, answer string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.results[key] == nil {
+		o.results[key] = map[string]bool{}
+	}
+	o.results[key][answer] = true
+}
+
+func (o *onceCheck) classify(key string, answer []byte) (time.Duration, bool) {
+	var problem struct {
+		Error struct {
+			Code         string `json:"code"`
+			Execution    string `json:"execution"`
+			RetryAfterMs int64  `json:"retryAfterMs"`
+		} `json:"error"`
+	}
+	if json.Unmarshal(answer, &problem) != nil {
+		return defaultRetryAfter, false
+	}
+	if problem.Error.Execution == "unknown" && problem.Error.Code == "outcome_unknown" {
+		o.mu.Lock()
+		o.unknown[key] = true
+		o.mu.Unlock()
+		return 0, true
+	}
+	return max(time.Duration(problem.Error.RetryAfterMs)*time.Millisecond, defaultRetryAfter), false
+}
+
+// body is unique to the key, so that the services' counters tell the calls apart.
+func body(key string) string { return `{"entry":"` + key + `"}` }
+
+// runs returns how often each body ran over all services, by the body's hash.
+func (o *onceCheck) runs(ctx context.Context) (map[string]int, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, o.options.Counters, nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := o.client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	var counters struct {
+		Services map[string]struct {
+			ByBody    map[string]int `json:"byBody"`
+			Truncated bool           `json:"truncated"`
+		} `json:"services"`
+	}
+	if err := json.NewDecoder(io.LimitReader(response.Body, maximumCountersBytes)).Decode(&counters); err != nil {
+		return nil, err
+	}
+	total := map[string]int{}
+	for _, service := range counters.Services {
+		if service.Truncated {
+			return nil, errors.New("the stand-ins' counters are truncated")
+		}
+		for hash, count := range service.ByBody {
+			total[hash] += count
+		}
+	}
+	return total, nil
+}
+
+func (o *onceCheck) judge(keys []string, runs map[string]int) {
+	o.summary.Keys = len(keys)
+	for _, key := range keys {
+		ran := runs[bodyHash(body(key))]
+		switch {
+		case len(o.results[key]) > 0:
+			o.summary.Known++
+		case o.unknown[key]:
+			o.summary.Unknown++
+		default:
+			o.summary.Unanswered++
+		}
+		if ran > 1 {
+			o.summary.Repeated++
+		}
+		if len(o.results[key]) > 1 {
+			o.summary.Differing++
+		}
+		if len(o.results[key]) > 0 && ran == 0 {
+			o.summary.Lost++
+		}
+	}
+}
+
+// bodyHash is the key under which the stand-ins' services count a body.
+func bodyHash(body string) string { return strconv.FormatUint(xxhash.Sum64String(body), 16) }
