--- a/internal/ctl/progress.go
+++ b/internal/ctl/progress.go
@@ -83,15 +83,15 @@
 func (a *app) waitCommand() *cobra.Command {
 	var timeout time.Duration
 	command := &cobra.Command{
-		Use:   "wait VERSION",
-		Short: "Wait until a resource version is in force at every node",
-		Args:  arguments(cobra.ExactArgs(1)),
+		Use:   "wait [VERSION]",
+		Short: "Wait until a resource version, or the newest at the time of the call, is in force at every node",
+		Args:  arguments(cobra.MaximumNArgs(1)),
 		RunE: func(command *cobra.Command, args []string) error {
-			version, err := versionArgument(args[0])
+			client, err := a.client()
 			if err != nil {
 				return err
 			}
-			client, err := a.client()
+			version, err := versionToAwait(command.Context(), client, args)
 			if err != nil {
 				return err
 			}
@@ -102,6 +102,18 @@
 	return command
 }
 
+// versionToAwait returns the version that was given, or the newest that the API server has applied.
+func versionToAwait(ctx context.Context, client *Client, args []string) (platform.Offset, error) {
+	if len(args) == 1 {
+		return versionArgument(args[0])
+	}
+	var current status
+	if err := client.call(ctx, http.MethodGet, "/apis/v1/status", nil, &current); err != nil {
+		return 0, err
+	}
+	return current.ResourceVersion, nil
+}
+
 // waitInForce polls until the version is in force. A server that can't be reached meanwhile is asked again.
 func (a *app) waitInForce(ctx context.Context, client *Client, version platform.Offset, timeout time.Duration) error {
 	limited, cancel := context.WithTimeout(ctx, timeout)
