Spread ownership again after restarts, and end syncs when the scheduler has stopped

After rolling restarts the first schedulers to come back owned every server, because nothing hands servers over. A scheduler that holds more than its share for 30 s now releases one idle server whose first choice is another. A sync that arrived as the core ended waited for an answer that never came, which would have held up the shutdown of the RPC endpoint until its limit; it's refused now. Two evictions on one server asked for intents at the same time, and the second then waited 2 s; only one is asked for at a time, and the end of an intent doesn't wait for that of the last one. Ranks beyond 8 wait by the logarithm: with 600 servers a free slot at rank 300 would have waited 60 s. Another owner's turn is no longer logged as a decision. Conclusion: a new test hands over from an owner that is cut off from the log, by Supersede, and evicts after it.

--- a/internal/fleet/eviction.go
+++ b/internal/fleet/eviction.go
@@ -78,10 +78,10 @@
 	if s.owner.Intent == l.name {
 		return s.orderUnload(now, l, true)
 	}
-	if s.owner.Intent != "" || now.Sub(l.intentAt) < retryAfter {
+	if s.owner.Intent != "" || now.Sub(s.intentAt) < retryAfter {
 		return Action{}, false
 	}
-	l.intentAt = now
+	s.intentAt = now
 	return Action{Kind: WriteIntent, Number: l.number, Name: l.name, Fence: s.owner.Fence}, true
 }
 
@@ -164,7 +164,7 @@
 // earlier failure and is withdrawn; the order for it was never sent, because orders need a closing load.
 func (s *Server) closeIntent(now time.Time) []Action {
 	name := s.owner.Intent
-	if name == "" || now.Sub(s.endIntent) < retryAfter {
+	if name == "" || (name == s.ending && now.Sub(s.endAt) < retryAfter) {
 		return nil
 	}
 	kind := EndIntentDone
@@ -177,7 +177,7 @@
 		}
 		kind = EndIntentWithdrawn
 	}
-	s.endIntent = now
+	s.ending, s.endAt = name, now
 	return []Action{{Kind: kind, Name: name, Fence: s.owner.Fence}}
 }
 
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -27,8 +27,6 @@
 	// closedAt is the permits version that first showed the load as closing.
 	closedAt uint64
 	users    map[GatewayID]*user
-	// intentAt is when an intent was last asked for.
-	intentAt time.Time
 }
 
 // user is one gateway that holds a permit for a load or has requests on it.
@@ -55,12 +53,16 @@
 	sessions map[GatewayID]*session
 	sums     sums
 	// requests is the sum of the requests on all loads, by the gateways' last syncs.
-	requests   uint32
-	engine     engineView
-	raised     bool
-	raising    bool
-	raiseAt    time.Time
-	endIntent  time.Time
+	requests uint32
+	engine   engineView
+	raised   bool
+	raising  bool
+	raiseAt  time.Time
+	// intentAt is when an intent was asked for that hasn't been read back.
+	intentAt time.Time
+	// ending is the intent whose end was last asked for, at endAt.
+	ending     engine.LoadName
+	endAt      time.Time
 	violations uint64
 }
 
@@ -101,6 +103,9 @@
 	} else if s.provenAt.IsZero() {
 		s.provenAt = now
 	}
+	if owner.Intent != "" {
+		s.intentAt = time.Time{}
+	}
 	s.owner = owner
 }
 
--- a/internal/ownership/duty.go
+++ b/internal/ownership/duty.go
@@ -201,6 +201,26 @@
 	return r
 }
 
+// Surplus returns an owned server that would better be another scheduler's: this one holds more than its share and
+// isn't the first in the server's order of preference. Restarts concentrate ownership; releases spread it again.
+func (c *Core) Surplus() (string, bool) {
+	owned := c.Owned()
+	others := len(c.schedulers)
+	if !slices.Contains(c.schedulers, c.config.Self.Node) {
+		others++
+	}
+	share := (len(c.servers) + others - 1) / others
+	if c.stopping || c.releasing || len(owned) <= share {
+		return "", false
+	}
+	for _, name := range owned {
+		if c.rank(name) > 0 {
+			return name, true
+		}
+	}
+	return "", false
+}
+
 // StopClaims makes Tick return no claims any more; renewals go on.
 func (c *Core) StopClaims() { c.stopping = true }
 
--- a/internal/placement/baseline.go
+++ b/internal/placement/baseline.go
@@ -80,7 +80,7 @@
 			continue
 		}
 		if server.holds(demand.Of) != nil {
-			return Choice{Reason: "already on " + server.Name}
+			return Choice{Reason: "already on " + server.Name, Deferred: true}
 		}
 		options = append(options, p.use.option(server, -server.utilisation()-random.Float64()/1024))
 	}
@@ -113,11 +113,11 @@
 			continue
 		}
 		if server.holds(demand.Of) != nil {
-			return Choice{Reason: "already on " + server.Name}
+			return Choice{Reason: "already on " + server.Name, Deferred: true}
 		}
 		o := p.use.option(server, -float64(ranks[i]))
-		if demand.OldestWait < time.Duration(ranks[i])*p.rankDelay {
-			o.rejected = "a better ranked server's owner goes first"
+		if demand.OldestWait < turnDelay(ranks[i], p.rankDelay) {
+			o.rejected = outOfTurn
 		}
 		options = append(options, o)
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -82,6 +82,23 @@
 	Evict      engine.LoadNumber
 	Candidates []decision.Candidate
 	Reason     string
+	// Deferred is true when it's another owner's turn or nothing is to be decided here.
+	Deferred bool
+}
+
+// outOfTurn is why a server is rejected while the owner of a better ranked one goes first.
+const outOfTurn = "a better ranked server's owner goes first"
+
+// linearRanks is up to which place each rank adds a full delay. Further down the delay grows with the logarithm, or
+// a free slot on one of 600 servers would be found after minutes.
+const linearRanks = 8
+
+// turnDelay returns how long demand waits for its turn at a place in the rendezvous order.
+func turnDelay(rank int, rankDelay time.Duration) time.Duration {
+	if rank <= linearRanks {
+		return time.Duration(rank) * rankDelay
+	}
+	return time.Duration((linearRanks + math.Log2(float64(rank)/linearRanks)) * float64(rankDelay))
 }
 
 // Policy chooses. Its methods are called from one goroutine.
@@ -215,7 +232,7 @@
 		}
 		return cmp.Compare(b.score, a.score)
 	})
-	choice := Choice{Reason: none}
+	choice := Choice{Reason: none, Deferred: !slices.ContainsFunc(options, func(o option) bool { return o.rejected != outOfTurn })}
 	for _, o := range options[:min(len(options), maximumCandidates)] {
 		score := o.score
 		if math.IsInf(score, 0) || math.IsNaN(score) {
--- a/internal/placement/stall.go
+++ b/internal/placement/stall.go
@@ -146,7 +146,7 @@
 	ranks := p.ranked.ranks(view, &demand)
 	patience, held := p.patience(view, &demand)
 	if demand.OldestWait < patience {
-		return Choice{Reason: held}
+		return Choice{Reason: held, Deferred: true}
 	}
 	options := make([]option, 0, len(view.Owned))
 	for i := range view.Owned {
@@ -190,8 +190,8 @@
 	switch {
 	case server.holds(demand.Of) != nil:
 		o.rejected = "holds it already"
-	case demand.OldestWait-patience < time.Duration(rank)*p.options.RankDelay && !demand.Minimum:
-		o.rejected = "a better ranked server's owner goes first"
+	case demand.OldestWait-patience < turnDelay(rank, p.options.RankDelay) && !demand.Minimum:
+		o.rejected = outOfTurn
 	case server.Free > 0 && !p.keepsFree(server, demand):
 	default:
 		p.weighEviction(now, &o, gain, demand)
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -59,6 +59,7 @@
 	draining     bool
 	releasing    bool
 	lastRelease  time.Time
+	surplusSince time.Time
 }
 
 func newCore(ctx context.Context, s *Scheduler, group *errgroup.Group) *core {
@@ -101,7 +102,9 @@
 	c.append(now, records)
 	c.takeEvents(now, events)
 	c.askFormerOwners(now)
-	c.releaseUndeclared(now)
+	c.releaseUndeclared()
+	c.releaseSurplus(now)
+	c.appendReleases(now)
 	c.serversDirty = true
 	c.placeSoon = true
 }
@@ -184,19 +187,48 @@
 }
 
 // releaseUndeclared gives up owned servers that are no longer declared in the zone.
-func (c *core) releaseUndeclared(now time.Time) {
-	if c.config.view == nil || c.releasing || now.Sub(c.lastRelease) < releaseRetry {
+func (c *core) releaseUndeclared() {
+	if c.config.view == nil {
 		return
 	}
-	for _, name := range c.own.Owned() {
-		if _, found := slices.BinarySearch(c.config.zoneServers, name); found {
-			continue
+	for name, owned := range c.servers {
+		if _, found := slices.BinarySearch(c.config.zoneServers, name); !found {
+			owned.giveUp()
 		}
-		c.lastRelease = now
-		if owned := c.servers[name]; owned != nil {
-			owned.server.Supersede()
+	}
+}
+
+// releaseSurplus gives up one idle server of more than this scheduler's share, once in a while. Gateways keep their
+// permits until the successor's replace them.
+func (c *core) releaseSurplus(now time.Time) {
+	name, ok := c.own.Surplus()
+	if !ok || c.draining {
+		c.surplusSince = time.Time{}
+		return
+	}
+	if c.surplusSince.IsZero() {
+		c.surplusSince = now
+	}
+	owned := c.servers[name]
+	if owned == nil || now.Sub(c.surplusSince) < surplusEvery || owned.server.Busy() || owned.working(now) {
+		return
+	}
+	if owned.server.LeaseValid(now) { // Else the log is down and nobody could take over.
+		c.surplusSince = now
+		owned.giveUp()
+	}
+}
+
+// appendReleases appends the releases of servers that were given up, until they are read back.
+func (c *core) appendReleases(now time.Time) {
+	if c.releasing || now.Sub(c.lastRelease) < releaseRetry {
+		return
+	}
+	for _, name := range c.serverNames {
+		if c.servers[name].givenUp {
+			c.lastRelease = now
+			c.append(now, []ownership.Record{c.own.Release(name)})
 		}
-		c.append(now, []ownership.Record{c.own.Release(name)})
 	}
 }
 
--- a/internal/scheduler/fakes_test.go
+++ b/internal/scheduler/fakes_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"waxwingcleat.example/waxwingcleat/internal/engine"
@@ -56,6 +58,29 @@
 	}
 }
 
+// cutLog is one process's way to the log, which may be cut.
+type cutLog struct {
+	*memoryLog
+	cut atomic.Bool
+}
+
+var errCut = errors.New("the log can't be reached")
+
+func (l *cutLog) Append(ctx context.Context, stream platform.Stream, data []byte) (platform.Offset, error) {
+	if l.cut.Load() {
+		return 0, errCut
+	}
+	return l.memoryLog.Append(ctx, stream, data)
+}
+
+func (l *cutLog) Read(ctx context.Context, stream platform.Stream, from platform.Offset, wait time.Duration) (platform.Batch, error) {
+	batch, err := l.memoryLog.Read(ctx, stream, from, wait)
+	if l.cut.Load() {
+		return platform.Batch{}, errCut
+	}
+	return batch, err
+}
+
 // memoryEngine is an engine without weights. It fails the test when it unloads an adapter in use.
 type memoryEngine struct {
 	mu       sync.Mutex
--- a/internal/scheduler/permits.go
+++ b/internal/scheduler/permits.go
@@ -70,6 +70,8 @@
 		return a, nil
 	case <-ctx.Done():
 		return answer{}, ctx.Err()
+	case <-p.scheduler.done:
+		return answer{}, twirp.NewError(twirp.Unavailable, "scheduler has stopped")
 	}
 }
 
@@ -77,7 +79,7 @@
 func (p *permits) hold(ctx context.Context, request *peerpb.SyncRequest, first answer) bool {
 	current := request.PermitsIncarnation == p.scheduler.self.Incarnation &&
 		request.PermitsVersion == first.response.PermitsVersion
-	if !current || request.WaitMs == 0 {
+	if !current || request.WaitMs == 0 || len(first.response.Nodes) > 0 {
 		return false
 	}
 	timer := time.NewTimer(min(time.Duration(request.WaitMs)*time.Millisecond, maximumHold))
@@ -87,6 +89,7 @@
 		return true
 	case <-timer.C:
 	case <-ctx.Done():
+	case <-p.scheduler.done:
 	}
 	return false
 }
@@ -103,6 +106,8 @@
 		return &peerpb.SupersedeResponse{Incarnation: p.scheduler.self.Incarnation}, nil
 	case <-ctx.Done():
 		return nil, ctx.Err()
+	case <-p.scheduler.done:
+		return &peerpb.SupersedeResponse{Incarnation: p.scheduler.self.Incarnation}, nil // It grants nothing any more.
 	}
 }
 
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -183,6 +183,9 @@
 	}
 	demand.Elsewhere = c.elsewhere.has(now, demand.Of)
 	choice := c.policy.Choose(now, c.random, view, demand)
+	if choice.Deferred {
+		return false
+	}
 	if choice.Server == "" {
 		c.recordRefusal(now, demand.Of, choice)
 		return false
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -31,6 +31,9 @@
 	releaseWait = 5 * time.Second
 	// releaseRetry is the time after which releases that weren't read back are appended again.
 	releaseRetry = time.Second
+	// surplusEvery is how long a scheduler holds more than its share before it releases a server, and the time
+	// between two such releases. Schedulers that just started take a while to be known to all.
+	surplusEvery = 30 * time.Second
 )
 
 // Options are the dependencies of a scheduler.
@@ -58,6 +61,8 @@
 	appends   *ring.Ring[pendingAppend]
 	decisions *decision.Recorder
 	peers     *http.Client
+	// done is closed when Run has ended and nobody answers questions any more.
+	done chan struct{}
 }
 
 // message is something that happened. apply runs in the core's goroutine.
@@ -76,6 +81,7 @@
 		appends:   ring.New[pendingAppend]("scheduler.appends", appendCapacity),
 		decisions: decision.NewRecorder(options.Events, event.PlacementDecided, options.Settings.DecisionsKept),
 		peers:     &http.Client{Timeout: options.Settings.EngineTimeout.Std()},
+		done:      make(chan struct{}),
 	}
 }
 
@@ -88,6 +94,7 @@
 // Run owns backend servers until ctx ends. Then it takes no new claims or loads, waits for running loads and
 // evictions, releases its servers, and returns.
 func (s *Scheduler) Run(ctx context.Context) error {
+	defer close(s.done)
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, groupCtx := errgroup.WithContext(inner)
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -14,6 +14,7 @@
 	"waxwingcleat.example/waxwingcleat/internal/engine"
 	"waxwingcleat.example/waxwingcleat/internal/event"
 	"waxwingcleat.example/waxwingcleat/internal/ident"
+	"waxwingcleat.example/waxwingcleat/internal/platform"
 	"waxwingcleat.example/waxwingcleat/internal/resource"
 	"waxwingcleat.example/waxwingcleat/internal/rpc/peerpb"
 )
@@ -47,16 +48,18 @@
 	gateway *testGateway
 }
 
-func startScheduler(node string, log *memoryLog, backend *memoryEngine, queue *directQueue) *running {
+func startScheduler(node string, log platform.Log, backend *memoryEngine, queue *directQueue) *running {
 	options := Options{
 		Settings: DefaultSettings(), Incarnation: ident.New(), Log: log, VMs: fixedVMs{}, Config: fixedConfig{testView(5)},
 		Table: fixedTable{}, Queue: queue, Events: event.Discard(),
 		Control: func(string) engine.Control { return backend },
 	}
 	options.Settings.Node.Name, options.Settings.Node.Zone = node, "z"
-	options.Settings.Listen = "127.0.0.1:1"
+	server := httptest.NewUnstartedServer(nil)
+	options.Settings.Listen = server.Listener.Addr().String()
 	s := New(options)
-	server := httptest.NewServer(s.Handler())
+	server.Config.Handler = s.Handler()
+	server.Start()
 	ginkgo.DeferCleanup(server.Close)
 	ctx, stop := context.WithCancel(context.Background())
 	r := &running{stop: stop, done: make(chan error, 1), client: peerpb.NewPermitsProtobufClient(server.URL, http.DefaultClient)}
@@ -119,10 +122,12 @@
 	var log *memoryLog
 	var backend *memoryEngine
 	var first *running
+	var way *cutLog
 
 	ginkgo.BeforeEach(func() {
 		log, backend = newMemoryLog(), newMemoryEngine(2)
-		first = startScheduler("vm-1", log, backend, &directQueue{})
+		way = &cutLog{memoryLog: log}
+		first = startScheduler("vm-1", way, backend, &directQueue{})
 	})
 
 	resident := func(g *testGateway, adapter string) {
@@ -166,6 +171,19 @@
 		gomega.Expect(backend.cutOff).To(gomega.BeZero())
 	})
 
+	// Guards against a cut-off owner that stops granting for what it holds, and against a successor that evicts before
+	// the former owner has confirmed that it grants no more.
+	ginkgo.It("hands over from an owner that is cut off from the log", func() {
+		resident(first.gateway, "a0")
+		way.cut.Store(true)
+		second := startScheduler("vm-2", log, backend, &directQueue{last: 100})
+		resident(second.gateway, "a0")
+		gomega.Eventually(func() int { return len(first.gateway.sync()) }, patience).Should(gomega.BeZero())
+		resident(second.gateway, "a1")
+		resident(second.gateway, "a2")
+		gomega.Expect(backend.cutOff).To(gomega.BeZero())
+	})
+
 	// Guards against a repeated or late sync that overwrites a newer one.
 	ginkgo.It("refuses older sequences", func() {
 		first.gateway.sync()
--- a/internal/scheduler/servers.go
+++ b/internal/scheduler/servers.go
@@ -31,6 +31,15 @@
 	orders  *ring.Ring[order]
 	busy    *atomic.Bool
 	waiting []*waitingLoad
+	// givenUp is true once grants have stopped and the server is to be released.
+	givenUp bool
+}
+
+// giveUp stops all grants and new loads. The server is released by the next tick.
+func (o *ownedServer) giveUp() {
+	o.givenUp = true
+	o.server.Supersede()
+	o.cancelWaiting()
 }
 
 // order is an unload or a raise for the engine. It's not sent after validUntil.
