Forget dead gateways' requests, and don't repeat surplus releases

The last in-flight count of a gateway that died kept its loads from being chosen for eviction for ever; it's dropped once its permit has expired and a later report shows the load idle, which is the proof that evictions use too. A surplus server that came back is not given up again for 10 minutes, because the scheduler that was to take it may be cut off. A planned stop waits for open intents while the lease holds.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -220,3 +220,25 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against the last count of a dead gateway that keeps a load from being evicted for ever.
+func TestDeadGatewayIsForgotten(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := gained(now, Ownership{Fence: 1, LeaseUntil: now.Add(time.Hour), PredecessorsStopped: true})
+	s.StartLoad(AdapterVersion{"a", "1"}, 7)
+	s.LoadEnded(now, 7, nil)
+	gateway := GatewayID{"g", "1"}
+	s.Grant(now, gateway, now)
+	s.Sync(now, Sync{Gateway: gateway, Sequence: 1, InFlight: map[engine.LoadNumber]uint32{7: 3}})
+	for i := range 5 {
+		at := now.Add(time.Duration(i+1) * time.Second)
+		if views := s.Loads(at); (views[0].InFlight == 3) != (i < 4) {
+			t.Fatalf("after %d s the load has %d requests", i, views[0].InFlight)
+		}
+		s.Report(at, at, engine.Report{Incarnation: "1", Slots: 2, AsOf: time.Duration(10*i + 10), Now: time.Duration(10*i + 10),
+			Adapters: []engine.LoadedAdapter{{Name: "a@1#7"}}})
+	}
+	if s.requests != 0 {
+		t.Fatalf("%d requests remain counted", s.requests)
+	}
+}
--- a/internal/fleet/report.go
+++ b/internal/fleet/report.go
@@ -109,6 +109,7 @@
 	for _, l := range s.ordered() {
 		adapter, present := shown[l.name]
 		s.reconcile(now, l, adapter, present)
+		s.dropFinished(now, l)
 	}
 	for name, at := range s.engine.removed {
 		if _, present := shown[name]; !present && s.engine.conclusive(at) {
@@ -135,6 +136,17 @@
 	s.version.Advance()
 }
 
+// dropFinished forgets gateways that are proven to have ended their use of a load. The last count of a gateway that
+// died would otherwise keep the load from being evicted for ever.
+func (s *Server) dropFinished(now time.Time, l *load) {
+	for id, u := range l.users {
+		if s.finished(now, l, u) {
+			s.requests -= u.inFlight
+			delete(l.users, id)
+		}
+	}
+}
+
 // find adopts a load that the report shows and that isn't known.
 func (s *Server) find(now, sent time.Time, adapter engine.LoadedAdapter) {
 	of, number, ok := parseName(adapter.Name)
--- a/internal/ownership/duty.go
+++ b/internal/ownership/duty.go
@@ -201,9 +201,9 @@
 	return r
 }
 
-// Surplus returns an owned server that would better be another scheduler's: this one holds more than its share and
-// isn't the first in the server's order of preference. Restarts concentrate ownership; releases spread it again.
-func (c *Core) Surplus() (string, bool) {
+// Surplus returns owned servers that would better be another scheduler's: this one holds more than its share and
+// isn't the first in their order of preference. Restarts concentrate ownership; releases spread it again.
+func (c *Core) Surplus() []string {
 	owned := c.Owned()
 	others := len(c.schedulers)
 	if !slices.Contains(c.schedulers, c.config.Self.Node) {
@@ -211,14 +211,9 @@
 	}
 	share := (len(c.servers) + others - 1) / others
 	if c.stopping || c.releasing || len(owned) <= share {
-		return "", false
-	}
-	for _, name := range owned {
-		if c.rank(name) > 0 {
-			return name, true
-		}
+		return nil
 	}
-	return "", false
+	return slices.DeleteFunc(owned, func(name string) bool { return c.rank(name) == 0 })
 }
 
 // StopClaims makes Tick return no claims any more; renewals go on.
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -281,3 +281,26 @@
 		t.Fatalf("claims at the first tick: %v", counts)
 	}
 }
+
+// Guards against ownership that stays with the first scheduler after the others come back, and against giving away
+// servers for which the holder is the first choice.
+func TestSurplus(t *testing.T) {
+	w := &world{now: time.Unix(1000, 0)}
+	a := w.start("a")
+	names := []string{"s1", "s2", "s3", "s4", "s5", "s6", "s7", "s8", "s9"}
+	a.core.SetServers(names)
+	gained(t, w, a, "s1")
+	if surplus := a.core.Surplus(); len(a.core.Owned()) != 9 || len(surplus) != 0 {
+		t.Fatalf("a scheduler alone owns %v and would give away %v", a.core.Owned(), surplus)
+	}
+	a.core.SetSchedulers([]string{"a", "b", "c"})
+	surplus := a.core.Surplus()
+	for _, name := range surplus {
+		if a.core.rank(name) == 0 {
+			t.Fatalf("%s would be given away by its first choice", name)
+		}
+	}
+	if len(surplus) == 0 {
+		t.Fatal("nothing is given away")
+	}
+}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -60,6 +60,7 @@
 	releasing    bool
 	lastRelease  time.Time
 	surplusSince time.Time
+	gaveUp       map[string]time.Time
 }
 
 func newCore(ctx context.Context, s *Scheduler, group *errgroup.Group) *core {
@@ -71,7 +72,7 @@
 		superseded: map[string]engine.FencingNumber{}, asked: map[supersedeKey]time.Time{},
 		changed: make(chan struct{}), processes: processes{sequences: map[fleet.GatewayID]*lastSync{}},
 		policy: policy, demand: map[string]gatewayDemand{}, elsewhere: newElsewhere(),
-		refusals: map[fleet.AdapterVersion]string{},
+		refusals: map[fleet.AdapterVersion]string{}, gaveUp: map[string]time.Time{},
 	}
 }
 
@@ -165,7 +166,7 @@
 		}
 	}
 	for _, owned := range c.servers {
-		if owned.working(c.now()) {
+		if c.working(c.now(), owned) {
 			return false
 		}
 	}
@@ -199,26 +200,40 @@
 }
 
 // releaseSurplus gives up one idle server of more than this scheduler's share, once in a while. Gateways keep their
-// permits until the successor's replace them.
+// permits until the successor's replace them. A server that came back isn't given up again for some time: the
+// scheduler that was to have it may be cut off.
 func (c *core) releaseSurplus(now time.Time) {
-	name, ok := c.own.Surplus()
-	if !ok || c.draining {
+	surplus := c.own.Surplus()
+	if len(surplus) == 0 || c.draining {
 		c.surplusSince = time.Time{}
 		return
 	}
 	if c.surplusSince.IsZero() {
 		c.surplusSince = now
 	}
-	owned := c.servers[name]
-	if owned == nil || now.Sub(c.surplusSince) < surplusEvery || owned.server.Busy() || owned.working(now) {
+	if now.Sub(c.surplusSince) < surplusEvery {
 		return
 	}
-	if owned.server.LeaseValid(now) { // Else the log is down and nobody could take over.
-		c.surplusSince = now
-		owned.giveUp()
+	for _, name := range surplus {
+		owned := c.servers[name]
+		if owned == nil || now.Sub(c.gaveUp[name]) < giveUpAgain || owned.server.Busy() || c.working(now, owned) {
+			continue
+		}
+		if owned.server.LeaseValid(now) { // Else the log is down and nobody could take over.
+			c.surplusSince, c.gaveUp[name] = now, now
+			owned.giveUp()
+			return
+		}
 	}
 }
 
+// working reports whether an order, a load's turn or an eviction of a server is under way.
+func (c *core) working(now time.Time, owned *ownedServer) bool {
+	status, ok := c.own.Status(now, owned.name)
+	openIntent := ok && status.Intent != "" && owned.server.LeaseValid(now)
+	return openIntent || owned.working(now)
+}
+
 // appendReleases appends the releases of servers that were given up, until they are read back.
 func (c *core) appendReleases(now time.Time) {
 	if c.releasing || now.Sub(c.lastRelease) < releaseRetry {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -34,6 +34,8 @@
 	// surplusEvery is how long a scheduler holds more than its share before it releases a server, and the time
 	// between two such releases. Schedulers that just started take a while to be known to all.
 	surplusEvery = 30 * time.Second
+	// giveUpAgain is the least time between two releases of the same surplus server.
+	giveUpAgain = 10 * time.Minute
 )
 
 // Options are the dependencies of a scheduler.
--- a/internal/scheduler/servers.go
+++ b/internal/scheduler/servers.go
@@ -227,7 +227,7 @@
 	c.serversDirty = true
 }
 
-// working reports whether an order, a load's turn or an eviction is under way.
+// working reports whether a load or an eviction is under way in the aggregate or waits for its turn.
 func (o *ownedServer) working(now time.Time) bool {
 	if len(o.waiting) > 0 {
 		return true
