--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -104,11 +104,13 @@
 func TestNoEvictionInUse(t *testing.T) {
 	unloads := 0
 	rapid.Check(t, func(t *rapid.T) {
-		m := newModel(t)
-		for range rapid.IntRange(400, 1000).Draw(t, "steps") {
-			m.step()
+		for range 10 { // One history finds few faults; the rarest known fault takes about 900.
+			m := newModel(t)
+			for range rapid.IntRange(400, 1000).Draw(t, "steps") {
+				m.step()
+			}
+			unloads += m.unloads
 		}
-		unloads += m.unloads
 	})
 	if unloads == 0 {
 		t.Fatal("the histories contain no eviction, so they prove nothing")
--- a/internal/fleet/model_test.go
+++ b/internal/fleet/model_test.go
@@ -241,7 +241,7 @@
 		}
 		sync := g.sync(o)
 		m.later(func() {
-			if o.paused || o.dead || o.superseded() {
+			if o.paused || o.dead || o.stopped {
 				return
 			}
 			received := m.now
@@ -257,8 +257,6 @@
 	}
 }
 
-func (o *owner) superseded() bool { return o.stopped }
-
 func (m *model) dispatch(g *gateway) {
 	if g.frozen || !m.now.Before(g.expiry) {
 		return
