--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -59,6 +59,8 @@
 	draining     bool
 	releasing    bool
 	lastRelease  time.Time
+	surplusSince time.Time
+	gaveUp       map[string]time.Time
 }
 
 func newCore(ctx context.Context, s *Scheduler, group *errgroup.Group) *core {
@@ -70,7 +72,7 @@
 		superseded: map[string]engine.FencingNumber{}, asked: map[supersedeKey]time.Time{},
 		changed: make(chan struct{}), processes: processes{sequences: map[fleet.GatewayID]*lastSync{}},
 		policy: policy, demand: map[string]gatewayDemand{}, elsewhere: newElsewhere(),
-		refusals: map[fleet.AdapterVersion]string{},
+		refusals: map[fleet.AdapterVersion]string{}, gaveUp: map[string]time.Time{},
 	}
 }
 
@@ -101,7 +103,9 @@
 	c.append(now, records)
 	c.takeEvents(now, events)
 	c.askFormerOwners(now)
-	c.releaseUndeclared(now)
+	c.releaseUndeclared()
+	c.releaseSurplus(now)
+	c.appendReleases(now)
 	c.serversDirty = true
 	c.placeSoon = true
 }
@@ -162,7 +166,7 @@
 		}
 	}
 	for _, owned := range c.servers {
-		if owned.working(c.now()) {
+		if c.working(c.now(), owned) {
 			return false
 		}
 	}
@@ -184,19 +188,62 @@
 }
 
 // releaseUndeclared gives up owned servers that are no longer declared in the zone.
-func (c *core) releaseUndeclared(now time.Time) {
-	if c.config.view == nil || c.releasing || now.Sub(c.lastRelease) < releaseRetry {
+func (c *core) releaseUndeclared() {
+	if c.config.view == nil {
 		return
 	}
-	for _, name := range c.own.Owned() {
-		if _, found := slices.BinarySearch(c.config.zoneServers, name); found {
+	for name, owned := range c.servers {
+		if _, found := slices.BinarySearch(c.config.zoneServers, name); !found {
+			owned.giveUp()
+		}
+	}
+}
+
+// releaseSurplus gives up one idle server of more than this scheduler's share, once in a while. Gateways keep their
+// permits until the successor's replace them. A server that came back isn't given up again for some time: the
+// scheduler that was to have it may be cut off.
+func (c *core) releaseSurplus(now time.Time) {
+	surplus := c.own.Surplus()
+	if len(surplus) == 0 || c.draining {
+		c.surplusSince = time.Time{}
+		return
+	}
+	if c.surplusSince.IsZero() {
+		c.surplusSince = now
+	}
+	if now.Sub(c.surplusSince) < surplusEvery {
+		return
+	}
+	for _, name := range surplus {
+		owned := c.servers[name]
+		if owned == nil || now.Sub(c.gaveUp[name]) < giveUpAgain || owned.server.Busy() || c.working(now, owned) {
 			continue
 		}
-		c.lastRelease = now
-		if owned := c.servers[name]; owned != nil {
-			owned.server.Supersede()
+		if owned.server.LeaseValid(now) { // Else the log is down and nobody could take over.
+			c.surplusSince, c.gaveUp[name] = now, now
+			owned.giveUp()
+			return
+		}
+	}
+}
+
+// working reports whether an order, a load's turn or an eviction of a server is under way.
+func (c *core) working(now time.Time, owned *ownedServer) bool {
+	status, ok := c.own.Status(now, owned.name)
+	openIntent := ok && status.Intent != "" && owned.server.LeaseValid(now)
+	return openIntent || owned.working(now)
+}
+
+// appendReleases appends the releases of servers that were given up, until they are read back.
+func (c *core) appendReleases(now time.Time) {
+	if c.releasing || now.Sub(c.lastRelease) < releaseRetry {
+		return
+	}
+	for _, name := range c.serverNames {
+		if c.servers[name].givenUp {
+			c.lastRelease = now
+			c.append(now, []ownership.Record{c.own.Release(name)})
 		}
-		c.append(now, []ownership.Record{c.own.Release(name)})
 	}
 }
 
--- a/internal/scheduler/servers.go
+++ b/internal/scheduler/servers.go
@@ -31,6 +31,15 @@
 	orders  *ring.Ring[order]
 	busy    *atomic.Bool
 	waiting []*waitingLoad
+	// givenUp is true once grants have stopped and the server is to be released.
+	givenUp bool
+}
+
+// giveUp stops all grants and new loads. The server is released by the next tick.
+func (o *ownedServer) giveUp() {
+	o.givenUp = true
+	o.server.Supersede()
+	o.cancelWaiting()
 }
 
 // order is an unload or a raise for the engine. It's not sent after validUntil.
@@ -218,7 +227,7 @@
 	c.serversDirty = true
 }
 
-// working reports whether an order, a load's turn or an eviction is under way.
+// working reports whether a load or an eviction is under way in the aggregate or waits for its turn.
 func (o *ownedServer) working(now time.Time) bool {
 	if len(o.waiting) > 0 {
 		return true
