--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,6 @@
 
 clean:
 	rm -rf bin .demo .bench
+
+demo: build
+	tools/demo
