Keep the gateway's tests from depending on a fast machine

Cause: the tests took an engine for silent after 0.1 or 0.2 s, which a busy machine can reach without a fault. Ruled out: longer waits in the silent cases only, since every streaming test has the same client.

--- a/internal/gateway/path_test.go
+++ b/internal/gateway/path_test.go
@@ -20,6 +20,7 @@
 
 func TestGateway(t *testing.T) {
 	gomega.RegisterFailHandler(ginkgo.Fail)
+	gomega.SetDefaultEventuallyTimeout(10 * time.Second)
 	ginkgo.RunSpecs(t, "gateway")
 }
 
