membership: gossip applied offsets without the addresses

Cause: a change of the configuration makes every node gossip its applied offset.

Ruled out: a brief entry within the former rule of revisions, since a node that missed a change of address would then keep the old one.

--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -34,7 +34,9 @@
 	// reportLifetime is how long a process counts after its last report.
 	reportLifetime = 10 * time.Second
 	// appliedInterval bounds how often a change of only the applied offset is gossiped.
-	appliedInterval = 2 * time.Second
+	// It grows with the nodes, up to a part of the 19 s within which a change is to be in force.
+	appliedInterval        = 2 * time.Second
+	appliedIntervalPerNode = 20 * time.Millisecond
 	// leaveTargets is how many peers are told of a planned stop at once.
 	leaveTargets = 3
 )
@@ -135,7 +137,7 @@
 	}
 	c.members[own.Name] = &member{entry: own, since: now}
 	c.version = 1
-	c.gossip.add(own.Name)
+	c.gossip.add(own.Name, false)
 	return c
 }
 
@@ -191,6 +193,13 @@
 		return c.refute(now, fresh)
 	}
 	m := c.members[fresh.Name]
+	if fresh.Scheduler == "" {
+		// A brief entry of an unknown incarnation says nothing about addresses; the whole one follows.
+		if m == nil || expand(fresh, m.entry) == nil {
+			return false
+		}
+		fresh = expand(fresh, m.entry)
+	}
 	if m == nil {
 		return c.add(now, fresh)
 	}
@@ -219,6 +228,7 @@
 // set puts an entry into the table and gossips it.
 func (c *core) set(now time.Time, e *peerpb.NodeEntry) {
 	m := c.members[e.Name]
+	onlyApplied := m != nil && m.entry.State == e.State && m.entry.Incarnation == e.Incarnation
 	if m == nil || m.entry.State != e.State {
 		c.do(noteAction{kind: noteChanged, name: e.Name, entry: e})
 	}
@@ -232,7 +242,7 @@
 		m.entry = e
 	}
 	c.version++
-	c.gossip.add(e.Name)
+	c.gossip.add(e.Name, onlyApplied)
 }
 
 // refute answers an entry about this node itself that isn't its own. It also takes over the incarnation of a former
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -18,39 +18,73 @@
 	maximumGossipBytes = 1024
 )
 
-// gossip holds the names of the nodes whose entries changed, with how often each was passed on.
-type gossip struct{ sent map[string]int }
+// appliedRetransmitFactor is lower, since each change of the configuration makes every node gossip its offset once,
+// and a missed offset is repaired by the next one or by a full exchange.
+const appliedRetransmitFactor = 2
 
-func (g *gossip) add(name string) {
-	if g.sent == nil {
-		g.sent = map[string]int{}
+// spread is how far a changed entry has been passed on.
+type spread struct {
+	sent int
+	// brief is true when only the applied offset has changed.
+	brief bool
+}
+
+// gossip holds the names of the nodes whose entries changed.
+type gossip struct{ spreads map[string]spread }
+
+func (g *gossip) add(name string, brief bool) {
+	if g.spreads == nil {
+		g.spreads = map[string]spread{}
+	}
+	before, known := g.spreads[name]
+	g.spreads[name] = spread{brief: brief && (!known || before.brief)}
+}
+
+func (g *gossip) remove(name string) { delete(g.spreads, name) }
+
+// brief returns an entry without what doesn't change within an incarnation.
+func brief(e *peerpb.NodeEntry) *peerpb.NodeEntry {
+	return &peerpb.NodeEntry{
+		Name: e.Name, Incarnation: e.Incarnation, State: e.State, AppliedConfig: e.AppliedConfig, Revision: e.Revision,
 	}
-	g.sent[name] = 0
 }
 
-func (g *gossip) remove(name string) { delete(g.sent, name) }
+// expand completes a brief entry from a known one. It returns nil when that has another incarnation.
+func expand(e, known *peerpb.NodeEntry) *peerpb.NodeEntry {
+	if known == nil || known.Incarnation != e.Incarnation {
+		return nil
+	}
+	full := withState(known, e.State)
+	full.AppliedConfig, full.Revision = e.AppliedConfig, e.Revision
+	return full
+}
 
 // piggyback returns the changes for one message: those that were passed on least, up to the bounds.
 func (c *core) piggyback() []*peerpb.NodeEntry {
-	names := make([]string, 0, len(c.gossip.sent))
-	for name := range c.gossip.sent {
+	names := make([]string, 0, len(c.gossip.spreads))
+	for name := range c.gossip.spreads {
 		names = append(names, name)
 	}
 	slices.SortFunc(names, func(a, b string) int {
-		return cmp.Or(cmp.Compare(c.gossip.sent[a], c.gossip.sent[b]), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(c.gossip.spreads[a].sent, c.gossip.spreads[b].sent), cmp.Compare(a, b))
 	})
-	limit := retransmitFactor * int(math.Ceil(math.Log10(float64(len(c.members)+1))))
+	rounds := int(math.Ceil(math.Log10(float64(len(c.members) + 1))))
 	var out []*peerpb.NodeEntry
 	size := 0
 	for _, name := range names {
-		e := c.members[name].entry
+		e, limit := c.members[name].entry, retransmitFactor*rounds
+		passed := c.gossip.spreads[name]
+		if passed.brief {
+			e, limit = brief(e), appliedRetransmitFactor*rounds
+		}
 		size += proto.Size(e)
 		if size > maximumGossipBytes {
 			break
 		}
 		out = append(out, e)
-		c.gossip.sent[name]++
-		if c.gossip.sent[name] >= limit {
+		passed.sent++
+		c.gossip.spreads[name] = passed
+		if passed.sent >= limit {
 			c.gossip.remove(name)
 		}
 	}
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -164,7 +164,7 @@
 	if joining {
 		// Everybody else knows what a new node has just been told, so only its own entry is passed on.
 		c.gossip = gossip{}
-		c.gossip.add(c.self.Name)
+		c.gossip.add(c.self.Name, false)
 	}
 	switch e.kind {
 	case directProbe:
--- a/internal/membership/self.go
+++ b/internal/membership/self.go
@@ -81,13 +81,18 @@
 func (c *core) refreshSelf(now time.Time) {
 	gateway, apiserver, applied := c.summary()
 	moved := gateway != c.self.Gateway || apiserver != c.self.Apiserver
-	advanced := applied != c.self.AppliedConfig && now.Sub(c.lastApplied) >= appliedInterval
+	pause := max(appliedInterval, time.Duration(len(c.members))*appliedIntervalPerNode)
+	advanced := applied != c.self.AppliedConfig && now.Sub(c.lastApplied) >= pause
 	if !moved && !advanced {
 		return
 	}
 	c.lastApplied = now
 	c.changeSelf(now, func(e *peerpb.NodeEntry) {
 		e.Gateway, e.Apiserver, e.AppliedConfig = gateway, apiserver, applied
+		if moved {
+			// Within one incarnation only the offset changes, so that it can be gossiped without the addresses.
+			e.Incarnation++
+		}
 	})
 }
 
