--- a/internal/ledger/table.go
+++ b/internal/ledger/table.go
@@ -43,8 +43,11 @@
 	unreachableSince int64
 }
 
-// shardCount divides the table so that one scan step looks at few thousand keys.
-const shardCount = 256
+// shardCount divides the table so that one scan step looks at few thousand keys. A full table of 1,000,000 keys has
+// 3,125 in each shard, which fills the steps in which Go's maps grow better than a power of two does.
+const shardCount = 320
+
+func shardOf(hash KeyHash) int { return (int(hash[0])<<8 | int(hash[1])) % shardCount }
 
 // table holds the keys and the claimants.
 type table struct {
@@ -63,12 +66,12 @@
 }
 
 func (t *table) get(hash KeyHash) (keyRecord, bool) {
-	record, known := t.shards[hash[0]][hash]
+	record, known := t.shards[shardOf(hash)][hash]
 	return record, known
 }
 
 func (t *table) put(hash KeyHash, record keyRecord) {
-	shard := t.shards[hash[0]]
+	shard := t.shards[shardOf(hash)]
 	before := len(shard)
 	shard[hash] = record
 	t.count += len(shard) - before
@@ -87,7 +90,7 @@
 }
 
 func (t *table) remove(hash KeyHash) {
-	shard := t.shards[hash[0]]
+	shard := t.shards[shardOf(hash)]
 	before := len(shard)
 	delete(shard, hash)
 	t.count += len(shard) - before
