Make the default placement policy serve all classes, and measure it

Cause: the default policy never evicted a load with any urgent request in the last minutes for other demand. Ruled out: the turn delays (the single owner has the first rank) and the hysteresis (without it the figures stay). Change: urgent requests count twice in a load's worth instead of an absolute rule; the scheduler whose turn it is chooses among all of its servers; a load that has been idle for much longer than its requests were apart counts less.

--- a/Makefile
+++ b/Makefile
@@ -25,3 +25,7 @@
 
 demo: build
 	tools/demo
+
+# Prints tab-separated lines: name, baseline, value, ratio median, ratio min, ratio max, seeds.
+bench: build
+	bin/waxwing-bench policy
--- a/internal/placement/stall.go
+++ b/internal/placement/stall.go
@@ -34,12 +34,14 @@
 	// loadSeconds is about how long a request stalls for a load: 3 loads a second, some of which wait in turn.
 	loadSeconds = 1.0
 	// urgentFactor is how much more a stall of urgent demand counts.
-	urgentFactor = 8.0
+	urgentFactor = 2.0
 	// hysteresis is by how much demand must outweigh the load that it evicts, so that two loads of about the same
 	// value don't evict each other in turn.
 	hysteresis = 1.25
+	// expectedGaps is after how many expected intervals without a request a popularity counts e times less.
+	expectedGaps = 3.0
 	// rankPenalty makes equal servers be taken in the rendezvous order, so that schedulers agree without messages.
-	rankPenalty = 0.05
+	rankPenalty = 0.0001
 	// copySaturation is the use of a server's concurrency from which a waiting demand earns another copy.
 	copySaturation = 0.75
 	// negligible is the popularity, in requests, below which an adapter version is forgotten.
@@ -48,11 +50,13 @@
 	waitingHorizon = 10.0
 )
 
-// popularity is a decayed count of requests.
+// popularity holds decayed counts of requests.
 type popularity struct {
-	count float64
-	at    time.Time
-	rank  uint32
+	urgent float64
+	other  float64
+	at     time.Time
+	// last is the time of the last request.
+	last time.Time
 }
 
 // Stall is the default policy. It places by rendezvous preference and evicts the load that saves the least stall.
@@ -72,12 +76,14 @@
 
 // Observe implements Policy.
 func (p *Stall) Observe(now time.Time, of fleet.AdapterVersion, rank, arrived uint32) {
-	previous, ok := p.known[of]
-	next := popularity{count: p.decayed(now, previous) + float64(arrived), at: now, rank: rank}
-	if ok && rank > previous.rank && p.decayed(now, previous) > 1 {
-		next.rank = previous.rank
+	entry := p.decayed(now, p.known[of])
+	if rank == UrgentRank {
+		entry.urgent += float64(arrived)
+	} else {
+		entry.other += float64(arrived)
 	}
-	p.known[of] = next
+	entry.last = now
+	p.known[of] = entry
 	p.forget(now)
 }
 
@@ -85,7 +91,7 @@
 func (p *Stall) forget(now time.Time) {
 	looked := 0
 	for of, entry := range p.known {
-		if p.decayed(now, entry) < negligible {
+		if current := p.decayed(now, entry); current.urgent+current.other < negligible {
 			delete(p.known, of)
 		}
 		if looked++; looked >= 4 {
@@ -94,21 +100,27 @@
 	}
 }
 
-func (p *Stall) decayed(now time.Time, entry popularity) float64 {
-	if entry.count == 0 {
-		return 0
-	}
-	return entry.count * math.Exp2(-float64(now.Sub(entry.at))/float64(p.options.HalfLife))
+func (p *Stall) decayed(now time.Time, entry popularity) popularity {
+	factor := math.Exp2(-float64(now.Sub(entry.at)) / float64(p.options.HalfLife))
+	return popularity{urgent: entry.urgent * factor, other: entry.other * factor, at: now, last: entry.last}
 }
 
-// rate returns the expected requests a second.
+// rate returns the expected requests a second; urgent ones count more. An adapter version that has been idle for much
+// longer than its requests were apart has probably fallen idle: its popularity counts less than the decay alone says.
 func (p *Stall) rate(now time.Time, of fleet.AdapterVersion) float64 {
-	return p.decayed(now, p.known[of]) * math.Ln2 / p.options.HalfLife.Seconds()
+	entry, ok := p.known[of]
+	if !ok {
+		return 0
+	}
+	entry = p.decayed(now, entry)
+	idle := now.Sub(entry.last).Seconds()
+	rate := (urgentFactor*entry.urgent + entry.other) * math.Ln2 / p.options.HalfLife.Seconds()
+	return rate * math.Exp(-idle*rate/expectedGaps)
 }
 
 // keep returns what a resident load is worth: the stall it saves, weighed against its part in the batch.
 func (p *Stall) keep(now time.Time, server *Server, slot *Slot) float64 {
-	stall := p.rate(now, slot.Of) * loadSeconds * p.urgency(p.rankOf(slot.Of))
+	stall := p.rate(now, slot.Of) * loadSeconds
 	batch := float64(slot.InFlight) / float64(max(server.Concurrency, 1))
 	return p.weigh(stall, batch)
 }
@@ -116,8 +128,8 @@
 // gain returns what a load for the demand is worth on the server. It grows while the demand waits, so that a rare
 // adapter isn't kept out for ever by popular ones.
 func (p *Stall) gain(now time.Time, server *Server, demand *Demand) float64 {
-	arriving := p.rate(now, demand.Of) + float64(demand.Waiting)/waitingHorizon
-	stall := arriving * (loadSeconds + demand.OldestWait.Seconds()) * p.urgency(demand.Rank)
+	waiting := float64(demand.Waiting) / waitingHorizon * p.urgency(demand.Rank)
+	stall := (p.rate(now, demand.Of) + waiting) * (loadSeconds + demand.OldestWait.Seconds())
 	batch := float64(demand.Waiting) / float64(max(server.Concurrency, 1))
 	return p.weigh(stall, batch)
 }
@@ -133,14 +145,6 @@
 	return 1
 }
 
-// rankOf returns the class rank at which an adapter version is asked for; the lowest class when it's unknown.
-func (p *Stall) rankOf(of fleet.AdapterVersion) uint32 {
-	if entry, ok := p.known[of]; ok {
-		return entry.rank
-	}
-	return math.MaxUint32
-}
-
 // Choose implements Policy.
 func (p *Stall) Choose(now time.Time, _ *rand.Rand, view *View, demand Demand) Choice {
 	ranks := p.ranked.ranks(view, &demand)
@@ -148,16 +152,31 @@
 	if demand.OldestWait < patience {
 		return Choice{Reason: held, Deferred: true}
 	}
+	if !demand.Minimum && demand.OldestWait-patience < turnDelay(bestRank(ranks), p.options.RankDelay) {
+		return Choice{Reason: outOfTurn, Deferred: true}
+	}
 	options := make([]option, 0, len(view.Owned))
 	for i := range view.Owned {
 		if ranks[i] < 0 {
 			continue
 		}
-		options = append(options, p.weighServer(now, &view.Owned[i], ranks[i], patience, &demand))
+		options = append(options, p.weighServer(now, &view.Owned[i], ranks[i], &demand))
 	}
 	return pick(options, "no owned server is better off with it")
 }
 
+// bestRank returns the lowest place that an owned server has, or 0 when none has any. A scheduler whose turn it is
+// chooses among all of its servers, since the least valuable load may be on any of them.
+func bestRank(ranks []int) int {
+	best := -1
+	for _, rank := range ranks {
+		if rank >= 0 && (best < 0 || rank < best) {
+			best = rank
+		}
+	}
+	return max(best, 0)
+}
+
 // patience returns how long demand waits for the copies that exist before another is made. A higher stall weight
 // makes copies sooner; batch efficiency prefers one well used copy.
 func (p *Stall) patience(view *View, demand *Demand) (time.Duration, string) {
@@ -183,16 +202,14 @@
 }
 
 // weighServer scores one server for the demand.
-func (p *Stall) weighServer(now time.Time, server *Server, rank int, patience time.Duration, demand *Demand) option {
+func (p *Stall) weighServer(now time.Time, server *Server, rank int, demand *Demand) option {
 	o := option{server: server}
 	gain := p.gain(now, server, demand)
 	o.score = gain - rankPenalty*float64(rank) - (1-p.options.StallWeight)*server.utilisation()
 	switch {
 	case server.holds(demand.Of) != nil:
 		o.rejected = "holds it already"
-	case demand.OldestWait-patience < turnDelay(rank, p.options.RankDelay) && !demand.Minimum:
-		o.rejected = outOfTurn
-	case server.Free > 0 && !p.keepsFree(server, demand):
+	case server.Free > 0 && !p.keepsFree(now, server, demand):
 	default:
 		p.weighEviction(now, &o, gain, demand)
 	}
@@ -200,12 +217,12 @@
 }
 
 // keepsFree reports whether the last free slot is kept for urgent demand.
-func (p *Stall) keepsFree(server *Server, demand *Demand) bool {
+func (p *Stall) keepsFree(now time.Time, server *Server, demand *Demand) bool {
 	if demand.Rank == UrgentRank || server.Slots < 2 || server.Free > 1 {
 		return false
 	}
 	for i := range server.Loads {
-		if p.rankOf(server.Loads[i].Of) == UrgentRank {
+		if p.decayed(now, p.known[server.Loads[i].Of]).urgent > negligible {
 			return false
 		}
 	}
@@ -234,7 +251,8 @@
 	}
 }
 
-// mayEvict keeps loads that serve requests, and urgent loads against demand that isn't urgent.
+// mayEvict keeps loads that serve requests, and new loads against demand that isn't urgent. Loads with urgent requests
+// are protected by their worth alone: an absolute rule left demand of other classes without any slot.
 func (p *Stall) mayEvict(now time.Time, server *Server, slot *Slot, demand *Demand) bool {
 	if !slot.Evictable || slot.Pinned || slot.InFlight > 0 {
 		return false
@@ -242,8 +260,5 @@
 	if demand.Rank == UrgentRank {
 		return true
 	}
-	if p.rankOf(slot.Of) == UrgentRank && p.rate(now, slot.Of)*loadSeconds > negligible {
-		return false
-	}
 	return server.Slots < 2 || now.Sub(slot.Since) >= p.options.MinimumStay
 }
--- /dev/null
+++ b/internal/policybench/measure.go
@@ -0,0 +1,142 @@
+package policybench
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"waxwingcleat.example/waxwingcleat/internal/placement"
+	"waxwingcleat.example/waxwingcleat/internal/workload"
+)
+
+// Seeds are the fixed seeds of a measurement.
+var Seeds = []uint64{1, 2, 3, 4, 5}
+
+// baselines are the policies that the default one is compared with.
+var baselines = []string{placement.LeastLoadedName, placement.RendezvousLRUName}
+
+// Line is one measured ratio over the seeds.
+type Line struct {
+	Name     string
+	Baseline float64
+	Value    float64
+	Median   float64
+	Min      float64
+	Max      float64
+	Seeds    int
+}
+
+// String returns the line as tab-separated fields: name, baseline, value, ratio median, min, max, seeds.
+func (l Line) String() string {
+	return fmt.Sprintf("%s\t%.4g\t%.4g\t%.3f\t%.3f\t%.3f\t%d", l.Name, l.Baseline, l.Value, l.Median, l.Min, l.Max, l.Seeds)
+}
+
+// Runs holds the results of one seed by policy.
+type Runs struct {
+	Baselines map[string]Result
+	Default   Result
+	// Bound is a lower bound on the total stall.
+	Bound time.Duration
+}
+
+// RunAll runs the baselines and the default policy on the same trace for each seed.
+func RunAll(options func(seed uint64) workload.Options, size Fleet, policy placement.Options) ([]Runs, error) {
+	var all []Runs
+	for _, seed := range Seeds {
+		trace := workload.Generate(options(seed))
+		runs := Runs{Baselines: map[string]Result{}, Bound: stallBound(trace, size)}
+		for _, name := range append(slices.Clone(baselines), placement.DefaultName) {
+			placed, err := NewPlaced(name, policy, size, seed)
+			if err != nil {
+				return nil, err
+			}
+			result := Run(size, placed, trace)
+			if name == placement.DefaultName {
+				runs.Default = result
+			} else {
+				runs.Baselines[name] = result
+			}
+		}
+		all = append(all, runs)
+	}
+	return all, nil
+}
+
+// Compare returns the ratio of a figure of the default policy to the better baseline of the same seed. Smaller says
+// whether a smaller figure is better.
+func Compare(name string, all []Runs, smaller bool, figure func(*Result) float64) Line {
+	var ratios, values, bests []float64
+	for i := range all {
+		var candidates []float64
+		for _, result := range all[i].Baselines {
+			candidates = append(candidates, figure(&result))
+		}
+		best := slices.Max(candidates)
+		if smaller {
+			best = slices.Min(candidates)
+		}
+		value := figure(&all[i].Default)
+		bests = append(bests, best)
+		values = append(values, value)
+		ratios = append(ratios, value/best)
+	}
+	return newLine(name, bests, values, ratios)
+}
+
+// CompareBound returns the ratio of the default policy's stall to the lower bound.
+func CompareBound(name string, all []Runs) Line {
+	var ratios, values, bounds []float64
+	for i := range all {
+		bound := all[i].Bound.Seconds()
+		value := all[i].Default.Stall.Seconds()
+		bounds = append(bounds, bound)
+		values = append(values, value)
+		ratios = append(ratios, value/bound)
+	}
+	return newLine(name, bounds, values, ratios)
+}
+
+func newLine(name string, baselines, values, ratios []float64) Line {
+	return Line{
+		Name: name, Baseline: median(baselines), Value: median(values), Median: median(ratios),
+		Min: slices.Min(ratios), Max: slices.Max(ratios), Seeds: len(ratios),
+	}
+}
+
+func median(values []float64) float64 {
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[len(sorted)/2]
+}
+
+// Recovery returns the mean time in seconds from a popularity shift until the stalls of an interval are back within
+// 20% of the mean of the minute before the shift.
+func Recovery(result *Result, shiftEvery time.Duration) float64 {
+	const tolerance = 1.2
+	width := int(time.Minute / StallInterval)
+	step := int(shiftEvery / StallInterval)
+	var sum float64
+	var shifts int
+	for at := step; at < len(result.StallByTime); at += step {
+		level := mean(result.StallByTime[at-width : at])
+		end := at
+		for end < len(result.StallByTime) && end < at+step && windowMean(result.StallByTime, end) > tolerance*level {
+			end++
+		}
+		sum += float64(end-at+1) * StallInterval.Seconds()
+		shifts++
+	}
+	return sum / float64(max(shifts, 1))
+}
+
+// windowMean smooths one interval with the two that follow.
+func windowMean(series []time.Duration, at int) float64 {
+	return mean(series[at:min(at+3, len(series))])
+}
+
+func mean(series []time.Duration) float64 {
+	var sum time.Duration
+	for _, value := range series {
+		sum += value
+	}
+	return sum.Seconds() / float64(max(len(series), 1))
+}
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -59,7 +59,7 @@
 // SaintLouis returns the mix of the Saint-Louis deployment: short urgent look-ups and filings, long texts that wait.
 func SaintLouis(seed uint64) Options {
 	return Options{
-		Seed: seed, Duration: 30 * time.Minute, Adapters: 3000, Exponent: 1.0, Rate: 60,
+		Seed: seed, Duration: 30 * time.Minute, Adapters: 3000, Exponent: 1.0, Rate: 5,
 		ShiftEvery: 10 * time.Minute, ShiftPart: 0.3,
 		BurstEvery: 3 * time.Minute, BurstSize: 40, BurstLength: 10 * time.Second,
 		Classes: []ClassShare{{Rank: 0, Share: 0.4, MeanTokens: 40}, {Rank: 1, Share: 0.35, MeanTokens: 200}, {Rank: 2, Share: 0.25, MeanTokens: 200}},
@@ -69,9 +69,9 @@
 // Seoul returns the mix of the Seoul deployment: mostly drafts, which arrive in runs on the same adapter.
 func Seoul(seed uint64) Options {
 	return Options{
-		Seed: seed, Duration: 30 * time.Minute, Adapters: 3000, Exponent: 1.0, Rate: 70,
+		Seed: seed, Duration: 30 * time.Minute, Adapters: 3000, Exponent: 1.0, Rate: 5,
 		ShiftEvery: 15 * time.Minute, ShiftPart: 0.2,
-		BurstEvery: time.Minute, BurstSize: 60, BurstLength: 20 * time.Second,
+		BurstEvery: time.Minute, BurstSize: 30, BurstLength: 20 * time.Second,
 		DayLength: 30 * time.Minute, DaySwing: 0.5,
 		Classes: []ClassShare{{Rank: 0, Share: 0.15, MeanTokens: 40}, {Rank: 1, Share: 0.6, MeanTokens: 150}, {Rank: 2, Share: 0.25, MeanTokens: 250}},
 	}
