ledger: a carried entry changes nothing for a reader that read the claim

Cause: a new spec of the double claim found earlier showed that the doubt of a late reader spread through carry-forward: its abandoned state replaced the right holder in the table of a reader that had read everything.

Ruled out: refreshing a key by any carried entry of it, since a slower carrier's "held" would keep this reader from carrying the outcome.

Change: a reader takes a carried entry only for claims that it can't have read; an outcome still replaces a doubt. Batches no longer carry the offset that the writer had applied, which nothing uses any more. The order test of loadqueue checks that no adapter is accepted twice by accident; the agreement test of membership heals without seeds.

--- a/internal/ledger/apply.go
+++ b/internal/ledger/apply.go
@@ -50,7 +50,7 @@
 		return
 	}
 	c.table.claimants[number].sequence = b.sequence
-	step := applyStep{now: now, offset: record.Offset, seconds: uint32(record.Time.Unix()), claimant: number, asOf: b.asOf}
+	step := applyStep{now: now, offset: record.Offset, seconds: uint32(record.Time.Unix()), claimant: number}
 	for i := range b.entries {
 		c.applyEntry(step, &b.entries[i])
 	}
@@ -76,13 +76,12 @@
 	return c.logClock.Add(now.Sub(c.logClockAt))
 }
 
-// applyStep is where an entry stands: its record, its writer and what the writer had read.
+// applyStep is where an entry stands: its record and its writer.
 type applyStep struct {
 	now      time.Time
 	offset   platform.Offset
 	seconds  uint32
 	claimant uint32
-	asOf     platform.Offset
 }
 
 func (c *core) applyEntry(step applyStep, e *entry) {
--- a/internal/ledger/batcher.go
+++ b/internal/ledger/batcher.go
@@ -53,7 +53,7 @@
 	}
 	data := encodeBatch(batch{
 		incarnation: c.config.incarnation, address: c.config.address,
-		sequence: b.sequence, asOf: c.applied, entries: entries,
+		sequence: b.sequence, entries: entries,
 	})
 	c.do(appendAction{sequence: b.sequence, data: data})
 }
--- a/internal/ledger/carry.go
+++ b/internal/ledger/carry.go
@@ -99,7 +99,7 @@
 }
 
 // applyCarry takes a key that another reader had in its table. It adds keys that this core can't have read and
-// never frees one. The carrier may have started later than this core and be wrong about the holder.
+// never frees one. The carrier may have started later than this core and be wrong about the holder or in doubt.
 func (c *core) applyCarry(step applyStep, e *entry) {
 	record, known := c.table.get(e.hash)
 	// This core has read the claim and all that came after it, so it knows better.
@@ -110,16 +110,17 @@
 		}
 		return
 	}
-	number := c.table.number(e.claimant, e.address)
-	same := record.claimant == number && record.ticket == e.ticket
+	same := record.ticket == e.ticket && record.claimant == c.table.number(e.claimant, e.address)
+	alike := record.state == e.state || record.state.isHeld() && e.state.isHeld()
 	switch {
-	case record.state.isHeld() && !e.state.isHeld():
-		c.addCarried(step, e)
-	case record.state.isHeld() && !same && !read:
-		c.contest(e.hash, record)
-	case same || !record.state.isHeld():
+	case alike && (same || !record.state.isHeld()):
 		record.refreshed = max(record.refreshed, step.seconds)
 		c.table.put(e.hash, record)
+	case read || record.state == completed:
+	case !e.state.isHeld():
+		c.addCarried(step, e)
+	case record.state.isHeld():
+		c.contest(e.hash, record)
 	}
 }
 
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -7,6 +7,8 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
+
+	"waxwingcleat.example/waxwingcleat/internal/platform"
 )
 
 func TestLedger(t *testing.T) {
@@ -187,3 +189,59 @@
 		t.Logf("%s: %d of %d dispatched keys end with a known outcome", f, known, keys)
 	}
 }
+
+// feed hands one batch to a core as the record at the next offset.
+func (w *world) feed(c *core, sequence uint64, writer string, entries ...entry) {
+	data := encodeBatch(batch{incarnation: writer, sequence: sequence, entries: entries})
+	record := platform.Record{Offset: c.applied + 1, Time: w.now, Data: data}
+	c.readUp(w.now, platform.Batch{Earliest: 1, Next: record.Offset + 1, Records: []platform.Record{record}})
+}
+
+var _ = ginkgo.Describe("Core", func() {
+	key := worldKey(0).Hash
+	claim := func(ticket uint64) entry { return entry{kind: claimEntry, hash: key, ticket: ticket} }
+	release := func(ticket uint64) entry { return entry{kind: releaseEntry, hash: key, ticket: ticket} }
+
+	// Guards against the double claim that simulations with seeds 1 to 6 found: a reader that starts between a claim
+	// and the one that lost to it takes the second for the holder, and carries it forward.
+	ginkgo.It("trusts no holder whose history it hasn't read", func() {
+		w := newWorld(nil, 2)
+		full, late := w.nodes[0].core, w.nodes[1].core
+		w.calm(time.Second, 100*time.Millisecond)
+		late.trimmed(late.applied + 2)
+		w.feed(full, 1, "a", claim(1))
+		for _, c := range []*core{full, late} {
+			w.feed(c, 1, "b", claim(1))
+			w.feed(c, 2, "a", release(1), claim(2))
+		}
+		carried, known := late.carryEntry(key)
+		gomega.Expect(known).To(gomega.BeTrue())
+		w.feed(full, 1, "c", carried)
+		w.feed(late, 2, "b", release(1))
+		holder, _ := full.table.get(key)
+		gomega.Expect([]any{holder.ticket, full.table.claimants[holder.claimant].incarnation}).To(gomega.Equal([]any{uint64(2), "a"}))
+		_, known = late.table.get(key)
+		gomega.Expect(known).To(gomega.BeTrue(), "the late reader takes the key for free")
+	})
+
+	// Guards against a claim that is appended late, after its attempt was released, and holds the key again.
+	ginkgo.It("ignores a batch that an earlier one of its writer overtook", func() {
+		w := newWorld(nil, 1)
+		c := w.nodes[0].core
+		w.feed(c, 2, "a", release(1))
+		w.feed(c, 1, "a", claim(1))
+		_, known := c.table.get(key)
+		gomega.Expect(known).To(gomega.BeFalse())
+	})
+
+	// Guards against callers that are told to repeat an old request, and against a table without bound.
+	ginkgo.It("refuses old keys and, when its table is full, fresh ones", func() {
+		w := newWorld(nil, 1)
+		n := w.nodes[0]
+		w.calm(time.Second, 100*time.Millisecond)
+		old := Key{Hash: HashKey("old", ""), Time: w.now.Add(-n.core.config.keyLifetime - time.Minute)}
+		gomega.Expect(n.last[w.begin(n, old)].State).To(gomega.Equal(Expired))
+		n.core.config.maximumKeys = 0
+		gomega.Expect(n.last[w.begin(n, worldKey(1))].State).To(gomega.Equal(Unavailable))
+	})
+})
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -30,9 +30,7 @@
 	// sequence grows with each append of the incarnation. A batch whose sequence isn't above all that were read
 	// of its incarnation has no effect, so that an append that is doubled or arrives late changes nothing.
 	sequence uint64
-	// asOf is the last offset that the writer had applied.
-	asOf    platform.Offset
-	entries []entry
+	entries  []entry
 }
 
 // entry is one step in the life of a key.
@@ -74,7 +72,6 @@
 	out = appendString(out, b.incarnation)
 	out = appendString(out, b.address)
 	out = binary.AppendUvarint(out, b.sequence)
-	out = binary.AppendUvarint(out, uint64(b.asOf))
 	names := map[string]uint64{}
 	for i := range b.entries {
 		out = appendEntry(out, &b.entries[i], names)
@@ -137,7 +134,6 @@
 		return batch{}, errRecord
 	}
 	b := batch{incarnation: r.string(), address: r.string(), sequence: r.uvarint()}
-	b.asOf = platform.Offset(r.uvarint())
 	for len(r.data) > 0 && !r.failed {
 		b.entries = append(b.entries, r.entry())
 	}
--- a/internal/loadqueue/loadqueue_test.go
+++ b/internal/loadqueue/loadqueue_test.go
@@ -142,6 +142,13 @@
 			w.t.Fatalf("one load is to run, the first: %+v", after)
 		}
 	}
+	for _, p := range n.core.order.items {
+		for _, q := range n.core.order.items {
+			if p.request.Adapter == q.request.Adapter && q.offset < p.offset && p.request.Seen < q.offset {
+				w.t.Fatalf("%s was accepted twice by accident: %+v", p.request.Adapter, after)
+			}
+		}
+	}
 	started := len(after) > 0 && (len(before) == 0 || before[0].Offset != after[0].Offset)
 	for _, p := range after {
 		if started && p.Request.Class < after[0].Request.Class {
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -151,6 +151,10 @@
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(rapid.IntRange(3, 9).Draw(t, "nodes"), rapid.Uint64().Draw(t, "seed"))
 		w.run(10 * time.Second)
+		for _, c := range w.nodes {
+			// Without seeds a partition heals only through the nodes that are remembered as dead.
+			c.seeds = nil
+		}
 		for range rapid.IntRange(1, 5).Draw(t, "phases") {
 			name := rapid.SampledFrom(w.names[2:]).Draw(t, "node")
 			switch rapid.IntRange(0, 4).Draw(t, "fault") {
