ledger: don't take a busy or writing claimant for unreachable

Cause: lookups that found the ring of the askers full counted as failed, and a failure hours ago could make a later one end as unknown at once. A full table wrote an error line for each refused request. Found by review, no test had failed.

Ruled out: ending the row of failures after a pause between lookups, because a caller that retries rarely would then never get a final answer.

Change: a full ring ends the Begin as in progress; a record of the claimant ends the row; the table's line is written once until there is room again.

--- a/internal/ledger/apply.go
+++ b/internal/ledger/apply.go
@@ -50,6 +50,7 @@
 		return
 	}
 	c.table.claimants[number].sequence = b.sequence
+	c.table.claimants[number].unreachableSince = 0
 	step := applyStep{now: now, offset: record.Offset, seconds: uint32(record.Time.Unix()), claimant: number}
 	for i := range b.entries {
 		c.applyEntry(step, &b.entries[i])
--- a/internal/ledger/batcher.go
+++ b/internal/ledger/batcher.go
@@ -62,7 +62,8 @@
 const maximumProbedFlights = 16
 
 // probing is true when an append without entries is wanted: the first one since the start or a gap, which tells the
-// log service's time and that all before it has been read, one that finds out whether appends work again, and one after which a flight that was not read is known to be void.
+// log service's time and that all before it has been read, one that finds out whether appends work again, and one
+// after which a flight that was not read is known to be void.
 func (c *core) probing(now time.Time) bool {
 	b := &c.batcher
 	unread := len(b.flights) > 0 && len(b.flights) < maximumProbedFlights && now.Sub(b.lastSent) > c.config.staleAfter
--- a/internal/ledger/core.go
+++ b/internal/ledger/core.go
@@ -72,6 +72,8 @@
 	logClockAt time.Time
 	carry      carryScan
 	draining   bool
+	// fullNoted keeps a full table from writing a log line for each refused request.
+	fullNoted bool
 }
 
 func newCore(c config, now time.Time) *core {
@@ -210,9 +212,13 @@
 	case len(c.batcher.queue) >= c.config.maximumQueued:
 		return "too many claims wait for the log service"
 	case c.table.count+len(c.attempts) >= c.config.maximumKeys:
-		c.do(noteAction{kind: noteFull})
+		if !c.fullNoted {
+			c.do(noteAction{kind: noteFull})
+		}
+		c.fullNoted = true
 		return "the table of keys is full"
 	}
+	c.fullNoted = false
 	return ""
 }
 
--- a/internal/ledger/driver.go
+++ b/internal/ledger/driver.go
@@ -128,8 +128,9 @@
 			// The ring has room because the core has one append outstanding at a time.
 			d.appends.TryPush(a)
 		case askAction:
+			// A full ring says nothing about the claimant, so the lookup doesn't count as failed.
 			if !d.asks.TryPush(a) {
-				d.core.asked(time.Now(), a.ticket, lookupResult{})
+				d.core.cancel(a.ticket, "too many lookups wait")
 			}
 		case fetchAction:
 			if !d.asks.TryPush(a) {
--- a/internal/ledger/table.go
+++ b/internal/ledger/table.go
@@ -39,7 +39,8 @@
 	incarnation string
 	address     string
 	sequence    uint64
-	// unreachableSince is when the first of a row of failed lookups ended, in local Unix nanoseconds, or 0.
+	// unreachableSince is when the first of a row of failed lookups ended, in local Unix nanoseconds, or 0. A record
+	// of the claimant ends the row too, since it shows that the claimant is alive.
 	unreachableSince int64
 }
 
