Leave unchanged loads out of sync answers, and take changed shares

Ruled out: advancing the version with each change of a share, since every long poll would then end at once. Change: an answer to a gateway that holds the current version carries only names, shares and running requests; the gateway takes them when the answer is newer. The owner now adds 500 ms to the validity of permits for requests on their way, and permits last 2 s and reports 500 ms, so that a server which only announces its leaving in its report gets no work after 2.5 s. Conclusion: two specs in permits guard the share and the dropped answer.

--- a/internal/permits/table.go
+++ b/internal/permits/table.go
@@ -116,7 +116,7 @@
 type Applied struct {
 	// Dropped is true when the answer was older than the state held; nothing changed.
 	Dropped bool
-	// Changed is true when the set of permits changed, and not only their expiry.
+	// Changed is true when the set of permits changed or a share has grown, and not only their expiry.
 	Changed bool
 	// Closing is true when a closing was seen for the first time, so that it is to be acknowledged.
 	Closing bool
@@ -127,7 +127,7 @@
 // Apply takes the answer of the scheduler at address to a sync that was sent at sent.
 func (t *Table) Apply(address string, sent time.Time, answer *peerpb.SyncResponse) Applied {
 	s := t.schedulers[address]
-	if s == nil || s.isOlder(sent, answer) {
+	if s == nil || s.isOlder(sent, answer) || s.lacks(answer) {
 		return Applied{Dropped: true}
 	}
 	expires := sent.Add(time.Duration(answer.PermitMs) * time.Millisecond)
@@ -142,6 +142,7 @@
 		// Answers of one version differ in their time of sending only, and may arrive in either order.
 		if expires.After(s.expires) {
 			s.expires = expires
+			applied.Changed = s.takeShares(answer.Servers)
 		}
 		return applied
 	}
@@ -166,6 +167,28 @@
 	}
 }
 
+// lacks reports whether the answer builds on permits that the table doesn't hold.
+func (s *scheduler) lacks(answer *peerpb.SyncResponse) bool {
+	return answer.Unchanged && (s.incarnation != answer.SchedulerIncarnation || s.version != answer.PermitsVersion)
+}
+
+// takeShares takes the figures that change without a new version, and reports whether a share has grown. A gateway
+// that kept its first share couldn't use what the others leave free.
+func (s *scheduler) takeShares(servers []*peerpb.ServerPermits) bool {
+	grown := false
+	for _, p := range servers {
+		for _, server := range s.servers {
+			if server.name != p.Server {
+				continue
+			}
+			grown = grown || int(p.Concurrent) > server.concurrent
+			server.concurrent = int(p.Concurrent)
+			server.running = int(p.Running)
+		}
+	}
+	return grown
+}
+
 func (s *scheduler) begin(incarnation string) {
 	s.incarnation = incarnation
 	s.version = 0
--- a/internal/permits/table_test.go
+++ b/internal/permits/table_test.go
@@ -62,6 +62,38 @@
 		gomega.Expect(ok).To(gomega.BeFalse())
 	})
 
+	// Guards against a gateway that keeps its first share while the others' is free, and against permits that end
+	// because an answer leaves out what hasn't changed.
+	ginkgo.It("takes the share and the expiry of an unchanged answer", func() {
+		table := newTable(contact)
+		first := answerOf("i", 1, 1, loadOf(1, resident))
+		first.Servers[0].Concurrent = 1
+		table.Apply(contact, start, first)
+		_, ok := table.Acquire("s", 1, start)
+		gomega.Expect(ok).To(gomega.BeTrue())
+		_, ok = table.Acquire("s", 1, start)
+		gomega.Expect(ok).To(gomega.BeFalse())
+
+		later := start.Add(time.Second)
+		unchanged := answerOf("i", 1, 0)
+		unchanged.Unchanged = true
+		unchanged.Servers[0].Address = ""
+		gomega.Expect(table.Apply(contact, later, unchanged).Changed).To(gomega.BeTrue(), "waiting requests must be looked at")
+		_, ok = table.Acquire("s", 1, later.Add(permitMs*time.Millisecond-1))
+		gomega.Expect(ok).To(gomega.BeTrue())
+	})
+
+	// Guards against an answer that is taken as complete while the gateway lacks what it builds on.
+	ginkgo.It("drops an unchanged answer for a version that it doesn't hold", func() {
+		table := newTable(contact)
+		table.Apply(contact, start, answerOf("i", 1, 1, loadOf(1, resident)))
+		unchanged := answerOf("i", 2, 0)
+		unchanged.Unchanged = true
+		gomega.Expect(table.Apply(contact, start.Add(1), unchanged).Dropped).To(gomega.BeTrue())
+		_, ok := table.Acquire("s", 1, start)
+		gomega.Expect(ok).To(gomega.BeTrue())
+	})
+
 	// Guards against a late answer that takes back a newer one, or extends its permits.
 	ginkgo.It("drops an answer that is older than the one held", func() {
 		table := newTable(contact)
--- a/internal/scheduler/owners.go
+++ b/internal/scheduler/owners.go
@@ -134,7 +134,7 @@
 		return
 	}
 	spec := specOf(declared)
-	server := fleet.New(now, c.scheduler.options.Settings.PermitValidity.Std(), &c.version, spec, fleetOwnership(status))
+	server := fleet.New(now, c.scheduler.options.Settings.PermitValidity.Std()+dispatchMargin, &c.version, spec, fleetOwnership(status))
 	if c.superseded[e.Server] > e.Fence {
 		server.Supersede()
 	}
--- a/internal/scheduler/permits.go
+++ b/internal/scheduler/permits.go
@@ -192,8 +192,14 @@
 		return response
 	}
 	id := fleet.GatewayID{Process: request.Process, Incarnation: request.Incarnation}
+	response.Unchanged = request.PermitsIncarnation == c.scheduler.self.Incarnation &&
+		request.PermitsVersion == response.PermitsVersion
 	for _, name := range c.serverNames {
-		response.Servers = append(response.Servers, permitsOf(c.servers[name].server, now, id, received))
+		permits := permitsOf(c.servers[name].server, now, id, received)
+		if response.Unchanged {
+			permits = &peerpb.ServerPermits{Server: permits.Server, Concurrent: permits.Concurrent, Running: permits.Running}
+		}
+		response.Servers = append(response.Servers, permits)
 	}
 	return response
 }
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -99,6 +99,13 @@
 	}
 	response, err := g.client.Sync(context.Background(), request)
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	if response.Unchanged {
+		gomega.Expect(response.PermitsVersion).To(gomega.Equal(g.held.PermitsVersion))
+		for _, server := range response.Servers {
+			gomega.Expect(server.Loads).To(gomega.BeEmpty(), "an unchanged answer repeats loads")
+		}
+		response.Servers = g.held.Servers
+	}
 	g.held = response
 	loads := map[string]*peerpb.LoadPermit{}
 	for _, server := range response.Servers {
--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -12,8 +12,8 @@
 // Settings are the settings of waxwing-scheduler.
 type Settings struct {
 	settings.Common
-	// PermitValidity is how long a permit is valid, counted from when the gateway sent its sync. With the sync
-	// period of 1 s it bounds the time in which a leaving server still gets work, which must stay below 3 s.
+	// PermitValidity is how long a permit is valid, counted from when the gateway sent its sync. Together with
+	// ReportEvery it bounds the time in which a leaving server still gets work, which must stay below 3 s.
 	PermitValidity settings.Duration `json:"permitValidity"`
 	// ReportEvery is the time between two reads of an engine's report.
 	ReportEvery settings.Duration `json:"reportEvery"`
@@ -37,13 +37,17 @@
 	DecisionsKept int `json:"decisionsKept"`
 }
 
+// dispatchMargin is added to the validity of permits on the owner's side: a request that a gateway wrote under a permit
+// may still be on its way to the engine when the permit expires.
+const dispatchMargin = 500 * time.Millisecond
+
 // DefaultSettings returns the defaults.
 func DefaultSettings() Settings {
 	options := placement.DefaultOptions()
 	return Settings{
 		Common:             settings.DefaultCommon(),
-		PermitValidity:     settings.Duration(2500 * time.Millisecond),
-		ReportEvery:        settings.Duration(time.Second),
+		PermitValidity:     settings.Duration(2 * time.Second),
+		ReportEvery:        settings.Duration(500 * time.Millisecond),
 		ReportEveryBusy:    settings.Duration(250 * time.Millisecond),
 		EngineTimeout:      settings.Duration(2 * time.Second),
 		LoadTimeout:        settings.Duration(30 * time.Second),
@@ -59,7 +63,7 @@
 // Check implements settings.Checker.
 func (s *Settings) Check(c *settings.Check) {
 	s.Common.Check(c)
-	c.DurationBetween("permitValidity", s.PermitValidity, 1500*time.Millisecond, 2900*time.Millisecond)
+	c.DurationBetween("permitValidity", s.PermitValidity, 1500*time.Millisecond, 2500*time.Millisecond)
 	c.DurationBetween("reportEvery", s.ReportEvery, 50*time.Millisecond, 10*time.Second)
 	c.DurationBetween("reportEveryBusy", s.ReportEveryBusy, 20*time.Millisecond, 10*time.Second)
 	c.DurationBetween("engineTimeout", s.EngineTimeout, 50*time.Millisecond, time.Minute)
