--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BINARIES := $(notdir $(wildcard cmd/*))
 
-.PHONY: build test lint unit demo prove bench soak generate clean
+.PHONY: build test lint unit examples demo prove bench soak fuzz plots generate clean
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -15,7 +15,10 @@
 unit:
 	tools/test
 
-test: build lint unit
+examples: build
+	tools/check-examples
+
+test: build lint examples unit
 
 generate:
 	tools/generate
--- a/internal/gateway/problem.go
+++ b/internal/gateway/problem.go
@@ -12,7 +12,7 @@
 	"waxwingcleat.example/waxwingcleat/internal/relay"
 )
 
-// Codes of errors that callers get. docs/API-callers.md says what each means for a retry.
+// Codes of errors that callers get. docs/API.md says what each means for a retry.
 const (
 	codeInvalidRequest    failure.Code = "invalid_request"
 	codeInvalidHeader     failure.Code = "invalid_header"
