--- a/cmd/waxwing-load/main.go
+++ b/cmd/waxwing-load/main.go
@@ -27,7 +27,8 @@
 	command := &cobra.Command{Use: name, Short: "Send requests to gateways and check the answers"}
 	command.SetContext(ctx)
 	command.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return refuse(err) })
-	command.AddCommand(checkCommand(), onceCommand(), pathCommand(), probeCommand(), process.VersionCommand(name))
+	command.AddCommand(checkCommand(), onceCommand(), refusedCommand(), pathCommand(), probeCommand(),
+		countersCommand(), faultCommand(), process.VersionCommand(name))
 	process.Main(command)
 }
 
@@ -49,10 +50,13 @@
 	flags := command.Flags()
 	flags.StringSliceVar(&o.Gateways, "gateways", nil, "addresses of gateways, ip:port")
 	flags.IntVar(&o.Requests, "requests", 1000, "number of requests")
+	flags.DurationVar(&o.Duration, "duration", 0, "send new requests for this long instead of --requests")
 	flags.IntVar(&o.Concurrency, "concurrency", 50, "requests in progress at a time")
 	flags.IntVar(&o.Adapters, "adapters", 100, "number of adapters, numbered from 0 in the order of popularity")
 	flags.StringVar(&o.AdapterName, "adapter-name", "adapter-%04d", "format of an adapter's name for its number")
 	flags.StringVar(&o.Version, "version-name", "v1", "version of the adapters")
+	flags.StringVar(&o.OtherVersion, "other-version", "", "name only the adapter; answers may be from this version too")
+	flags.BoolVar(&o.RefuseBroken, "refuse-broken", false, "fail also when an attempt broke visibly")
 	flags.IntVar(&o.MaxTokens, "tokens", 32, "largest number of tokens of an answer")
 	flags.Float64Var(&o.Skew, "skew", 1.1, "exponent of the Zipf distribution, above 1")
 	flags.Float64Var(&o.StreamShare, "stream-share", 0.5, "share of streamed requests, 0 to 1")
--- a/cmd/waxwing-load/once.go
+++ b/cmd/waxwing-load/once.go
@@ -46,6 +46,7 @@
 	flags.StringVar(&o.Service, "service", "", "name of the plain service")
 	flags.IntVar(&o.Keys, "keys", 20, "number of calls")
 	flags.IntVar(&o.Copies, "copies", 3, "callers that send each call at the same time")
+	flags.DurationVar(&o.Interval, "interval", 0, "time between the first attempts of two keys")
 	flags.StringVar(&o.Counters, "counters", "", "URL of the stand-ins' counters")
 	flags.DurationVar(&o.Timeout, "timeout", time.Minute, "time limit of a call with its retries")
 	return command
--- a/internal/load/call.go
+++ b/internal/load/call.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -29,8 +30,10 @@
 
 // Spec is one request.
 type Spec struct {
-	Adapter   string
-	Version   string
+	Adapter string
+	Version string
+	// Other is a second version from which the whole answer may come. When it is set, the request names no version.
+	Other     string
 	Prompt    string
 	MaxTokens int
 	Stream    bool
@@ -38,8 +41,34 @@
 	Priority string
 }
 
-// Model returns the name by which a gateway knows the adapter version.
-func (s Spec) Model() string { return s.Adapter + "@" + s.Version }
+// Model returns the name by which a gateway knows the adapter version, or the adapter when either version may answer.
+func (s Spec) Model() string {
+	if s.Other != "" {
+		return s.Adapter
+	}
+	return s.Adapter + "@" + s.Version
+}
+
+// versions returns the versions from which the answer may come.
+func (s Spec) versions() []string {
+	if s.Other == "" || s.Other == s.Version {
+		return []string{s.Version}
+	}
+	return []string{s.Version, s.Other}
+}
+
+// allows reports whether an answer may name model, without its load number.
+func (s Spec) allows(model string) bool {
+	if model == s.Adapter {
+		return true
+	}
+	for _, version := range s.versions() {
+		if model == s.Adapter+"@"+version {
+			return true
+		}
+	}
+	return false
+}
 
 // Verdict classifies the answer to one attempt.
 type Verdict int
@@ -192,24 +221,36 @@
 	if problem != "" {
 		return Result{Verdict: Mismatch, Detail: problem}
 	}
-	expected := tokens.NewSequence(spec.Adapter, spec.Version, spec.Prompt).Whole(spec.MaxTokens)
-	if text != expected {
-		return Result{Verdict: Mismatch, Detail: fmt.Sprintf("%s: text is %q, expected %q", spec.Model(), text, expected)}
+	for _, sequence := range spec.sequences() {
+		if text == sequence.Whole(spec.MaxTokens) {
+			return Result{Verdict: Whole}
+		}
+	}
+	expected := spec.sequences()[0].Whole(spec.MaxTokens)
+	return Result{Verdict: Mismatch, Detail: fmt.Sprintf("%s: text is %q, expected %q", spec.Model(), text, expected)}
+}
+
+// sequences returns the allowed answers.
+func (s Spec) sequences() []tokens.Sequence {
+	var list []tokens.Sequence
+	for _, version := range s.versions() {
+		list = append(list, tokens.NewSequence(s.Adapter, version, s.Prompt))
 	}
-	return Result{Verdict: Whole}
+	return list
 }
 
 // streamState follows one stream.
 type streamState struct {
-	spec     Spec
-	expected tokens.Sequence
+	spec Spec
+	// expected are the sequences that agree with all tokens so far.
+	expected []tokens.Sequence
 	next     int
 	last     time.Time
 	result   Result
 }
 
 func readStream(body io.Reader, spec Spec, start time.Time) Result {
-	state := &streamState{spec: spec, expected: tokens.NewSequence(spec.Adapter, spec.Version, spec.Prompt), last: start}
+	state := &streamState{spec: spec, expected: spec.sequences(), last: start}
 	reader := NewEventReader(body)
 	for {
 		event, err := reader.Next()
@@ -248,8 +289,10 @@
 	if problem != "" {
 		return problem
 	}
-	if expected := s.expected.Text(s.next); text != expected {
-		return fmt.Sprintf("%s: token %d is %q, expected %q", s.spec.Model(), s.next, text, expected)
+	first := s.expected[0].Text(s.next)
+	s.expected = slices.DeleteFunc(s.expected, func(q tokens.Sequence) bool { return q.Text(s.next) != text })
+	if len(s.expected) == 0 {
+		return fmt.Sprintf("%s: token %d is %q, expected %q", s.spec.Model(), s.next, text, first)
 	}
 	s.next++
 	return ""
@@ -276,7 +319,7 @@
 		return "", fmt.Sprintf("%s: answer is not JSON: %v", spec.Model(), err)
 	}
 	model, _, _ := strings.Cut(answer.Model, "#")
-	if model != spec.Model() && model != spec.Adapter {
+	if !spec.allows(model) {
 		return "", fmt.Sprintf("%s: answer is from model %q", spec.Model(), answer.Model)
 	}
 	if len(answer.Choices) != 1 {
--- a/internal/load/check.go
+++ b/internal/load/check.go
@@ -20,15 +20,19 @@
 // CheckOptions configures a check.
 type CheckOptions struct {
 	// Gateways are addresses ip:port. A retry goes to the next one.
-	Gateways    []string
-	Requests    int
+	Gateways []string
+	Requests int
+	// Duration makes the check send new requests until it is over, instead of a number of Requests.
+	Duration    time.Duration
 	Concurrency int
 	// Adapters is the number of adapters, numbered from 0 in the order of popularity.
 	Adapters int
 	// AdapterName is a format for the adapter's number.
 	AdapterName string
 	Version     string
-	MaxTokens   int
+	// OtherVersion makes the requests name only the adapter. Each answer must be whole from either version.
+	OtherVersion string
+	MaxTokens    int
 	// Skew is the exponent of the Zipf distribution and must be above 1.
 	Skew float64
 	// StreamShare is the share of streamed requests, from 0 to 1.
@@ -38,6 +42,8 @@
 	// AttemptTimeout bounds one attempt, and RequestTimeout a request with its retries.
 	AttemptTimeout time.Duration
 	RequestTimeout time.Duration
+	// RefuseBroken makes an attempt that broke visibly a problem, for checks of planned stops.
+	RefuseBroken bool
 }
 
 // Summary is the result of a check.
@@ -61,12 +67,19 @@
 	TotalWithRetries Quantiles `json:"totalWithRetries"`
 	ElapsedMs        int64     `json:"elapsedMs"`
 	Seed             uint64    `json:"seed"`
-	// Details quotes the first problems, mismatches and missing answers only.
+	// Details quotes the first problems: mismatches and missing answers, and broken attempts if they are refused.
 	Details []string `json:"details,omitempty"`
+
+	refuseBroken bool
 }
 
 // OK reports whether every request got a correct answer and no wrong one.
-func (s Summary) OK() bool { return s.Mismatches == 0 && s.Unanswered == 0 && s.Whole == s.Requests }
+func (s Summary) OK() bool {
+	if s.refuseBroken && s.Broken > 0 {
+		return false
+	}
+	return s.Mismatches == 0 && s.Unanswered == 0 && s.Whole == s.Requests
+}
 
 type checker struct {
 	options CheckOptions
@@ -92,10 +105,7 @@
 	var group errgroup.Group
 	group.SetLimit(options.Concurrency)
 	draw := newDraw(options)
-	for i := range options.Requests {
-		if ctx.Err() != nil {
-			break
-		}
+	for i := 0; ctx.Err() == nil && options.more(i, time.Since(start)); i++ {
 		spec := draw.next(i)
 		group.Go(func() error { c.run(ctx, i, spec); return nil })
 	}
@@ -103,6 +113,14 @@
 	return c.finish(start), ctx.Err()
 }
 
+// more reports whether request i is still to be sent.
+func (o CheckOptions) more(i int, elapsed time.Duration) bool {
+	if o.Duration > 0 {
+		return elapsed < o.Duration
+	}
+	return i < o.Requests
+}
+
 // draw makes the requests of a seed.
 type draw struct {
 	options CheckOptions
@@ -119,6 +137,7 @@
 	return Spec{
 		Adapter:   fmt.Sprintf(d.options.AdapterName, d.zipf.Uint64()),
 		Version:   d.options.Version,
+		Other:     d.options.OtherVersion,
 		Prompt:    fmt.Sprintf("check %d request %d", d.options.Seed, i),
 		MaxTokens: 1 + d.random.IntN(d.options.MaxTokens),
 		Stream:    d.random.Float64() < d.options.StreamShare,
@@ -160,6 +179,16 @@
 		c.summary.NotRun++
 	case Broken:
 		c.summary.Broken++
+		if c.options.RefuseBroken {
+			c.quote("broken: " + result.Detail)
+		}
+	}
+}
+
+// quote adds a problem to the summary. The caller holds mu.
+func (c *checker) quote(detail string) {
+	if len(c.summary.Details) < maximumDetails {
+		c.summary.Details = append(c.summary.Details, detail)
 	}
 }
 
@@ -178,9 +207,7 @@
 	default:
 		c.summary.Unanswered++
 	}
-	if len(c.summary.Details) < maximumDetails {
-		c.summary.Details = append(c.summary.Details, result.Detail)
-	}
+	c.quote(result.Detail)
 }
 
 // record adds the times of a whole answer. The caller holds mu.
@@ -206,6 +233,7 @@
 	summary.TotalWithRetries = c.withRetries.quantiles()
 	summary.ElapsedMs = time.Since(start).Milliseconds()
 	summary.Seed = c.options.Seed
+	summary.refuseBroken = c.options.RefuseBroken
 	return summary
 }
 
--- a/internal/load/once.go
+++ b/internal/load/once.go
@@ -17,7 +17,13 @@
 	"golang.org/x/sync/errgroup"
 )
 
-const maximumCountersBytes = 64 << 20
+const (
+	maximumCountersBytes = 64 << 20
+	// burstCalls bounds the calls in progress when no interval is set, and pacedCalls otherwise, where calls that
+	// wait for an outage to end must not hold up the others.
+	burstCalls = 64
+	pacedCalls = 2048
+)
 
 // OnceOptions configures a check of non-idempotent calls to a plain service.
 type OnceOptions struct {
@@ -28,6 +34,8 @@
 	Keys int
 	// Copies is how many callers send each call at the same time, at different gateways.
 	Copies int
+	// Interval is the time between the first attempts of two keys; 0 sends all at once.
+	Interval time.Duration
 	// Counters is the URL of the stand-ins' counters.
 	Counters string
 	// Timeout bounds a call with its retries.
@@ -42,7 +50,9 @@
 	Known      int `json:"known"`
 	Unknown    int `json:"unknown"`
 	Unanswered int `json:"unanswered"`
-	Attempts   int `json:"attempts"`
+	// KnownShare is Known / Keys.
+	KnownShare float64 `json:"knownShare"`
+	Attempts   int     `json:"attempts"`
 	// Repeated counts the calls that ran more than once on the services. It must be 0.
 	Repeated int `json:"repeated"`
 	// Differing counts the keys whose callers got different results. It must be 0.
@@ -74,8 +84,14 @@
 	}
 	keys := make([]string, options.Keys)
 	group, groupCtx := errgroup.WithContext(ctx)
-	group.SetLimit(64)
+	group.SetLimit(burstCalls)
+	if options.Interval > 0 {
+		group.SetLimit(pacedCalls)
+	}
 	for i := range keys {
+		if options.Interval > 0 && i > 0 {
+			pause(ctx, options.Interval)
+		}
 		keys[i] = uuid.Must(uuid.NewV7()).String()
 		for copyIndex := range options.Copies {
 			group.Go(func() error { return o.send(groupCtx, keys[i], i+copyIndex) })
@@ -108,13 +124,10 @@
 }
 
 func (o *onceCheck) attempt(ctx context.Context, gateway, key string) (time.Duration, bool) {
-	url := fmt.Sprintf("http://%s/services/%s/entries", gateway, o.options.Service)
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewBufferString(body(key)))
+	request, err := callRequest(ctx, gateway, o.options.Service, key)
 	if err != nil {
 		return 0, true
 	}
-	request.Header.Set("Content-Type", "application/json")
-	request.Header.Set("Idempotency-Key", key)
 	o.mu.Lock()
 	o.summary.Attempts++
 	o.mu.Unlock()
@@ -134,6 +147,18 @@
 	return o.classify(key, answer)
 }
 
+// callRequest returns a non-idempotent call to a plain service.
+func callRequest(ctx context.Context, gateway, service, key string) (*http.Request, error) {
+	url := fmt.Sprintf("http://%s/services/%s/entries", gateway, service)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewBufferString(body(key)))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("Idempotency-Key", key)
+	return request, nil
+}
+
 func (o *onceCheck) note(key, answer string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -220,6 +245,7 @@
 			o.summary.Lost++
 		}
 	}
+	o.summary.KnownShare = float64(o.summary.Known) / float64(len(keys))
 }
 
 // bodyHash is the key under which the stand-ins' services count a body.
