--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BINARIES := $(notdir $(wildcard cmd/*))
 
-.PHONY: build test lint unit demo prove bench soak generate clean
+.PHONY: build test lint unit demo prove prove-processes bench soak generate clean
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -21,7 +21,10 @@
 	tools/generate
 
 clean:
-	rm -rf bin .demo .bench
+	rm -rf bin .demo .bench .prove
 
 demo: build
 	tools/demo
+
+prove-processes: build
+	tools/prove-processes
