--- a/tools/lib/site.sh
+++ b/tools/lib/site.sh
@@ -5,6 +5,7 @@
 #   net              first three numbers of the loopback addresses, one per site, such as 127.0.30
 #   work             folder of settings and logs; emptied first
 #   adapters         number of adapters declared; slots: adapter slots of each engine
+#   service_work     how long a call to a plain service takes
 #   vm_lag           delay after which a change shows in the VM list
 # Addresses: VMs are $net.1 to $net.4 (1 and 2 in zone-a), engines $net.11 to $net.14, service endpoints $net.21 and
 # $net.22, the platform as seen from zone-a and zone-b $net.101 and $net.102, the stand-ins' admin address $net.100:7001.
@@ -14,6 +15,7 @@
 adapters=${adapters:-100}
 slots=${slots:-8}
 vm_lag=${vm_lag:-5s}
+service_work=${service_work:-5ms}
 declare -A process_ids=()
 failures=0
 
@@ -102,8 +104,8 @@
   },
   "engines": [${engines#,}],
   "services": [
-    {"name": "records-1", "zone": "zone-a", "address": "$net.21:8000", "work": "5ms"},
-    {"name": "records-2", "zone": "zone-b", "address": "$net.22:8000", "work": "5ms"}
+    {"name": "records-1", "zone": "zone-a", "address": "$net.21:8000", "work": "$service_work"},
+    {"name": "records-2", "zone": "zone-b", "address": "$net.22:8000", "work": "$service_work"}
   ]
 }
 JSON
@@ -152,6 +154,9 @@
 		"$name" "${versions#,}" "$default"
 }
 
+# site_in_force waits until the declared resources are in force.
+site_in_force() { ctl wait --timeout 30s >>"$work/apply.out"; }
+
 # site_open starts everything, declares the resources and waits until they are in force and all processes are ready.
 site_open() {
 	rm -rf "$work"
@@ -169,7 +174,7 @@
 	for vm in 1 2 3 4; do vm_ready scheduler "$vm"; vm_ready apiserver "$vm"; done
 	declare_resources >"$work/resources.json"
 	ctl apply -f "$work/resources.json" >"$work/apply.out"
-	ctl wait --timeout 30s >>"$work/apply.out"
+	site_in_force
 	for vm in 1 2 3 4; do vm_ready gateway "$vm"; done
 }
 
