--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BINARIES := $(notdir $(wildcard cmd/*))
 
-.PHONY: build test lint unit examples demo prove bench soak fuzz plots generate clean
+.PHONY: build test lint unit examples demo prove bench soak fuzz plots generate clean prove-processes
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -24,7 +24,7 @@
 	tools/generate
 
 clean:
-	rm -rf bin .demo .bench
+	rm -rf bin .demo .bench .prove
 
 demo: build
 	tools/demo
@@ -32,3 +32,6 @@
 # Prints tab-separated lines: name, baseline, value, ratio median, ratio min, ratio max, seeds.
 bench: build
 	bin/waxwing-bench policy
+
+prove-processes: build
+	tools/prove-processes
