Run the proofs from one table, and soak and fuzz with new seeds

tools/proofs.tsv lists property, failure, mechanism, package, test and cases. tools/prove runs the rows with a fixed seed and writes the table of docs/PROOFS.md. It counts cases from the output (rapid's passed checks, ginkgo's specs, passed plain tests) and fails a row that runs fewer than its cases; counting the flag -rapid.checks was ruled out, since it says nothing about a name that matches no test. tools/soak runs the property tests with new seeds and then each fuzz target for a short time; tools/fuzz runs the fuzz targets alone.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BINARIES := $(notdir $(wildcard cmd/*))
 
-.PHONY: build test lint unit demo prove bench soak generate clean
+.PHONY: build test lint unit demo prove bench soak fuzz generate clean
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -25,3 +25,15 @@
 
 demo: build
 	tools/demo
+
+# Runs the proofs of tools/proofs.tsv with fixed seeds.
+prove:
+	tools/prove
+
+# Runs the property tests with new seeds for SOAK_SECONDS, then the fuzz targets for a short turn each.
+soak:
+	tools/soak
+
+# Fuzzes each target for FUZZ_SECONDS.
+fuzz:
+	tools/fuzz
