--- /dev/null
+++ b/internal/gateway/proof_test.go
@@ -0,0 +1,194 @@
+package gateway
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"waxwingcleat.example/waxwingcleat/internal/resource"
+	"waxwingcleat.example/waxwingcleat/internal/rpc/peerpb"
+)
+
+// slot is an engine with one adapter slot. It runs a request only when the request names the load in the slot.
+type slot struct {
+	mu   sync.Mutex
+	load string
+	ran  map[string]int
+}
+
+func newSlot(load string) *slot { return &slot{load: load, ran: map[string]int{}} }
+
+func (s *slot) reload(load string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.load = load
+}
+
+func (s *slot) answer(w http.ResponseWriter, r *http.Request, body []byte) {
+	var asked struct{ Model string }
+	_ = json.Unmarshal(body, &asked)
+	s.mu.Lock()
+	holds := asked.Model == s.load
+	if holds {
+		s.ran[asked.Model]++
+	}
+	s.mu.Unlock()
+	if !holds {
+		refuseNotLoaded(w, r, body)
+		return
+	}
+	answerWell(w, r, body)
+}
+
+// counts returns how often each load has run a request.
+func (s *slot) counts() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	counts := map[string]int{}
+	for load, count := range s.ran {
+		counts[load] = count
+	}
+	return counts
+}
+
+// versionOn returns permits for a server with one load of a version of draft.
+func versionOn(name string, b *backend, version string, load uint64, state peerpb.LoadState) *peerpb.ServerPermits {
+	permits := serverWith(name, b, load)
+	permits.Loads[0].Name = fmt.Sprintf("draft@%s#%d", version, load)
+	permits.Loads[0].Version, permits.Loads[0].State = version, state
+	return permits
+}
+
+var _ = ginkgo.Describe("a version", func() {
+	// Guards P1 against a request that runs on the new default version when the default changes while the request is
+	// queued and its load is under way.
+	ginkgo.It("stays the one in force at arrival when the default changes while the request waits for its load", func() {
+		f := newFixture(nil)
+		engine := newBackend(answerWell)
+		f.scheduler.grant(versionOn("s1", engine, "v1", 5, peerpb.LoadState_LOADING))
+		first := make(chan answered, 1)
+		go func() {
+			defer ginkgo.GinkgoRecover()
+			first <- f.complete("")
+		}()
+		gomega.Eventually(func() []string {
+			var waiting []string
+			for _, d := range (<-f.scheduler.demand).Demand {
+				if d.Waiting > 0 {
+					waiting = append(waiting, d.Version)
+				}
+			}
+			return waiting
+		}, "10s").Should(gomega.Equal([]string{"v1"}))
+		f.config.view.Adapters["draft"] = &resource.Adapter{Meta: resource.Meta{Name: "draft"}, Spec: resource.AdapterSpec{
+			BaseModel: "base", DefaultVersion: "v2", Versions: []resource.AdapterVersion{{Name: "v1"}, {Name: "v2"}},
+		}}
+		loading := versionOn("s1", engine, "v1", 5, peerpb.LoadState_LOADING)
+		f.scheduler.grant(loading, versionOn("s2", engine, "v2", 6, peerpb.LoadState_RESIDENT))
+		// The second request shows that the gateway has the permit for v2, which the first one must not use.
+		gomega.Expect(f.complete("").status).To(gomega.Equal(http.StatusOK))
+		gomega.Expect(first).NotTo(gomega.Receive())
+		f.scheduler.grant(versionOn("s1", engine, "v1", 5, peerpb.LoadState_RESIDENT))
+		var a answered
+		gomega.Eventually(first, "10s").Should(gomega.Receive(&a))
+		gomega.Expect(a.status).To(gomega.Equal(http.StatusOK))
+		gomega.Expect(engine.bodies).To(gomega.HaveLen(2))
+		gomega.Expect(engine.bodies[0]).To(gomega.ContainSubstring(`"model":"draft@v2#6"`))
+		gomega.Expect(engine.bodies[1]).To(gomega.ContainSubstring(`"model":"draft@v1#5"`))
+	})
+
+	// Guards P1, P4 and P5 against an engine that restarts between decision and dispatch, and comes back empty or with
+	// another version or load number: the request is answered as not run, runs on nothing, and its key can be used again.
+	ginkgo.DescribeTable("is never run on another load when the engine has restarted after the decision",
+		func(reloaded string, headers ...string) {
+			f := newFixture(nil)
+			held := newSlot("draft@v1#5")
+			engine := newBackend(held.answer)
+			f.scheduler.grant(serverWith("s1", engine, 5))
+			gomega.Eventually(f.gateway.Ready, "10s").Should(gomega.Succeed())
+			held.reload(reloaded)
+			a := f.complete("", append([]string{"Waxwing-Deadline-Ms", "300"}, headers...)...)
+			gomega.Expect(a.status).To(gomega.Equal(http.StatusServiceUnavailable))
+			gomega.Expect(a.detail.Error.Execution).To(gomega.Equal("not_run"))
+			gomega.Expect(held.counts()).To(gomega.BeEmpty())
+			held.reload("draft@v1#7")
+			f.scheduler.grant(serverWith("s1", engine, 7))
+			gomega.Eventually(func() int { return f.complete("", headers...).status }, "10s").Should(gomega.Equal(http.StatusOK))
+			gomega.Expect(held.counts()).To(gomega.Equal(map[string]int{"draft@v1#7": 1}))
+		},
+		ginkgo.Entry("empty, idempotent", ""),
+		ginkgo.Entry("other version, idempotent", "draft@v2#6"),
+		ginkgo.Entry("same version, later load, idempotent", "draft@v1#6"),
+		ginkgo.Entry("empty, non-idempotent", "", "Waxwing-Idempotent", "false", "Idempotency-Key", "k1"),
+		ginkgo.Entry("other version, non-idempotent", "draft@v2#6", "Waxwing-Idempotent", "false", "Idempotency-Key", "k1"),
+	)
+
+	// Guards against endless unknown names that become demand, queued entries, or work for an engine.
+	ginkgo.It("that isn't declared is refused on arrival and leaves nothing behind", func() {
+		f := newFixture(nil)
+		engine := newBackend(answerWell)
+		f.scheduler.grant(serverWith("s1", engine, 5))
+		gomega.Eventually(f.gateway.Ready, "10s").Should(gomega.Succeed())
+		for i := range 200 {
+			for _, model := range []string{fmt.Sprint("unknown-", i), fmt.Sprint("draft@unknown-", i)} {
+				a := f.send(http.MethodPost, "/v1/completions", fmt.Sprintf(`{"model":%q,"prompt":"p"}`, model))
+				gomega.Expect(a.status).To(gomega.Equal(http.StatusNotFound))
+				gomega.Expect(a.detail.Error.Execution).To(gomega.Equal("not_run"))
+			}
+		}
+		f.complete("")
+		gomega.Expect(engine.runs()).To(gomega.Equal(1))
+		gomega.Expect(f.server.gateway.dispatcher.waiting(time.Now())).To(gomega.BeEmpty())
+		for len(f.scheduler.demand) > 0 {
+			for _, d := range (<-f.scheduler.demand).Demand {
+				gomega.Expect(d.Adapter).To(gomega.Equal("draft"))
+				gomega.Expect(d.Version).To(gomega.Equal("v1"))
+			}
+		}
+	})
+})
+
+var _ = ginkgo.Describe("a closing", func() {
+	// Guards P2 against an acknowledgement that lets the owner evict a load while a request is running on it.
+	ginkgo.It("is not acknowledged while a request runs on the load", func() {
+		f := newFixture(nil)
+		reached, finish := make(chan struct{}), make(chan struct{})
+		engine := newBackend(func(w http.ResponseWriter, r *http.Request, body []byte) {
+			close(reached)
+			<-finish
+			answerWell(w, r, body)
+		})
+		f.scheduler.grant(serverWith("s1", engine, 5))
+		answer := make(chan answered, 1)
+		go func() {
+			defer ginkgo.GinkgoRecover()
+			answer <- f.complete("")
+		}()
+		gomega.Eventually(reached, "10s").Should(gomega.BeClosed())
+		closing := serverWith("s1", engine, 5)
+		closing.Loads[0].State = peerpb.LoadState_CLOSING
+		f.scheduler.grant(closing)
+		f.scheduler.mu.Lock()
+		version := f.scheduler.version
+		f.scheduler.mu.Unlock()
+		// The gateway has learnt of the closing when it sends a sync under its permits version.
+		for seen := 0; seen < 2; {
+			sync := <-f.scheduler.demand
+			gomega.Expect(sync.ClosedLoads).To(gomega.BeEmpty())
+			if sync.PermitsVersion == version {
+				gomega.Expect(sync.InFlight).To(gomega.HaveLen(1))
+				seen++
+			}
+		}
+		close(finish)
+		var a answered
+		gomega.Eventually(answer, "10s").Should(gomega.Receive(&a))
+		gomega.Expect(a.status).To(gomega.Equal(http.StatusOK))
+		gomega.Eventually(func() []uint64 { return (<-f.scheduler.demand).ClosedLoads }, "10s").Should(gomega.Equal([]uint64{5}))
+	})
+})
--- /dev/null
+++ b/internal/ledger/proof_test.go
@@ -0,0 +1,83 @@
+package ledger
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestEndlessKeysAreBounded guards P5 and the memory of a gateway against endless fresh keys: the table never holds more
+// keys than its bound, a full table answers as not run instead of forgetting a key, and no key is claimed twice.
+func TestEndlessKeysAreBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const bound = 20
+		w := newWorld(t, 2)
+		for _, n := range w.nodes {
+			n.core.config.maximumKeys = bound
+		}
+		w.calm(time.Second, 100*time.Millisecond)
+		claimed, refused := map[KeyHash]bool{}, 0
+		for i := range 60 {
+			n := w.nodes[rapid.IntRange(0, 1).Draw(t, "node")]
+			number := i
+			if rapid.IntRange(0, 4).Draw(t, "known") == 0 {
+				number = rapid.IntRange(0, i).Draw(t, "number")
+			}
+			key := Key{Hash: HashKey(fmt.Sprint("endless-", number), "POST /")}
+			switch verdict := w.ask(n, key); verdict.State {
+			case Claimed:
+				if claimed[key.Hash] {
+					t.Fatalf("key %d is claimed twice", number)
+				}
+				claimed[key.Hash] = true
+				w.finish(n, rapid.SampledFrom([]int{0, 4, 12}).Draw(t, "how"))
+			case Unavailable:
+				refused++
+				if verdict.RetryAfter <= 0 || claimed[key.Hash] {
+					t.Fatalf("key %d, claimed before: %v, is refused with %+v", number, claimed[key.Hash], verdict)
+				}
+			}
+			for _, node := range w.nodes {
+				// Two gateways may each accept the last free place at the same time.
+				if held := node.core.table.count; held > bound+len(w.nodes) {
+					t.Fatalf("a table holds %d keys", held)
+				}
+			}
+		}
+		if refused == 0 {
+			t.Fatal("no key was refused, so the bound was never reached")
+		}
+	})
+}
+
+// TestLateClaimOfPausedGateway guards P5 against a pair of failures that TestAtMostOnce meets only by chance: a claim whose append takes effect late while its gateway is frozen, and a retry at another gateway
+// that can't ask the first one.
+func TestLateClaimOfPausedGateway(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, 3)
+		w.calm(time.Second, 100*time.Millisecond)
+		key := worldKey(0)
+		first, second := w.nodes[0], w.nodes[1]
+		w.begin(first, key)
+		w.deliver(first, 0, true, rapid.Bool().Draw(t, "answered"))
+		first.frozen = rapid.Bool().Draw(t, "frozen")
+		if rapid.Bool().Draw(t, "second before the late record") {
+			w.begin(second, key)
+		}
+		w.advance(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+		for _, data := range w.late {
+			w.land(data)
+		}
+		w.late = nil
+		w.begin(second, key)
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			w.step([]fault{faultUnheard, faultDoubled, faultLate, faultFreeze, faultCut, faultDoubt})
+		}
+		w.heal()
+		if verdict := w.ask(w.nodes[2], key); verdict.State == InProgress {
+			t.Fatalf("the key counts as in progress after healing: %+v", verdict)
+		}
+	})
+}
--- /dev/null
+++ b/internal/permits/proof_test.go
@@ -0,0 +1,46 @@
+package permits_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"waxwingcleat.example/waxwingcleat/internal/permits"
+	"waxwingcleat.example/waxwingcleat/internal/routing"
+	"waxwingcleat.example/waxwingcleat/internal/rpc/peerpb"
+)
+
+// TestEndlessTargetsAreBounded guards against arrivals of endless new targets that make the table and its syncs grow
+// while a scheduler is out of reach.
+func TestEndlessTargetsAreBounded(t *testing.T) {
+	const maximumDemand = 1 << 12
+	table := newTable(contact)
+	for round := range 3 {
+		for i := range 3 * maximumDemand {
+			table.Arrived(routing.Target{Adapter: fmt.Sprint("adapter-", round, "-", i), Version: "v"})
+		}
+		request := table.Sync(contact, permits.Identity{}, permits.Report{}, 0)
+		if len(request.Demand) > maximumDemand {
+			t.Fatalf("a sync reports %d targets", len(request.Demand))
+		}
+		table.NotDelivered(contact, request)
+	}
+}
+
+// TestEndlessLoadsLeaveNothing guards against candidates that remain of loads that are gone, and against closings that
+// are acknowledged for ever.
+func TestEndlessLoadsLeaveNothing(t *testing.T) {
+	table := newTable(contact)
+	version := uint64(0)
+	for load := uint64(1); load <= 20_000; load++ {
+		for _, state := range []peerpb.LoadState{peerpb.LoadState_RESIDENT, peerpb.LoadState_CLOSING} {
+			version++
+			table.Apply(contact, start.Add(time.Duration(version)*time.Millisecond), answerOf("i", version, 1, loadOf(load, state)))
+		}
+		candidates := table.Gather(routing.Target{Adapter: "a", Version: "v"}, nil)
+		closed := table.Sync(contact, permits.Identity{}, permits.Report{}, 0).ClosedLoads
+		if len(candidates) != 1 || len(closed) != 1 {
+			t.Fatalf("after load %d there are %d candidates and %d acknowledgements", load, len(candidates), len(closed))
+		}
+	}
+}
