--- a/internal/gateway/proof_test.go
+++ b/internal/gateway/proof_test.go
@@ -12,6 +12,7 @@
 
 	"waxwingcleat.example/waxwingcleat/internal/resource"
 	"waxwingcleat.example/waxwingcleat/internal/rpc/peerpb"
+	"waxwingcleat.example/waxwingcleat/internal/settings"
 )
 
 // slot is an engine with one adapter slot. It runs a request only when the request names the load in the slot.
@@ -192,3 +193,26 @@
 		gomega.Eventually(func() []uint64 { return (<-f.scheduler.demand).ClosedLoads }, "10s").Should(gomega.Equal([]uint64{5}))
 	})
 })
+
+var _ = ginkgo.Describe("a planned stop", func() {
+	// Guards P7 and P9 against a queued request whose connection is cut off by the stop instead of being answered.
+	ginkgo.It("answers a request that is still queued before the connections are closed", func() {
+		f := newFixture(func(s *Settings) {
+			s.AnnouncePeriod = settings.Duration(10 * time.Millisecond)
+			s.ShutdownTimeout = settings.Duration(3 * time.Second)
+		})
+		answers := make(chan answered, 1)
+		go func() {
+			defer ginkgo.GinkgoRecover()
+			answers <- f.complete("")
+		}()
+		gomega.Eventually(func() int { return len(f.gateway.Report(time.Now()).Waiting) }, "10s").Should(gomega.Equal(1))
+		f.stop()
+		var a answered
+		gomega.Eventually(answers, "20s").Should(gomega.Receive(&a))
+		gomega.Expect(a.status).To(gomega.Equal(http.StatusServiceUnavailable))
+		gomega.Expect(a.detail.Error.Code).To(gomega.Equal("stopping"))
+		gomega.Expect(a.detail.Error.Execution).To(gomega.Equal("not_run"))
+		gomega.Eventually(f.ended, "20s").Should(gomega.BeClosed())
+	})
+})
--- a/internal/ledger/proof_test.go
+++ b/internal/ledger/proof_test.go
@@ -81,3 +81,41 @@
 		}
 	})
 }
+
+// TestFreshKeysAreRefusedAtOnce guards P5 and P10 against a Begin that waits for its time limit, or claims, although the log
+// is known to be out of reach: the answer must come in the same call, and known keys still get their outcome.
+func TestFreshKeysAreRefusedAtOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, 1)
+		n := w.nodes[0]
+		w.calm(time.Second, 100*time.Millisecond)
+		w.ask(n, worldKey(0))
+		w.finish(n, 4)
+		w.calm(time.Second, 100*time.Millisecond)
+		// In each kind of outage one key finds out: by a read that doesn't come, or by an append that isn't taken.
+		unreadable := rapid.Bool().Draw(t, "can't be read")
+		w.begin(n, worldKey(1))
+		outage := time.Duration(rapid.IntRange(6, 60).Draw(t, "seconds")) * time.Second
+		for end := w.now.Add(outage); w.now.Before(end); {
+			w.advance(100 * time.Millisecond)
+			if unreadable {
+				w.deliver(n, 1, false, true)
+			} else {
+				w.deliver(n, 0, false, false)
+				w.readUp(n, len(w.log))
+			}
+		}
+		ticket := w.begin(n, worldKey(2))
+		if verdict, answered := n.last[ticket]; !answered || verdict.State != Unavailable || verdict.RetryAfter <= 0 {
+			t.Fatalf("answered at once: %v, with %+v", answered, verdict)
+		}
+		ticket = w.begin(n, worldKey(0))
+		if verdict, answered := n.last[ticket]; !answered || verdict.State != Completed {
+			t.Fatalf("a known key is answered at once: %v, with %+v", answered, verdict)
+		}
+		w.heal()
+		if verdict := w.ask(n, worldKey(2)); verdict.State != Claimed {
+			t.Fatalf("after the outage: %+v", verdict)
+		}
+	})
+}
