--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,6 @@
 GO ?= go
-BINARIES := $(notdir $(wildcard cmd/*))
 
-.PHONY: build test lint unit examples demo prove bench soak fuzz plots generate clean prove-processes
+.PHONY: build test lint unit examples demo prove prove-processes bench plots soak fuzz generate clean
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -35,3 +34,15 @@
 
 prove-processes: build
 	tools/prove-processes
+
+# Runs the proofs of tools/proofs.tsv with fixed seeds.
+prove:
+	tools/prove
+
+# Runs the property tests with new seeds for SOAK_SECONDS, then the fuzz targets for a short turn each.
+soak:
+	tools/soak
+
+# Fuzzes each target for FUZZ_SECONDS.
+fuzz:
+	tools/fuzz
