Never call a request not run after one of its tries may have been written

Cause: net/http tries a GET again on a new connection when a reused one breaks. When the permit had ended by then, the gate refused the second try, and the attempt was called not run although the engine or service may have run the first. Ruled out: turning the replay off for all requests, since a fresh connection for each idempotent request costs a round trip. Change: an attempt counts as not run only while no write was ever allowed on any of its connections. Conclusion: found by reading; the same error could not hit non-idempotent requests, which have a connection of their own.

--- a/internal/relay/transport.go
+++ b/internal/relay/transport.go
@@ -79,34 +79,39 @@
 	}
 }
 
-// trial is what is known of one request to a server: whether a connection was obtained, and whether leave to write
-// was refused.
+// trial is what is known of one request to a server. net/http may try it on several connections: once a write was
+// allowed on one of them, a refusal on a later one doesn't make the request "not run".
 type trial struct {
-	connected atomic.Bool
-	refused   atomic.Bool
+	written atomic.Bool
+	refused atomic.Bool
 }
 
 // execution returns NotRun only when it's certain that no byte of the request was written.
 func (t *trial) execution() Execution {
-	if !t.connected.Load() || t.refused.Load() {
-		return NotRun
+	if t.written.Load() {
+		return Unknown
 	}
-	return Unknown
+	return NotRun
 }
 
 // traced returns a context that records the trial and arms the gate of the connection.
 func (t *trial) traced(ctx context.Context, allowed func() bool) context.Context {
 	check := func() bool {
 		ok := allowed() && ctx.Err() == nil
+		if ok {
+			t.written.Store(true)
+		}
 		t.refused.Store(!ok)
 		return ok
 	}
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			t.connected.Store(true)
-			if conn, ok := info.Conn.(*gatedConn); ok {
-				conn.arm(check)
+			conn, ok := info.Conn.(*gatedConn)
+			if !ok {
+				t.written.Store(true)
+				return
 			}
+			conn.arm(check)
 		},
 	})
 }
