Collect garbage at half the growth, and tick ledger and load queue less often

Cause: the three idle processes of a VM with 3,000 adapters took 67.9 MiB and 2.1% of a core (capacity measurement), above 64 MB and 1.2%. Ruled out: GOMEMLIMIT, which kept memory lower but took 30% of a core near the live heap. Change: the server binaries collect at 50% growth unless GOGC is set; the ledger ticks each 20 ms instead of 10, the load queue each 50 ms instead of 20.

--- a/internal/ledger/driver.go
+++ b/internal/ledger/driver.go
@@ -22,7 +22,7 @@
 	// askers bounds the lookups and outcome reads at a time.
 	askers      = 8
 	askTimeout  = time.Second
-	tickPeriod  = 10 * time.Millisecond
+	tickPeriod  = 20 * time.Millisecond
 	drainPeriod = 10 * time.Millisecond
 )
 
--- a/internal/loadqueue/driver.go
+++ b/internal/loadqueue/driver.go
@@ -18,7 +18,7 @@
 const (
 	commandCapacity = 1024
 	readCapacity    = 16
-	tickPeriod      = 20 * time.Millisecond
+	tickPeriod      = 50 * time.Millisecond
 	appendTimeout   = 2 * time.Second
 )
 
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -72,6 +72,7 @@
 				fmt.Printf("%s: settings are valid\n", file)
 				return nil
 			}
+			limitGarbage()
 			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 			defer stop()
 			return run(ctx)
@@ -85,6 +86,17 @@
 	return command
 }
 
+// collectAtPercent is the growth of the heap at which garbage is collected. At Go's default of 100 the three idle
+// processes of a VM with 3,000 adapters took 67.9 MiB together, above the 64 MB of a node; at 50 they took 59.9 MiB.
+const collectAtPercent = 50
+
+// limitGarbage sets the collector's target, unless the environment does.
+func limitGarbage() {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(collectAtPercent)
+	}
+}
+
 // VersionCommand returns the command "version".
 func VersionCommand(name string) *cobra.Command {
 	return &cobra.Command{
