--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BINARIES := $(notdir $(wildcard cmd/*))
 
-.PHONY: build test lint unit demo prove bench soak generate clean
+.PHONY: build test lint unit demo prove bench soak capacity generate clean
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -25,3 +25,7 @@
 
 demo: build
 	tools/demo
+
+# Repeats the measurements of docs/CAPACITY.md.
+capacity: build
+	tools/capacity
--- /dev/null
+++ b/internal/membership/capacity_test.go
@@ -0,0 +1,125 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// capacityNodes are the sizes of the site; 390 is the size to design for.
+var capacityNodes = []int{9, 32, 100, 390}
+
+// changeInterval is the mean time between two of 1,500 configuration changes a day.
+const changeInterval = 24 * time.Hour / 1500
+
+// tallied counts the messages of a world and their bytes before framing.
+type tallied struct{ messages, bytes int }
+
+func (t *tallied) add(m proto.Message) {
+	t.messages++
+	t.bytes += proto.Size(m)
+}
+
+// settledWorld returns a world in which every node knows all others and nothing is left to gossip.
+func settledWorld(b *testing.B, nodes int) *world {
+	w := newWorld(nodes, 1)
+	for range 30 {
+		w.run(10 * time.Second)
+		if w.disagreement() == "" && gossiping(w) == 0 {
+			return w
+		}
+	}
+	b.Logf("gossip remains on %d of %d nodes", gossiping(w), nodes)
+	return w
+}
+
+// gossiping is the number of nodes that have changes to pass on.
+func gossiping(w *world) int {
+	count := 0
+	for _, c := range w.nodes {
+		if len(c.gossip.sent) > 0 {
+			count++
+		}
+	}
+	return count
+}
+
+func (t *tallied) report(b *testing.B, nodes int, span time.Duration, prefix string) {
+	b.ReportMetric(float64(t.messages)/float64(nodes)/span.Seconds(), prefix+"messages/s")
+	b.ReportMetric(float64(t.bytes)/float64(nodes)/span.Seconds(), prefix+"B/s")
+}
+
+// BenchmarkIdleGossip measures the messages that a node sends, and their bytes before framing, when nothing changes.
+func BenchmarkIdleGossip(b *testing.B) {
+	for _, nodes := range capacityNodes {
+		b.Run(fmt.Sprint(nodes), func(b *testing.B) {
+			span := 2 * time.Minute
+			for b.Loop() {
+				w := settledWorld(b, nodes)
+				var counted tallied
+				w.count = counted.add
+				w.run(span)
+				counted.report(b, nodes, span, "")
+			}
+		})
+	}
+}
+
+// BenchmarkChangeGossip measures the same while 1,500 configuration changes a day arrive, each applied by all nodes
+// at once, and how long it takes until every node has heard from all that the first is in force.
+func BenchmarkChangeGossip(b *testing.B) {
+	for _, nodes := range capacityNodes {
+		b.Run(fmt.Sprint(nodes), func(b *testing.B) {
+			for b.Loop() {
+				w := settledWorld(b, nodes)
+				var counted tallied
+				w.count = counted.add
+				known := time.Duration(0)
+				const changes = 3
+				for change := range changes {
+					for _, c := range w.nodes {
+						c.setApplied(w.now, uint64(change+1))
+					}
+					for begin := w.now; w.now.Sub(begin) < changeInterval; {
+						w.run(time.Second)
+						if known == 0 && allApplied(w, 1) {
+							known = w.now.Sub(begin) + time.Duration(change)*changeInterval
+						}
+					}
+				}
+				counted.report(b, nodes, changes*changeInterval, "")
+				b.ReportMetric(known.Seconds(), "known-s")
+				b.ReportMetric(float64(gossiping(w)), "gossiping")
+			}
+		})
+	}
+}
+
+// allApplied reports whether every node's table shows every node at the offset.
+func allApplied(w *world, offset uint64) bool {
+	for _, c := range w.nodes {
+		for _, m := range c.members {
+			if m.entry.AppliedConfig < offset {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// BenchmarkTick measures the processor time of one tick of an idle node.
+func BenchmarkTick(b *testing.B) {
+	for _, nodes := range capacityNodes {
+		b.Run(fmt.Sprint(nodes), func(b *testing.B) {
+			w := settledWorld(b, nodes)
+			c := w.nodes[w.names[0]]
+			now := w.now
+			for b.Loop() {
+				c.tick(now)
+				c.take()
+			}
+		})
+	}
+}
