--- a/internal/membership/capacity_test.go
+++ b/internal/membership/capacity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -23,8 +24,8 @@
 }
 
 // settledWorld returns a world in which every node knows all others and nothing is left to gossip.
-func settledWorld(b *testing.B, nodes int) *world {
-	w := newWorld(nodes, 1)
+func settledWorld(b *testing.B, nodes int, seed uint64) *world {
+	w := newWorld(nodes, seed)
 	for range 30 {
 		w.run(10 * time.Second)
 		if w.disagreement() == "" && gossiping(w) == 0 {
@@ -57,7 +58,7 @@
 		b.Run(fmt.Sprint(nodes), func(b *testing.B) {
 			span := 2 * time.Minute
 			for b.Loop() {
-				w := settledWorld(b, nodes)
+				w := settledWorld(b, nodes, 1)
 				var counted tallied
 				w.count = counted.add
 				w.run(span)
@@ -73,7 +74,7 @@
 	for _, nodes := range capacityNodes {
 		b.Run(fmt.Sprint(nodes), func(b *testing.B) {
 			for b.Loop() {
-				w := settledWorld(b, nodes)
+				w := settledWorld(b, nodes, 1)
 				var counted tallied
 				w.count = counted.add
 				known := time.Duration(0)
@@ -109,11 +110,38 @@
 	return true
 }
 
+// BenchmarkKnown measures, over nine seeds, how long one change that all nodes apply at once takes until every node
+// has heard of it from all others.
+func BenchmarkKnown(b *testing.B) {
+	for _, nodes := range []int{9, 32, 100} {
+		b.Run(fmt.Sprint(nodes), func(b *testing.B) {
+			for b.Loop() {
+				var times []float64
+				for seed := range uint64(9) {
+					w := settledWorld(b, nodes, seed+1)
+					for _, c := range w.nodes {
+						c.setApplied(w.now, 1)
+					}
+					begin := w.now
+					for !allApplied(w, 1) && w.now.Sub(begin) < 10*time.Minute {
+						w.run(time.Second)
+					}
+					times = append(times, w.now.Sub(begin).Seconds())
+				}
+				slices.Sort(times)
+				b.ReportMetric(times[len(times)/2], "median-s")
+				b.ReportMetric(times[0], "min-s")
+				b.ReportMetric(times[len(times)-1], "max-s")
+			}
+		})
+	}
+}
+
 // BenchmarkTick measures the processor time of one tick of an idle node.
 func BenchmarkTick(b *testing.B) {
 	for _, nodes := range capacityNodes {
 		b.Run(fmt.Sprint(nodes), func(b *testing.B) {
-			w := settledWorld(b, nodes)
+			w := settledWorld(b, nodes, 1)
 			c := w.nodes[w.names[0]]
 			now := w.now
 			for b.Loop() {
