Work out the capacity of each mechanism

BenchmarkRejoin adds the time until two halves of a site agree again. It was run at 9, 32 and 100 nodes, not at 390.

--- a/internal/membership/capacity_test.go
+++ b/internal/membership/capacity_test.go
@@ -151,3 +151,30 @@
 		})
 	}
 }
+
+// BenchmarkRejoin measures how long two halves of a site that were apart for ten minutes take to agree again, and the
+// bytes that a node sends meanwhile. Dead nodes are kept for three hours, so an hour apart takes the same way.
+func BenchmarkRejoin(b *testing.B) {
+	for _, nodes := range []int{9, 32, 100} {
+		b.Run(fmt.Sprint(nodes), func(b *testing.B) {
+			for b.Loop() {
+				w := settledWorld(b, nodes, 1)
+				for i, name := range w.names {
+					w.group[name] = i % 2
+				}
+				w.run(10 * time.Minute)
+				var counted tallied
+				w.count = counted.add
+				for _, name := range w.names {
+					w.group[name] = 0
+				}
+				begin := w.now
+				for w.disagreement() != "" && w.now.Sub(begin) < 30*time.Minute {
+					w.run(time.Second)
+				}
+				b.ReportMetric(w.now.Sub(begin).Seconds(), "agree-s")
+				counted.report(b, nodes, w.now.Sub(begin), "")
+			}
+		})
+	}
+}
