--- a/internal/rpc/peerpb/capacity_test.go
+++ b/internal/rpc/peerpb/capacity_test.go
@@ -261,3 +261,26 @@
 		})
 	}
 }
+
+// BenchmarkWireVMs measures a read of the VM list on a kept connection by the number of VMs. Membership and the
+// scheduler's core read it separately.
+func BenchmarkWireVMs(b *testing.B) {
+	for _, count := range []int{9, 100, 390} {
+		b.Run(fmt.Sprintf("vms=%d", count), func(b *testing.B) {
+			var answer httplog.VMsAnswer
+			for i := range count {
+				vm := platform.VM{Name: fmt.Sprintf("vm-%03d", i), Zone: "salle-ndar", Address: "10.20.30.40", State: "live"}
+				answer.VMs = append(answer.VMs, vm)
+			}
+			handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, answer) })
+			var client *httplog.Client
+			measureWire(b, handler, func(address string) error {
+				if client == nil {
+					client = httplog.New("http://"+address, "http://"+address, 5*time.Second)
+				}
+				_, err := client.VMs(b.Context())
+				return err
+			})
+		})
+	}
+}
