--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: build test lint unit examples demo prove prove-processes bench plots soak fuzz generate clean
+.PHONY: build test lint unit examples demo prove prove-processes bench plots soak fuzz generate clean capacity
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -46,3 +46,7 @@
 # Fuzzes each target for FUZZ_SECONDS.
 fuzz:
 	tools/fuzz
+
+# Repeats the measurements of docs/CAPACITY.md.
+capacity: build
+	tools/capacity
