Forget idle adapters in a fixed order in the placement policy

Change: a list with a cursor visits the known adapter versions in turn, four at each observation as before.

--- a/internal/placement/stall.go
+++ b/internal/placement/stall.go
@@ -63,7 +63,11 @@
 type Stall struct {
 	options Options
 	known   map[fleet.AdapterVersion]popularity
-	ranked  ranked
+	// order lists the known adapter versions, and next is the place at which forget goes on. Visits in the order of a
+	// map made runs of the same seed differ.
+	order  []fleet.AdapterVersion
+	next   int
+	ranked ranked
 }
 
 // NewStall returns the default policy.
@@ -76,7 +80,11 @@
 
 // Observe implements Policy.
 func (p *Stall) Observe(now time.Time, of fleet.AdapterVersion, rank, arrived uint32) {
-	entry := p.decayed(now, p.known[of])
+	entry, seen := p.known[of]
+	if !seen {
+		p.order = append(p.order, of)
+	}
+	entry = p.decayed(now, entry)
 	if rank == UrgentRank {
 		entry.urgent += float64(arrived)
 	} else {
@@ -89,14 +97,18 @@
 
 // forget drops idle entries, a few at a time, so that no call visits all adapters.
 func (p *Stall) forget(now time.Time) {
-	looked := 0
-	for of, entry := range p.known {
-		if current := p.decayed(now, entry); current.urgent+current.other < negligible {
-			delete(p.known, of)
-		}
-		if looked++; looked >= 4 {
-			return
+	const looks = 4
+	for range min(looks, len(p.order)) {
+		p.next %= len(p.order)
+		of := p.order[p.next]
+		if current := p.decayed(now, p.known[of]); current.urgent+current.other >= negligible {
+			p.next++
+			continue
 		}
+		delete(p.known, of)
+		last := len(p.order) - 1
+		p.order[p.next] = p.order[last]
+		p.order = p.order[:last]
 	}
 }
 
