Hold requests for the same adapter version in batch windows

Change: a priority class may declare batchWindowMs and gatherSize. The gateway holds its requests for one adapter version until enough of them wait or the first has waited for the window, and then releases all of them. The window in force is the declared one times 1 - stallWeight. A request is held for at most half of the time until it's given up on, blocks no other while it's held, and is no longer held once the gateway announces its stop. The queue states its next tick, so the dispatcher's timer is the only wake-up. Held requests count as demand, and the first one without a copy of its adapter asks for a sync at once, because held requests are not tried. Conclusion: classes without a window, and all default classes, are served as before. A build from before this commit refuses the new fields, so they may be declared only when all processes run this build.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -33,16 +33,19 @@
 	busy   map[int]int
 	expiry expiryHeap
 	pace   pace
+	// gathering holds entries of classes with a batch window.
+	gathering *Gathering[routing.Target]
 }
 
 // NewQueue returns an empty queue.
 func NewQueue(random *rand.Rand) *Queue {
 	return &Queue{
-		random: random,
-		lists:  map[int]*list.List{},
-		items:  map[uint64]*item{},
-		counts: map[string]int{},
-		busy:   map[int]int{},
+		random:    random,
+		lists:     map[int]*list.List{},
+		items:     map[uint64]*item{},
+		counts:    map[string]int{},
+		busy:      map[int]int{},
+		gathering: NewGathering[routing.Target](),
 	}
 }
 
@@ -56,7 +59,7 @@
 func (q *Queue) Offer(entry Entry, now time.Time, try func(Entry) Result) (GivenUp, bool) {
 	estimate := q.Estimate(entry.Class.Rank)
 	if q.counts[entry.Class.Name] >= entry.Class.QueueLimit {
-		if !q.takesAPlace(entry) && try(entry) == Dispatched {
+		if !q.takesAPlace(entry, now) && try(entry) == Dispatched {
 			return GivenUp{}, true
 		}
 		return q.giveUp(entry, QueueFull, estimate), false
@@ -73,21 +76,30 @@
 }
 
 // takesAPlace reports whether an entry that is dispatched at once would overtake another: one that waits for busy
-// servers, or one for the same target.
-func (q *Queue) takesAPlace(entry Entry) bool {
+// servers, or one for the same target. Entries that are held for a batch aren't overtaken, as they ask for no place yet.
+func (q *Queue) takesAPlace(entry Entry, now time.Time) bool {
 	for rank := range q.busy {
 		if rank <= entry.Class.Rank {
 			return true
 		}
 	}
 	for _, it := range q.items {
-		if it.entry.Target == entry.Target && it.entry.Class.Rank <= entry.Class.Rank {
+		ahead := it.entry.Target == entry.Target && it.entry.Class.Rank <= entry.Class.Rank
+		if ahead && !q.held(it, now) {
 			return true
 		}
 	}
 	return false
 }
 
+// held reports whether the item is held for a batch.
+func (q *Queue) held(it *item, now time.Time) bool {
+	return it.entry.batched() && q.gathering.Held(it.entry.Target, now)
+}
+
+// EndHolds releases the entries that are held for a batch, now and from now on. The next Dispatch tries them.
+func (q *Queue) EndHolds() { q.gathering.End() }
+
 // Estimate returns how long a new entry of the rank would wait: the entries that go before it and wait for busy
 // servers, at the measured pace of dispatches. Entries that wait for a load take nobody's place and don't count.
 func (q *Queue) Estimate(rank int) time.Duration {
@@ -111,6 +123,9 @@
 	q.items[it.entry.ID] = it
 	q.counts[it.entry.Class.Name]++
 	heap.Push(&q.expiry, it)
+	if it.entry.batched() {
+		q.gathering.Add(it.entry.Target, it.entry.ID, it.entry.Class.Batch, it.entry.Arrived, it.entry.giveUpAt())
+	}
 }
 
 func (q *Queue) take(it *item) {
@@ -127,6 +142,7 @@
 		delete(q.counts, it.entry.Class.Name)
 	}
 	heap.Remove(&q.expiry, it.index)
+	q.gathering.Remove(it.entry.Target, it.entry.ID)
 }
 
 func (q *Queue) setBusy(it *item, busy bool) {
@@ -146,7 +162,8 @@
 }
 
 // Dispatch offers the entries to try in the order of rank and then of arrival. After a target was found blocked, its
-// other entries are passed over, as they are behind the first, unless the first alone was excluded. Try must give an entry that it took its server.
+// other entries are passed over, as they are behind the first, unless the first alone was excluded. Entries that are
+// held for a batch are passed over and hold up no others. Try must give an entry that it took its server.
 func (q *Queue) Dispatch(now time.Time, try func(Entry) Result) {
 	if len(q.items) == 0 {
 		return
@@ -158,6 +175,9 @@
 		for element := q.lists[rank].Front(); element != nil; element = next {
 			next = element.Next()
 			it := element.Value.(*item)
+			if q.held(it, now) {
+				continue
+			}
 			result, known := blocked[it.entry.Target]
 			if !known {
 				result = try(it.entry)
@@ -196,6 +216,17 @@
 	return q.expiry[0].entry.giveUpAt(), true
 }
 
+// NextTick returns when the queue must next be asked to expire and dispatch entries even if nothing else happens; false
+// when it has nothing to do then.
+func (q *Queue) NextTick() (time.Time, bool) {
+	expiry, waiting := q.NextExpiry()
+	release, held := q.gathering.NextRelease()
+	if held && (!waiting || release.Before(expiry)) {
+		return release, true
+	}
+	return expiry, waiting
+}
+
 // Expire takes out the entries whose time is over.
 func (q *Queue) Expire(now time.Time) []GivenUp {
 	var expired []GivenUp
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -20,6 +20,8 @@
 	QueueLimit int
 	// MaximumWait bounds the time in the queue.
 	MaximumWait time.Duration
+	// Batch is the batch window in force; its zero value holds nothing.
+	Batch BatchWindow
 }
 
 // Names of the default classes.
@@ -72,6 +74,9 @@
 	return at
 }
 
+// batched reports whether the entry may be held for a batch. Plain services run no batches.
+func (e *Entry) batched() bool { return e.Class.Batch.Window > 0 && e.Target.Service == "" }
+
 // Cause says why a request was given up on.
 type Cause uint8
 
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -72,6 +72,7 @@
 const (
 	commandOffer commandKind = iota
 	commandRemove
+	commandEndHolds
 	commandStop
 )
 
@@ -103,6 +104,8 @@
 
 	waits  metrics.Timer
 	stalls metrics.Timer
+	// holds times the requests of classes with a batch window that waited for no load.
+	holds metrics.Timer
 }
 
 func newDispatcher(g *Gateway, random *rand.Rand) *dispatcher {
@@ -122,6 +125,7 @@
 		waiters:   map[uint64]*waiter{},
 		waits:     metrics.GetOrRegisterTimer("gateway.wait", nil),
 		stalls:    metrics.GetOrRegisterTimer("gateway.load_stall", nil),
+		holds:     metrics.GetOrRegisterTimer("gateway.batch_hold", nil),
 	}
 }
 
@@ -146,16 +150,16 @@
 		case <-timer.C:
 			d.pass()
 		}
-		if next, waiting := d.nextExpiry(); waiting {
+		if next, waiting := d.nextTick(); waiting {
 			timer.Reset(max(next.Sub(d.now()), 0))
 		}
 	}
 }
 
-func (d *dispatcher) nextExpiry() (time.Time, bool) {
+func (d *dispatcher) nextTick() (time.Time, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.queue.NextExpiry()
+	return d.queue.NextTick()
 }
 
 func (d *dispatcher) handle(c command) {
@@ -164,6 +168,8 @@
 		d.offer(c.waiter)
 	case commandRemove:
 		d.remove(c.waiter)
+	case commandEndHolds:
+		d.endHolds()
 	case commandStop:
 		d.stop()
 	}
@@ -186,12 +192,26 @@
 		d.giveUp(refused)
 	}
 	newDemand := d.passLocked(now)
+	newDemand = d.heldWithoutCopy(w, now) || newDemand
 	d.mu.Unlock()
 	if newDemand {
 		d.permits.Kick()
 	}
 }
 
+// heldWithoutCopy reports whether a waiter with a batch window is held while no server holds its adapter. Held entries
+// aren't tried, so without this the schedulers would learn of the demand only at the next sync.
+func (d *dispatcher) heldWithoutCopy(w *waiter, now time.Time) bool {
+	if w.entry.Class.Batch.Window == 0 || w.stalled || d.waiters[w.id] == nil {
+		return false
+	}
+	d.gather(w, now)
+	choice := d.policy.Decide(&w.request, &routing.Snapshot{Now: now, Candidates: d.candidates}, d.random, d.verdicts)
+	d.verdicts = choice.Verdicts
+	w.stalled = choice.Index < 0 && choice.Blocked == routing.NoCopy && !choice.Has(routing.AlreadyTried)
+	return w.stalled
+}
+
 // pass gives up on what has waited too long and dispatches what can be.
 func (d *dispatcher) pass() {
 	d.mu.Lock()
@@ -283,8 +303,11 @@
 func (d *dispatcher) dispatched(w *waiter, now time.Time) {
 	delete(d.waiters, w.id)
 	d.waits.Update(now.Sub(w.entry.Arrived))
-	if w.stalled {
+	switch {
+	case w.stalled:
 		d.stalls.Update(now.Sub(w.entry.Arrived))
+	case w.entry.Class.Batch.Window > 0:
+		d.holds.Update(now.Sub(w.entry.Arrived))
 	}
 }
 
@@ -303,6 +326,14 @@
 	}
 }
 
+// endHolds releases what is held for a batch, now and from now on.
+func (d *dispatcher) endHolds() {
+	d.mu.Lock()
+	d.queue.EndHolds()
+	d.mu.Unlock()
+	d.pass()
+}
+
 // stop gives up on all waiters, now and from now on.
 func (d *dispatcher) stop() {
 	d.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -97,8 +97,17 @@
 	}
 }
 
-// AnnounceStop makes Ready fail. Requests are still served.
-func (g *Gateway) AnnounceStop() { g.stopping.Store(true) }
+// AnnounceStop makes Ready fail. Requests are still served, and are no longer held for batches.
+func (g *Gateway) AnnounceStop() {
+	g.stopping.Store(true)
+	pushing, cancel := context.WithTimeout(context.Background(), endHoldsTimeout)
+	defer cancel()
+	// After this timeout, batch windows still end by themselves.
+	_ = g.dispatcher.commands.Push(pushing, command{kind: commandEndHolds})
+}
+
+// endHoldsTimeout bounds the wait for room in the dispatcher's ring at a stop.
+const endHoldsTimeout = time.Second
 
 // GiveUpQueued answers all queued requests as not run, and refuses later ones.
 func (g *Gateway) GiveUpQueued() {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -152,6 +152,7 @@
 	if c.class, p = classFor(view, header, resourceClass); p != nil {
 		return p
 	}
+	c.class.Batch = c.class.Batch.InForce(g.settings.StallWeight)
 	if c.deadline, p = deadlineOf(header, c.arrived); p != nil {
 		return p
 	}
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -38,6 +38,10 @@
 		class := admission.Class{
 			Name: name, Rank: declared.Spec.Rank, QueueLimit: declared.Spec.QueueLimit,
 			MaximumWait: time.Duration(declared.Spec.MaximumWaitMs) * time.Millisecond,
+			Batch: admission.BatchWindow{
+				Window:     time.Duration(declared.Spec.BatchWindowMs) * time.Millisecond,
+				GatherSize: declared.Spec.GatherSize,
+			},
 		}
 		if class.QueueLimit == 0 {
 			class.QueueLimit = standard.QueueLimit
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -48,6 +48,9 @@
 	BatchWeight int `json:"batchWeight"`
 	// ZoneWeight sets how much a server in the gateway's zone is preferred, in percent of the weight of its load.
 	ZoneWeight int `json:"zoneWeight"`
+	// StallWeight from 0 to 1 sets load stalls against batch efficiency: the batch windows of the priority classes are
+	// in force times 1 - StallWeight, so that 1 holds no request for a batch.
+	StallWeight float64 `json:"stallWeight"`
 	// DecisionsKept is how many routing decisions stay readable at /debug/decisions.
 	DecisionsKept int `json:"decisionsKept"`
 }
@@ -72,6 +75,7 @@
 		ServiceConcurrency: 64,
 		BatchWeight:        30,
 		ZoneWeight:         20,
+		StallWeight:        0.5,
 		DecisionsKept:      1000,
 	}
 }
@@ -100,5 +104,6 @@
 	c.Between("serviceConcurrency", s.ServiceConcurrency, 1, 1<<16)
 	c.Between("batchWeight", s.BatchWeight, 0, 1000)
 	c.Between("zoneWeight", s.ZoneWeight, 0, 1000)
+	c.Require(s.StallWeight >= 0 && s.StallWeight <= 1, "stallWeight", s.StallWeight, "a number from 0 to 1")
 	c.Between("decisionsKept", s.DecisionsKept, 1, 1<<16)
 }
--- a/internal/resource/types.go
+++ b/internal/resource/types.go
@@ -90,6 +90,10 @@
 	QueueLimit int `json:"queueLimit"`
 	// MaximumWaitMs bounds the time in the queue.
 	MaximumWaitMs int `json:"maximumWaitMs"`
+	// BatchWindowMs is how long requests are held so that requests for the same adapter version run together; 0 is none.
+	BatchWindowMs int `json:"batchWindowMs,omitempty"`
+	// GatherSize is how many waiting requests for an adapter version in one gateway end the hold early; 0 is none.
+	GatherSize int `json:"gatherSize,omitempty"`
 }
 
 // BackendServer declares a model engine.
--- a/internal/resource/validate.go
+++ b/internal/resource/validate.go
@@ -24,6 +24,8 @@
 	maximumRank              = 1000
 	maximumQueueLimit        = 1_000_000
 	maximumWaitMs            = 24 * 60 * 60 * 1000
+	maximumBatchWindowMs     = 60 * 1000
+	maximumGatherSize        = 65_536
 	maximumSlots             = 4096
 	maximumConcurrency       = 65_536
 	maximumEndpoints         = 1024
@@ -207,6 +209,12 @@
 	c.between("spec.rank", p.Spec.Rank, 0, maximumRank)
 	c.between("spec.queueLimit", p.Spec.QueueLimit, 1, maximumQueueLimit)
 	c.between("spec.maximumWaitMs", p.Spec.MaximumWaitMs, 1, maximumWaitMs)
+	c.between("spec.batchWindowMs", p.Spec.BatchWindowMs, 0, maximumBatchWindowMs)
+	c.require(p.Spec.BatchWindowMs <= p.Spec.MaximumWaitMs, "spec.batchWindowMs", p.Spec.BatchWindowMs,
+		"at most spec.maximumWaitMs")
+	c.between("spec.gatherSize", p.Spec.GatherSize, 0, maximumGatherSize)
+	c.require(p.Spec.GatherSize == 0 || p.Spec.BatchWindowMs > 0, "spec.gatherSize", p.Spec.GatherSize,
+		"0 without a spec.batchWindowMs")
 }
 
 func (b *BackendServer) check(c *checker) {
