Measure batch windows and the stall weight in the policy bench

Cause: the figures for batches didn't cover requests that are held in the gateway. Change: the fake spreads the requests over 4 gateways and holds them by the rule of package admission. waxwing-bench gets the sub-commands window, weight and plot; policy prints held_seoul, stalls_urgent_seoul and given_up_seoul too. Held time is counted apart from stalls, and both are ratios to the stall of the better baseline, so that they add up.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BINARIES := $(notdir $(wildcard cmd/*))
 
-.PHONY: build test lint unit demo prove bench soak generate clean
+.PHONY: build test lint unit demo prove bench plots soak generate clean
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -29,3 +29,7 @@
 # Prints tab-separated lines: name, baseline, value, ratio median, ratio min, ratio max, seeds.
 bench: build
 	bin/waxwing-bench policy
+
+# Draws the effect of the stall weight and the stalls over time into .bench/*.html.
+plots: build
+	bin/waxwing-bench plot --directory .bench
--- a/cmd/waxwing-bench/main.go
+++ b/cmd/waxwing-bench/main.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
 
 	"waxwingcleat.example/waxwingcleat/internal/placement"
 	"waxwingcleat.example/waxwingcleat/internal/policybench"
@@ -17,7 +18,7 @@
 
 func main() {
 	command := &cobra.Command{Use: name, Short: "Measure placement policies on generated traces"}
-	command.AddCommand(policyCommand(), process.VersionCommand(name))
+	command.AddCommand(policyCommand(), windowCommand(), weightCommand(), plotCommand(), process.VersionCommand(name))
 	process.Main(command)
 }
 
@@ -28,6 +29,8 @@
 	slots       int
 	restart     time.Duration
 	failEvery   int
+	window      time.Duration
+	gatherSize  int
 }
 
 func (s settings) fleet() policybench.Fleet {
@@ -59,14 +62,19 @@
 		Args: cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error { return measure(command, s) },
 	}
-	flags := command.Flags()
+	s.addFlags(command.Flags())
+	return command
+}
+
+func (s *settings) addFlags(flags *pflag.FlagSet) {
 	flags.Float64Var(&s.stallWeight, "stall-weight", -1, "weight of stalls against batches; -1 for each deployment's own")
 	flags.Float64Var(&s.rate, "rate", 0, "requests a second; 0 for the deployment's own")
 	flags.Float64Var(&s.exponent, "exponent", 1.0, "Zipf exponent of the popularity")
 	flags.IntVar(&s.slots, "slots", policybench.DefaultFleet().Slots, "adapter slots of a server")
 	flags.DurationVar(&s.restart, "restart-every", 0, "time between two restarts of a server; 0 for none")
 	flags.IntVar(&s.failEvery, "fail-every", 0, "each n-th load fails; 0 for none")
-	return command
+	flags.DurationVar(&s.window, "batch-window", defaultWindow, "batch window of Seoul's classes that aren't urgent, before the weight")
+	flags.IntVar(&s.gatherSize, "gather-size", defaultGatherSize, "gather size of these classes; 0 for none")
 }
 
 func (s settings) weight(deployment float64) placement.Options {
@@ -83,16 +91,17 @@
 	seoulWeight      = 0.5
 )
 
+func stall(r *policybench.Result) float64   { return r.Stall.Seconds() }
+func urgent(r *policybench.Result) float64  { return r.UrgentStall.Seconds() }
+func batched(r *policybench.Result) float64 { return r.Batched() }
+
 func measure(command *cobra.Command, s settings) error {
 	out := command.OutOrStdout()
 	saintLouis, err := policybench.RunAll(s.options(workload.SaintLouis), s.fleet(), s.weight(saintLouisWeight))
 	if err != nil {
 		return err
 	}
-	stall := func(r *policybench.Result) float64 { return r.Stall.Seconds() }
-	urgent := func(r *policybench.Result) float64 { return r.UrgentStall.Seconds() }
 	loads := func(r *policybench.Result) float64 { return float64(r.Loads) / float64(max(r.Completed, 1)) }
-	batched := func(r *policybench.Result) float64 { return r.Batched() }
 	shift := workload.SaintLouis(1).ShiftEvery
 	recovery := func(r *policybench.Result) float64 { return policybench.Recovery(r, shift) }
 	givenUp := func(r *policybench.Result) float64 { return float64(r.GivenUp+1) / float64(r.Requests) }
@@ -102,12 +111,16 @@
 	fmt.Fprintln(out, policybench.Compare("shift_recovery", saintLouis, true, recovery))
 	fmt.Fprintln(out, policybench.Compare("store_use", saintLouis, true, loads))
 	fmt.Fprintln(out, policybench.Compare("given_up", saintLouis, true, givenUp))
-	seoul, err := policybench.RunAll(s.options(workload.Seoul), s.fleet(), s.weight(seoulWeight))
+	weight := s.weight(seoulWeight)
+	seoul, err := policybench.RunAll(s.options(workload.Seoul), s.batching(weight.StallWeight), weight)
 	if err != nil {
 		return err
 	}
 	fmt.Fprintln(out, policybench.Compare("batch_seoul", seoul, false, batched))
 	fmt.Fprintln(out, policybench.Compare("stalls_seoul", seoul, true, stall))
+	fmt.Fprintln(out, policybench.CompareHeld("held_seoul", seoul))
+	fmt.Fprintln(out, policybench.Compare("stalls_urgent_seoul", seoul, true, urgent))
 	fmt.Fprintln(out, policybench.Compare("store_use_seoul", seoul, true, loads))
+	fmt.Fprintln(out, policybench.Compare("given_up_seoul", seoul, true, givenUp))
 	return nil
 }
--- a/internal/policybench/fake.go
+++ b/internal/policybench/fake.go
@@ -8,6 +8,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"waxwingcleat.example/waxwingcleat/internal/admission"
 	"waxwingcleat.example/waxwingcleat/internal/workload"
 )
 
@@ -26,6 +27,8 @@
 	RestartEvery time.Duration
 	// FailEvery makes each n-th load fail after its time; 0 means never.
 	FailEvery int
+	// Windows are the batch windows in force by class rank. The baselines run without.
+	Windows [3]admission.BatchWindow
 }
 
 // DefaultFleet returns the sizes of one of today's deployments. The brief leaves the number of slots open
@@ -103,12 +106,15 @@
 
 // Result holds the figures of one run.
 type Result struct {
-	Requests     int
-	Completed    int
-	GivenUp      int
-	Loads        int
-	Stall        time.Duration
-	UrgentStall  time.Duration
+	Requests  int
+	Completed int
+	GivenUp   int
+	Loads     int
+	// Stall is the time that requests waited, without Held.
+	Stall       time.Duration
+	UrgentStall time.Duration
+	// Held is the time for which requests were held for a batch although a server could take them.
+	Held         time.Duration
 	UrgentWaits  *hdrhistogram.Histogram
 	StallByTime  []time.Duration
 	batchShared  float64
@@ -135,6 +141,7 @@
 	loaded
 	restart
 	retry
+	release
 )
 
 type simEvent struct {
--- a/internal/policybench/measure.go
+++ b/internal/policybench/measure.go
@@ -2,9 +2,13 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
+	"waxwingcleat.example/waxwingcleat/internal/admission"
 	"waxwingcleat.example/waxwingcleat/internal/placement"
 	"waxwingcleat.example/waxwingcleat/internal/workload"
 )
@@ -37,29 +41,56 @@
 	Default   Result
 	// Bound is a lower bound on the total stall.
 	Bound time.Duration
+	seed  uint64
+	trace trace
 }
 
 // RunAll runs the baselines and the default policy on the same trace for each seed.
 func RunAll(options func(seed uint64) workload.Options, size Fleet, policy placement.Options) ([]Runs, error) {
-	var all []Runs
-	for _, seed := range Seeds {
-		trace := workload.Generate(options(seed))
-		runs := Runs{Baselines: map[string]Result{}, Bound: stallBound(trace, size)}
-		for _, name := range append(slices.Clone(baselines), placement.DefaultName) {
-			placed, err := NewPlaced(name, policy, size, seed)
-			if err != nil {
-				return nil, err
+	all, err := RunBaselines(options, size, policy)
+	if err != nil {
+		return nil, err
+	}
+	return RunDefault(all, size, policy)
+}
+
+// RunBaselines runs the baselines for each seed, without batch windows.
+func RunBaselines(options func(seed uint64) workload.Options, size Fleet, policy placement.Options) ([]Runs, error) {
+	size.Windows = [3]admission.BatchWindow{}
+	all := make([]Runs, len(Seeds))
+	var group errgroup.Group
+	for i, seed := range Seeds {
+		group.Go(func() error {
+			trace := workload.Generate(options(seed))
+			all[i] = Runs{Baselines: map[string]Result{}, Bound: stallBound(trace, size), seed: seed, trace: trace}
+			for _, name := range baselines {
+				placed, err := NewPlaced(name, policy, size, seed)
+				if err != nil {
+					return err
+				}
+				all[i].Baselines[name] = Run(size, placed, trace)
 			}
-			result := Run(size, placed, trace)
-			if name == placement.DefaultName {
-				runs.Default = result
-			} else {
-				runs.Baselines[name] = result
+			return nil
+		})
+	}
+	return all, group.Wait()
+}
+
+// RunDefault returns a copy of all with the default policy's results on the traces that the baselines ran on.
+func RunDefault(all []Runs, size Fleet, policy placement.Options) ([]Runs, error) {
+	all = slices.Clone(all)
+	var group errgroup.Group
+	for i := range all {
+		group.Go(func() error {
+			placed, err := NewPlaced(placement.DefaultName, policy, size, all[i].seed)
+			if err != nil {
+				return err
 			}
-		}
-		all = append(all, runs)
+			all[i].Default = Run(size, placed, all[i].trace)
+			return nil
+		})
 	}
-	return all, nil
+	return all, group.Wait()
 }
 
 // Compare returns the ratio of a figure of the default policy to the better baseline of the same seed. Smaller says
@@ -96,6 +127,23 @@
 	return newLine(name, bounds, values, ratios)
 }
 
+// CompareHeld returns the ratio of the time for which the default policy's requests were held to the stall of the better
+// baseline, so that it adds up with the ratio of the stalls.
+func CompareHeld(name string, all []Runs) Line {
+	var ratios, values, bests []float64
+	for i := range all {
+		best := math.Inf(1)
+		for _, result := range all[i].Baselines {
+			best = min(best, result.Stall.Seconds())
+		}
+		value := all[i].Default.Held.Seconds()
+		bests = append(bests, best)
+		values = append(values, value)
+		ratios = append(ratios, value/best)
+	}
+	return newLine(name, bests, values, ratios)
+}
+
 func newLine(name string, baselines, values, ratios []float64) Line {
 	return Line{
 		Name: name, Baseline: median(baselines), Value: median(values), Median: median(ratios),
--- a/internal/policybench/policybench_test.go
+++ b/internal/policybench/policybench_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/onsi/gomega"
 
+	"waxwingcleat.example/waxwingcleat/internal/admission"
 	"waxwingcleat.example/waxwingcleat/internal/placement"
 	"waxwingcleat.example/waxwingcleat/internal/policybench"
 	"waxwingcleat.example/waxwingcleat/internal/workload"
@@ -24,6 +25,8 @@
 		g := gomega.NewWithT(t)
 		size := policybench.DefaultFleet()
 		size.FailEvery = 10
+		size.Windows[1] = admission.BatchWindow{Window: 4 * time.Second}
+		size.Windows[2] = admission.BatchWindow{Window: 8 * time.Second, GatherSize: 3}
 		var results []policybench.Result
 		for range 2 {
 			policy, err := policybench.NewPlaced(name, placement.DefaultOptions(), size, 3)
@@ -31,6 +34,7 @@
 			results = append(results, policybench.Run(size, policy, shortTrace(3)))
 		}
 		g.Expect(results[0]).To(gomega.Equal(results[1]), name)
+		g.Expect(results[0].Held).To(gomega.BeNumerically(">", 0), name)
 		g.Expect(results[0].Completed+results[0].GivenUp).To(gomega.Equal(results[0].Requests), name)
 	}
 }
--- a/internal/policybench/run.go
+++ b/internal/policybench/run.go
@@ -25,7 +25,9 @@
 	// retrying is true while a retry event is in the queue.
 	retrying bool
 	started  int
-	result   Result
+	// holds are the batches that the gateways gather.
+	holds  holds
+	result Result
 }
 
 // line holds the requests that wait for one adapter, by class, in the order of arrival.
@@ -37,6 +39,7 @@
 // Run drives policy by trace and returns the figures.
 func Run(fleet Fleet, policy Policy, requests trace) Result {
 	r := &run{fleet: fleet, policy: policy, trace: requests, waiting: map[int]*line{}, epochs: make([]int, fleet.Servers)}
+	r.holds = newHolds(len(requests))
 	r.result.UrgentWaits = hdrhistogram.New(1, int64(10*time.Minute/time.Microsecond), 3)
 	r.result.Requests = len(requests)
 	for range fleet.Servers {
@@ -99,9 +102,7 @@
 	case arrival:
 		request := r.trace[e.request]
 		r.policy.Arrived(r.view.Now, request.Adapter, request.Class)
-		if !r.dispatch(e.request) {
-			r.wait(e.request)
-		}
+		r.arrive(e.request)
 	case finished:
 		r.finish(e)
 	case loaded:
@@ -110,18 +111,14 @@
 		r.restart(e.server)
 	case retry:
 		r.retrying = false
+	case release:
+		r.drain()
 	}
 }
 
 func (r *run) dispatch(index int) bool {
 	request := r.trace[index]
-	var candidates []int
-	for i := range r.view.Servers {
-		server := &r.view.Servers[i]
-		if server.Running < r.fleet.Concurrency && residentSlot(server, request.Adapter) >= 0 {
-			candidates = append(candidates, i)
-		}
-	}
+	candidates := r.candidates(request.Adapter)
 	if len(candidates) == 0 {
 		return false
 	}
@@ -130,12 +127,24 @@
 	slot := residentSlot(server, request.Adapter)
 	server.Running++
 	server.Slots[slot].Running++
-	r.record(request.Class, r.view.Now-request.At)
+	r.ended(index, r.view.Now-request.At)
 	end := r.view.Now + time.Duration(request.Tokens)*r.fleet.Step
 	r.push(simEvent{at: end, kind: finished, request: index, server: chosen, slot: slot, epoch: r.epochs[chosen]})
 	return true
 }
 
+// candidates returns the servers that could run a request for the adapter now.
+func (r *run) candidates(adapter int) []int {
+	var candidates []int
+	for i := range r.view.Servers {
+		server := &r.view.Servers[i]
+		if server.Running < r.fleet.Concurrency && residentSlot(server, adapter) >= 0 {
+			candidates = append(candidates, i)
+		}
+	}
+	return candidates
+}
+
 func residentSlot(server *Server, adapter int) int {
 	for i, slot := range server.Slots {
 		if slot.Adapter == adapter && !slot.Loading {
@@ -186,10 +195,7 @@
 func (r *run) drain() {
 	for class := range 3 {
 		for _, l := range r.lines {
-			for len(l.requests[class]) > 0 && r.dispatch(l.requests[class][0]) {
-				l.requests[class] = l.requests[class][1:]
-				l.demand.ByClass[class]--
-			}
+			r.drainLine(l, class)
 		}
 	}
 	r.dropEmpty()
@@ -271,7 +277,7 @@
 	for _, l := range r.lines {
 		for class := range l.requests {
 			for len(l.requests[class]) > 0 && r.view.Now-r.trace[l.requests[class][0]].At >= r.fleet.GiveUp {
-				r.record(class, r.fleet.GiveUp)
+				r.ended(l.requests[class][0], r.fleet.GiveUp)
 				r.result.GivenUp++
 				l.requests[class] = l.requests[class][1:]
 				l.demand.ByClass[class]--
@@ -297,9 +303,9 @@
 
 func (r *run) giveUpAll() {
 	for _, l := range r.lines {
-		for class, requests := range l.requests {
+		for _, requests := range l.requests {
 			for _, index := range requests {
-				r.record(class, r.view.Now-r.trace[index].At)
+				r.ended(index, r.view.Now-r.trace[index].At)
 				r.result.GivenUp++
 			}
 		}
