--- a/Makefile
+++ b/Makefile
@@ -50,3 +50,7 @@
 # Repeats the measurements of docs/CAPACITY.md.
 capacity: build
 	tools/capacity
+
+# Draws the effect of the stall weight and the stalls over time into .bench/*.html.
+plots: build
+	bin/waxwing-bench plot --directory .bench
--- a/internal/placement/stall.go
+++ b/internal/placement/stall.go
@@ -40,6 +40,9 @@
 	hysteresis = 1.25
 	// expectedGaps is after how many expected intervals without a request a popularity counts e times less.
 	expectedGaps = 3.0
+	// demandedWorth is what a load is worth more while requests for it wait, so that it's evicted last: evicting it makes
+	// requests wait for a second load after their batch window. Demand that has waited for long still outweighs it.
+	demandedWorth = 2.0
 	// rankPenalty makes equal servers be taken in the rendezvous order, so that schedulers agree without messages.
 	rankPenalty = 0.0001
 	// copySaturation is the use of a server's concurrency from which a waiting demand earns another copy.
@@ -63,7 +66,11 @@
 type Stall struct {
 	options Options
 	known   map[fleet.AdapterVersion]popularity
-	ranked  ranked
+	// order lists the known adapter versions, and next is the place at which forget goes on. Visits in the order of a
+	// map made runs of the same seed differ.
+	order  []fleet.AdapterVersion
+	next   int
+	ranked ranked
 }
 
 // NewStall returns the default policy.
@@ -76,7 +83,11 @@
 
 // Observe implements Policy.
 func (p *Stall) Observe(now time.Time, of fleet.AdapterVersion, rank, arrived uint32) {
-	entry := p.decayed(now, p.known[of])
+	entry, seen := p.known[of]
+	if !seen {
+		p.order = append(p.order, of)
+	}
+	entry = p.decayed(now, entry)
 	if rank == UrgentRank {
 		entry.urgent += float64(arrived)
 	} else {
@@ -89,14 +100,18 @@
 
 // forget drops idle entries, a few at a time, so that no call visits all adapters.
 func (p *Stall) forget(now time.Time) {
-	looked := 0
-	for of, entry := range p.known {
-		if current := p.decayed(now, entry); current.urgent+current.other < negligible {
-			delete(p.known, of)
-		}
-		if looked++; looked >= 4 {
-			return
+	const looks = 4
+	for range min(looks, len(p.order)) {
+		p.next %= len(p.order)
+		of := p.order[p.next]
+		if current := p.decayed(now, p.known[of]); current.urgent+current.other >= negligible {
+			p.next++
+			continue
 		}
+		delete(p.known, of)
+		last := len(p.order) - 1
+		p.order[p.next] = p.order[last]
+		p.order = p.order[:last]
 	}
 }
 
@@ -237,7 +252,11 @@
 		if !p.mayEvict(now, o.server, slot, demand) {
 			continue
 		}
-		if value := p.keep(now, o.server, slot); value < worth {
+		value := p.keep(now, o.server, slot)
+		if slot.Demanded {
+			value += demandedWorth
+		}
+		if value < worth {
 			worth, o.evict = value, slot
 		}
 	}
