Count a gateway at its own node, refuse unused TLS settings, and set the claims' retention

Cause: found by reading and by a log line of the process scenarios: every gateway syncs with every scheduler, and each scheduler counted all of them as processes of its own VM, so that a node's applied offset was the lowest of all gateways and its gateway address could be another VM's; the scheduler accepted tls settings and ignored them; the ledger assumed a retention of 24 h that the stand-in, with 30 min, does not keep. Ruled out: dropping reports of other nodes altogether, since a gateway whose scheduler has died would then no longer count for 'in force'.

--- a/cmd/waxwing-gateway/main.go
+++ b/cmd/waxwing-gateway/main.go
@@ -30,6 +30,7 @@
 		},
 		Ledger: ledger.NewDriver(ledger.Options{
 			Log: log, Incarnation: incarnation, Address: settings.PeerListen, Events: events,
+			Retention: settings.ClaimsRetention.Std(),
 		}),
 		HashKey:      ledger.HashKey,
 		ParseKeyTime: ledger.ParseKeyTime,
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -51,6 +51,9 @@
 	// StallWeight from 0 to 1 sets load stalls against batch efficiency: the batch windows of the priority classes are
 	// in force times 1 - StallWeight, so that 1 holds no request for a batch.
 	StallWeight float64 `json:"stallWeight"`
+	// ClaimsRetention is how long the log service keeps a record of the claims stream. A value above the true one
+	// loses keys, and with them the promise that a request runs at most once.
+	ClaimsRetention settings.Duration `json:"claimsRetention"`
 	// DecisionsKept is how many routing decisions stay readable at /debug/decisions.
 	DecisionsKept int `json:"decisionsKept"`
 }
@@ -76,6 +79,7 @@
 		BatchWeight:        30,
 		ZoneWeight:         20,
 		StallWeight:        0.5,
+		ClaimsRetention:    settings.Duration(24 * time.Hour),
 		DecisionsKept:      1000,
 	}
 }
@@ -105,5 +109,6 @@
 	c.Between("batchWeight", s.BatchWeight, 0, 1000)
 	c.Between("zoneWeight", s.ZoneWeight, 0, 1000)
 	c.Require(s.StallWeight >= 0 && s.StallWeight <= 1, "stallWeight", s.StallWeight, "a number from 0 to 1")
+	c.DurationBetween("claimsRetention", s.ClaimsRetention, time.Minute, 365*24*time.Hour)
 	c.Between("decisionsKept", s.DecisionsKept, 1, 1<<16)
 }
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -61,6 +61,9 @@
 	lastRelease  time.Time
 	surplusSince time.Time
 	gaveUp       map[string]time.Time
+	// running holds the nodes that have a scheduler, as of the node table's runningVersion.
+	running        map[string]bool
+	runningVersion uint64
 }
 
 func newCore(ctx context.Context, s *Scheduler, group *errgroup.Group) *core {
--- a/internal/scheduler/permits.go
+++ b/internal/scheduler/permits.go
@@ -128,10 +128,7 @@
 	if !c.processes.accept(now, id, request.Sequence) {
 		return false
 	}
-	c.scheduler.options.Table.Report(membership.ProcessReport{
-		Process: request.Process, Role: request.Role, Address: request.Address,
-		Applied: request.AppliedConfig, Leaving: request.Leaving,
-	})
+	c.report(request)
 	if request.Role != gatewayRole {
 		return true
 	}
@@ -153,6 +150,36 @@
 	return true
 }
 
+// report hands the sender's report to membership. A gateway syncs with every scheduler but counts only at the node that
+// it runs on; only while that node has no scheduler does it count elsewhere, so that a configuration isn't called in
+// force without it. Its address belongs to its own node alone.
+func (c *core) report(request *peerpb.SyncRequest) {
+	report := membership.ProcessReport{
+		Process: request.Process, Role: request.Role, Address: request.Address,
+		Applied: request.AppliedConfig, Leaving: request.Leaving,
+	}
+	if request.Node != "" && request.Node != c.scheduler.self.Node {
+		if request.Role == gatewayRole && c.hasScheduler(request.Node) {
+			return
+		}
+		report.Role, report.Address = "", ""
+	}
+	c.scheduler.options.Table.Report(report)
+}
+
+// hasScheduler reports whether the node table has a running scheduler on the node.
+func (c *core) hasScheduler(node string) bool {
+	nodes, version := c.scheduler.options.Table.Nodes()
+	if c.running == nil || version != c.runningVersion {
+		c.running = map[string]bool{}
+		for _, entry := range nodes {
+			c.running[entry.Name] = entry.State != peerpb.NodeState_DEAD
+		}
+		c.runningVersion = version
+	}
+	return c.running[node]
+}
+
 const gatewayRole = "gateway"
 
 func inFlightByServer(request *peerpb.SyncRequest) map[string]map[engine.LoadNumber]uint32 {
--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -63,6 +63,7 @@
 // Check implements settings.Checker.
 func (s *Settings) Check(c *settings.Check) {
 	s.Common.Check(c)
+	c.Require(!s.TLS.Enabled(), "tls.certificateFile", s.TLS.CertificateFile, "nothing: TLS is for callers and operators")
 	c.DurationBetween("permitValidity", s.PermitValidity, 1500*time.Millisecond, 2500*time.Millisecond)
 	c.DurationBetween("reportEvery", s.ReportEvery, 50*time.Millisecond, 10*time.Second)
 	c.DurationBetween("reportEveryBusy", s.ReportEveryBusy, 20*time.Millisecond, 10*time.Second)
--- a/tools/lib/site.sh
+++ b/tools/lib/site.sh
@@ -122,7 +122,7 @@
 }
 
 write_vm_settings() { # VM
-	printf '{%s,"peerListen":"%s.%s:8001","announcePeriod":"2s"}\n' "$(common_settings "$1" 8000)" "$net" "$1" >"$work/gateway-$1.json"
+	printf '{%s,"peerListen":"%s.%s:8001","announcePeriod":"2s","claimsRetention":"30m"}\n' "$(common_settings "$1" 8000)" "$net" "$1" >"$work/gateway-$1.json"
 	printf '{%s}\n' "$(common_settings "$1" 8002)" >"$work/scheduler-$1.json"
 	printf '{%s}\n' "$(common_settings "$1" 8003)" >"$work/apiserver-$1.json"
 }
