--- a/internal/configlog/snapshots.go
+++ b/internal/configlog/snapshots.go
@@ -61,6 +61,8 @@
 type SnapshotWriter struct {
 	replica *Replica
 	options SnapshotOptions
+	// written is the offset of the last chunk that was appended. No further snapshot is due before it was read back.
+	written platform.Offset
 }
 
 // NewSnapshotWriter returns the writer of a replica's snapshots.
@@ -92,7 +94,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	applied, last := r.reader.Applied(), r.reader.LastSnapshot()
-	if applied == 0 {
+	if applied == 0 || applied < w.written {
 		return false
 	}
 	if applied >= last.AsOf+platform.Offset(w.options.Records) {
@@ -124,10 +126,12 @@
 		return
 	}
 	for _, record := range records {
-		if _, err := w.replica.options.Log.Append(ctx, platform.ConfigStream, record); err != nil {
+		offset, err := w.replica.options.Log.Append(ctx, platform.ConfigStream, record)
+		if err != nil {
 			events.EmitError(event.ConfigSnapshotFailed, err, nil)
 			return
 		}
+		w.written = offset
 	}
 	events.Emit(event.ConfigSnapshotWritten, event.Fields{
 		"asOf": capture.AsOf(), "bytes": len(snapshot), "chunks": len(records),
