--- /dev/null
+++ b/internal/logfollow/feed.go
@@ -0,0 +1,36 @@
+package logfollow
+
+import (
+	"context"
+	"time"
+
+	"waxwingcleat.example/waxwingcleat/internal/platform"
+	"waxwingcleat.example/waxwingcleat/internal/ring"
+)
+
+// Feed is a Handler that hands what is read to the goroutine of a core, as steps on a ring.
+type Feed struct {
+	// Context bounds the wait for room on the ring.
+	Context context.Context
+	Steps   *ring.Ring[func(now time.Time)]
+	// OnRecords and OnTrimmed run as steps.
+	OnRecords func(now time.Time, batch platform.Batch)
+	OnTrimmed func(earliest platform.Offset)
+}
+
+// Records implements Handler.
+func (f *Feed) Records(batch platform.Batch) error {
+	return f.push(func(now time.Time) { f.OnRecords(now, batch) })
+}
+
+// Trimmed implements Handler.
+func (f *Feed) Trimmed(earliest platform.Offset) error {
+	return f.push(func(time.Time) { f.OnTrimmed(earliest) })
+}
+
+func (f *Feed) push(step func(time.Time)) error {
+	if err := f.Steps.Push(f.Context, step); err != nil && f.Context.Err() == nil {
+		return err
+	}
+	return nil
+}
