Share the hand-over from a followed stream to a core

Cause: the drivers of the ledger and the load queue had the same handler, which pushes what the follower reads to the core's goroutine. Ruled out: sharing the whole loop of the drivers, whose ticks and answers differ. Change: logfollow.Feed serves both.

--- a/internal/ledger/driver.go
+++ b/internal/ledger/driver.go
@@ -73,33 +73,11 @@
 		group.Go(func() error { return d.runAsks(ctx) })
 	}
 	follower := logfollow.New(d.options.Log, platform.ClaimsStream, d.options.Events)
-	group.Go(func() error { return follower.Follow(ctx, &feed{driver: d, ctx: ctx}) })
+	feed := &logfollow.Feed{Context: ctx, Steps: d.reads, OnRecords: d.core.readUp, OnTrimmed: d.core.trimmed}
+	group.Go(func() error { return follower.Follow(ctx, feed) })
 	return group.Wait()
 }
 
-// feed hands what the follower reads to the core's goroutine.
-type feed struct {
-	driver *Driver
-	ctx    context.Context
-}
-
-// Records implements logfollow.Handler.
-func (f *feed) Records(read platform.Batch) error {
-	return f.push(func(now time.Time) { f.driver.core.readUp(now, read) })
-}
-
-// Trimmed implements logfollow.Handler.
-func (f *feed) Trimmed(earliest platform.Offset) error {
-	return f.push(func(time.Time) { f.driver.core.trimmed(earliest) })
-}
-
-func (f *feed) push(step func(time.Time)) error {
-	if err := f.driver.reads.Push(f.ctx, step); err != nil && f.ctx.Err() == nil {
-		return err
-	}
-	return nil
-}
-
 // runCore is the only goroutine that touches the core and the waiters.
 func (d *Driver) runCore(ctx context.Context) error {
 	ticker := time.NewTicker(tickPeriod)
--- a/internal/loadqueue/driver.go
+++ b/internal/loadqueue/driver.go
@@ -78,34 +78,14 @@
 	group.Go(func() error { return d.runCore(ctx) })
 	group.Go(func() error { return d.runAppends(ctx) })
 	follower := logfollow.New(d.options.Log, platform.LoadsStream, d.options.Events)
-	group.Go(func() error { return follower.Follow(ctx, &feed{driver: d, ctx: ctx}) })
+	feed := &logfollow.Feed{Context: ctx, Steps: d.reads, OnRecords: d.readUp, OnTrimmed: d.core.trimmed}
+	group.Go(func() error { return follower.Follow(ctx, feed) })
 	return group.Wait()
 }
 
-// feed hands what the follower reads to the core's goroutine.
-type feed struct {
-	driver *Driver
-	ctx    context.Context
-}
-
-// Records implements logfollow.Handler.
-func (f *feed) Records(read platform.Batch) error {
-	return f.push(func(now time.Time) {
-		f.driver.core.readUp(now, read)
-		f.driver.publish(len(read.Records) > 0)
-	})
-}
-
-// Trimmed implements logfollow.Handler.
-func (f *feed) Trimmed(earliest platform.Offset) error {
-	return f.push(func(time.Time) { f.driver.core.trimmed(earliest) })
-}
-
-func (f *feed) push(step func(time.Time)) error {
-	if err := f.driver.reads.Push(f.ctx, step); err != nil && f.ctx.Err() == nil {
-		return err
-	}
-	return nil
+func (d *Driver) readUp(now time.Time, batch platform.Batch) {
+	d.core.readUp(now, batch)
+	d.publish(len(batch.Records) > 0)
 }
 
 // publish makes the state visible to Seen and Pending.
