--- a/internal/logfollow/logfollow.go
+++ b/internal/logfollow/logfollow.go
@@ -62,14 +62,19 @@
 func (f *Follower) Follow(ctx context.Context, handler Handler) error {
 	delay := minimumDelay
 	for ctx.Err() == nil {
+		began := time.Now()
 		batch, err := f.log.Read(ctx, f.stream, f.Next(), readWait)
 		if err == nil {
 			delay = minimumDelay
 			f.lastEnd.Store(time.Now().UnixNano())
-			err = f.deliver(batch, handler)
+			fresh, err := f.deliver(batch, handler)
 			if err != nil {
 				return err
 			}
+			if fresh == 0 && time.Since(began) < minimumDelay {
+				// A log service that doesn't wait for records, or that answers with a gap, isn't asked in a busy loop.
+				wait(ctx, spread(minimumDelay))
+			}
 			continue
 		}
 		var trimmed *platform.TrimmedError
@@ -90,7 +95,9 @@
 	return nil
 }
 
-func (f *Follower) deliver(batch platform.Batch, handler Handler) error {
+// deliver hands on the records that follow the last one without a gap, and returns how many they are. Records that were
+// read before are left out, as are those after a gap, which are read again.
+func (f *Follower) deliver(batch platform.Batch, handler Handler) (int, error) {
 	from := f.Next()
 	fresh := batch.Records[:0:0]
 	for _, record := range batch.Records {
@@ -101,7 +108,7 @@
 	}
 	batch.Records = fresh
 	f.next.Store(uint64(from))
-	return handler.Records(batch)
+	return len(fresh), handler.Records(batch)
 }
 
 // spread returns a random duration from half of d to one and a half times d, so that readers that fail
