--- a/cmd/waxwing-load/main.go
+++ b/cmd/waxwing-load/main.go
@@ -82,12 +82,20 @@
 
 func check(command *cobra.Command, o load.CheckOptions) error {
 	summary, err := load.Check(command.Context(), o)
-	line, encodeErr := json.Marshal(summary)
+	return report(command, summary, err)
+}
+
+// summary is the result of a check.
+type summary interface{ OK() bool }
+
+// report prints the summary as one JSON line. It returns errDiffers when the check has ended with something wrong.
+func report(command *cobra.Command, result summary, err error) error {
+	line, encodeErr := json.Marshal(result)
 	if encodeErr != nil {
 		return encodeErr
 	}
 	fmt.Fprintln(command.OutOrStdout(), string(line))
-	if err == nil && !summary.OK() {
+	if err == nil && !result.OK() {
 		return errDiffers
 	}
 	return err
--- a/cmd/waxwing-load/once.go
+++ b/cmd/waxwing-load/once.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -30,15 +29,7 @@
 				return refuse(errors.New("--gateways, --service and --counters are needed, --keys and --copies must be at least 1"))
 			}
 			summary, err := load.Once(command.Context(), o)
-			line, encodeErr := json.Marshal(summary)
-			if encodeErr != nil {
-				return encodeErr
-			}
-			fmt.Fprintln(command.OutOrStdout(), string(line))
-			if err == nil && !summary.OK() {
-				return errDiffers
-			}
-			return err
+			return report(command, summary, err)
 		},
 	}
 	flags := command.Flags()
--- a/cmd/waxwing-load/standin.go
+++ b/cmd/waxwing-load/standin.go
@@ -31,15 +31,7 @@
 				return refuse(errors.New("--gateways and --service are needed, --calls must be at least 1"))
 			}
 			summary, err := load.Refused(command.Context(), o)
-			line, encodeErr := json.Marshal(summary)
-			if encodeErr != nil {
-				return encodeErr
-			}
-			fmt.Fprintln(command.OutOrStdout(), string(line))
-			if err == nil && !summary.OK() {
-				return errDiffers
-			}
-			return err
+			return report(command, summary, err)
 		},
 	}
 	flags := command.Flags()
