--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -4,6 +4,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -74,11 +75,12 @@
 	doubtful bool
 }
 
-// NewClient returns a client of API servers, each given as ip:port or as a URL.
-func NewClient(servers []string) *Client {
+// NewClient returns a client of API servers, each given as ip:port or as a URL. The TLS configuration is for https URLs.
+func NewClient(servers []string, tlsConfig *tls.Config) *Client {
 	c := &Client{http: &http.Client{Transport: &http.Transport{
 		DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		ResponseHeaderTimeout: answerTimeout,
+		TLSClientConfig:       tlsConfig,
 	}}}
 	for _, server := range servers {
 		if !strings.Contains(server, "://") {
--- a/internal/ctl/resources.go
+++ b/internal/ctl/resources.go
@@ -143,7 +143,7 @@
 	for _, admin := range admins {
 		answer := explained{Admin: admin, Decisions: []json.RawMessage{}}
 		path := "/debug/decisions?name=" + queryEscape(subject)
-		if err := NewClient([]string{admin}).call(ctx, http.MethodGet, path, nil, &answer.Decisions); err != nil {
+		if err := NewClient([]string{admin}, nil).call(ctx, http.MethodGet, path, nil, &answer.Decisions); err != nil {
 			answer.Error = err.Error()
 			failures = append(failures, fmt.Errorf("%s: %w", admin, err))
 		}
--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -44,6 +44,7 @@
 	streams Streams
 	servers []string
 	format  string
+	tls     tlsFiles
 }
 
 // Run executes a command line without the program's name and returns the exit code.
@@ -100,6 +101,7 @@
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &usageError{err} })
 	root.PersistentFlags().StringArrayVar(&a.servers, "server", nil, "address of an API server, ip:port; may be repeated")
 	root.PersistentFlags().StringVarP(&a.format, "output", "o", "text", "output format: text or json")
+	a.tls.addFlags(root.PersistentFlags())
 	root.AddCommand(a.applyCommand(), a.getCommand(), a.deleteCommand(), a.watchCommand(), a.waitCommand(),
 		a.drainCommand(), a.statusCommand(), a.explainCommand(), process.VersionCommand(name))
 	return root
@@ -121,7 +123,11 @@
 	if len(a.servers) == 0 {
 		return nil, usage("flag --server is missing")
 	}
-	return NewClient(a.servers), nil
+	config, err := a.tls.config()
+	if err != nil {
+		return nil, err
+	}
+	return NewClient(a.servers, config), nil
 }
 
 // print writes value as JSON, or calls text.
