Let loads that were passed over age

Cause: the load queue ordered strictly by class. Change: a request of a class below 1 counts as class 1 once 128 further records of the stream were read; records and not time, so that all readers compute the same order.

--- a/internal/loadqueue/order.go
+++ b/internal/loadqueue/order.go
@@ -120,22 +120,42 @@
 	o.accepted[name] = offset
 	request := Request{ID: r.ID, Class: r.Class, Adapter: r.Adapter, Version: r.Version, Server: r.Server, Seen: r.Seen}
 	added := &item{request: request, holder: r.Holder, try: r.Try, offset: offset}
-	at, _ := slices.BinarySearchFunc(o.items, added, compareTurns)
-	o.items = slices.Insert(o.items, at, added)
+	o.items = append(o.items, added)
+	slices.SortFunc(o.items, o.compareTurns)
 	return accepted
 }
 
+const (
+	// agedRecords is after how many further records of the stream a request counts as agedClass. A load makes at least
+	// two records and takes a third of a second, so that this is about 20 s of a busy weight store. The age is counted
+	// in records because every reader then computes the same order.
+	agedRecords platform.Offset = 128
+	// agedClass is the class next to the urgent one. Without aging, a steady stream of it keeps all lower classes
+	// waiting until they are given up on.
+	agedClass uint32 = 1
+)
+
+// class returns the class by which a request is ordered now. Prefetches don't age.
+func (o *order) class(i *item) uint32 {
+	class := i.request.Class
+	if class > agedClass && class < PrefetchClass && o.applied-i.offset >= agedRecords {
+		return agedClass
+	}
+	return class
+}
+
 // compareTurns orders the running load first, then by class, then by offset. Prefetches have the lowest class, so
 // that none starts while a demand load waits.
-func compareTurns(a, b *item) int {
+func (o *order) compareTurns(a, b *item) int {
+	classA, classB := o.class(a), o.class(b)
 	switch {
 	case a.running != b.running && a.running:
 		return -1
 	case a.running != b.running:
 		return 1
-	case a.request.Class != b.request.Class && a.request.Class < b.request.Class:
+	case classA < classB:
 		return -1
-	case a.request.Class != b.request.Class:
+	case classA > classB:
 		return 1
 	case a.offset < b.offset:
 		return -1
@@ -168,9 +188,11 @@
 }
 
 func (o *order) startNext() {
-	if len(o.items) > 0 {
-		o.items[0].running = true
+	if len(o.items) == 0 || o.items[0].running {
+		return
 	}
+	slices.SortFunc(o.items, o.compareTurns)
+	o.items[0].running = true
 }
 
 // trim drops requests that have passed their retention, since readers that start now don't know them. Their holders
