End batch windows together at all gateways

Also, the scenario of a zone cut off from the platform found one fresh key that was refused after 2 s and not at once: the ledger counted the log as readable for 5 s after the last read. Ruled out: longer windows, which hold requests longer than they save stalls. Change: windows end at multiples of their length on the clock, shifted by a hash of the adapter version; the gateway's tests run on a clock on which a window has just ended. The ledger counts the log as silent after 3 s.

--- a/internal/admission/gathering.go
+++ b/internal/admission/gathering.go
@@ -1,6 +1,10 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // BatchWindow is how long requests for the same adapter version are held so that they run in the same engine steps.
 type BatchWindow struct {
@@ -19,10 +23,19 @@
 	return w
 }
 
-// ReleaseAt returns when a request is released at the latest. It is held for at most half of the time until it's given
-// up on, so that the other half is left to wait for a load or a busy server.
-func (w BatchWindow) ReleaseAt(arrived, giveUpAt time.Time) time.Time {
-	return arrived.Add(min(w.Window, giveUpAt.Sub(arrived)/2))
+// ReleaseAt returns when a request is released at the latest. Windows end at multiples of their length on the clock,
+// shifted by the phase of the adapter version, so that all gateways release an adapter version together; windows that
+// began with each gateway's first request would end apart. A request is held for at most half of the time until it's
+// given up on, so that the other half is left to wait for a load or a busy server.
+func (w BatchWindow) ReleaseAt(arrived, giveUpAt time.Time, phase uint64) time.Time {
+	window := uint64(w.Window)
+	since := (uint64(arrived.UnixNano()) + phase%window) % window
+	return arrived.Add(min(w.Window-time.Duration(since), giveUpAt.Sub(arrived)/2))
+}
+
+// Phase returns the phase of an adapter version, which is the same at all gateways.
+func Phase(adapter, version string) uint64 {
+	return xxhash.Sum64String(adapter + "@" + version)
 }
 
 // member is one waiting request of a group.
@@ -53,14 +66,15 @@
 // NewGathering returns a gathering without members.
 func NewGathering[K comparable]() *Gathering[K] { return &Gathering[K]{groups: map[K]*group{}} }
 
-// Add counts a waiting request with a batch window. ID must be unique among the waiting requests of the key.
-func (g *Gathering[K]) Add(key K, id uint64, window BatchWindow, arrived, giveUpAt time.Time) {
+// Add counts a waiting request with a batch window. ID must be unique among the waiting requests of the key. The phase
+// is that of the key's adapter version.
+func (g *Gathering[K]) Add(key K, phase, id uint64, window BatchWindow, arrived, giveUpAt time.Time) {
 	of := g.groups[key]
 	if of == nil {
 		of = &group{members: map[uint64]member{}}
 		g.groups[key] = of
 	}
-	m := member{releaseAt: window.ReleaseAt(arrived, giveUpAt), gatherSize: window.GatherSize}
+	m := member{releaseAt: window.ReleaseAt(arrived, giveUpAt, phase), gatherSize: window.GatherSize}
 	of.include(m)
 	of.members[id] = m
 }
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -124,7 +124,8 @@
 	q.counts[it.entry.Class.Name]++
 	heap.Push(&q.expiry, it)
 	if it.entry.batched() {
-		q.gathering.Add(it.entry.Target, it.entry.ID, it.entry.Class.Batch, it.entry.Arrived, it.entry.giveUpAt())
+		phase := Phase(it.entry.Target.Adapter, it.entry.Target.Version)
+		q.gathering.Add(it.entry.Target, phase, it.entry.ID, it.entry.Class.Batch, it.entry.Arrived, it.entry.giveUpAt())
 	}
 }
 
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -16,6 +16,7 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"waxwingcleat.example/waxwingcleat/internal/admission"
 	"waxwingcleat.example/waxwingcleat/internal/event"
 	"waxwingcleat.example/waxwingcleat/internal/ledger"
 	"waxwingcleat.example/waxwingcleat/internal/resource"
@@ -250,6 +251,7 @@
 		change(&s)
 	}
 	f.server = newServer(s, Dependencies{
+		Now: clockAfterWindow("draft", "v1"),
 		NewConfig: func(func() []string) Config { return f.config }, Ledger: f.claims, Events: event.Discard(),
 		HashKey: hashKey, ParseKeyTime: func(string, string) (time.Time, error) { return time.Time{}, nil },
 	})
@@ -272,6 +274,17 @@
 	return f
 }
 
+// longestWindow is the batch window of the tests.
+const longestWindow = time.Minute
+
+// clockAfterWindow returns a clock on which a batch window of the adapter version has just ended, so that none ends
+// during a test.
+func clockAfterWindow(adapter, version string) func() time.Time {
+	window := uint64(longestWindow)
+	since := (uint64(time.Now().UnixNano()) + admission.Phase(adapter, version)%window) % window
+	return func() time.Time { return time.Now().Add(-time.Duration(since)) }
+}
+
 func urlOf(listener net.Listener) string { return "http://" + listener.Addr().String() }
 
 func hashKey(key, target string) ledger.KeyHash {
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -63,6 +63,8 @@
 	ParseKeyTime func(key, header string) (time.Time, error)
 	Incarnation  string
 	Events       *event.Log
+	// Now is the clock; nil means the system's.
+	Now func() time.Time
 }
 
 // server is the running process.
@@ -131,6 +133,9 @@
 }
 
 func newServer(settings Settings, dependencies Dependencies) *server {
+	if dependencies.Now == nil {
+		dependencies.Now = time.Now
+	}
 	s := &server{settings: settings, dependencies: dependencies}
 	s.recorder = decision.NewRecorder(dependencies.Events, event.RoutingDecided, settings.DecisionsKept)
 	transport := &http.Transport{
@@ -148,13 +153,13 @@
 		Report:     func(now time.Time) permits.Report { return s.gateway.Report(now) },
 		Dial:       permits.DialHTTP(&http.Client{Transport: transport}),
 		Events:     dependencies.Events,
-		Now:        time.Now,
+		Now:        dependencies.Now,
 	})
 	s.config = dependencies.NewConfig(s.permits.Peers)
 	s.gateway = New(settings, Parts{
 		Config: s.config, Permits: s.permits, Claims: dependencies.Ledger,
 		HashKey: dependencies.HashKey, ParseKeyTime: dependencies.ParseKeyTime,
-		Recorder: s.recorder, Events: dependencies.Events, Now: time.Now,
+		Recorder: s.recorder, Events: dependencies.Events, Now: dependencies.Now,
 		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	s.callers = &http.Server{
--- a/internal/ledger/options.go
+++ b/internal/ledger/options.go
@@ -21,8 +21,9 @@
 	// AppendGap is the least time between the starts of two appends; default 40 ms, which keeps 9 gateways under
 	// 225 appends a second.
 	AppendGap time.Duration
-	// StaleAfter is how long after the last successful read fresh keys are still accepted; default 5 s, since an
-	// idle read lasts 2 s.
+	// StaleAfter is how long after the last successful read fresh keys are still accepted; default 3 s, since an
+	// idle read lasts 2 s. During that time a silent log makes fresh keys wait for BeginBound; later ones are refused
+	// at once.
 	StaleAfter time.Duration
 	// UnreachableBound is how long the claims of a gateway that can't be asked count as in progress; default 30 s.
 	UnreachableBound time.Duration
@@ -70,7 +71,7 @@
 		beginBound:       orDefault(o.BeginBound, 2*time.Second),
 		appendGap:        orDefault(o.AppendGap, 40*time.Millisecond),
 		failureGap:       failureGap,
-		staleAfter:       orDefault(o.StaleAfter, 5*time.Second),
+		staleAfter:       orDefault(o.StaleAfter, 3*time.Second),
 		unreachableBound: orDefault(o.UnreachableBound, 30*time.Second),
 		retryAfter:       orDefault(o.RetryAfter, time.Second),
 		keyLifetime:      orDefault(o.KeyLifetime, 7*24*time.Hour),
--- a/internal/policybench/hold.go
+++ b/internal/policybench/hold.go
@@ -27,11 +27,13 @@
 	gathering *admission.Gathering[gathered]
 	// ready is when a held request could first have been dispatched, by request.
 	ready map[int]time.Duration
+	// releaseAt is when a held request's own window ends, by request.
+	releaseAt map[int]time.Duration
 }
 
 func newHolds(requests int) holds {
 	random := rand.New(rand.NewPCG(gatewaySeed, 0))
-	h := holds{gateway: make([]int, requests), gathering: admission.NewGathering[gathered](), ready: map[int]time.Duration{}}
+	h := holds{gateway: make([]int, requests), gathering: admission.NewGathering[gathered](), ready: map[int]time.Duration{}, releaseAt: map[int]time.Duration{}}
 	for i := range h.gateway {
 		h.gateway[i] = random.IntN(gateways)
 	}
@@ -54,8 +56,10 @@
 	}
 	arrived := epoch.Add(request.At)
 	giveUpAt := arrived.Add(r.fleet.GiveUp)
-	r.holds.gathering.Add(r.key(index), uint64(index), window, arrived, giveUpAt)
-	r.push(simEvent{at: window.ReleaseAt(arrived, giveUpAt).Sub(epoch), kind: release})
+	phase := admission.Phase(adapterName(request.Adapter), version)
+	r.holds.gathering.Add(r.key(index), phase, uint64(index), window, arrived, giveUpAt)
+	r.holds.releaseAt[index] = window.ReleaseAt(arrived, giveUpAt, phase).Sub(epoch)
+	r.push(simEvent{at: r.holds.releaseAt[index], kind: release})
 	r.wait(index)
 	r.drain()
 }
@@ -93,9 +97,10 @@
 	request := r.trace[index]
 	r.holds.gathering.Remove(r.key(index), uint64(index))
 	ready, wasHeld := r.holds.ready[index]
+	releaseAt := r.holds.releaseAt[index]
 	delete(r.holds.ready, index)
+	delete(r.holds.releaseAt, index)
 	if wasHeld {
-		releaseAt := request.At + min(r.fleet.Windows[request.Class].Window, r.fleet.GiveUp/2)
 		held := min(r.view.Now, releaseAt) - ready
 		r.result.Held += held
 		waited -= held
--- a/internal/policybench/policy.go
+++ b/internal/policybench/policy.go
@@ -59,8 +59,10 @@
 	p.policy.Observe(epoch.Add(now), p.of(adapter), uint32(class), 1)
 }
 
+func adapterName(adapter int) string { return fmt.Sprintf("adapter-%d", adapter) }
+
 func (p *Placed) of(adapter int) fleet.AdapterVersion {
-	of := fleet.AdapterVersion{Adapter: fmt.Sprintf("adapter-%d", adapter), Version: version}
+	of := fleet.AdapterVersion{Adapter: adapterName(adapter), Version: version}
 	p.indexes[of] = adapter
 	return of
 }
