--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -251,7 +251,7 @@
 		change(&s)
 	}
 	f.server = newServer(s, Dependencies{
-		Now: clockAfterWindow("draft", "v1"),
+		Now:       clockAfterWindow("draft", "v1"),
 		NewConfig: func(func() []string) Config { return f.config }, Ledger: f.claims, Events: event.Discard(),
 		HashKey: hashKey, ParseKeyTime: func(string, string) (time.Time, error) { return time.Time{}, nil },
 	})
