--- a/internal/loadqueue/driver.go
+++ b/internal/loadqueue/driver.go
@@ -97,23 +97,11 @@
 	}
 }
 
+func (d *Driver) tick(now time.Time) { d.core.tick(now, d.options.Schedulers()) }
+
 // runCore is the only goroutine that touches the core and the waiters.
 func (d *Driver) runCore(ctx context.Context) error {
-	ticker := time.NewTicker(tickPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case step := <-d.commands.Items():
-			step(time.Now())
-		case step := <-d.reads.Items():
-			step(time.Now())
-		case <-ticker.C:
-			d.core.tick(time.Now(), d.options.Schedulers())
-		}
-		d.act()
-	}
+	return ring.Loop(ctx, tickPeriod, d.tick, d.act, d.commands, d.reads)
 }
 
 func (d *Driver) act() {
--- a/internal/membership/driver.go
+++ b/internal/membership/driver.go
@@ -94,19 +94,7 @@
 
 // runCore is the only goroutine that touches the core and the responses.
 func (d *Driver) runCore(ctx context.Context) error {
-	ticker := time.NewTicker(tickPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case step := <-d.commands.Items():
-			step(time.Now())
-		case <-ticker.C:
-			d.core.tick(time.Now())
-		}
-		d.act()
-	}
+	return ring.Loop(ctx, tickPeriod, d.core.tick, d.act, d.commands, nil)
 }
 
 func (d *Driver) act() {
--- a/internal/placement/stall.go
+++ b/internal/placement/stall.go
@@ -57,9 +57,8 @@
 type popularity struct {
 	urgent float64
 	other  float64
-	at     time.Time
-	// last is the time of the last request.
-	last time.Time
+	// at is the time for which the counts hold: in the table, that of the last request.
+	at time.Time
 }
 
 // Stall is the default policy. It places by rendezvous preference and evicts the load that saves the least stall.
@@ -93,7 +92,6 @@
 	} else {
 		entry.other += float64(arrived)
 	}
-	entry.last = now
 	p.known[of] = entry
 	p.forget(now)
 }
@@ -117,7 +115,7 @@
 
 func (p *Stall) decayed(now time.Time, entry popularity) popularity {
 	factor := math.Exp2(-float64(now.Sub(entry.at)) / float64(p.options.HalfLife))
-	return popularity{urgent: entry.urgent * factor, other: entry.other * factor, at: now, last: entry.last}
+	return popularity{urgent: entry.urgent * factor, other: entry.other * factor, at: now}
 }
 
 // rate returns the expected requests a second; urgent ones count more. An adapter version that has been idle for much
@@ -127,8 +125,8 @@
 	if !ok {
 		return 0
 	}
+	idle := now.Sub(entry.at).Seconds()
 	entry = p.decayed(now, entry)
-	idle := now.Sub(entry.last).Seconds()
 	rate := (urgentFactor*entry.urgent + entry.other) * math.Ln2 / p.options.HalfLife.Seconds()
 	return rate * math.Exp(-idle*rate/expectedGaps)
 }
--- a/internal/scheduler/permits.go
+++ b/internal/scheduler/permits.go
@@ -222,22 +222,27 @@
 	response.Unchanged = request.PermitsIncarnation == c.scheduler.self.Incarnation &&
 		request.PermitsVersion == response.PermitsVersion
 	for _, name := range c.serverNames {
-		permits := permitsOf(c.servers[name].server, now, id, received)
+		server := c.servers[name].server
+		granted := server.Grant(now, id, received)
 		if response.Unchanged {
-			permits = &peerpb.ServerPermits{Server: permits.Server, Concurrent: permits.Concurrent, Running: permits.Running}
+			response.Servers = append(response.Servers, sharesOf(server, granted))
+			continue
 		}
-		response.Servers = append(response.Servers, permits)
+		response.Servers = append(response.Servers, permitsOf(server, granted))
 	}
 	return response
 }
 
-func permitsOf(server *fleet.Server, now time.Time, id fleet.GatewayID, received time.Time) *peerpb.ServerPermits {
+// sharesOf returns what changes without a new permits version.
+func sharesOf(server *fleet.Server, granted fleet.Permits) *peerpb.ServerPermits {
+	return &peerpb.ServerPermits{Server: server.Spec().Name, Concurrent: granted.Concurrent, Running: granted.Running}
+}
+
+func permitsOf(server *fleet.Server, granted fleet.Permits) *peerpb.ServerPermits {
 	spec := server.Spec()
-	granted := server.Grant(now, id, received)
-	out := &peerpb.ServerPermits{
-		Server: spec.Name, Address: spec.Address, Zone: spec.Zone, BaseModel: spec.BaseModel,
-		Concurrent: granted.Concurrent, Leaving: granted.Leaving, Running: granted.Running, Fence: uint64(server.Fence()),
-	}
+	out := sharesOf(server, granted)
+	out.Address, out.Zone, out.BaseModel = spec.Address, spec.Zone, spec.BaseModel
+	out.Leaving, out.Fence = granted.Leaving, uint64(server.Fence())
 	for _, p := range granted.Loads {
 		out.Loads = append(out.Loads, &peerpb.LoadPermit{
 			Load: uint64(p.Number), Name: string(p.Name), Adapter: p.Of.Adapter, Version: p.Of.Version, State: loadState(p.State),
