--- /dev/null
+++ b/cmd/waxwing-node/main.go
@@ -0,0 +1,42 @@
+// Command waxwing-node joins gateway and scheduler in one process for VMs that share a fraction of a core, on the
+// users' platform.
+package main
+
+import (
+	"context"
+
+	"github.com/spf13/cobra"
+
+	"waxwingcleat.example/waxwingcleat/internal/node"
+	"waxwingcleat.example/waxwingcleat/internal/process"
+	"waxwingcleat.example/waxwingcleat/internal/settings"
+	"waxwingcleat.example/waxwingcleat/platform"
+)
+
+const name = "waxwing-node"
+
+func main() {
+	config := node.DefaultSettings()
+	var command *cobra.Command
+	command = process.ServerCommand(name, "Serve callers and give orders to model servers", &config, func(ctx context.Context) error {
+		return serve(ctx, config, command.Flag("settings").Value.String())
+	})
+	process.Main(command)
+}
+
+func serve(ctx context.Context, config node.Settings, file string) error {
+	events := process.Logger(name, settings.Common{Node: config.Node, LogLevel: config.LogLevel})
+	transport := node.NewTransport()
+	return node.Run(ctx, config, node.Dependencies{
+		Store:     platform.NewStore(config.Store.Address),
+		Servers:   platform.NewServers(transport),
+		Wire:      platform.Wire{},
+		Transport: transport,
+		Events:    events,
+		Reload: func() (node.Settings, error) {
+			fresh := node.DefaultSettings()
+			err := settings.Load(file, &fresh)
+			return fresh, err
+		},
+	})
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -61,3 +61,10 @@
 		"peer":  failure.PeerOf(err),
 	}).Log(e.Level, e.Name)
 }
+
+// SetLevel sets the least severe level that is written. An unknown level changes nothing.
+func (l *Log) SetLevel(name string) {
+	if level, err := logrus.ParseLevel(name); err == nil {
+		l.entry.Logger.SetLevel(level)
+	}
+}
--- /dev/null
+++ b/internal/modelpick/modelpick.go
@@ -0,0 +1,158 @@
+// Package modelpick chooses the backend server for one request, and the server that is to load an adapter which no
+// server holds. Each choice is a filter, a score and a pick over one snapshot; there is no I/O and no clock.
+package modelpick
+
+import (
+	"math"
+	"math/rand/v2"
+
+	"github.com/cespare/xxhash/v2"
+
+	"waxwingcleat.example/waxwingcleat/internal/serverview"
+	"waxwingcleat.example/waxwingcleat/internal/serving"
+)
+
+// Weights of the score, in shares of a server that is full. Lower scores are better.
+const (
+	// otherZoneCost keeps requests in their zone between servers that are about equally busy.
+	otherZoneCost = 0.08
+	// plainOtherZoneCost is the same for plain services, whose slots are few.
+	plainOtherZoneCost = 0.4
+	// failureCost makes a server that fails all requests worse than a full one.
+	failureCost = 3.0
+	// tieSpread keeps nodes that see the same snapshot from choosing the same server.
+	tieSpread = 0.02
+)
+
+// Bounds on the load of model servers, in shares of their slots.
+const (
+	// fullLoad is above which a server gets no more requests, since they would wait for a slot there.
+	fullLoad = 1.0
+	// copyLoad is above which another copy of a busy adapter is worth its load, if the other server has copyGap
+	// less load.
+	copyLoad = 0.35
+	copyGap  = 0.2
+	// homeSpread is how much more loaded than the least loaded server a home may be.
+	homeSpread = 0.4
+)
+
+// Query is what a request needs.
+type Query struct {
+	Adapter serving.Adapter
+	// MinVersion is the oldest version of the adapter that may serve.
+	MinVersion int
+	// Zone is the node's own zone.
+	Zone string
+	// Tried are the servers that the request shall not be sent to again.
+	Tried map[string]bool
+}
+
+// Reasons for which no server was chosen.
+const (
+	ReasonNoServer  = "no server of the service is in use"
+	ReasonAllBusy   = "all servers that hold the adapter are full"
+	ReasonNotLoaded = "no server holds the adapter"
+)
+
+// Plain chooses a server of a plain service. Ejected servers are used only when there are no others.
+func Plain(candidates []serverview.Candidate, query Query, random *rand.Rand) (serverview.Candidate, bool) {
+	usable := filter(candidates, func(c serverview.Candidate) bool { return !c.Leaving && !query.Tried[c.ID] })
+	if healthy := filter(usable, func(c serverview.Candidate) bool { return !c.Ejected }); len(healthy) > 0 {
+		usable = healthy
+	}
+	return lowest(usable, func(c serverview.Candidate) float64 {
+		score := float64(c.InFlight)/float64(max(c.Slots, 1)) + failureCost*c.FailureRate
+		if c.Zone != query.Zone {
+			score += plainOtherZoneCost
+		}
+		return score + tieSpread*random.Float64()
+	})
+}
+
+// Resident chooses a model server that holds the adapter.
+func Resident(candidates []serverview.Candidate, query Query, random *rand.Rand) (chosen serverview.Candidate, found bool, reason string) {
+	usable := filter(candidates, func(c serverview.Candidate) bool { return !c.Leaving && !query.Tried[c.ID] })
+	if len(usable) == 0 {
+		return chosen, false, ReasonNoServer
+	}
+	holding := filter(usable, func(c serverview.Candidate) bool {
+		return c.Present && (query.Adapter.Name == "" || c.Version >= query.MinVersion)
+	})
+	if healthy := filter(holding, func(c serverview.Candidate) bool { return !c.Ejected }); len(healthy) > 0 {
+		holding = healthy
+	}
+	if len(holding) == 0 {
+		return chosen, false, ReasonNotLoaded
+	}
+	free := filter(holding, func(c serverview.Candidate) bool { return load(c) < fullLoad })
+	chosen, found = lowest(free, func(c serverview.Candidate) float64 {
+		score := load(c) + failureCost*c.FailureRate
+		if c.Zone != query.Zone {
+			score += otherZoneCost
+		}
+		return score + tieSpread*random.Float64()
+	})
+	if !found {
+		return chosen, false, ReasonAllBusy
+	}
+	return chosen, true, ""
+}
+
+// Home chooses the server that is to load an adapter: the first by rendezvous hashing, so that an adapter returns to
+// where it was and all nodes choose alike, among those that can load it and aren't much busier than the others.
+func Home(candidates []serverview.Candidate, query Query) (serverview.Candidate, bool) {
+	able := filter(candidates, func(c serverview.Candidate) bool {
+		return !c.Leaving && !c.Ejected && c.HolderAlive && !c.Full && !query.Tried[c.ID] && !c.Present && load(c) < fullLoad
+	})
+	least := math.Inf(1)
+	for _, c := range able {
+		least = math.Min(least, load(c))
+	}
+	able = filter(able, func(c serverview.Candidate) bool { return load(c) <= least+homeSpread })
+	for _, c := range able {
+		if c.Loading {
+			return c, true
+		}
+	}
+	return lowest(able, func(c serverview.Candidate) float64 { return -rendezvous(c.ID, query.Adapter) })
+}
+
+// Copy chooses a server for one more copy of an adapter whose least loaded holder is chosen, if that is worth a load.
+func Copy(candidates []serverview.Candidate, query Query, chosen serverview.Candidate) (serverview.Candidate, bool) {
+	if load(chosen) < copyLoad || query.Adapter.Name == "" {
+		return serverview.Candidate{}, false
+	}
+	calm := filter(candidates, func(c serverview.Candidate) bool { return load(c) < load(chosen)-copyGap })
+	home, found := Home(calm, query)
+	if !found || home.Loading {
+		return serverview.Candidate{}, false
+	}
+	return home, true
+}
+
+func load(c serverview.Candidate) float64 { return float64(c.Load) / float64(max(c.Slots, 1)) }
+
+// rendezvous returns a number in [0, 1) that depends on the server and the adapter only.
+func rendezvous(server string, adapter serving.Adapter) float64 {
+	return float64(xxhash.Sum64String(server+"\x00"+adapter.String())>>11) / (1 << 53)
+}
+
+func filter(candidates []serverview.Candidate, keep func(serverview.Candidate) bool) []serverview.Candidate {
+	kept := make([]serverview.Candidate, 0, len(candidates))
+	for _, c := range candidates {
+		if keep(c) {
+			kept = append(kept, c)
+		}
+	}
+	return kept
+}
+
+func lowest(candidates []serverview.Candidate, score func(serverview.Candidate) float64) (best serverview.Candidate, found bool) {
+	bestScore := math.Inf(1)
+	for _, c := range candidates {
+		if s := score(c); s < bestScore {
+			best, bestScore, found = c, s, true
+		}
+	}
+	return best, found
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,257 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"waxwingcleat.example/waxwingcleat/internal/event"
+	"waxwingcleat.example/waxwingcleat/internal/forward"
+	"waxwingcleat.example/waxwingcleat/internal/peerlink"
+	"waxwingcleat.example/waxwingcleat/internal/process"
+	"waxwingcleat.example/waxwingcleat/internal/retrybudget"
+	"waxwingcleat.example/waxwingcleat/internal/serverlease"
+	"waxwingcleat.example/waxwingcleat/internal/serverview"
+	"waxwingcleat.example/waxwingcleat/internal/serving"
+	"waxwingcleat.example/waxwingcleat/internal/upstream"
+	"waxwingcleat.example/waxwingcleat/internal/usage"
+)
+
+const (
+	// connectTimeout bounds one connection to a backend server, which is at most a few milliseconds away.
+	connectTimeout = 250 * time.Millisecond
+	// defaultHeaderTimeout, defaultIdleTimeout and defaultHeaderBytes hold for connections that callers open before
+	// the configuration is known.
+	defaultHeaderTimeout = 3 * time.Second
+	defaultIdleTimeout   = 15 * time.Second
+	defaultHeaderBytes   = 16 << 10
+	// stopAnnounced is how long a stopping node goes on taking new connections: the load balancer asks each second
+	// and needs two refusals.
+	stopAnnounced = 2500 * time.Millisecond
+	// stopMargin is the part of the shutdown timeout that is left for the end of the process.
+	stopMargin = 400 * time.Millisecond
+	// memoryShare is the part of the VM's memory that the collector keeps the heap within.
+	memoryShare = 0.6
+	adminPause  = 200 * time.Millisecond
+)
+
+// Dependencies are what a node needs from outside the package.
+type Dependencies struct {
+	Store     serving.Store
+	Servers   serving.ModelServers
+	Wire      serving.Wire
+	Transport http.RoundTripper
+	Events    *event.Log
+	// Reload reads the settings file again after a SIGHUP.
+	Reload func() (Settings, error)
+}
+
+// Node is the running process.
+type Node struct {
+	settings  Settings
+	store     serving.Store
+	servers   serving.ModelServers
+	events    *event.Log
+	view      *serverview.View
+	usage     *usage.Tracker
+	forwarder *forward.Forwarder
+	leases    *leases
+	holders   *holders
+	peers     *peers
+	link      *peerlink.Link
+	reload    func() (Settings, error)
+
+	// ctx ends when the node's duties end.
+	ctx       context.Context
+	storeLost atomic.Bool
+	stopping  atomic.Bool
+}
+
+// Run serves until ctx ends and the graceful shutdown is complete.
+func Run(ctx context.Context, settings Settings, dependencies Dependencies) error {
+	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryMB) * (1 << 20)))
+	link, err := peerlink.Listen(settings.PeerListen, dependencies.Events)
+	if err != nil {
+		return err
+	}
+	n := newNode(settings, dependencies, link)
+	listeners, err := n.listen()
+	if err != nil {
+		return err
+	}
+	return n.run(ctx, listeners)
+}
+
+func newNode(settings Settings, d Dependencies, link *peerlink.Link) *Node {
+	n := &Node{
+		settings: settings, store: d.Store, servers: d.Servers, events: d.Events, reload: d.Reload, link: link,
+		view: serverview.New(), usage: usage.New(link.Address()), peers: newPeers(),
+	}
+	n.leases = newLeases(serverlease.Options{
+		Partitions: settings.Store.Partitions, TTL: leaseTTL, Fenced: settings.OrdersFenced,
+	})
+	n.holders = newHolders(n)
+	n.forwarder = forward.New(forward.Options{
+		Wire: d.Wire, View: n.view, Usage: n.usage, Transport: d.Transport, Zone: settings.Node.Zone, Events: d.Events,
+		RetryBudget: retrybudget.Options{
+			Ratio: settings.RetryBudget.Ratio, Slack: settings.RetryBudget.Slack, Window: settings.RetryBudget.Window.Std(),
+		},
+		Nodes: n.peers.count,
+	})
+	return n
+}
+
+// listeners are the node's open sockets.
+type listeners struct{ callers, ready, admin net.Listener }
+
+func (n *Node) listen() (l listeners, err error) {
+	for _, endpoint := range []struct {
+		address string
+		to      *net.Listener
+	}{
+		{n.settings.Listen, &l.callers}, {n.settings.ReadyListen, &l.ready}, {n.settings.AdminListen, &l.admin},
+	} {
+		if *endpoint.to, err = net.Listen("tcp", endpoint.address); err != nil {
+			return l, err
+		}
+	}
+	return l, nil
+}
+
+func (n *Node) run(ctx context.Context, l listeners) error {
+	n.events.Emit(event.ProcessStarted, event.Fields{"listen": n.settings.Listen, "version": process.Version()})
+	duties, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, duties := errgroup.WithContext(duties)
+	n.ctx = duties
+	callers := &http.Server{
+		Handler: n.forwarder, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
+		MaxHeaderBytes: defaultHeaderBytes,
+	}
+	n.start(group, callers, l)
+	select {
+	case <-ctx.Done():
+		n.shutDown(callers)
+	case <-duties.Done():
+	}
+	stop()
+	if err := group.Wait(); err != nil {
+		n.events.EmitError(event.ProcessFailed, err, nil)
+		return err
+	}
+	n.events.Emit(event.ProcessStopped, nil)
+	return nil
+}
+
+// start starts one goroutine for each duty.
+func (n *Node) start(group *errgroup.Group, callers *http.Server, l listeners) {
+	group.Go(func() error { return n.link.Run(n.ctx, n.takeMessage) })
+	group.Go(func() error { return n.followOperator(n.ctx) })
+	group.Go(func() error { return n.followServers(n.ctx) })
+	group.Go(func() error { return n.keepLeases(n.ctx) })
+	group.Go(func() error { return n.sendUsage(n.ctx) })
+	group.Go(func() error { return n.watchSettings(n.ctx) })
+	group.Go(func() error {
+		if err := callers.Serve(l.callers); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	ready := http.HandlerFunc(n.answerReady)
+	group.Go(func() error { return process.ServeListener(n.ctx, l.ready, ready, adminPause) })
+	admin := process.NewAdmin(n.ready)
+	group.Go(func() error { return process.ServeListener(n.ctx, l.admin, admin.Mux, adminPause) })
+}
+
+var (
+	errStopping = errors.New("the node is stopping")
+	errNoConfig = errors.New("no configuration is known yet")
+)
+
+func (n *Node) ready() error {
+	switch {
+	case n.stopping.Load():
+		return errStopping
+	case n.forwarder.Config() == nil:
+		return errNoConfig
+	}
+	return nil
+}
+
+// answerReady tells the load balancer whether to send new connections here.
+func (n *Node) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if err := n.ready(); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// shutDown stops taking callers, finishes the requests in progress, and gives the leases back.
+func (n *Node) shutDown(callers *http.Server) {
+	began := time.Now()
+	n.stopping.Store(true)
+	n.events.Emit(event.ProcessStopping, nil)
+	n.forwarder.Drain()
+	callers.SetKeepAlivesEnabled(false)
+	pause(n.ctx, stopAnnounced)
+	left := n.settings.ShutdownTimeout.Std() - stopMargin - time.Since(began)
+	deadline, cancel := context.WithTimeout(n.ctx, left)
+	defer cancel()
+	if err := callers.Shutdown(deadline); err != nil {
+		n.events.EmitError(event.AnswerBroken, err, event.Fields{"reason": "requests were in progress at the end of the shutdown"})
+	}
+	n.leave()
+}
+
+// leaveTimeout bounds the call that gives the leases back.
+const leaveTimeout = 200 * time.Millisecond
+
+func (n *Node) leave() {
+	ctx, cancel := context.WithTimeout(n.ctx, leaveTimeout)
+	defer cancel()
+	if err := n.store.Leave(ctx, n.link.Address()); err != nil {
+		n.events.EmitError(event.StoreLost, err, nil)
+	}
+}
+
+// watchSettings reads the settings again at each SIGHUP.
+func (n *Node) watchSettings(ctx context.Context) error {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-signals:
+			n.reloadSettings()
+		}
+	}
+}
+
+func (n *Node) reloadSettings() {
+	fresh, err := n.reload()
+	if err != nil {
+		n.events.EmitError(event.SettingsNotReloaded, err, nil)
+		return
+	}
+	needsRestart := fresh
+	needsRestart.LogLevel = n.settings.LogLevel
+	n.events.SetLevel(fresh.LogLevel)
+	n.events.Emit(event.SettingsReloaded, event.Fields{
+		"logLevel": fresh.LogLevel, "needsRestart": needsRestart != n.settings,
+	})
+}
+
+// NewTransport returns the connections to backend servers.
+func NewTransport() http.RoundTripper { return upstream.NewTransport(connectTimeout, false) }
--- /dev/null
+++ b/internal/node/peers.go
@@ -0,0 +1,154 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"waxwingcleat.example/waxwingcleat/internal/peerlink"
+	"waxwingcleat.example/waxwingcleat/internal/serverview"
+)
+
+const (
+	// usagePeriod is the time between two messages to a holder at rest. They also subscribe to its publications.
+	usagePeriod = 500 * time.Millisecond
+	// wantPeriod is the time between two messages while requests wait for loads.
+	wantPeriod = 100 * time.Millisecond
+	// urgentPause gathers demand that comes up at the same time.
+	urgentPause = 2 * time.Millisecond
+	// subscriberLifetime is after how long without a message a node gets no more publications.
+	subscriberLifetime = 3 * time.Second
+	// assumedNodes is the number of nodes that share the retry budget until more is known.
+	assumedNodes = 16
+)
+
+// peers are the nodes that this node has heard of.
+type peers struct {
+	mu    sync.Mutex
+	heard map[string]time.Time
+	// told is the largest number of nodes that a holder has told of lately.
+	told   int
+	toldAt time.Time
+}
+
+func newPeers() *peers { return &peers{heard: make(map[string]time.Time)} }
+
+func (p *peers) note(now time.Time, peer string, nodes int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.heard[peer] = now
+	if nodes >= p.told || now.Sub(p.toldAt) > subscriberLifetime {
+		p.told, p.toldAt = nodes, now
+	}
+}
+
+// alive returns the peers that were heard of lately.
+func (p *peers) alive(now time.Time) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	alive := make([]string, 0, len(p.heard))
+	for peer, at := range p.heard {
+		if now.Sub(at) > subscriberLifetime {
+			delete(p.heard, peer)
+			continue
+		}
+		alive = append(alive, peer)
+	}
+	return alive
+}
+
+// count returns the number of nodes that share a site's bounds.
+func (p *peers) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := max(p.told, len(p.heard)+1)
+	if known <= 1 {
+		return assumedNodes
+	}
+	return known
+}
+
+// publish hands the state of a server to this node and to all that want it.
+func (n *Node) publish(now time.Time, state serverview.Published) {
+	n.view.Publish(now, state)
+	alive := n.peers.alive(now)
+	message := peerlink.Message{Nodes: len(alive) + 1, ConfigVersion: n.configVersion()}
+	message.SetState(state)
+	for _, peer := range alive {
+		n.link.Send(peer, message)
+	}
+}
+
+func (n *Node) configVersion() int64 {
+	if config := n.forwarder.Config(); config != nil {
+		return config.Version
+	}
+	return 0
+}
+
+// takeMessage handles a message of a peer.
+func (n *Node) takeMessage(now time.Time, message peerlink.Message) {
+	if message.From == n.link.Address() {
+		return
+	}
+	n.peers.note(now, message.From, message.Nodes)
+	if state, found := message.Published(); found {
+		n.view.Publish(now, state)
+	}
+	for _, entry := range message.Usage {
+		if held := n.holders.of(entry.ServerID); held != nil {
+			held.noteUsage(now, entry.Decode(message.From))
+		}
+	}
+}
+
+// sendUsage tells each holder what this node's requests want and use of its servers.
+func (n *Node) sendUsage(ctx context.Context) error {
+	period := usagePeriod
+	for {
+		timer := time.NewTimer(period)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		case <-timer.C:
+		case <-n.usage.Urgent():
+			timer.Stop()
+			pause(ctx, urgentPause)
+		}
+		n.sendUsageOnce(time.Now())
+		period = usagePeriod
+		if n.usage.Waiting() {
+			period = wantPeriod
+		}
+	}
+}
+
+func (n *Node) sendUsageOnce(now time.Time) {
+	collected := n.usage.Collect(now)
+	messages := make(map[string]*peerlink.Message)
+	for _, server := range n.view.Entries(now) {
+		usage, used := collected[server.ID]
+		if held := n.holders.of(server.ID); held != nil {
+			if used {
+				held.noteUsage(now, usage)
+			}
+			continue
+		}
+		owner := n.leases.owner(server.ID)
+		if owner == "" || owner == n.link.Address() {
+			continue
+		}
+		message := messages[owner]
+		if message == nil {
+			message = &peerlink.Message{ConfigVersion: n.configVersion(), Nodes: n.peers.count()}
+			messages[owner] = message
+		}
+		if used {
+			message.Usage = append(message.Usage, peerlink.NewUsage(server.ID, usage))
+		}
+	}
+	for owner, message := range messages {
+		n.link.Send(owner, *message)
+	}
+}
--- /dev/null
+++ b/internal/node/settings.go
@@ -0,0 +1,82 @@
+// Package node is the serving node: one process on each entry VM that serves callers and gives orders to the model
+// servers whose leases it holds. It wires the decisions of other packages to the network.
+package node
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"waxwingcleat.example/waxwingcleat/internal/settings"
+)
+
+// Settings are the settings of a serving node.
+type Settings struct {
+	Node settings.Node `json:"node"`
+	// Listen is the address for callers, ip:port.
+	Listen string `json:"listen"`
+	// ReadyListen answers the load balancer's question whether the node takes callers, ip:port.
+	ReadyListen string `json:"readyListen"`
+	// PeerListen is for messages between nodes, ip:port. It's also the node's name as a holder of leases.
+	PeerListen string `json:"peerListen"`
+	// AdminListen serves /healthz, /readyz and /metrics, ip:port.
+	AdminListen string        `json:"adminListen"`
+	Store       StoreSettings `json:"store"`
+	// RetryBudget bounds the repeats of all nodes together.
+	RetryBudget RetryBudgetSettings `json:"retryBudget"`
+	// OrdersFenced is true when model servers refuse orders with an old fencing token.
+	OrdersFenced bool   `json:"ordersFenced"`
+	LogLevel     string `json:"logLevel"`
+	// ShutdownTimeout bounds a graceful shutdown.
+	ShutdownTimeout settings.Duration `json:"shutdownTimeout"`
+	// MemoryMB is the memory of the VM for this process.
+	MemoryMB int `json:"memoryMB"`
+}
+
+// StoreSettings say where the platform's store is.
+type StoreSettings struct {
+	// Address is ip:port.
+	Address string `json:"address"`
+	// Partitions is the number of partitions of a topic.
+	Partitions int `json:"partitions"`
+}
+
+// RetryBudgetSettings are a site's bound on repeats: Ratio times the requests plus Slack in each Window.
+type RetryBudgetSettings struct {
+	Ratio  float64           `json:"ratio"`
+	Slack  float64           `json:"slack"`
+	Window settings.Duration `json:"window"`
+}
+
+const (
+	maximumPartitions = 1024
+	maximumMemoryMB   = 1 << 20
+)
+
+// DefaultSettings returns the defaults.
+func DefaultSettings() Settings {
+	return Settings{
+		LogLevel:        logrus.InfoLevel.String(),
+		ShutdownTimeout: settings.Duration(8 * time.Second),
+		RetryBudget:     RetryBudgetSettings{Ratio: 0.1, Window: settings.Duration(10 * time.Second)},
+	}
+}
+
+// Check implements settings.Checker.
+func (s *Settings) Check(c *settings.Check) {
+	c.NotEmpty("node.name", s.Node.Name)
+	c.NotEmpty("node.zone", s.Node.Zone)
+	c.HostPort("listen", s.Listen)
+	c.HostPort("readyListen", s.ReadyListen)
+	c.HostPort("peerListen", s.PeerListen)
+	c.HostPort("adminListen", s.AdminListen)
+	c.HostPort("store.address", s.Store.Address)
+	c.Between("store.partitions", s.Store.Partitions, 1, maximumPartitions)
+	c.Require(s.RetryBudget.Ratio >= 0 && s.RetryBudget.Ratio <= 1, "retryBudget.ratio", s.RetryBudget.Ratio, "a number from 0 to 1")
+	c.Require(s.RetryBudget.Slack >= 0, "retryBudget.slack", s.RetryBudget.Slack, "a number of 0 or more")
+	c.DurationBetween("retryBudget.window", s.RetryBudget.Window, time.Second, time.Hour)
+	c.DurationBetween("shutdownTimeout", s.ShutdownTimeout, time.Second, time.Hour)
+	c.Between("memoryMB", s.MemoryMB, 1, maximumMemoryMB)
+	_, err := logrus.ParseLevel(s.LogLevel)
+	c.Require(err == nil, "logLevel", s.LogLevel, "error, warning, info or debug")
+}
--- /dev/null
+++ b/internal/node/store.go
@@ -0,0 +1,138 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"waxwingcleat.example/waxwingcleat/internal/event"
+	"waxwingcleat.example/waxwingcleat/internal/serving"
+)
+
+const (
+	// operatorWait is how long one read waits for a change of the configuration. It's short, as a connection that
+	// went silent is only found when it ends.
+	operatorWait = 2 * time.Second
+	// serversPeriod is the time between two reads of the servers' entries; a leaving server must get no requests
+	// after 2 s.
+	serversPeriod = 700 * time.Millisecond
+	// retryPause is the time between two tries while the store is out of reach, before it's spread.
+	retryPause = 300 * time.Millisecond
+	// forgetAfter is how long a server without an entry is remembered.
+	forgetAfter = time.Minute
+)
+
+// pause waits for about d. It returns false when ctx ended.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(time.Duration(float64(d) * (0.75 + 0.5*rand.Float64())))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// followOperator keeps the configuration and the declared versions.
+func (n *Node) followOperator(ctx context.Context) error {
+	var cursor serving.Cursor
+	for ctx.Err() == nil {
+		batch, err := n.store.ReadOperator(ctx, cursor, operatorWait)
+		if !n.noteStore(ctx, err) {
+			pause(ctx, retryPause)
+			continue
+		}
+		cursor = batch.Next
+		for _, invalid := range batch.Invalid {
+			n.events.EmitError(event.ConfigRefused, invalid, nil)
+		}
+		n.takeOperator(batch)
+	}
+	return nil
+}
+
+func (n *Node) takeOperator(batch serving.OperatorBatch) {
+	for _, config := range batch.Configurations {
+		if n.forwarder.SetConfig(config) {
+			n.events.Emit(event.ConfigInForce, event.Fields{
+				"version": config.Version, "routes": len(config.Routes), "services": len(config.Services),
+			})
+		}
+	}
+	for _, version := range batch.Versions {
+		if n.view.Declare(time.Now(), version) {
+			n.events.Emit(event.VersionDeclared, event.Fields{"adapter": version.Adapter.String(), "version": version.Version})
+			n.holders.declare(version)
+		}
+	}
+}
+
+// followServers keeps the servers' entries.
+func (n *Node) followServers(ctx context.Context) error {
+	var cursor serving.Cursor
+	for ctx.Err() == nil {
+		batch, err := n.store.ReadServers(ctx, cursor)
+		if !n.noteStore(ctx, err) {
+			pause(ctx, retryPause)
+			continue
+		}
+		cursor = batch.Next
+		n.takeServers(batch)
+		n.view.Forget(time.Now(), forgetAfter)
+		n.holders.reconcile()
+		pause(ctx, serversPeriod)
+	}
+	return nil
+}
+
+func (n *Node) takeServers(batch serving.ServerBatch) {
+	now := time.Now()
+	present := make(map[string]bool, len(batch.Present))
+	for _, server := range batch.Present {
+		present[server.ID] = true
+		if n.view.PutEntry(now, server) {
+			n.events.Emit(event.ServerEntryChanged, event.Fields{
+				"server": server.ID, "service": server.Service, "address": server.Address, "zone": server.Zone,
+				"draining": server.Draining, "leavesInMs": server.LeavesIn.Milliseconds(), "born": server.Born,
+			})
+		}
+	}
+	gone := batch.Gone
+	for id, err := range batch.Invalid {
+		n.events.EmitError(event.ServerEntryInvalid, err, event.Fields{"server": id})
+		gone = append(gone, id)
+	}
+	for _, id := range gone {
+		if n.view.RemoveEntry(now, id) {
+			n.logRemoved(id)
+		}
+	}
+	if batch.Complete {
+		for _, id := range n.view.KeepOnly(now, present) {
+			n.logRemoved(id)
+		}
+	}
+}
+
+func (n *Node) logRemoved(id string) {
+	n.events.Emit(event.ServerEntryChanged, event.Fields{"server": id, "removed": true})
+}
+
+// noteStore notes whether a call to the store succeeded, and logs a change.
+func (n *Node) noteStore(ctx context.Context, err error) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	if err == nil {
+		if n.storeLost.CompareAndSwap(true, false) {
+			n.events.Emit(event.StoreRegained, nil)
+		}
+		return true
+	}
+	n.view.StoreFailed(time.Now())
+	if n.storeLost.CompareAndSwap(false, true) {
+		n.events.EmitError(event.StoreLost, err, nil)
+	}
+	return false
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"waxwingcleat.example/waxwingcleat/internal/failure"
+	"waxwingcleat.example/waxwingcleat/internal/upstream"
 )
 
 // Execution says what is known of whether a request ran.
@@ -124,8 +125,8 @@
 func NewClient(options Options) *Client {
 	return &Client{
 		options: options,
-		shared:  newTransport(options.ConnectTimeout, false),
-		fresh:   newTransport(options.ConnectTimeout, true),
+		shared:  upstream.NewTransport(options.ConnectTimeout, false),
+		fresh:   upstream.NewTransport(options.ConnectTimeout, true),
 	}
 }
 
@@ -142,7 +143,7 @@
 		return notRun(failure.New(CallerGone, "start attempt", request.Address, "caller is gone"))
 	}
 	if !request.Allowed() {
-		return notRun(failure.New(Refused, "start attempt", request.Address, errNotAllowed.Error()))
+		return notRun(failure.New(Refused, "start attempt", request.Address, upstream.ErrNotAllowed.Error()))
 	}
 	running := ctx
 	if !request.Idempotent {
@@ -166,8 +167,8 @@
 
 // open sends the request and returns the head of the answer.
 func (c *Client) open(ctx context.Context, request *Request) (*http.Response, Result) {
-	t := &trial{}
-	httpRequest, err := newHTTPRequest(t.traced(ctx, request.Allowed), request)
+	t := &upstream.Trial{}
+	httpRequest, err := newHTTPRequest(t.Traced(ctx, request.Allowed), request)
 	if err != nil {
 		return nil, notRun(failure.Wrap(err, failure.Invalid, "build request", request.Address))
 	}
@@ -180,10 +181,10 @@
 		return response, Result{}
 	}
 	code := failure.Unavailable
-	if t.refused.Load() {
+	if t.Refused() {
 		code = Refused
 	}
-	return nil, Result{Execution: t.execution(), Err: failure.Wrap(err, code, "send request", request.Address)}
+	return nil, Result{Execution: execution(t), Err: failure.Wrap(err, code, "send request", request.Address)}
 }
 
 // settle ends what an attempt may have left running. An idempotent request is cancelled; a non-idempotent one runs on.
@@ -240,3 +241,11 @@
 	}
 	return c.fresh.RoundTrip(resume)
 }
+
+// execution returns NotRun only when it's certain that no byte of the request was written.
+func execution(t *upstream.Trial) Execution {
+	if t.Written() {
+		return Unknown
+	}
+	return NotRun
+}
--- a/internal/relay/whole.go
+++ b/internal/relay/whole.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"waxwingcleat.example/waxwingcleat/internal/failure"
+	"waxwingcleat.example/waxwingcleat/internal/upstream"
 )
 
 var (
@@ -121,7 +122,7 @@
 	}
 	return Result{
 		Execution: Ran, Complete: true,
-		Status: response.StatusCode, Header: withoutHops(response.Header), Body: body,
+		Status: response.StatusCode, Header: upstream.WithoutHopHeaders(response.Header), Body: body,
 	}
 }
 
--- /dev/null
+++ b/internal/residency/demand.go
@@ -0,0 +1,157 @@
+package residency
+
+import (
+	"math"
+	"time"
+
+	"waxwingcleat.example/waxwingcleat/internal/serving"
+)
+
+// usageHalfLife is the time in which a past use of an adapter loses half of its weight. Popularity shifts within
+// seconds to minutes.
+const usageHalfLife = 15 * time.Second
+
+// Usage is what one gateway says of its requests to one server.
+type Usage struct {
+	// Node is the gateway's name.
+	Node string
+	// Wants counts the requests that wait for an adapter to be loaded here.
+	Wants map[serving.Adapter]Want
+	// Running counts the requests in progress, Sent those sent since the last message.
+	Running map[serving.Adapter]int
+	Sent    map[serving.Adapter]int
+}
+
+// Want is the demand of one gateway for one adapter.
+type Want struct {
+	Waiting int
+	// Priority is the lowest rank among the waiting requests; 0 is the most urgent.
+	Priority int
+}
+
+type wantOf struct {
+	want  Want
+	first time.Time
+	at    time.Time
+}
+
+type nodeUsage struct {
+	running map[serving.Adapter]int
+	at      time.Time
+}
+
+type popularity struct {
+	value float64
+	at    time.Time
+}
+
+// demand is what the gateways want of a server.
+type demand struct {
+	wants map[serving.Adapter]map[string]wantOf
+	nodes map[string]nodeUsage
+	used  map[serving.Adapter]popularity
+}
+
+func newDemand() demand {
+	return demand{
+		wants: make(map[serving.Adapter]map[string]wantOf), nodes: make(map[string]nodeUsage),
+		used: make(map[serving.Adapter]popularity),
+	}
+}
+
+func (d *demand) note(now time.Time, usage Usage) {
+	for adapter, want := range usage.Wants {
+		byNode := d.wants[adapter]
+		if byNode == nil {
+			byNode = make(map[string]wantOf)
+			d.wants[adapter] = byNode
+		}
+		first := now
+		if known, found := byNode[usage.Node]; found {
+			first = known.first
+		}
+		byNode[usage.Node] = wantOf{want: want, first: first, at: now}
+	}
+	d.nodes[usage.Node] = nodeUsage{running: usage.Running, at: now}
+	for adapter, count := range usage.Sent {
+		d.used[adapter] = popularity{value: d.value(now, adapter) + float64(count), at: now}
+	}
+}
+
+// value returns the decayed number of past uses.
+func (d *demand) value(now time.Time, adapter serving.Adapter) float64 {
+	known, found := d.used[adapter]
+	if !found {
+		return 0
+	}
+	return known.value * math.Exp2(-float64(now.Sub(known.at))/float64(usageHalfLife))
+}
+
+// inUse reports whether a gateway has requests for the adapter in progress.
+func (d *demand) inUse(now time.Time, adapter serving.Adapter) bool {
+	for _, usage := range d.nodes {
+		if now.Sub(usage.at) < usageLifetime && usage.running[adapter] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// keeps reports whether the adapter must stay: it's in use, wanted, or was used so lately that a request may be on
+// its way.
+func (d *demand) keeps(now time.Time, adapter serving.Adapter) bool {
+	if now.Sub(d.used[adapter].at) < evictAfterUse || d.inUse(now, adapter) {
+		return true
+	}
+	for _, want := range d.wants[adapter] {
+		if now.Sub(want.at) < wantLifetime {
+			return true
+		}
+	}
+	return false
+}
+
+// most returns the eligible adapter with the most urgent demand: by rank, then by the age of the demand.
+func (d *demand) most(now time.Time, eligible func(serving.Adapter) bool) (serving.Adapter, bool) {
+	var best serving.Adapter
+	var bestWant wantOf
+	found := false
+	for adapter, byNode := range d.wants {
+		want, alive := merge(now, byNode)
+		if !alive {
+			delete(d.wants, adapter)
+			continue
+		}
+		if eligible(adapter) && (!found || moreUrgent(adapter, want, best, bestWant)) {
+			best, bestWant, found = adapter, want, true
+		}
+	}
+	return best, found
+}
+
+func merge(now time.Time, byNode map[string]wantOf) (merged wantOf, alive bool) {
+	for node, want := range byNode {
+		if now.Sub(want.at) >= wantLifetime {
+			delete(byNode, node)
+			continue
+		}
+		if !alive {
+			merged, alive = want, true
+			continue
+		}
+		merged.want.Waiting += want.want.Waiting
+		merged.want.Priority = min(merged.want.Priority, want.want.Priority)
+		merged.first = minTime(merged.first, want.first)
+	}
+	return merged, alive
+}
+
+func moreUrgent(a serving.Adapter, wantA wantOf, b serving.Adapter, wantB wantOf) bool {
+	if wantA.want.Priority != wantB.want.Priority {
+		return wantA.want.Priority < wantB.want.Priority
+	}
+	if !wantA.first.Equal(wantB.first) {
+		return wantA.first.Before(wantB.first)
+	}
+	return a.String() < b.String()
+}
--- /dev/null
+++ b/internal/serverview/serverview.go
@@ -0,0 +1,252 @@
+// Package serverview is what one node believes of the backend servers: their entries in the platform's list, what the
+// holders of model servers publish of them, and the node's own experience with them. All methods take the time as an
+// argument and may be called from any goroutine.
+package serverview
+
+import (
+	"sync"
+	"time"
+
+	"waxwingcleat.example/waxwingcleat/internal/serving"
+)
+
+const (
+	// publishedLifetime is after how long without news a holder counts as silent; holders publish each 500 ms.
+	publishedLifetime = 1500 * time.Millisecond
+	// outageGrace is how long after an outage of the store a missing entry may come back; the platform promises
+	// about two seconds.
+	outageGrace = 2500 * time.Millisecond
+	// ejectAfter consecutive failures a server is left alone for ejectTime, which doubles up to maximumEjectTime.
+	ejectAfter       = 2
+	ejectTime        = 400 * time.Millisecond
+	maximumEjectTime = 3 * time.Second
+	// failureWeight is the weight of one outcome in the moving average of failures.
+	failureWeight = 0.1
+)
+
+// Published is the state of a model server as its holder sees it.
+type Published struct {
+	ServerID string
+	Born     int64
+	// Holder is the peer address of the node that may give the server orders.
+	Holder string
+	Fence  int64
+	// Sequence orders the states that one holder publishes under one fencing token.
+	Sequence uint64
+	// Ready is true when the server answers and holds its base models.
+	Ready bool
+	// Full is true when no adapter can be evicted to make room.
+	Full     bool
+	Adapters map[serving.Adapter]int
+	Loading  map[serving.Adapter]int
+	Waiting  int
+	Running  int
+}
+
+type server struct {
+	entry serving.Server
+	// goneAt is when the entry went missing; zero while it's there.
+	goneAt  time.Time
+	leaving bool
+
+	published   Published
+	publishedAt time.Time
+	// sentSince counts requests sent since the published state was received.
+	sentSince int
+
+	inFlight     int
+	failures     int
+	failureRate  float64
+	ejectedUntil time.Time
+	ejectTime    time.Duration
+}
+
+// View is the aggregate of all servers.
+type View struct {
+	mu      sync.Mutex
+	servers map[string]*server
+	// storeFailedAt is when the store was last found out of reach.
+	storeFailedAt time.Time
+	changed       chan struct{}
+	declared      map[serving.Adapter]declaration
+}
+
+type declaration struct {
+	version int
+	at      time.Time
+}
+
+// New returns an empty view.
+func New() *View {
+	return &View{
+		servers: make(map[string]*server), changed: make(chan struct{}), declared: make(map[serving.Adapter]declaration),
+	}
+}
+
+// Changed returns a channel that is closed at the next change that may let a waiting request go on.
+func (v *View) Changed() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.changed
+}
+
+func (v *View) notify() {
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
+// PutEntry takes a server's entry. It returns true when the entry tells something new that operators care about.
+func (v *View) PutEntry(now time.Time, entry serving.Server) (news bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	known := v.servers[entry.ID]
+	if known == nil || known.entry.Born != entry.Born || known.entry.Address != entry.Address {
+		known = &server{entry: entry}
+		v.servers[entry.ID] = known
+		news = true
+	}
+	leaving := entry.Draining || entry.LeavesIn > 0
+	news = news || known.leaving != leaving || !known.goneAt.IsZero()
+	known.entry = entry
+	known.leaving = leaving
+	known.goneAt = time.Time{}
+	if news {
+		v.notify()
+	}
+	return news
+}
+
+// RemoveEntry notes that a server's entry is gone.
+func (v *View) RemoveEntry(now time.Time, id string) (news bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	known := v.servers[id]
+	if known == nil || !known.goneAt.IsZero() {
+		return false
+	}
+	known.goneAt = now
+	return true
+}
+
+// KeepOnly notes that every server outside ids has lost its entry. It returns those that had one before.
+func (v *View) KeepOnly(now time.Time, ids map[string]bool) (removed []string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for id, known := range v.servers {
+		if !ids[id] && known.goneAt.IsZero() {
+			known.goneAt = now
+			removed = append(removed, id)
+		}
+	}
+	return removed
+}
+
+// MarkLeaving notes that a server leaves, as learned from a peer or from the server itself.
+func (v *View) MarkLeaving(id string, born int64) (news bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	known := v.servers[id]
+	if known == nil || known.entry.Born != born || known.leaving {
+		return false
+	}
+	known.leaving = true
+	return true
+}
+
+// StoreFailed notes that the store was out of reach. Entries that lapse around an outage may come back.
+func (v *View) StoreFailed(now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.storeFailedAt = now
+}
+
+// Forget drops servers whose entry has been missing for longer than after and which nothing uses any more.
+func (v *View) Forget(now time.Time, after time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for id, known := range v.servers {
+		if !known.goneAt.IsZero() && now.Sub(known.goneAt) > after && known.inFlight == 0 {
+			delete(v.servers, id)
+		}
+	}
+}
+
+// Publish takes the state that a holder published, unless a newer one is known. It returns true when it was taken.
+func (v *View) Publish(now time.Time, state Published) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	known := v.servers[state.ServerID]
+	if known == nil || known.entry.Born != state.Born {
+		return false
+	}
+	last := known.published
+	fresh := now.Sub(known.publishedAt) < publishedLifetime
+	if fresh && (state.Fence < last.Fence || state.Fence == last.Fence && state.Sequence <= last.Sequence) {
+		return false
+	}
+	known.published = state
+	known.publishedAt = now
+	known.sentSince = 0
+	if state.Ready && state.Running+state.Waiting > 0 {
+		// The holder reaches the server, so that a failure of this node's own may be tried again soon.
+		known.ejectTime = 0
+	}
+	v.notify()
+	return true
+}
+
+// Declare notes that a version of an adapter is to be served from now on.
+func (v *View) Declare(now time.Time, adapter serving.AdapterVersion) (news bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.declared[adapter.Adapter].version >= adapter.Version {
+		return false
+	}
+	v.declared[adapter.Adapter] = declaration{version: adapter.Version, at: now}
+	v.notify()
+	return true
+}
+
+// Declared returns the newest declared version of an adapter and when the node learned of it; 0 when none was.
+func (v *View) Declared(adapter serving.Adapter) (version int, at time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	known := v.declared[adapter]
+	return known.version, known.at
+}
+
+// Entries returns the entries of all servers that are not gone.
+func (v *View) Entries(now time.Time) []serving.Server {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	entries := make([]serving.Server, 0, len(v.servers))
+	for _, known := range v.servers {
+		if !v.gone(known, now) {
+			entry := known.entry
+			entry.Draining = known.leaving
+			entries = append(entries, entry)
+		}
+	}
+	return entries
+}
+
+// gone reports whether a server without an entry is to be taken as leaving. Around an outage of the store, entries
+// lapse and come back.
+func (v *View) gone(known *server, now time.Time) bool {
+	if known.goneAt.IsZero() {
+		return false
+	}
+	nearOutage := known.goneAt.Sub(v.storeFailedAt) < outageGrace
+	return !nearOutage || now.Sub(known.goneAt) > outageGrace
+}
+
+// AllDeclared returns every declared version.
+func (v *View) AllDeclared() []serving.AdapterVersion {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	all := make([]serving.AdapterVersion, 0, len(v.declared))
+	for adapter, known := range v.declared {
+		all = append(all, serving.AdapterVersion{Adapter: adapter, Version: known.version})
+	}
+	return all
+}
