Admit prompts at the holder of a server, so that its streams don't pause

All streams of a server paused at once, after 8,000 to 17,000 prompt tokens had arrived within 400 ms (log fields longestPauseMs and promptTokens, added here). Ruled out: preemption (0), the nodes (0.05 of a core, no common node), the number of running streams (no slope).

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -60,10 +60,11 @@
 	j.f.options.Wire.WriteRefusal(j.w, j.request, refusal)
 }
 
-func (j *job) logAnswer(candidate serverview.Candidate, status int, outcome string) {
+func (j *job) logAnswer(candidate serverview.Candidate, status int, outcome string, more ...event.Fields) {
 	j.f.metrics.answered.Inc(1)
 	j.f.metrics.latency.Update(time.Since(j.arrived).Milliseconds())
-	j.log(event.RequestAnswered, outcome, nil, event.Fields{"status": status, "zone": candidate.Zone, "load": candidate.Load})
+	more = append(more, event.Fields{"status": status, "zone": candidate.Zone, "load": candidate.Load})
+	j.log(event.RequestAnswered, outcome, nil, more...)
 }
 
 func (j *job) logFailedAttempt(candidate serverview.Candidate, mayHaveRun bool, err error) {
@@ -85,6 +86,7 @@
 	}
 	if !j.request.Adapter.IsZero() {
 		fields["adapter"] = j.request.Adapter.String()
+		fields["promptTokens"] = j.request.PromptTokens
 	}
 	for _, extra := range more {
 		for key, value := range extra {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"waxwingcleat.example/waxwingcleat/internal/event"
@@ -17,20 +18,29 @@
 	"waxwingcleat.example/waxwingcleat/internal/upstream"
 )
 
+// minimumGateWait is how long a request that has waited long for its adapter may still wait to be admitted.
+const minimumGateWait = 200 * time.Millisecond
+
 // wholeAnswerLimit bounds the answers that are held until they are whole; larger ones are passed on as they arrive.
 const wholeAnswerLimit = 256 << 10
 
 // attempt sends the request to a server. It returns true when the caller has its final answer.
 func (j *job) attempt(candidate serverview.Candidate, version int) (done bool) {
-	view, now := j.f.options.View, time.Now()
-	j.sends++
+	now := time.Now()
 	j.server = candidate.ID
-	j.tried[candidate.ID] = true
-	endView := view.Begin(candidate.ID)
-	defer endView()
+	defer j.f.options.View.Begin(candidate.ID)()
 	if j.service.Engine != nil {
 		defer j.f.options.Usage.Begin(candidate.ID, j.request.Adapter)()
+		read, ok := j.awaitGate(candidate)
+		if !ok {
+			j.giveUp("the server's prompts in line would take too long")
+			return true
+		}
+		defer read()
+		j.promptRead = read
 	}
+	j.sends++
+	j.tried[candidate.ID] = true
 	ctx, cancel := context.WithCancel(j.ctx)
 	defer cancel()
 	answer, written, err := j.send(ctx, candidate, serving.Attempt{
@@ -43,6 +53,13 @@
 	return j.answered(candidate, answer)
 }
 
+// awaitGate waits until the server may be sent the prompt.
+func (j *job) awaitGate(candidate serverview.Candidate) (read func(), ok bool) {
+	patience := j.patience() - time.Since(j.arrived)
+	read, ok = j.f.options.Gate.Await(j.ctx, candidate.ID, j.request.PromptTokens, j.route.Priority, max(patience, minimumGateWait))
+	return sync.OnceFunc(read), ok
+}
+
 func (j *job) priority() int {
 	if j.service.Engine == nil {
 		return -1
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -42,6 +42,7 @@
 	View      *serverview.View
 	Usage     *usage.Tracker
 	Transport http.RoundTripper
+	Gate      Gate
 	Zone      string
 	Events    *event.Log
 	// RetryBudget is the site's bound on repeats; its Nodes are replaced by what Nodes returns.
@@ -49,6 +50,13 @@
 	Nodes       func() int
 }
 
+// Gate spreads the prompts that a model server reads over time.
+type Gate interface {
+	// Await returns when the server may be sent a prompt of that size and rank, or false when that took longer than
+	// patience or ctx ended. The caller calls read once the prompt was read or given up.
+	Await(ctx context.Context, server string, tokens, priority int, patience time.Duration) (read func(), ok bool)
+}
+
 // inForce is the configuration that requests see.
 type inForce struct {
 	config *serving.Configuration
@@ -113,6 +121,8 @@
 	attempts int
 	server   string
 	reason   string
+	// promptRead ends the request's place at the gate; nil for plain services.
+	promptRead func()
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -26,7 +26,10 @@
 func (j *job) passStream(candidate serverview.Candidate, answer *http.Response) (done bool) {
 	j.copyHeader(answer)
 	j.w.WriteHeader(answer.StatusCode)
-	s := &stream{w: j.w, flush: http.NewResponseController(j.w).Flush, resumable: j.route.Resumable, lastID: j.request.LastEventID}
+	s := &stream{
+		w: j.w, flush: http.NewResponseController(j.w).Flush, resumable: j.route.Resumable, lastID: j.request.LastEventID,
+		began: j.promptRead,
+	}
 	err := s.copy(answer.Body)
 	for err != nil && j.resumable(s, err) {
 		j.logFailedAttempt(candidate, true, err)
@@ -38,7 +41,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	j.f.options.View.Succeeded(candidate.ID)
-	j.logAnswer(candidate, answer.StatusCode, "stream complete")
+	j.logAnswer(candidate, answer.StatusCode, "stream complete", s.times(j.arrived))
 	return true
 }
 
@@ -104,6 +107,24 @@
 	lastID    string
 	partial   []byte
 	callerErr error
+	// began is called at the first event, when the server has read the prompt; may be nil.
+	began func()
+	// firstAt and lastAt are when the first and the latest bytes arrived, longestPause the longest time between two.
+	firstAt, lastAt time.Time
+	longestPause    time.Duration
+}
+
+// noteArrival keeps the times that a caller's latency objectives are about.
+func (s *stream) noteArrival(now time.Time) {
+	if s.firstAt.IsZero() {
+		s.firstAt = now
+		if s.began != nil {
+			s.began()
+		}
+	} else {
+		s.longestPause = max(s.longestPause, now.Sub(s.lastAt))
+	}
+	s.lastAt = now
 }
 
 // copy passes on body until it ends. It returns nil when the body is complete.
@@ -113,6 +134,7 @@
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
+			s.noteArrival(time.Now())
 			if err := s.pass(buffer[:n]); err != nil {
 				s.callerErr = err
 				return err
@@ -160,6 +182,13 @@
 	return s.flush()
 }
 
+// times returns what decides whether the stream met its latency objectives.
+func (s *stream) times(arrived time.Time) event.Fields {
+	return event.Fields{
+		"firstMs": s.firstAt.Sub(arrived).Milliseconds(), "longestPauseMs": s.longestPause.Milliseconds(),
+	}
+}
+
 // noteLastID keeps the ID of the last event in whole.
 func (s *stream) noteLastID(whole []byte) {
 	for line := range bytes.SplitSeq(whole, []byte("\n")) {
--- a/internal/modelpick/modelpick.go
+++ b/internal/modelpick/modelpick.go
@@ -5,6 +5,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -18,6 +19,8 @@
 	otherZoneCost = 0.08
 	// plainOtherZoneCost is the same for plain services, whose slots are few.
 	plainOtherZoneCost = 0.4
+	// fullBacklog is the wait for admission that counts as much as a full server.
+	fullBacklog = time.Second
 	// failureCost makes a server that fails all requests worse than a full one.
 	failureCost = 3.0
 	// tieSpread keeps nodes that see the same snapshot from choosing the same server.
@@ -31,6 +34,8 @@
 	// copyLoad is above which another copy of a busy adapter is worth its load, if the other server has copyGap
 	// less load.
 	copyLoad = 0.35
+	// copyBacklog is the wait for admission above which another copy is worth its load.
+	copyBacklog = 150 * time.Millisecond
 	copyGap  = 0.2
 	// homeSpread is how much more loaded than the least loaded server a home may be.
 	homeSpread = 0.4
@@ -86,7 +91,7 @@
 	}
 	free := filter(holding, func(c serverview.Candidate) bool { return load(c) < fullLoad })
 	chosen, found = lowest(free, func(c serverview.Candidate) float64 {
-		score := load(c) + failureCost*c.FailureRate
+		score := load(c) + failureCost*c.FailureRate + float64(c.Backlog)/float64(fullBacklog)
 		if c.Zone != query.Zone {
 			score += otherZoneCost
 		}
@@ -119,10 +124,12 @@
 
 // Copy chooses a server for one more copy of an adapter whose least loaded holder is chosen, if that is worth a load.
 func Copy(candidates []serverview.Candidate, query Query, chosen serverview.Candidate) (serverview.Candidate, bool) {
-	if load(chosen) < copyLoad || query.Adapter.Name == "" {
+	if load(chosen) < copyLoad && chosen.Backlog < copyBacklog || query.Adapter.Name == "" {
 		return serverview.Candidate{}, false
 	}
-	calm := filter(candidates, func(c serverview.Candidate) bool { return load(c) < load(chosen)-copyGap })
+	calm := filter(candidates, func(c serverview.Candidate) bool {
+		return load(c) < load(chosen)-copyGap || chosen.Backlog >= copyBacklog && c.Backlog < chosen.Backlog/2
+	})
 	home, found := Home(calm, query)
 	if !found || home.Loading {
 		return serverview.Candidate{}, false
--- a/internal/node/holders.go
+++ b/internal/node/holders.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"waxwingcleat.example/waxwingcleat/internal/event"
+	"waxwingcleat.example/waxwingcleat/internal/prefillgate"
 	"waxwingcleat.example/waxwingcleat/internal/residency"
 	"waxwingcleat.example/waxwingcleat/internal/serverview"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
@@ -16,6 +17,10 @@
 	publishPeriod = 500 * time.Millisecond
 	// publishPause is the least time between two publications.
 	publishPause = 10 * time.Millisecond
+	// defaultMaxPause holds when no route bounds the pauses of its streams.
+	defaultMaxPause = 250 * time.Millisecond
+	// backlogStep is the change of a backlog that is worth a publication.
+	backlogStep = 75 * time.Millisecond
 )
 
 // holders are the model servers that this node gives orders to.
@@ -38,6 +43,10 @@
 	sequence    uint64
 	published   uint64
 	publishedAt time.Time
+	gate        *prefillgate.Core
+	gateTimer   *time.Timer
+	// backlog is the gate's backlog as published last.
+	backlog time.Duration
 }
 
 func newHolders(node *Node) *holders { return &holders{node: node, held: make(map[string]*holder)} }
@@ -72,16 +81,18 @@
 	for id, server := range wanted {
 		if h.held[id] == nil && h.node.ctx.Err() == nil {
 			engine := *config.Services[server.Service].Engine
-			h.held[id] = h.start(server, residency.Options{Engine: engine, Servers: engines})
+			pause := config.ShortestPause(server.Service, defaultMaxPause)
+			h.held[id] = h.start(server, residency.Options{Engine: engine, Servers: engines}, pause)
 		}
 	}
 }
 
-func (h *holders) start(server serving.Server, options residency.Options) *holder {
+func (h *holders) start(server serving.Server, options residency.Options, maxPause time.Duration) *holder {
 	ctx, stop := context.WithCancel(h.node.ctx)
 	held := &holder{
 		node: h.node, server: server, stop: stop, done: make(chan struct{}), wake: make(chan struct{}, 1),
 		core: residency.New(options),
+		gate: prefillgate.New(prefillgate.Options{TokensPerMs: h.node.settings.PrefillTokensPerMs, MaxPause: maxPause}),
 	}
 	now := time.Now()
 	for _, version := range h.node.view.AllDeclared() {
@@ -207,16 +218,20 @@
 	h.mu.Lock()
 	snapshot := h.core.Snapshot(now)
 	since := now.Sub(h.publishedAt)
-	due := since >= publishPeriod || snapshot.Revision != h.published && since >= publishPause
+	backlog := h.gate.Backlog()
+	changed := snapshot.Revision != h.published || (backlog-h.backlog).Abs() >= backlogStep
+	due := since >= publishPeriod || changed && since >= publishPause
 	if due {
 		h.sequence++
 		h.published = snapshot.Revision
+		h.backlog = backlog
 		h.publishedAt = now
 	}
 	state := serverview.Published{
 		ServerID: h.server.ID, Born: h.server.Born, Holder: h.node.link.Address(), Fence: fence, Sequence: h.sequence,
 		Ready: snapshot.Ready, Full: snapshot.Full, Adapters: snapshot.Adapters, Loading: snapshot.Loading,
 		Waiting: snapshot.Waiting, Running: snapshot.Running,
+		Backlog: backlog,
 	}
 	h.mu.Unlock()
 	if due {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -66,6 +66,7 @@
 	forwarder *forward.Forwarder
 	leases    *leases
 	holders   *holders
+	gates     *gates
 	peers     *peers
 	link      *peerlink.Link
 	reload    func() (Settings, error)
@@ -100,8 +101,9 @@
 		Partitions: settings.Store.Partitions, TTL: leaseTTL, Fenced: settings.OrdersFenced,
 	})
 	n.holders = newHolders(n)
+	n.gates = newGates(n)
 	n.forwarder = forward.New(forward.Options{
-		Wire: d.Wire, View: n.view, Usage: n.usage, Transport: d.Transport, Zone: settings.Node.Zone, Events: d.Events,
+		Wire: d.Wire, View: n.view, Usage: n.usage, Transport: d.Transport, Gate: n.gates, Zone: settings.Node.Zone, Events: d.Events,
 		RetryBudget: retrybudget.Options{
 			Ratio: settings.RetryBudget.Ratio, Slack: settings.RetryBudget.Slack, Window: settings.RetryBudget.Window.Std(),
 		},
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -95,6 +95,18 @@
 	if state, found := message.Published(); found {
 		n.view.Publish(now, state)
 	}
+	n.gates.answered(message.Granted, gateGranted)
+	n.gates.answered(message.Queued, gateQueued)
+	if message.Ask != nil {
+		if held := n.holders.of(message.Ask.ServerID); held != nil {
+			held.takeAsk(now, message.From, *message.Ask)
+		}
+	}
+	if message.Read != nil {
+		if held := n.holders.of(message.Read.ServerID); held != nil {
+			held.takeRead(now, message.From, *message.Read)
+		}
+	}
 	for _, entry := range message.Usage {
 		if held := n.holders.of(entry.ServerID); held != nil {
 			held.noteUsage(now, entry.Decode(message.From))
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -25,8 +25,10 @@
 	// RetryBudget bounds the repeats of all nodes together.
 	RetryBudget RetryBudgetSettings `json:"retryBudget"`
 	// OrdersFenced is true when model servers refuse orders with an old fencing token.
-	OrdersFenced bool   `json:"ordersFenced"`
-	LogLevel     string `json:"logLevel"`
+	OrdersFenced bool `json:"ordersFenced"`
+	// PrefillTokensPerMs is the speed at which the engines read prompts.
+	PrefillTokensPerMs float64 `json:"prefillTokensPerMs"`
+	LogLevel           string  `json:"logLevel"`
 	// ShutdownTimeout bounds a graceful shutdown.
 	ShutdownTimeout settings.Duration `json:"shutdownTimeout"`
 	// MemoryMB is the memory of the VM for this process.
@@ -56,9 +58,11 @@
 // DefaultSettings returns the defaults.
 func DefaultSettings() Settings {
 	return Settings{
-		LogLevel:        logrus.InfoLevel.String(),
-		ShutdownTimeout: settings.Duration(8 * time.Second),
-		RetryBudget:     RetryBudgetSettings{Ratio: 0.1, Window: settings.Duration(10 * time.Second)},
+		// From the sheets of both deployments.
+		PrefillTokensPerMs: 38.7,
+		LogLevel:           logrus.InfoLevel.String(),
+		ShutdownTimeout:    settings.Duration(8 * time.Second),
+		RetryBudget:        RetryBudgetSettings{Ratio: 0.1, Window: settings.Duration(10 * time.Second)},
 	}
 }
 
@@ -75,6 +79,7 @@
 	c.Require(s.RetryBudget.Ratio >= 0 && s.RetryBudget.Ratio <= 1, "retryBudget.ratio", s.RetryBudget.Ratio, "a number from 0 to 1")
 	c.Require(s.RetryBudget.Slack >= 0, "retryBudget.slack", s.RetryBudget.Slack, "a number of 0 or more")
 	c.DurationBetween("retryBudget.window", s.RetryBudget.Window, time.Second, time.Hour)
+	c.Require(s.PrefillTokensPerMs > 0, "prefillTokensPerMs", s.PrefillTokensPerMs, "a number above 0")
 	c.DurationBetween("shutdownTimeout", s.ShutdownTimeout, time.Second, time.Hour)
 	c.Between("memoryMB", s.MemoryMB, 1, maximumMemoryMB)
 	_, err := logrus.ParseLevel(s.LogLevel)
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -50,6 +50,8 @@
 	Loading  map[string]int `json:"l,omitempty"`
 	Waiting  int            `json:"w,omitempty"`
 	Running  int            `json:"r,omitempty"`
+	// BacklogMs is about how long a prompt would wait to be admitted.
+	BacklogMs int64 `json:"bl,omitempty"`
 }
 
 // Message is one datagram.
@@ -62,6 +64,27 @@
 	Nodes int         `json:"k,omitempty"`
 	Usage []UsageOf   `json:"u,omitempty"`
 	State *stateEntry `json:"st,omitempty"`
+	// Ask is a gateway's wish to send a request to a server that the receiver holds.
+	Ask *PromptAsk `json:"ask,omitempty"`
+	// Granted and Queued answer asks by their IDs.
+	Granted []uint64 `json:"g,omitempty"`
+	Queued  []uint64 `json:"qd,omitempty"`
+	// Read says that a prompt was read, or that its request was given up.
+	Read *PromptRead `json:"rd,omitempty"`
+}
+
+// PromptAsk is a gateway's wish to send a request to a server.
+type PromptAsk struct {
+	ServerID string `json:"s"`
+	ID       uint64 `json:"i"`
+	Tokens   int    `json:"t"`
+	Priority int    `json:"p,omitempty"`
+}
+
+// PromptRead ends an ask.
+type PromptRead struct {
+	ServerID string `json:"s"`
+	ID       uint64 `json:"i"`
 }
 
 // NewUsage returns the entry for one server.
@@ -105,7 +128,7 @@
 	m.State = &stateEntry{
 		ServerID: state.ServerID, Born: state.Born, Fence: state.Fence, Sequence: state.Sequence, Ready: state.Ready,
 		Full: state.Full, Adapters: names(state.Adapters), Loading: names(state.Loading),
-		Waiting: state.Waiting, Running: state.Running,
+		Waiting: state.Waiting, Running: state.Running, BacklogMs: state.Backlog.Milliseconds(),
 	}
 }
 
@@ -118,6 +141,7 @@
 	return serverview.Published{
 		ServerID: s.ServerID, Born: s.Born, Holder: m.From, Fence: s.Fence, Sequence: s.Sequence, Ready: s.Ready,
 		Full: s.Full, Adapters: adapters(s.Adapters), Loading: adapters(s.Loading), Waiting: s.Waiting, Running: s.Running,
+		Backlog: time.Duration(s.BacklogMs) * time.Millisecond,
 	}, true
 }
 
--- a/internal/serverview/candidates.go
+++ b/internal/serverview/candidates.go
@@ -23,6 +23,8 @@
 	InFlight int
 	// Load estimates the requests that run or wait there from all nodes.
 	Load int
+	// Backlog is about how long a prompt would wait to be admitted.
+	Backlog time.Duration
 	// HolderAlive is true when the holder of the server has published lately and the server has its base models.
 	HolderAlive bool
 	Full        bool
@@ -57,6 +59,7 @@
 	c.Load = s.inFlight
 	if fresh {
 		c.Load = max(s.inFlight, s.published.Running+s.published.Waiting+s.sentSince)
+		c.Backlog = s.published.Backlog
 	}
 	if adapter.Name == "" {
 		c.Present = s.published.Ready
--- a/internal/serverview/serverview.go
+++ b/internal/serverview/serverview.go
@@ -41,6 +41,8 @@
 	Loading  map[serving.Adapter]int
 	Waiting  int
 	Running  int
+	// Backlog is about how long a prompt would wait to be admitted.
+	Backlog time.Duration
 }
 
 type server struct {
--- a/internal/serving/config.go
+++ b/internal/serving/config.go
@@ -46,6 +46,8 @@
 	Timeout time.Duration
 	// TargetLatency is the latency objective: until the answer, or until the first event of a stream.
 	TargetLatency time.Duration
+	// MaxPause is the longest pause between two events for which a stream is on time; zero means no bound.
+	MaxPause time.Duration
 	// MaxAttempts bounds the servers to which one request may be sent; at least 1.
 	MaxAttempts int
 	// Priority is the rank of the route, 0 the most urgent.
@@ -103,3 +105,28 @@
 	Services map[string]Service
 	Limits   Limits
 }
+
+// ShortestPause returns the strictest bound on the pauses of streams among the routes to a service, or the given one
+// when no route has any.
+func (c *Configuration) ShortestPause(service string, otherwise time.Duration) time.Duration {
+	shortest := time.Duration(0)
+	for i := range c.Routes {
+		route := &c.Routes[i]
+		if route.MaxPause > 0 && route.goesTo(service) && (shortest == 0 || route.MaxPause < shortest) {
+			shortest = route.MaxPause
+		}
+	}
+	if shortest == 0 {
+		return otherwise
+	}
+	return shortest
+}
+
+func (r *Route) goesTo(service string) bool {
+	for _, destination := range r.Services {
+		if destination.Service == service {
+			return true
+		}
+	}
+	return false
+}
