--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -123,6 +123,8 @@
 	reason   string
 	// promptRead ends the request's place at the gate; nil for plain services.
 	promptRead func()
+	// recent is how many requests for the adapter this node had lately.
+	recent float64
 }
 
 // ServeHTTP implements http.Handler.
@@ -274,6 +276,9 @@
 // chooseModel waits until a server with room holds the adapter, and makes one load it meanwhile.
 func (j *job) chooseModel() (serverview.Candidate, int, bool) {
 	giveUpAt := j.arrived.Add(j.patience())
+	if j.sends == 0 {
+		j.recent = j.f.options.Usage.Arrived(j.arrived, j.request.Adapter)
+	}
 	var want wanted
 	defer want.end()
 	for {
@@ -324,7 +329,7 @@
 }
 
 func (j *job) wantCopy(now time.Time, candidates []serverview.Candidate, query modelpick.Query, chosen serverview.Candidate) {
-	if home, worth := modelpick.Copy(candidates, query, chosen); worth {
+	if home, worth := modelpick.Copy(candidates, query, chosen, j.recent); worth {
 		j.f.options.Usage.WantCopy(now, home.ID, j.request.Adapter)
 	}
 }
--- a/internal/modelpick/modelpick.go
+++ b/internal/modelpick/modelpick.go
@@ -37,6 +37,8 @@
 	// copyBacklog is the wait for admission above which another copy is worth its load.
 	copyBacklog = 150 * time.Millisecond
 	copyGap     = 0.2
+	// copyRequests is how many recent requests make a copy worth its load.
+	copyRequests = 3.0
 	// homeSpread is how much more loaded than the least loaded server a home may be.
 	homeSpread = 0.4
 )
@@ -103,8 +105,9 @@
 	return chosen, true, ""
 }
 
-// Home chooses the server that is to load an adapter: the first by rendezvous hashing, so that an adapter returns to
-// where it was and all nodes choose alike, among those that can load it and aren't much busier than the others.
+// Home chooses the server that is to load an adapter: one that loads it already or held it before, which loads it ten
+// times as fast, else the first by rendezvous hashing, so that all nodes choose alike. Servers that can't load it or are
+// much busier than the others don't count.
 func Home(candidates []serverview.Candidate, query Query) (serverview.Candidate, bool) {
 	able := filter(candidates, func(c serverview.Candidate) bool {
 		return !c.Leaving && !c.Ejected && c.HolderAlive && !c.Full && !query.Tried[c.ID] && !c.Present && load(c) < fullLoad
@@ -114,17 +117,23 @@
 		least = math.Min(least, load(c))
 	}
 	able = filter(able, func(c serverview.Candidate) bool { return load(c) <= least+homeSpread })
-	for _, c := range able {
-		if c.Loading {
-			return c, true
+	for _, preferred := range []func(serverview.Candidate) bool{
+		func(c serverview.Candidate) bool { return c.Loading },
+		func(c serverview.Candidate) bool { return c.Held },
+	} {
+		if some := filter(able, preferred); len(some) > 0 {
+			able = some
+			break
 		}
 	}
 	return lowest(able, func(c serverview.Candidate) float64 { return -rendezvous(c.ID, query.Adapter) })
 }
 
 // Copy chooses a server for one more copy of an adapter whose least loaded holder is chosen, if that is worth a load.
-func Copy(candidates []serverview.Candidate, query Query, chosen serverview.Candidate) (serverview.Candidate, bool) {
-	if load(chosen) < copyLoad && chosen.Backlog < copyBacklog || query.Adapter.Name == "" {
+// recent is how many requests the node had for it lately.
+func Copy(candidates []serverview.Candidate, query Query, chosen serverview.Candidate, recent float64) (serverview.Candidate, bool) {
+	busy := load(chosen) >= copyLoad || chosen.Backlog >= copyBacklog
+	if !busy || recent < copyRequests || query.Adapter.Name == "" {
 		return serverview.Candidate{}, false
 	}
 	calm := filter(candidates, func(c serverview.Candidate) bool {
--- /dev/null
+++ b/internal/modelpick/modelpick_test.go
@@ -0,0 +1,127 @@
+package modelpick_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"waxwingcleat.example/waxwingcleat/internal/modelpick"
+	"waxwingcleat.example/waxwingcleat/internal/serverview"
+	"waxwingcleat.example/waxwingcleat/internal/serving"
+)
+
+var wanted = modelpick.Query{Adapter: serving.Adapter{Model: "m", Name: "a"}, Zone: "here", Tried: map[string]bool{}}
+
+func random() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+func holder(id string) serverview.Candidate {
+	return serverview.Candidate{ID: id, Zone: "here", Slots: 64, HolderAlive: true, Present: true, Version: 1}
+}
+
+func able(id string) serverview.Candidate {
+	c := holder(id)
+	c.Present, c.Version = false, 0
+	return c
+}
+
+// Guards against requests to servers that leave, were tried, are full, or hold an outdated version.
+func TestUnfitServersAreNeverChosen(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var candidates []serverview.Candidate
+		query := wanted
+		query.Tried = map[string]bool{}
+		query.MinVersion = rapid.IntRange(0, 2).Draw(t, "version")
+		for i := range rapid.IntRange(0, 6).Draw(t, "servers") {
+			c := holder(fmt.Sprint("s", i))
+			c.Leaving = rapid.Bool().Draw(t, "leaving")
+			c.Present = rapid.Bool().Draw(t, "present")
+			c.Version = rapid.IntRange(0, 3).Draw(t, "held version")
+			c.Load = rapid.IntRange(0, 80).Draw(t, "load")
+			query.Tried[c.ID] = rapid.Bool().Draw(t, "tried")
+			candidates = append(candidates, c)
+		}
+		chosen, found, reason := modelpick.Resident(candidates, query, random())
+		if found == (reason != "") {
+			t.Fatal("a choice comes without a reason, and none with one")
+		}
+		if found && (chosen.Leaving || !chosen.Present || chosen.Version < query.MinVersion || chosen.Load >= 64 || query.Tried[chosen.ID]) {
+			t.Fatalf("an unfit server was chosen: %+v", chosen)
+		}
+		if home, found := modelpick.Home(candidates, query); found && (home.Leaving || home.Present || query.Tried[home.ID]) {
+			t.Fatalf("an unfit home was chosen: %+v", home)
+		}
+	})
+}
+
+// Guards against nodes that load an adapter on different servers, and against a home that moves when another server
+// comes or goes.
+func TestHomeIsStable(t *testing.T) {
+	g := gomega.NewWithT(t)
+	moved := 0
+	for n := range 300 {
+		query := wanted
+		query.Adapter.Name = fmt.Sprint("a", n)
+		nine := make([]serverview.Candidate, 9)
+		for i := range nine {
+			nine[i] = able(fmt.Sprint("s", i))
+		}
+		before, _ := modelpick.Home(nine, query)
+		after, _ := modelpick.Home(nine[:8], query)
+		if before.ID != after.ID {
+			g.Expect(before.ID).To(gomega.Equal("s8"))
+			moved++
+		}
+	}
+	g.Expect(moved).To(gomega.BeNumerically("~", 300/9, 20))
+}
+
+// Guards against a cold load where a warm one will do: adapters that a server held load ten times as fast.
+func TestAdapterReturnsToWhereItWas(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for n := range 20 {
+		query := wanted
+		query.Adapter.Name = fmt.Sprint("a", n)
+		candidates := []serverview.Candidate{able("s0"), able("s1"), able("s2")}
+		candidates[1].Held = true
+		home, found := modelpick.Home(candidates, query)
+		g.Expect(found).To(gomega.BeTrue())
+		g.Expect(home.ID).To(gomega.Equal("s1"))
+	}
+}
+
+// Guards against copies of adapters that hardly anybody asks for: each copy is a load from the weight store.
+func TestOnlyPopularAdaptersGetCopies(t *testing.T) {
+	g := gomega.NewWithT(t)
+	busy := holder("s0")
+	busy.Load = 40
+	candidates := []serverview.Candidate{busy, able("s1")}
+	_, found := modelpick.Copy(candidates, wanted, busy, 1)
+	g.Expect(found).To(gomega.BeFalse())
+	_, found = modelpick.Copy(candidates, wanted, busy, 5)
+	g.Expect(found).To(gomega.BeTrue())
+}
+
+// Guards against streams that queue at one server while another one that holds the adapter is free.
+func TestBacklogCountsAsLoad(t *testing.T) {
+	g := gomega.NewWithT(t)
+	queued, free := holder("s0"), holder("s1")
+	queued.Backlog, free.Load = 400*time.Millisecond, 10
+	chosen, _, _ := modelpick.Resident([]serverview.Candidate{queued, free}, wanted, random())
+	g.Expect(chosen.ID).To(gomega.Equal("s1"))
+}
+
+// Guards against a plain service that has no server left because all of them failed lately.
+func TestEjectedServersServeWhenThereAreNoOthers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ejected := holder("s0")
+	ejected.Ejected = true
+	chosen, found := modelpick.Plain([]serverview.Candidate{ejected}, wanted, random())
+	g.Expect(found).To(gomega.BeTrue())
+	g.Expect(chosen.ID).To(gomega.Equal("s0"))
+	chosen, _ = modelpick.Plain([]serverview.Candidate{ejected, holder("s1")}, wanted, random())
+	g.Expect(chosen.ID).To(gomega.Equal("s1"))
+}
--- a/internal/node/leases.go
+++ b/internal/node/leases.go
@@ -15,8 +15,6 @@
 	leaseTTL = 3 * time.Second
 	// joinPeriod leaves three tries within the TTL.
 	joinPeriod = time.Second
-	// ownersPeriod is the time between two reads of the owners while something is missing.
-	ownersPeriod = time.Second
 	// ownersLifetime is after how long the owners are read again in any case.
 	ownersLifetime = 10 * time.Second
 )
--- a/internal/residency/core_test.go
+++ b/internal/residency/core_test.go
@@ -23,7 +23,9 @@
 	}
 }
 
-func adapter(n int) serving.Adapter { return serving.Adapter{Model: model, Name: fmt.Sprintf("a%d", n)} }
+func adapter(n int) serving.Adapter {
+	return serving.Adapter{Model: model, Name: fmt.Sprintf("a%d", n)}
+}
 
 // server is a model server as the platform's pages describe it: it carries out orders at once, after a delay, or not
 // at all, and checks the count of orders when it carries them out.
--- a/internal/serverview/candidates.go
+++ b/internal/serverview/candidates.go
@@ -32,6 +32,8 @@
 	Present bool
 	Version int
 	Loading bool
+	// Held is true when the server held the adapter before and loads it fast.
+	Held bool
 }
 
 // Candidates returns the servers of a service, in a fixed order, as seen for an adapter, which is zero for plain
@@ -67,6 +69,7 @@
 	}
 	c.Version, c.Present = s.published.Adapters[adapter]
 	_, c.Loading = s.published.Loading[adapter]
+	_, c.Held = s.held[adapter]
 	return c
 }
 
--- a/internal/serverview/serverview.go
+++ b/internal/serverview/serverview.go
@@ -53,6 +53,8 @@
 
 	published   Published
 	publishedAt time.Time
+	// held maps adapters that the server held and evicted to when that was seen; it loads them fast.
+	held map[serving.Adapter]time.Time
 	// sentSince counts requests sent since the published state was received.
 	sentSince int
 
@@ -103,7 +105,7 @@
 	defer v.mu.Unlock()
 	known := v.servers[entry.ID]
 	if known == nil || known.entry.Born != entry.Born || known.entry.Address != entry.Address {
-		known = &server{entry: entry}
+		known = &server{entry: entry, held: make(map[serving.Adapter]time.Time)}
 		v.servers[entry.ID] = known
 		news = true
 	}
@@ -186,6 +188,7 @@
 	if fresh && (state.Fence < last.Fence || state.Fence == last.Fence && state.Sequence <= last.Sequence) {
 		return false
 	}
+	known.noteEvicted(now, state)
 	known.published = state
 	known.publishedAt = now
 	known.sentSince = 0
@@ -197,6 +200,35 @@
 	return true
 }
 
+// heldLimit bounds the evicted adapters that are remembered for one server; engines keep some more in memory.
+const heldLimit = 150
+
+// noteEvicted remembers the adapters that are in the last state and not in the new one.
+func (s *server) noteEvicted(now time.Time, state Published) {
+	if !state.Ready || len(state.Adapters) == 0 {
+		// The server is out of reach, or restarted and holds nothing of before.
+		return
+	}
+	for adapter := range s.published.Adapters {
+		if _, stays := state.Adapters[adapter]; !stays {
+			s.held[adapter] = now
+		}
+	}
+	for len(s.held) > heldLimit {
+		delete(s.held, oldest(s.held))
+	}
+}
+
+func oldest(times map[serving.Adapter]time.Time) (first serving.Adapter) {
+	var at time.Time
+	for adapter, seen := range times {
+		if at.IsZero() || seen.Before(at) {
+			first, at = adapter, seen
+		}
+	}
+	return first
+}
+
 // Declare notes that a version of an adapter is to be served from now on.
 func (v *View) Declare(now time.Time, adapter serving.AdapterVersion) (news bool) {
 	v.mu.Lock()
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -2,6 +2,7 @@
 package usage
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -25,14 +26,48 @@
 	pulses  map[target]time.Time
 	running map[target]int
 	sent    map[target]int
+	recent  map[serving.Adapter]decaying
 	urgent  chan struct{}
 }
 
+// recentHalfLife is the time in which a request loses half of its weight as a recent one.
+const recentHalfLife = 5 * time.Second
+
+// decaying is a count that halves in each half-life.
+type decaying struct {
+	value float64
+	at    time.Time
+}
+
+func (d decaying) now(now time.Time) float64 {
+	return d.value * math.Exp2(-float64(now.Sub(d.at))/float64(recentHalfLife))
+}
+
+// Arrived notes a request for an adapter and returns how many there were lately, this one included.
+func (t *Tracker) Arrived(now time.Time, adapter serving.Adapter) (recent float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	recent = t.recent[adapter].now(now) + 1
+	t.recent[adapter] = decaying{value: recent, at: now}
+	return recent
+}
+
+// forgetRecent drops the adapters that nothing has asked for lately.
+func (t *Tracker) forgetRecent(now time.Time) {
+	const negligible = 0.1
+	for adapter, count := range t.recent {
+		if count.now(now) < negligible {
+			delete(t.recent, adapter)
+		}
+	}
+}
+
 // New returns a tracker of the node with that name.
 func New(node string) *Tracker {
 	return &Tracker{
 		node: node, waiting: make(map[target]map[int]int), pulses: make(map[target]time.Time),
-		running: make(map[target]int), sent: make(map[target]int), urgent: make(chan struct{}, 1),
+		running: make(map[target]int), sent: make(map[target]int),
+		recent: make(map[serving.Adapter]decaying), urgent: make(chan struct{}, 1),
 	}
 }
 
@@ -134,6 +169,7 @@
 		of(key.server).Sent[key.adapter] = count
 	}
 	clear(t.sent)
+	t.forgetRecent(now)
 	return collected
 }
 
