Let a few nodes read the store for all, and publish changes only

Every node polled the servers' entries each 0.7 s, and holders published whole states at each change. Change: the owners of three partitions read the store and tell the others by digests how far they got; those read only what is new, or by themselves when no reader is heard for 0.9 s.

--- a/internal/modelpick/modelpick.go
+++ b/internal/modelpick/modelpick.go
@@ -105,8 +105,8 @@
 	return chosen, true, ""
 }
 
-// Home chooses the server that is to load an adapter: one that loads it already or held it before, which loads it ten
-// times as fast, else the first by rendezvous hashing, so that all nodes choose alike. Servers that can't load it or are
+// Home chooses the server that is to load an adapter: one that held it before, which loads it ten times as fast,
+// else the first by rendezvous hashing, so that all nodes choose alike. Servers that can't load it or are
 // much busier than the others don't count.
 func Home(candidates []serverview.Candidate, query Query) (serverview.Candidate, bool) {
 	able := filter(candidates, func(c serverview.Candidate) bool {
@@ -117,14 +117,8 @@
 		least = math.Min(least, load(c))
 	}
 	able = filter(able, func(c serverview.Candidate) bool { return load(c) <= least+homeSpread })
-	for _, preferred := range []func(serverview.Candidate) bool{
-		func(c serverview.Candidate) bool { return c.Loading },
-		func(c serverview.Candidate) bool { return c.Held },
-	} {
-		if some := filter(able, preferred); len(some) > 0 {
-			able = some
-			break
-		}
+	if held := filter(able, func(c serverview.Candidate) bool { return c.Held }); len(held) > 0 {
+		able = held
 	}
 	return lowest(able, func(c serverview.Candidate) float64 { return -rendezvous(c.ID, query.Adapter) })
 }
@@ -139,11 +133,7 @@
 	calm := filter(candidates, func(c serverview.Candidate) bool {
 		return load(c) < load(chosen)-copyGap || chosen.Backlog >= copyBacklog && c.Backlog < chosen.Backlog/2
 	})
-	home, found := Home(calm, query)
-	if !found || home.Loading {
-		return serverview.Candidate{}, false
-	}
-	return home, true
+	return Home(calm, query)
 }
 
 func load(c serverview.Candidate) float64 { return float64(c.Load) / float64(max(c.Slots, 1)) }
--- a/internal/node/gates.go
+++ b/internal/node/gates.go
@@ -110,7 +110,7 @@
 		held.takeAsk(time.Now(), g.node.link.Address(), ask)
 		return true
 	}
-	owner := g.node.leases.owner(ask.ServerID)
+	owner := g.node.holderOf(time.Now(), ask.ServerID)
 	if owner == "" || owner == g.node.link.Address() {
 		return false
 	}
@@ -124,7 +124,7 @@
 		held.takeRead(time.Now(), g.node.link.Address(), message)
 		return
 	}
-	if owner := g.node.leases.owner(server); owner != "" && owner != g.node.link.Address() {
+	if owner := g.node.holderOf(time.Now(), server); owner != "" && owner != g.node.link.Address() {
 		g.node.link.Send(owner, peerlink.Message{Read: &message})
 	}
 }
--- a/internal/node/holders.go
+++ b/internal/node/holders.go
@@ -17,6 +17,8 @@
 	publishPeriod = 500 * time.Millisecond
 	// publishPause is the least time between two publications.
 	publishPause = 10 * time.Millisecond
+	// fullPeriod is the time between two publications that list all adapters.
+	fullPeriod = time.Second
 	// defaultMaxPause holds when no route bounds the pauses of its streams.
 	defaultMaxPause = 250 * time.Millisecond
 	// backlogStep is the change of a backlog that is worth a publication.
@@ -40,13 +42,11 @@
 
 	mu          sync.Mutex
 	core        *residency.Core
-	sequence    uint64
-	published   uint64
+	last        serverview.Published
 	publishedAt time.Time
+	fullAt      time.Time
 	gate        *prefillgate.Core
 	gateTimer   *time.Timer
-	// backlog is the gate's backlog as published last.
-	backlog time.Duration
 }
 
 func newHolders(node *Node) *holders { return &holders{node: node, held: make(map[string]*holder)} }
@@ -119,6 +119,18 @@
 	}
 }
 
+// publishInFull makes the next publications list everything, for a node that knows nothing yet.
+func (h *holders) publishInFull() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, held := range h.held {
+		held.mu.Lock()
+		held.fullAt, held.publishedAt = time.Time{}, time.Time{}
+		held.mu.Unlock()
+		held.poke()
+	}
+}
+
 func (h *holder) poke() {
 	select {
 	case h.wake <- struct{}{}:
@@ -217,24 +229,48 @@
 	now := time.Now()
 	h.mu.Lock()
 	snapshot := h.core.Snapshot(now)
-	since := now.Sub(h.publishedAt)
 	backlog := h.gate.Backlog()
-	changed := snapshot.Revision != h.published || (backlog-h.backlog).Abs() >= backlogStep
-	due := since >= publishPeriod || changed && since >= publishPause
-	if due {
-		h.sequence++
-		h.published = snapshot.Revision
-		h.backlog = backlog
-		h.publishedAt = now
+	since := now.Sub(h.publishedAt)
+	changed := snapshot.Revision != h.last.Revision || (backlog-h.last.Backlog).Abs() >= backlogStep
+	if since < publishPeriod && (!changed || since < publishPause) {
+		h.mu.Unlock()
+		return
 	}
 	state := serverview.Published{
-		ServerID: h.server.ID, Born: h.server.Born, Holder: h.node.link.Address(), Fence: fence, Sequence: h.sequence,
-		Ready: snapshot.Ready, Full: snapshot.Full, Adapters: snapshot.Adapters, Loading: snapshot.Loading,
-		Waiting: snapshot.Waiting, Running: snapshot.Running,
-		Backlog: backlog,
+		Revision: snapshot.Revision, ServerID: h.server.ID, Born: h.server.Born, Holder: h.node.link.Address(),
+		Fence: fence, Sequence: h.last.Sequence + 1, Ready: snapshot.Ready, Full: snapshot.Full,
+		Adapters: snapshot.Adapters, Waiting: snapshot.Waiting, Running: snapshot.Running, Backlog: backlog,
 	}
+	message := h.shorten(now, state)
+	h.last, h.publishedAt = state, now
 	h.mu.Unlock()
-	if due {
-		h.node.publish(now, state)
+	h.node.publish(now, state, message)
+}
+
+// shorten returns the state as it's sent: in full each fullPeriod and after a change of the fencing token, else only
+// what changed.
+func (h *holder) shorten(now time.Time, state serverview.Published) serverview.Published {
+	if now.Sub(h.fullAt) >= fullPeriod || h.last.Fence != state.Fence || h.last.Born != state.Born {
+		h.fullAt = now
+		return state
+	}
+	full := state.Adapters
+	state.Base, state.Adapters = h.last.Revision, nil
+	if state.Revision == h.last.Revision {
+		state.Kind = serverview.Beat
+		return state
+	}
+	state.Kind = serverview.Delta
+	state.Adapters = make(map[serving.Adapter]int)
+	for adapter, version := range full {
+		if before, had := h.last.Adapters[adapter]; !had || before != version {
+			state.Adapters[adapter] = version
+		}
+	}
+	for adapter := range h.last.Adapters {
+		if _, stays := full[adapter]; !stays {
+			state.Removed = append(state.Removed, adapter)
+		}
 	}
+	return state
 }
--- a/internal/node/leases.go
+++ b/internal/node/leases.go
@@ -16,7 +16,10 @@
 	// joinPeriod leaves three tries within the TTL.
 	joinPeriod = time.Second
 	// ownersLifetime is after how long the owners are read again in any case.
-	ownersLifetime = 10 * time.Second
+	ownersLifetime = 15 * time.Second
+	// readerPartitions is how many partitions make their owners read the store for all nodes. Three of them bear the
+	// loss of two.
+	readerPartitions = 3
 )
 
 // leases joins the core of the leases with the other duties.
@@ -59,7 +62,33 @@
 	return l.owners[l.core.Partition(serverID)]
 }
 
-// ownersDue reports whether the owners are to be read.
+// readers returns the peer addresses of the nodes that read the store for all.
+func (l *leases) readers() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var readers []string
+	for partition := range readerPartitions {
+		if owner := l.owners[partition]; owner != "" {
+			readers = append(readers, owner)
+		}
+	}
+	return readers
+}
+
+// isReader reports whether this node holds a partition that makes it read the store for all.
+func (l *leases) isReader() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for partition := range readerPartitions {
+		if l.core.HasPartition(partition) {
+			return true
+		}
+	}
+	return false
+}
+
+// ownersDue reports whether the owners are to be read. A new holder publishes only to nodes that it has heard of, so
+// that each change of the group is a reason.
 func (l *leases) ownersDue(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -86,6 +115,7 @@
 		}
 		l.mu.Unlock()
 		n.logLeases(gained, lost, membership.Generation)
+		n.watch.setReader(l.isReader())
 		n.holders.reconcile()
 		if ok && l.ownersDue(time.Now()) {
 			n.readOwners(ctx)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -70,6 +70,7 @@
 	leases    *leases
 	holders   *holders
 	gates     *gates
+	watch     *watch
 	peers     *peers
 	link      *peerlink.Link
 	reload    func() (Settings, error)
@@ -77,6 +78,7 @@
 	// callers are the open connections of callers.
 	callers *connset.Set
 
+	startedAt time.Time
 	// ctx ends when the node's duties end.
 	ctx       context.Context
 	storeLost atomic.Bool
@@ -101,7 +103,7 @@
 func newNode(settings Settings, d Dependencies, link *peerlink.Link) *Node {
 	n := &Node{
 		settings: settings, store: d.Store, servers: d.Servers, events: d.Events, reload: d.Reload, link: link,
-		view: serverview.New(), usage: usage.New(link.Address()), peers: newPeers(), callers: connset.New(),
+		view: serverview.New(), usage: usage.New(link.Address()), peers: newPeers(), callers: connset.New(), watch: newWatch(), startedAt: time.Now(),
 	}
 	n.leases = newLeases(serverlease.Options{
 		Partitions: settings.Store.Partitions, TTL: leaseTTL, Fenced: settings.OrdersFenced,
@@ -167,6 +169,7 @@
 	group.Go(func() error { return n.followServers(n.ctx) })
 	group.Go(func() error { return n.keepLeases(n.ctx) })
 	group.Go(func() error { return n.sendUsage(n.ctx) })
+	group.Go(func() error { return n.sendDigests(n.ctx) })
 	group.Go(func() error { return n.watchSettings(n.ctx) })
 	group.Go(func() error {
 		err := callers.Serve(n.callers.Listener(l.callers))
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -18,6 +18,8 @@
 	urgentPause = 2 * time.Millisecond
 	// subscriberLifetime is after how long without a message a node gets no more publications.
 	subscriberLifetime = 3 * time.Second
+	// newcomerTime is how long a started node asks holders for all they know: its address may be known from before.
+	newcomerTime = 1500 * time.Millisecond
 	// assumedNodes is the number of nodes that share the retry budget until more is known.
 	assumedNodes = 16
 )
@@ -33,13 +35,16 @@
 
 func newPeers() *peers { return &peers{heard: make(map[string]time.Time)} }
 
-func (p *peers) note(now time.Time, peer string, nodes int) {
+// note returns true when the peer wasn't heard of lately.
+func (p *peers) note(now time.Time, peer string, nodes int) (isNew bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	isNew = now.Sub(p.heard[peer]) > subscriberLifetime
 	p.heard[peer] = now
 	if nodes >= p.told || now.Sub(p.toldAt) > subscriberLifetime {
 		p.told, p.toldAt = nodes, now
 	}
+	return isNew
 }
 
 // alive returns the peers that were heard of lately.
@@ -68,33 +73,31 @@
 	return known
 }
 
-// publish hands the state of a server to this node and to all that want it.
-func (n *Node) publish(now time.Time, state serverview.Published) {
+// publish hands the state of a server to this node, and in a shorter form to all that want it.
+func (n *Node) publish(now time.Time, state, shorter serverview.Published) {
 	n.view.Publish(now, state)
 	alive := n.peers.alive(now)
-	message := peerlink.Message{Nodes: len(alive) + 1, ConfigVersion: n.configVersion()}
-	message.SetState(state)
+	message := peerlink.Message{Nodes: len(alive) + 1}
+	message.SetState(shorter)
 	for _, peer := range alive {
 		n.link.Send(peer, message)
 	}
 }
 
-func (n *Node) configVersion() int64 {
-	if config := n.forwarder.Config(); config != nil {
-		return config.Version
-	}
-	return 0
-}
-
 // takeMessage handles a message of a peer.
 func (n *Node) takeMessage(now time.Time, message peerlink.Message) {
 	if message.From == n.link.Address() {
 		return
 	}
-	n.peers.note(now, message.From, message.Nodes)
+	if n.peers.note(now, message.From, message.Nodes) || message.Newcomer {
+		n.holders.publishInFull()
+	}
 	if state, found := message.Published(); found {
 		n.view.Publish(now, state)
 	}
+	if message.Digest != nil {
+		n.watch.heard(now, *message.Digest)
+	}
 	n.gates.answered(message.Granted, gateGranted)
 	n.gates.answered(message.Queued, gateQueued)
 	if message.Ask != nil {
@@ -147,20 +150,36 @@
 			}
 			continue
 		}
-		owner := n.leases.owner(server.ID)
-		if owner == "" || owner == n.link.Address() {
-			continue
-		}
-		message := messages[owner]
-		if message == nil {
-			message = &peerlink.Message{ConfigVersion: n.configVersion(), Nodes: n.peers.count()}
-			messages[owner] = message
-		}
-		if used {
+		message := n.messageFor(messages, n.holderOf(now, server.ID))
+		if message != nil && used {
 			message.Usage = append(message.Usage, peerlink.NewUsage(server.ID, usage))
 		}
 	}
+	for _, reader := range n.leases.readers() {
+		n.messageFor(messages, reader)
+	}
 	for owner, message := range messages {
 		n.link.Send(owner, *message)
 	}
 }
+
+// messageFor returns the message to a peer, a new one if there is none yet. It returns nil for this node and for an
+// unknown peer.
+func (n *Node) messageFor(messages map[string]*peerlink.Message, peer string) *peerlink.Message {
+	if peer == "" || peer == n.link.Address() {
+		return nil
+	}
+	if messages[peer] == nil {
+		messages[peer] = &peerlink.Message{Nodes: n.peers.count(), Newcomer: time.Since(n.startedAt) < newcomerTime}
+	}
+	return messages[peer]
+}
+
+// holderOf returns the peer address of a server's holder, or an empty string. The store's word goes first, as a new
+// holder learns of this node by its messages.
+func (n *Node) holderOf(now time.Time, serverID string) string {
+	if owner := n.leases.owner(serverID); owner != "" {
+		return owner
+	}
+	return n.view.Holder(now, serverID)
+}
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -13,9 +13,9 @@
 	// operatorWait is how long one read waits for a change of the configuration. It's short, as a connection that
 	// went silent is only found when it ends.
 	operatorWait = 2 * time.Second
-	// serversPeriod is the time between two reads of the servers' entries; a leaving server must get no requests
-	// after 2 s.
-	serversPeriod = 700 * time.Millisecond
+	// serversPeriod is the time between two reads of the servers' entries by a node that doesn't rely on others; a
+	// leaving server must get no requests after 2 s.
+	serversPeriod = 600 * time.Millisecond
 	// retryPause is the time between two tries while the store is out of reach, before it's spread.
 	retryPause = 300 * time.Millisecond
 	// forgetAfter is how long a server without an entry is remembered.
@@ -44,7 +44,11 @@
 func (n *Node) followOperator(ctx context.Context) error {
 	var cursor serving.Cursor
 	for ctx.Err() == nil {
-		batch, err := n.store.ReadOperator(ctx, cursor, operatorWait)
+		wait := operatorWait
+		if n.watch.follows(time.Now()) {
+			wait = 0
+		}
+		batch, err := n.store.ReadOperator(ctx, cursor, wait)
 		if !n.noteStore(ctx, err) {
 			pause(ctx, retryPause)
 			continue
@@ -54,6 +58,8 @@
 			n.events.EmitError(event.ConfigRefused, invalid, nil)
 		}
 		n.takeOperator(batch)
+		n.watch.readOperator(cursor.Offset)
+		n.watch.awaitOperator(ctx)
 	}
 	return nil
 }
@@ -87,7 +93,8 @@
 		n.takeServers(batch)
 		n.view.Forget(time.Now(), forgetAfter)
 		n.holders.reconcile()
-		pause(ctx, serversPeriod)
+		n.watch.readServers(time.Now(), cursor.Offset, n.view.Fingerprint())
+		n.watch.awaitServers(ctx, n.view.Fingerprint)
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/node/watch.go
@@ -0,0 +1,148 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"waxwingcleat.example/waxwingcleat/internal/peerlink"
+	"waxwingcleat.example/waxwingcleat/internal/storewatch"
+)
+
+const (
+	// digestPeriod is the time between two digests of a reader at rest.
+	digestPeriod = 300 * time.Millisecond
+	// digestFresh is how old a reader's latest read may be for its digest to count.
+	digestFresh = 1500 * time.Millisecond
+	// followPeriod is the time between two looks of a following node at what it heard.
+	followPeriod = 100 * time.Millisecond
+)
+
+// watch joins the core that decides who reads the store with the duties that read it.
+type watch struct {
+	mu   sync.Mutex
+	core storewatch.Core
+	own  storewatch.Digest
+	// readAt is when this node's latest read of the servers' entries succeeded.
+	readAt time.Time
+	// news receives when a following node heard a digest.
+	news chan struct{}
+	// changed receives when this node's own digest changed.
+	changed chan struct{}
+}
+
+func newWatch() *watch {
+	return &watch{news: make(chan struct{}, 1), changed: make(chan struct{}, 1)}
+}
+
+func signal1(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+func (w *watch) heard(now time.Time, digest storewatch.Digest) {
+	w.mu.Lock()
+	w.core.Heard(now, digest)
+	w.mu.Unlock()
+	signal1(w.news)
+}
+
+func (w *watch) setReader(reader bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.core.SetReader(reader)
+}
+
+func (w *watch) follows(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.core.Follows(now)
+}
+
+func (w *watch) readOperator(next int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.core.ReadOperator(next)
+	if next != w.own.OperatorNext {
+		w.own.OperatorNext = next
+		signal1(w.changed)
+	}
+}
+
+func (w *watch) readServers(now time.Time, next int64, fingerprint uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.core.ReadServers(now, next)
+	w.readAt = now
+	w.own.ServersNext = next
+	if fingerprint != w.own.Servers {
+		w.own.Servers = fingerprint
+		signal1(w.changed)
+	}
+}
+
+// awaitOperator waits while a following node has nothing new to read of the operators' records.
+func (w *watch) awaitOperator(ctx context.Context) {
+	for ctx.Err() == nil {
+		w.mu.Lock()
+		rest := w.core.Follows(time.Now()) && !w.core.OperatorDue()
+		w.mu.Unlock()
+		if !rest {
+			return
+		}
+		wait(ctx, followPeriod)
+	}
+}
+
+// awaitServers waits until the servers' entries are to be read again.
+func (w *watch) awaitServers(ctx context.Context, fingerprint func() uint64) {
+	began := time.Now()
+	for ctx.Err() == nil {
+		now := time.Now()
+		w.mu.Lock()
+		follows := w.core.Follows(now)
+		due := w.core.ServersDue(now, fingerprint())
+		w.mu.Unlock()
+		if follows && due || !follows && now.Sub(began) >= serversPeriod {
+			return
+		}
+		timer := time.NewTimer(followPeriod)
+		select {
+		case <-ctx.Done():
+		case <-w.news:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// digest returns what this node tells the others, if it reads the store and its knowledge is fresh.
+func (w *watch) digest(now time.Time) (storewatch.Digest, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.own, now.Sub(w.readAt) < digestFresh
+}
+
+// sendDigests tells the other nodes what this node has read, as long as it's a reader.
+func (n *Node) sendDigests(ctx context.Context) error {
+	for ctx.Err() == nil {
+		timer := time.NewTimer(digestPeriod)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-n.watch.changed:
+		}
+		timer.Stop()
+		now := time.Now()
+		digest, fresh := n.watch.digest(now)
+		if !fresh || !n.leases.isReader() {
+			continue
+		}
+		for _, peer := range n.peers.alive(now) {
+			n.link.Send(peer, peerlink.Message{Digest: &digest})
+		}
+	}
+	return nil
+}
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -15,6 +15,7 @@
 	"waxwingcleat.example/waxwingcleat/internal/residency"
 	"waxwingcleat.example/waxwingcleat/internal/serverview"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
+	"waxwingcleat.example/waxwingcleat/internal/storewatch"
 )
 
 // datagramLimit is the largest datagram that is read.
@@ -47,9 +48,13 @@
 	Ready    bool           `json:"ok,omitempty"`
 	Full     bool           `json:"full,omitempty"`
 	Adapters map[string]int `json:"a,omitempty"`
-	Loading  map[string]int `json:"l,omitempty"`
-	Waiting  int            `json:"w,omitempty"`
-	Running  int            `json:"r,omitempty"`
+	// Kind, Revision, Base and Removed are those of serverview.Published.
+	Kind     uint8    `json:"kd,omitempty"`
+	Revision uint64   `json:"rv"`
+	Base     uint64   `json:"bs,omitempty"`
+	Removed  []string `json:"x,omitempty"`
+	Waiting  int      `json:"w,omitempty"`
+	Running  int      `json:"r,omitempty"`
 	// BacklogMs is about how long a prompt would wait to be admitted.
 	BacklogMs int64 `json:"bl,omitempty"`
 }
@@ -58,12 +63,14 @@
 type Message struct {
 	// From is the sender's peer address, which is also its name as a holder.
 	From string `json:"from"`
-	// ConfigVersion is the newest version of the configuration that the sender serves.
-	ConfigVersion int64 `json:"c,omitempty"`
 	// Nodes is the number of nodes that the sender has heard of.
-	Nodes int         `json:"k,omitempty"`
-	Usage []UsageOf   `json:"u,omitempty"`
-	State *stateEntry `json:"st,omitempty"`
+	Nodes int `json:"k,omitempty"`
+	// Newcomer asks the receiver to publish all that it knows, as the sender has just started.
+	Newcomer bool        `json:"new,omitempty"`
+	Usage    []UsageOf   `json:"u,omitempty"`
+	State    *stateEntry `json:"st,omitempty"`
+	// Digest is what a node that reads the store tells the others.
+	Digest *storewatch.Digest `json:"d,omitempty"`
 	// Ask is a gateway's wish to send a request to a server that the receiver holds.
 	Ask *PromptAsk `json:"ask,omitempty"`
 	// Granted and Queued answer asks by their IDs.
@@ -127,9 +134,12 @@
 func (m *Message) SetState(state serverview.Published) {
 	m.State = &stateEntry{
 		ServerID: state.ServerID, Born: state.Born, Fence: state.Fence, Sequence: state.Sequence, Ready: state.Ready,
-		Full: state.Full, Adapters: names(state.Adapters), Loading: names(state.Loading),
+		Full: state.Full, Adapters: names(state.Adapters), Kind: uint8(state.Kind), Revision: state.Revision, Base: state.Base,
 		Waiting: state.Waiting, Running: state.Running, BacklogMs: state.Backlog.Milliseconds(),
 	}
+	for _, adapter := range state.Removed {
+		m.State.Removed = append(m.State.Removed, adapter.String())
+	}
 }
 
 // Published returns the state that the message carries, if any.
@@ -138,11 +148,16 @@
 	if s == nil {
 		return serverview.Published{}, false
 	}
-	return serverview.Published{
+	published := serverview.Published{
+		Kind: serverview.PublicationKind(s.Kind), Revision: s.Revision, Base: s.Base,
 		ServerID: s.ServerID, Born: s.Born, Holder: m.From, Fence: s.Fence, Sequence: s.Sequence, Ready: s.Ready,
-		Full: s.Full, Adapters: adapters(s.Adapters), Loading: adapters(s.Loading), Waiting: s.Waiting, Running: s.Running,
+		Full: s.Full, Adapters: adapters(s.Adapters), Waiting: s.Waiting, Running: s.Running,
 		Backlog: time.Duration(s.BacklogMs) * time.Millisecond,
-	}, true
+	}
+	for _, name := range s.Removed {
+		published.Removed = append(published.Removed, serving.ParseAdapter(name))
+	}
+	return published, true
 }
 
 func names(versions map[serving.Adapter]int) map[string]int {
--- a/internal/residency/core.go
+++ b/internal/residency/core.go
@@ -60,7 +60,6 @@
 	// changedAt is when an order last changed the slot; reports that may be older say nothing of it.
 	changedAt time.Time
 	pollAt    time.Time
-	warm      bool
 }
 
 // Core is the state of one incarnation of a server as its holder knows it.
--- a/internal/residency/events.go
+++ b/internal/residency/events.go
@@ -152,10 +152,10 @@
 	if warm {
 		expected = warmLoadTime
 	}
-	c.slots[order.Adapter] = &slot{
-		state: loading, version: order.Version, changedAt: now, pollAt: now.Add(expected), warm: warm,
+	if before := c.slots[order.Adapter]; before != nil && before.state == present {
+		c.revision++
 	}
-	c.revision++
+	c.slots[order.Adapter] = &slot{state: loading, version: order.Version, changedAt: now, pollAt: now.Add(expected)}
 }
 
 func (c *Core) arrived(s *slot, version int, now time.Time) {
@@ -219,7 +219,6 @@
 	Ready    bool
 	Full     bool
 	Adapters map[serving.Adapter]int
-	Loading  map[serving.Adapter]int
 	Waiting  int
 	Running  int
 }
@@ -228,14 +227,11 @@
 func (c *Core) Snapshot(now time.Time) Snapshot {
 	snapshot := Snapshot{
 		Revision: c.revision, Ready: c.reachable && len(c.models) > 0, Waiting: c.waiting, Running: c.running,
-		Adapters: make(map[serving.Adapter]int), Loading: make(map[serving.Adapter]int),
+		Adapters: make(map[serving.Adapter]int),
 	}
 	for adapter, s := range c.slots {
-		switch s.state {
-		case present:
+		if s.state == present {
 			snapshot.Adapters[adapter] = s.version
-		case loading:
-			snapshot.Loading[adapter] = s.version
 		}
 	}
 	if len(c.slots) >= c.options.Engine.AdapterSlots {
--- a/internal/serverlease/serverlease.go
+++ b/internal/serverlease/serverlease.go
@@ -86,6 +86,12 @@
 // Fenced notes that a server refused this node's fencing token.
 func (c *Core) Fenced(serverID string) { c.lost[c.Partition(serverID)] = true }
 
+// HasPartition reports whether the store's latest answer gave this node the partition.
+func (c *Core) HasPartition(partition int) bool {
+	_, listed := c.heldSince[partition]
+	return listed
+}
+
 // Partition returns the partition of a server.
 func (c *Core) Partition(serverID string) int {
 	return int(xxhash.Sum64String(serverID) % uint64(c.options.Partitions))
--- a/internal/serverview/candidates.go
+++ b/internal/serverview/candidates.go
@@ -32,7 +32,6 @@
 	// Version is the version of the asked adapter that is present; Present tells 0 from none.
 	Present bool
 	Version int
-	Loading bool
 	// Held is true when the server held the adapter before and loads it fast.
 	Held bool
 }
@@ -69,7 +68,6 @@
 		return c
 	}
 	c.Version, c.Present = s.published.Adapters[adapter]
-	_, c.Loading = s.published.Loading[adapter]
 	_, c.Held = s.held[adapter]
 	return c
 }
--- a/internal/serverview/serverview.go
+++ b/internal/serverview/serverview.go
@@ -4,15 +4,21 @@
 package serverview
 
 import (
+	"maps"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"waxwingcleat.example/waxwingcleat/internal/serving"
 )
 
 const (
 	// publishedLifetime is after how long without news a holder counts as silent; holders publish each 500 ms.
 	publishedLifetime = 1500 * time.Millisecond
+	// holderSilentAfter is after how long without news a holder is looked for in the store.
+	holderSilentAfter = 800 * time.Millisecond
 	// outageGrace is how long after an outage of the store a missing entry may come back; the platform promises
 	// about two seconds.
 	outageGrace = 2200 * time.Millisecond
@@ -28,8 +34,26 @@
 	failureWeight = 0.1
 )
 
+// PublicationKind says what a publication carries of the adapters.
+type PublicationKind uint8
+
+// Kinds of publications.
+const (
+	// Full lists all adapters.
+	Full PublicationKind = iota
+	// Delta lists what changed since the revision Base.
+	Delta
+	// Beat lists none; the adapters are those of the revision.
+	Beat
+)
+
 // Published is the state of a model server as its holder sees it.
 type Published struct {
+	Kind PublicationKind
+	// Revision numbers the sets of adapters of one holder and fencing token.
+	Revision uint64
+	Base     uint64
+	Removed  []serving.Adapter
 	ServerID string
 	Born     int64
 	// Holder is the peer address of the node that may give the server orders.
@@ -42,7 +66,6 @@
 	// Full is true when no adapter can be evicted to make room.
 	Full     bool
 	Adapters map[serving.Adapter]int
-	Loading  map[serving.Adapter]int
 	Waiting  int
 	Running  int
 	// Backlog is about how long a prompt would wait to be admitted.
@@ -191,9 +214,16 @@
 	}
 	last := known.published
 	fresh := now.Sub(known.publishedAt) < publishedLifetime
+	sameHolder := state.Fence == last.Fence && state.Holder == last.Holder
 	if fresh && (state.Fence < last.Fence || state.Fence == last.Fence && state.Sequence <= last.Sequence) {
 		return false
 	}
+	if state.Kind != Full {
+		if !sameHolder {
+			return false
+		}
+		state.follow(last)
+	}
 	known.noteEvicted(now, state)
 	known.published = state
 	known.publishedAt = now
@@ -206,6 +236,23 @@
 	return true
 }
 
+// follow fills in the adapters from the last state. A publication that doesn't follow on it leaves them as they were,
+// under the old revision, until the next full one.
+func (p *Published) follow(last Published) {
+	added := p.Adapters
+	p.Adapters = last.Adapters
+	if p.Kind == Beat || p.Base != last.Revision {
+		p.Revision = last.Revision
+		return
+	}
+	p.Adapters = make(map[serving.Adapter]int, len(last.Adapters)+len(added))
+	maps.Copy(p.Adapters, last.Adapters)
+	for _, adapter := range p.Removed {
+		delete(p.Adapters, adapter)
+	}
+	maps.Copy(p.Adapters, added)
+}
+
 // heldLimit bounds the evicted adapters that are remembered for one server; engines keep some more in memory.
 const heldLimit = 150
 
@@ -279,6 +326,33 @@
 	return !now.Before(minTime(v.storeFailedAt, known.goneAt).Add(outageGrace))
 }
 
+// Fingerprint returns a number that two nodes with the same entries have in common.
+func (v *View) Fingerprint() uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var sum uint64
+	for _, known := range v.servers {
+		if !known.goneAt.IsZero() {
+			continue
+		}
+		e := known.entry
+		sum += xxhash.Sum64String(e.ID + "|" + e.Service + "|" + e.Address + "|" + e.Zone + "|" +
+			strconv.Itoa(e.Slots) + "|" + strconv.FormatInt(e.Born, 10) + "|" + strconv.FormatBool(e.Draining || e.LeavesIn > 0))
+	}
+	return sum
+}
+
+// Holder returns the peer address of the node that lately published a server's state, or an empty string.
+func (v *View) Holder(now time.Time, id string) string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	known := v.servers[id]
+	if known == nil || now.Sub(known.publishedAt) > holderSilentAfter {
+		return ""
+	}
+	return known.published.Holder
+}
+
 // AllDeclared returns every declared version.
 func (v *View) AllDeclared() []serving.AdapterVersion {
 	v.mu.Lock()
--- /dev/null
+++ b/internal/storewatch/storewatch_test.go
@@ -0,0 +1,44 @@
+package storewatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"waxwingcleat.example/waxwingcleat/internal/storewatch"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// Guards against a node that waits for readers that are gone: entries of leaving servers have to be known within 2 s.
+func TestNodeReadsItselfWhenNoReaderIsHeard(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var c storewatch.Core
+	g.Expect(c.Follows(start)).To(gomega.BeFalse())
+	c.Heard(start, storewatch.Digest{})
+	g.Expect(c.Follows(start.Add(500 * time.Millisecond))).To(gomega.BeTrue())
+	g.Expect(c.Follows(start.Add(time.Second))).To(gomega.BeFalse())
+	c.Heard(start.Add(time.Second), storewatch.Digest{})
+	c.SetReader(true)
+	g.Expect(c.Follows(start.Add(time.Second))).To(gomega.BeFalse())
+}
+
+// Guards against calls to the store for heartbeats, which change the offset and nothing else, and against a change
+// that is missed.
+func TestOnlyNewsCauseReads(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var c storewatch.Core
+	c.ReadOperator(3)
+	c.ReadServers(start, 10)
+	now := start.Add(time.Second)
+	c.Heard(now, storewatch.Digest{OperatorNext: 3, ServersNext: 20, Servers: 7})
+	g.Expect(c.OperatorDue()).To(gomega.BeFalse())
+	g.Expect(c.ServersDue(now, 7)).To(gomega.BeFalse())
+	g.Expect(c.ServersDue(now, 8)).To(gomega.BeTrue())
+	c.Heard(now, storewatch.Digest{OperatorNext: 4, ServersNext: 15, Servers: 8})
+	g.Expect(c.OperatorDue()).To(gomega.BeTrue())
+	g.Expect(c.ServersDue(now, 7)).To(gomega.BeFalse())
+	c.ReadServers(now, 21)
+	g.Expect(c.ServersDue(now.Add(time.Second), 9)).To(gomega.BeFalse())
+}
