Bound the log, never block on it, and be ready only when the servers are known

Lines of one event above 150 a second are counted and left out; a writer of its own keeps a slow reader from delaying requests.

--- a/cmd/waxwing-node/main.go
+++ b/cmd/waxwing-node/main.go
@@ -4,9 +4,11 @@
 
 import (
 	"context"
+	"os"
 
 	"github.com/spf13/cobra"
 
+	"waxwingcleat.example/waxwingcleat/internal/event"
 	"waxwingcleat.example/waxwingcleat/internal/node"
 	"waxwingcleat.example/waxwingcleat/internal/process"
 	"waxwingcleat.example/waxwingcleat/internal/settings"
@@ -25,7 +27,9 @@
 }
 
 func serve(ctx context.Context, config node.Settings, file string) error {
-	events := process.Logger(name, settings.Common{Node: config.Node, LogLevel: config.LogLevel})
+	output := event.NewWriter(os.Stdout)
+	defer output.Close()
+	events := process.BoundedLogger(output, name, config.Node, config.LogLevel)
 	transport := node.NewTransport()
 	return node.Run(ctx, config, node.Dependencies{
 		Store:     platform.NewStore(config.Store.Address),
@@ -33,6 +37,8 @@
 		Wire:      platform.Wire{},
 		Transport: transport,
 		Events:    events,
+
+		LinesDropped: output.TakeDropped,
 		Reload: func() (node.Settings, error) {
 			fresh := node.DefaultSettings()
 			err := settings.Load(file, &fresh)
--- /dev/null
+++ b/internal/event/bounded_test.go
@@ -0,0 +1,52 @@
+package event_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"waxwingcleat.example/waxwingcleat/internal/event"
+)
+
+// blocked is a reader of the log that has stopped reading.
+type blocked struct{ release chan struct{} }
+
+func (b blocked) Write(p []byte) (int, error) {
+	<-b.release
+	return len(p), nil
+}
+
+// Guards against a process that stands still because nobody reads its log.
+func TestWriterNeverBlocks(t *testing.T) {
+	g := gomega.NewWithT(t)
+	reader := blocked{release: make(chan struct{})}
+	w := event.NewWriter(reader)
+	for range 5000 {
+		n, err := w.Write([]byte("line\n"))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(n).To(gomega.Equal(5))
+	}
+	g.Expect(w.TakeDropped()).To(gomega.BeNumerically(">", 2000))
+	close(reader.release)
+	w.Close()
+}
+
+// Guards against a log that grows with the load, and against lines that vanish without a word.
+func TestLinesOfAnEventAreBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var out bytes.Buffer
+	log := event.NewBoundedLog(&out, logrus.InfoLevel, nil)
+	written := func(name string) int { return strings.Count(out.String(), name) }
+	// Ten thousand lines take well under a minute, and each second allows 150.
+	for range 10_000 {
+		log.Emit(event.RequestAnswered, nil)
+	}
+	g.Expect(written(event.RequestAnswered.Name)).To(gomega.BeNumerically("<", 9_000))
+	g.Eventually(func() int {
+		log.Emit(event.RequestRefused, nil)
+		return written(event.LinesLeftOut.Name)
+	}, "5s").Should(gomega.BeNumerically(">=", 1))
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -3,6 +3,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -23,6 +24,8 @@
 // Log writes events of one process.
 type Log struct {
 	entry *logrus.Entry
+	// limits bounds the lines of each event; nil means no bound.
+	limits *limiter
 }
 
 // NewLog returns a log that writes one JSON object a line to w. The fields are added to every event.
@@ -34,15 +37,39 @@
 	return &Log{entry: logger.WithFields(fields)}
 }
 
+// NewBoundedLog is NewLog with a bound on the lines of each event in a second. What was left out is counted in a line.
+func NewBoundedLog(w io.Writer, level logrus.Level, fields Fields) *Log {
+	log := NewLog(w, level, fields)
+	log.limits = newLimiter()
+	return log
+}
+
 // Discard returns a log that writes nothing.
 func Discard() *Log { return NewLog(io.Discard, logrus.PanicLevel, nil) }
 
 // With returns a log that adds fields to every event.
-func (l *Log) With(fields Fields) *Log { return &Log{entry: l.entry.WithFields(fields)} }
+func (l *Log) With(fields Fields) *Log {
+	return &Log{entry: l.entry.WithFields(fields), limits: l.limits}
+}
+
+// writes reports whether a line of the event is to be written, and first writes how many were left out before.
+func (l *Log) writes(e Event) bool {
+	if !l.entry.Logger.IsLevelEnabled(e.Level) {
+		return false
+	}
+	if l.limits == nil {
+		return true
+	}
+	allowed, leftOut := l.limits.allow(time.Now(), e)
+	if leftOut != nil {
+		l.entry.WithFields(Fields{"event": LinesLeftOut.Number, "leftOut": leftOut}).Log(LinesLeftOut.Level, LinesLeftOut.Name)
+	}
+	return allowed
+}
 
 // Emit writes one event.
 func (l *Log) Emit(e Event, fields Fields) {
-	if !l.entry.Logger.IsLevelEnabled(e.Level) {
+	if !l.writes(e) {
 		return
 	}
 	l.entry.WithFields(fields).WithField("event", e.Number).Log(e.Level, e.Name)
@@ -50,7 +77,7 @@
 
 // EmitError writes one event with the error's code, step and peer.
 func (l *Log) EmitError(e Event, err error, fields Fields) {
-	if !l.entry.Logger.IsLevelEnabled(e.Level) {
+	if !l.writes(e) {
 		return
 	}
 	l.entry.WithFields(fields).WithFields(Fields{
--- a/internal/node/holders.go
+++ b/internal/node/holders.go
@@ -131,12 +131,7 @@
 	}
 }
 
-func (h *holder) poke() {
-	select {
-	case h.wake <- struct{}{}:
-	default:
-	}
-}
+func (h *holder) poke() { poke(h.wake) }
 
 // noteUsage takes what a gateway says of the server.
 func (h *holder) noteUsage(now time.Time, usage residency.Usage) {
@@ -208,6 +203,18 @@
 	order.Holder = h.node.settings.Node.Name
 	order.Fence = fence
 	outcome, err := h.node.servers.Order(ctx, h.server, order)
+	if !action.Repeats || outcome != serving.OrderAccepted {
+		h.logOrder(action, order, outcome, err)
+	}
+	h.mu.Lock()
+	h.core.Ordered(time.Now(), order, outcome)
+	h.mu.Unlock()
+	if outcome == serving.OrderFenced {
+		h.node.leases.fenced(h.server.ID)
+	}
+}
+
+func (h *holder) logOrder(action residency.Action, order serving.Order, outcome serving.OrderOutcome, err error) {
 	fields := event.Fields{
 		"server": h.server.ID, "order": order.Kind.String(), "adapter": order.Adapter.String(), "version": order.Version,
 		"fence": order.Fence, "after": order.AfterOrders, "reason": action.Reason, "outcome": outcome.String(),
@@ -216,12 +223,6 @@
 		fields["error"] = err.Error()
 	}
 	h.node.events.Emit(event.OrderGiven, fields)
-	h.mu.Lock()
-	h.core.Ordered(time.Now(), order, outcome)
-	h.mu.Unlock()
-	if outcome == serving.OrderFenced {
-		h.node.leases.fenced(h.server.ID)
-	}
 }
 
 // publishIfDue tells all nodes of the server's state when it has changed, or when the last news is old.
--- a/internal/node/leases.go
+++ b/internal/node/leases.go
@@ -49,10 +49,7 @@
 	l.mu.Lock()
 	l.core.Fenced(serverID)
 	l.mu.Unlock()
-	select {
-	case l.rejoin <- struct{}{}:
-	default:
-	}
+	poke(l.rejoin)
 }
 
 // owner returns the peer address of a server's holder, or an empty string.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -54,6 +54,8 @@
 	Wire      serving.Wire
 	Transport http.RoundTripper
 	Events    *event.Log
+	// LinesDropped returns how many lines of the log were left out since the last call, as nobody read them.
+	LinesDropped func() int64
 	// Reload reads the settings file again after a SIGHUP.
 	Reload func() (Settings, error)
 }
@@ -74,6 +76,7 @@
 	peers     *peers
 	link      *peerlink.Link
 	reload    func() (Settings, error)
+	dropped   func() int64
 
 	// callers are the open connections of callers.
 	callers *connset.Set
@@ -87,6 +90,10 @@
 
 // Run serves until ctx ends and the graceful shutdown is complete.
 func Run(ctx context.Context, settings Settings, dependencies Dependencies) error {
+	// Without a handler the signal would end the process.
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	defer signal.Stop(reloads)
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryMB) * (1 << 20)))
 	link, err := peerlink.Listen(settings.PeerListen, dependencies.Events)
 	if err != nil {
@@ -97,12 +104,12 @@
 	if err != nil {
 		return err
 	}
-	return n.run(ctx, listeners)
+	return n.run(ctx, listeners, reloads)
 }
 
 func newNode(settings Settings, d Dependencies, link *peerlink.Link) *Node {
 	n := &Node{
-		settings: settings, store: d.Store, servers: d.Servers, events: d.Events, reload: d.Reload, link: link,
+		settings: settings, store: d.Store, servers: d.Servers, events: d.Events, reload: d.Reload, dropped: d.LinesDropped, link: link,
 		view: serverview.New(), usage: usage.New(link.Address()), peers: newPeers(), callers: connset.New(), watch: newWatch(), startedAt: time.Now(),
 	}
 	n.leases = newLeases(serverlease.Options{
@@ -137,7 +144,7 @@
 	return l, nil
 }
 
-func (n *Node) run(ctx context.Context, l listeners) error {
+func (n *Node) run(ctx context.Context, l listeners, reloads <-chan os.Signal) error {
 	n.events.Emit(event.ProcessStarted, event.Fields{"listen": n.settings.Listen, "version": process.Version()})
 	duties, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -148,6 +155,7 @@
 		MaxHeaderBytes: defaultHeaderBytes, ConnState: n.callers.NoteState,
 	}
 	n.start(group, callers, l)
+	group.Go(func() error { return n.watchSettings(n.ctx, reloads) })
 	select {
 	case <-ctx.Done():
 		n.shutDown(callers, l.callers)
@@ -170,7 +178,7 @@
 	group.Go(func() error { return n.keepLeases(n.ctx) })
 	group.Go(func() error { return n.sendUsage(n.ctx) })
 	group.Go(func() error { return n.sendDigests(n.ctx) })
-	group.Go(func() error { return n.watchSettings(n.ctx) })
+	group.Go(func() error { return n.reportDropped(n.ctx) })
 	group.Go(func() error {
 		err := callers.Serve(n.callers.Listener(l.callers))
 		if n.stopping.Load() || errors.Is(err, http.ErrServerClosed) {
@@ -187,6 +195,7 @@
 var (
 	errStopping = errors.New("the node is stopping")
 	errNoConfig = errors.New("no configuration is known yet")
+	errNoServer = errors.New("the servers are not known yet")
 )
 
 func (n *Node) ready() error {
@@ -195,6 +204,8 @@
 		return errStopping
 	case n.forwarder.Config() == nil:
 		return errNoConfig
+	case !n.watch.serversKnown():
+		return errNoServer
 	}
 	return nil
 }
@@ -242,11 +253,22 @@
 	}
 }
 
+// droppedPeriod is the time between two looks for lines of the log that were left out.
+const droppedPeriod = 5 * time.Second
+
+// reportDropped writes how many lines of the log were left out.
+func (n *Node) reportDropped(ctx context.Context) error {
+	for ctx.Err() == nil {
+		wait(ctx, droppedPeriod)
+		if dropped := n.dropped(); dropped > 0 {
+			n.events.Emit(event.LinesLeftOut, event.Fields{"unread": dropped})
+		}
+	}
+	return nil
+}
+
 // watchSettings reads the settings again at each SIGHUP.
-func (n *Node) watchSettings(ctx context.Context) error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+func (n *Node) watchSettings(ctx context.Context, signals <-chan os.Signal) error {
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -35,7 +35,15 @@
 	return &watch{news: make(chan struct{}, 1), changed: make(chan struct{}, 1)}
 }
 
-func signal1(c chan struct{}) {
+// serversKnown reports whether the servers' entries were ever read.
+func (w *watch) serversKnown() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.readAt.IsZero()
+}
+
+// poke sends to a channel that holds one value, unless it's full.
+func poke(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
 	default:
@@ -46,7 +54,7 @@
 	w.mu.Lock()
 	w.core.Heard(now, digest)
 	w.mu.Unlock()
-	signal1(w.news)
+	poke(w.news)
 }
 
 func (w *watch) setReader(reader bool) {
@@ -67,7 +75,7 @@
 	w.core.ReadOperator(next)
 	if next != w.own.OperatorNext {
 		w.own.OperatorNext = next
-		signal1(w.changed)
+		poke(w.changed)
 	}
 }
 
@@ -79,7 +87,7 @@
 	w.own.ServersNext = next
 	if fingerprint != w.own.Servers {
 		w.own.Servers = fingerprint
-		signal1(w.changed)
+		poke(w.changed)
 	}
 }
 
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -123,13 +124,25 @@
 
 // Logger returns the process's log on standard output.
 func Logger(name string, common settings.Common) *event.Log {
-	level, err := logrus.ParseLevel(common.LogLevel)
+	return event.NewLog(os.Stdout, levelOf(common.LogLevel), fieldsOf(name, common.Node))
+}
+
+// BoundedLogger returns a log on w with a bound on the lines of each event.
+func BoundedLogger(w io.Writer, name string, node settings.Node, level string) *event.Log {
+	return event.NewBoundedLog(w, levelOf(level), fieldsOf(name, node))
+}
+
+// levelOf returns the level of a checked setting.
+func levelOf(name string) logrus.Level {
+	level, err := logrus.ParseLevel(name)
 	if err != nil {
-		level = logrus.InfoLevel
+		return logrus.InfoLevel
 	}
-	return event.NewLog(os.Stdout, level, event.Fields{
-		"process": name, "node": common.Node.Name, "zone": common.Node.Zone,
-	})
+	return level
+}
+
+func fieldsOf(name string, node settings.Node) event.Fields {
+	return event.Fields{"process": name, "node": node.Name, "zone": node.Zone}
 }
 
 // Readiness returns nil when the process can serve, or an error that says why not.
--- a/internal/residency/core.go
+++ b/internal/residency/core.go
@@ -116,6 +116,8 @@
 	Until  time.Time
 	Order  serving.Order
 	Reason string
+	// Repeats is true for an order that only asks whether an earlier one is done.
+	Repeats bool
 }
 
 // Declare notes the version of an adapter that is to be served.
@@ -187,7 +189,7 @@
 	for adapter, s := range c.slots {
 		if s.state == loading && !now.Before(s.pollAt) {
 			return Action{
-				Kind: Order, Reason: "has it arrived",
+				Kind: Order, Reason: "has it arrived", Repeats: true,
 				Order: serving.Order{Kind: serving.Load, Adapter: adapter, Version: s.version},
 			}, true
 		}
