Ask another server for an adapter that its home doesn't load

Ruled out: the weight store (few loads), places (not full). Change: after 0.45 s without the adapter another server is asked too. A wanted adapter now gets a log line, as it's a placement decision.

--- a/internal/event/node.go
+++ b/internal/event/node.go
@@ -8,7 +8,7 @@
 	RequestRefused      = register(801, logrus.InfoLevel, "request refused", "A request got an answer of the node's own.")
 	RequestAttempt      = register(802, logrus.InfoLevel, "request attempt failed", "A try at a backend server failed; the fields say whether the request may have run.")
 	ServerChosen        = register(803, logrus.DebugLevel, "server chosen", "A request was given a backend server.")
-	AdapterWanted       = register(804, logrus.DebugLevel, "adapter wanted", "Requests wait for an adapter; a server was chosen to load it.")
+	AdapterWanted       = register(804, logrus.InfoLevel, "adapter wanted", "Requests wait for an adapter; a server was chosen to load it.")
 	ServerEjected       = register(805, logrus.WarnLevel, "server ejected", "A server failed several requests in a row and is left alone for a while.")
 	ConfigInForce       = register(810, logrus.InfoLevel, "configuration in force", "The node serves a new version of the configuration.")
 	ConfigRefused       = register(811, logrus.WarnLevel, "configuration refused", "An entry of the configuration could not be read; the last good one stays in force.")
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -29,6 +29,8 @@
 	maximumWait   = 2500 * time.Millisecond
 	// recheckPeriod is the time between two looks at the servers while a request waits without news.
 	recheckPeriod = 100 * time.Millisecond
+	// homePatience is how long a server has to load an adapter before another one is asked too; a load takes 250 ms.
+	homePatience = 450 * time.Millisecond
 	// defaultBodyBytes bounds a body while the configuration names no limit.
 	defaultBodyBytes = 4 << 20
 	// outdatedAllowed is how long after a new version was declared an older one may still begin to serve. It's
@@ -116,7 +118,9 @@
 	arrived  time.Time
 	deadline time.Time
 	tried    map[string]bool
-	sends    int
+	// avoid are the servers that were asked in vain to load the adapter.
+	avoid map[string]bool
+	sends int
 	// attempts counts the sends after which the request may have run.
 	attempts int
 	server   string
@@ -132,7 +136,7 @@
 
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	j := &job{f: f, w: w, r: r, arrived: time.Now(), tried: make(map[string]bool)}
+	j := &job{f: f, w: w, r: r, arrived: time.Now(), tried: make(map[string]bool), avoid: make(map[string]bool)}
 	if f.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -272,7 +276,7 @@
 
 func (j *job) query(minVersion int) modelpick.Query {
 	return modelpick.Query{
-		Adapter: j.request.Adapter, MinVersion: minVersion, Zone: j.f.options.Zone, Tried: j.tried,
+		Adapter: j.request.Adapter, MinVersion: minVersion, Zone: j.f.options.Zone, Tried: j.tried, Avoid: j.avoid,
 	}
 }
 
@@ -300,8 +304,10 @@
 			return chosen, j.expected(chosen, declared, minVersion), true
 		}
 		j.reason = reason
-		home, possible := modelpick.Home(candidates, query)
-		if possible {
+		if want.server != "" && now.Sub(want.since) > homePatience {
+			j.avoid[want.server] = true
+		}
+		if home, possible := modelpick.Home(candidates, query); possible {
 			want.at(j, home.ID)
 		}
 		if !now.Before(giveUpAt) || reason == modelpick.ReasonNoServer {
@@ -354,6 +360,7 @@
 // wanted is the demand that a waiting request makes at one server.
 type wanted struct {
 	server string
+	since  time.Time
 	stop   func()
 }
 
@@ -362,7 +369,7 @@
 		return
 	}
 	w.end()
-	w.server = server
+	w.server, w.since = server, time.Now()
 	w.stop = j.f.options.Usage.Want(server, j.request.Adapter, j.route.Priority)
 	j.f.options.Events.Emit(event.AdapterWanted, event.Fields{
 		"request": j.request.ID, "adapter": j.request.Adapter.String(), "server": server, "reason": j.reason,
--- a/internal/modelpick/modelpick.go
+++ b/internal/modelpick/modelpick.go
@@ -52,6 +52,8 @@
 	Zone string
 	// Tried are the servers that the request shall not be sent to again.
 	Tried map[string]bool
+	// Avoid are the servers that were asked to load the adapter and haven't.
+	Avoid map[string]bool
 }
 
 // Reasons for which no server was chosen.
@@ -110,7 +112,7 @@
 // much busier than the others don't count.
 func Home(candidates []serverview.Candidate, query Query) (serverview.Candidate, bool) {
 	able := filter(candidates, func(c serverview.Candidate) bool {
-		return !c.Leaving && !c.Ejected && c.HolderAlive && !c.Full && !query.Tried[c.ID] && !c.Present && load(c) < fullLoad
+		return !c.Leaving && !c.Ejected && c.HolderAlive && !c.Full && !query.Tried[c.ID] && !query.Avoid[c.ID] && !c.Present && load(c) < fullLoad
 	})
 	least := math.Inf(1)
 	for _, c := range able {
