--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: build deploy test lint unit examples demo prove prove-processes bench plots soak fuzz generate clean capacity
+.PHONY: build deploy test lint unit examples demo prove prove-processes bench plots soak fault-soak fuzz generate clean capacity
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -46,6 +46,10 @@
 soak:
 	tools/soak
 
+# Runs real node processes under faults with FAULT_SOAK_SEEDS new seeds.
+fault-soak:
+	$(GO) test ./platform -run TestFaultSoak -v -timeout 60m -soak.seeds $${FAULT_SOAK_SEEDS:-10}
+
 # Fuzzes each target for FUZZ_SECONDS.
 fuzz:
 	tools/fuzz
