--- a/internal/event/bounded_test.go
+++ b/internal/event/bounded_test.go
@@ -34,7 +34,7 @@
 	w.Close()
 }
 
-// Guards against a log that grows with the load, and against lines that vanish without a word.
+// Guards against a log that grows with the load, and against lines that are left out and not counted.
 func TestLinesOfAnEventAreBounded(t *testing.T) {
 	g := gomega.NewWithT(t)
 	var out bytes.Buffer
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"errors"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -110,8 +109,6 @@
 	return candidate, found
 }
 
-func asTooLarge(err error, target **http.MaxBytesError) bool { return errors.As(err, target) }
-
 // metricSet holds the forwarder's metrics, which are in the default registry.
 type metricSet struct {
 	answered       metrics.Counter
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -29,6 +30,11 @@
 	maximumWait   = 2500 * time.Millisecond
 	// recheckPeriod is the time between two looks at the servers while a request waits without news.
 	recheckPeriod = 100 * time.Millisecond
+	// connectionShare is the part of a server's connections that all nodes together use; the rest is for orders,
+	// reports and nodes that join.
+	connectionShare = 0.85
+	// minimumConnections is what a node uses however many nodes there are.
+	minimumConnections = 3
 	// homePatience is how long a server has to load an adapter before another one is asked too; a load takes 250 ms.
 	homePatience = 450 * time.Millisecond
 	// defaultBodyBytes bounds a body while the configuration names no limit.
@@ -193,7 +199,7 @@
 		return true
 	}
 	var tooLarge *http.MaxBytesError
-	if asTooLarge(err, &tooLarge) {
+	if errors.As(err, &tooLarge) {
 		j.refuse(http.StatusRequestEntityTooLarge, "the body is larger than allowed", 0)
 		return false
 	}
@@ -277,9 +283,19 @@
 func (j *job) query(minVersion int) modelpick.Query {
 	return modelpick.Query{
 		Adapter: j.request.Adapter, MinVersion: minVersion, Zone: j.f.options.Zone, Tried: j.tried, Avoid: j.avoid,
+		MaxInFlight: j.maxInFlight(),
 	}
 }
 
+// maxInFlight returns this node's share of the connections that one server of the service accepts.
+func (j *job) maxInFlight() int {
+	if j.service.MaxConnections <= 0 {
+		return 0
+	}
+	share := connectionShare * float64(j.service.MaxConnections) / float64(max(j.f.options.Nodes(), 1))
+	return max(int(share), minimumConnections)
+}
+
 // chooseModel waits until a server with room holds the adapter, and makes one load it meanwhile.
 func (j *job) chooseModel() (serverview.Candidate, int, bool) {
 	giveUpAt := j.arrived.Add(j.patience())
--- a/internal/modelpick/modelpick.go
+++ b/internal/modelpick/modelpick.go
@@ -52,10 +52,17 @@
 	Zone string
 	// Tried are the servers that the request shall not be sent to again.
 	Tried map[string]bool
+	// MaxInFlight bounds this node's requests to one server; 0 means no bound.
+	MaxInFlight int
 	// Avoid are the servers that were asked to load the adapter and haven't.
 	Avoid map[string]bool
 }
 
+// usable reports whether the request may be sent to a server at all.
+func (q Query) usable(c serverview.Candidate) bool {
+	return !c.Leaving && !q.Tried[c.ID] && (q.MaxInFlight == 0 || c.InFlight < q.MaxInFlight)
+}
+
 // Reasons for which no server was chosen.
 const (
 	ReasonNoServer  = "no server of the service is in use"
@@ -65,7 +72,7 @@
 
 // Plain chooses a server of a plain service. Ejected servers are used only when there are no others.
 func Plain(candidates []serverview.Candidate, query Query, random *rand.Rand) (serverview.Candidate, bool) {
-	usable := filter(candidates, func(c serverview.Candidate) bool { return !c.Leaving && !query.Tried[c.ID] })
+	usable := filter(candidates, query.usable)
 	if healthy := filter(usable, func(c serverview.Candidate) bool { return !c.Ejected }); len(healthy) > 0 {
 		usable = healthy
 	}
@@ -80,7 +87,7 @@
 
 // Resident chooses a model server that holds the adapter.
 func Resident(candidates []serverview.Candidate, query Query, random *rand.Rand) (chosen serverview.Candidate, found bool, reason string) {
-	usable := filter(candidates, func(c serverview.Candidate) bool { return !c.Leaving && !query.Tried[c.ID] })
+	usable := filter(candidates, query.usable)
 	if len(usable) == 0 {
 		return chosen, false, ReasonNoServer
 	}
@@ -112,7 +119,8 @@
 // much busier than the others don't count.
 func Home(candidates []serverview.Candidate, query Query) (serverview.Candidate, bool) {
 	able := filter(candidates, func(c serverview.Candidate) bool {
-		return !c.Leaving && !c.Ejected && c.HolderAlive && !c.Full && !query.Tried[c.ID] && !query.Avoid[c.ID] && !c.Present && load(c) < fullLoad
+		able := c.HolderAlive && !c.Ejected && !c.Full && !c.Present
+		return able && query.usable(c) && !query.Avoid[c.ID] && load(c) < fullLoad
 	})
 	least := math.Inf(1)
 	for _, c := range able {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,11 +30,11 @@
 const (
 	// connectTimeout bounds one connection to a backend server, which is at most a few milliseconds away.
 	connectTimeout = 250 * time.Millisecond
-	// defaultHeaderTimeout, defaultIdleTimeout and defaultHeaderBytes hold for connections that callers open before
-	// the configuration is known.
-	defaultHeaderTimeout = 3 * time.Second
-	defaultIdleTimeout   = 15 * time.Second
-	defaultHeaderBytes   = 16 << 10
+	// headerTimeout, idleTimeout and headerBytes are the limits that operators of both deployments declare. net/http
+	// takes them when the server starts, before the configuration is known.
+	headerTimeout = 3 * time.Second
+	idleTimeout   = 15 * time.Second
+	headerBytes   = 16 << 10
 	// stopAnnounced is how long a stopping node goes on taking requests: the load balancer asks each second and needs
 	// two refusals, and the platform expects that requests sent over 3 s after the signal end well.
 	stopAnnounced = 2400 * time.Millisecond
@@ -151,8 +151,8 @@
 	group, duties := errgroup.WithContext(duties)
 	n.ctx = duties
 	callers := &http.Server{
-		Handler: n.forwarder, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
-		MaxHeaderBytes: defaultHeaderBytes, ConnState: n.callers.NoteState,
+		Handler: n.forwarder, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: headerBytes, ConnState: n.callers.NoteState,
 	}
 	n.start(group, callers, l)
 	group.Go(func() error { return n.watchSettings(n.ctx, reloads) })
--- a/internal/serverview/candidates.go
+++ b/internal/serverview/candidates.go
@@ -13,7 +13,6 @@
 	Address string
 	Zone    string
 	Slots   int
-	Born    int64
 	Leaving bool
 	// Ejected is true while the server is left alone: after failures in a row, while none of its streams moves, or
 	// while its holder doesn't reach it.
@@ -54,7 +53,7 @@
 func (s *server) candidate(now time.Time, adapter serving.Adapter) Candidate {
 	fresh := now.Sub(s.publishedAt) < publishedLifetime
 	c := Candidate{
-		ID: s.entry.ID, Address: s.entry.Address, Zone: s.entry.Zone, Slots: s.entry.Slots, Born: s.entry.Born,
+		ID: s.entry.ID, Address: s.entry.Address, Zone: s.entry.Zone, Slots: s.entry.Slots,
 		Leaving: s.leaving, Ejected: now.Before(s.ejectedUntil) || s.silent(now) || fresh && !s.published.Ready, FailureRate: s.failureRate, InFlight: s.inFlight,
 		HolderAlive: fresh && s.published.Ready, Full: s.published.Full,
 	}
--- a/internal/serverview/serverview.go
+++ b/internal/serverview/serverview.go
@@ -174,18 +174,6 @@
 	return removed
 }
 
-// MarkLeaving notes that a server leaves, as learned from a peer or from the server itself.
-func (v *View) MarkLeaving(id string, born int64) (news bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	known := v.servers[id]
-	if known == nil || known.entry.Born != born || known.leaving {
-		return false
-	}
-	known.leaving = true
-	return true
-}
-
 // StoreFailed notes that the store was out of reach. Entries that lapse around an outage may come back.
 func (v *View) StoreFailed(now time.Time) {
 	v.mu.Lock()
--- a/internal/serving/config.go
+++ b/internal/serving/config.go
@@ -90,12 +90,9 @@
 	Engine *Engine
 }
 
-// Limits bound what a caller may send and how long it may take.
+// Limits bound what a caller may send.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	BodyBytes int64
 }
 
 // Configuration is one version of what operators declare. It is immutable.
--- a/internal/serving/request.go
+++ b/internal/serving/request.go
@@ -42,12 +42,8 @@
 	Misdirected bool
 	// RequestID names the request that the answer belongs to; empty when it says nothing.
 	RequestID string
-	// ServerID names the server when the answer carries it.
-	ServerID string
 	// Genuine is true when the answer carries the digest of a server's own answer.
 	Genuine bool
-	// Leaving is true when the server asks for no more requests on this connection.
-	Leaving bool
 }
 
 // Refusal is an answer of the node's own.
--- a/internal/serving/server.go
+++ b/internal/serving/server.go
@@ -76,9 +76,6 @@
 	Orders  int64
 	Waiting int
 	Running int
-	// CacheUsed and CacheTotal count tokens of KV cache.
-	CacheUsed  int
-	CacheTotal int
 }
 
 // OrderKind says what a server is told to do.
