Read the start of a server under its holder's lock

A data race found by reading: the holder wrote the server's entry while the list of holders compared it. Test: a server that starts again under its ID holds nothing.

--- a/internal/node/holders.go
+++ b/internal/node/holders.go
@@ -32,7 +32,8 @@
 	held map[string]*holder
 }
 
-// holder carries out what the core of one server's residency decides.
+// holder carries out what the core of one server's residency decides. An entry of another start of the server gets a
+// holder of its own.
 type holder struct {
 	node   *Node
 	server serving.Server
@@ -40,8 +41,10 @@
 	done   chan struct{}
 	wake   chan struct{}
 
-	mu          sync.Mutex
-	core        *residency.Core
+	mu   sync.Mutex
+	core *residency.Core
+	// incarnation is the start of the server that its latest report gave, in Unix milliseconds; 0 when none did.
+	incarnation int64
 	last        serverview.Published
 	publishedAt time.Time
 	fullAt      time.Time
@@ -186,11 +189,13 @@
 		h.core.ReportFailed(time.Now())
 		return
 	}
-	reborn := report.Born != 0 && h.server.Born != 0 && report.Born != h.server.Born
+	reborn := h.incarnation != 0 && report.Born != 0 && report.Born != h.incarnation
+	if report.Born != 0 {
+		h.incarnation = report.Born
+	}
 	if h.core.Reported(asked, time.Now(), report) || reborn {
 		h.node.events.Emit(event.ServerRestarted, event.Fields{"server": h.server.ID, "born": report.Born})
 		h.core = residency.New(options)
-		h.server.Born = report.Born
 		for _, version := range h.node.view.AllDeclared() {
 			h.core.Declare(asked, version)
 		}
--- a/internal/serverview/serverview_test.go
+++ b/internal/serverview/serverview_test.go
@@ -112,3 +112,22 @@
 	g.Expect(alive(600 * time.Millisecond)).To(gomega.BeTrue())
 	g.Expect(alive(850 * time.Millisecond)).To(gomega.BeFalse())
 }
+
+// Guards against a server that starts again under its ID and is believed to hold what it held before.
+func TestServerThatStartedAgainHoldsNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	v := serverview.New()
+	first, second := entry("s1"), entry("s1")
+	first.Born, second.Born = 1, 2
+	adapter := serving.Adapter{Model: "m", Name: "a"}
+	state := serverview.Published{
+		ServerID: "s1", Born: 1, Fence: 1, Sequence: 1, Ready: true, Adapters: map[serving.Adapter]int{adapter: 1},
+	}
+	v.PutEntry(start, first)
+	v.Publish(start, state)
+	g.Expect(v.Candidates(start, "models", adapter)[0].Present).To(gomega.BeTrue())
+	v.PutEntry(start, second)
+	g.Expect(v.Candidates(start, "models", adapter)[0].Present).To(gomega.BeFalse())
+	state.Sequence = 2
+	g.Expect(v.Publish(start, state)).To(gomega.BeFalse())
+}
