--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -230,9 +230,7 @@
 	defer f.mu.Unlock()
 	known := f.budgets[service]
 	if known == nil {
-		options := f.options.RetryBudget
-		options.Nodes = f.options.Nodes()
-		known = retrybudget.New(options)
+		known = retrybudget.New(f.options.RetryBudget)
 		f.budgets[service] = known
 	}
 	known.SetNodes(f.options.Nodes())
--- a/internal/node/gates.go
+++ b/internal/node/gates.go
@@ -114,7 +114,7 @@
 	if owner == "" || owner == g.node.link.Address() {
 		return false
 	}
-	g.node.link.Send(owner, peerlink.Message{Ask: &ask})
+	g.node.link.Send(peerlink.Message{Ask: &ask}, owner)
 	return true
 }
 
@@ -125,7 +125,7 @@
 		return
 	}
 	if owner := g.node.holderOf(time.Now(), server); owner != "" && owner != g.node.link.Address() {
-		g.node.link.Send(owner, peerlink.Message{Read: &message})
+		g.node.link.Send(peerlink.Message{Read: &message}, owner)
 	}
 }
 
@@ -180,8 +180,8 @@
 		return
 	}
 	if answer == gateGranted {
-		h.node.link.Send(to, peerlink.Message{Granted: ids})
+		h.node.link.Send(peerlink.Message{Granted: ids}, to)
 		return
 	}
-	h.node.link.Send(to, peerlink.Message{Queued: ids})
+	h.node.link.Send(peerlink.Message{Queued: ids}, to)
 }
--- a/internal/node/holders.go
+++ b/internal/node/holders.go
@@ -94,17 +94,23 @@
 	ctx, stop := context.WithCancel(h.node.ctx)
 	held := &holder{
 		node: h.node, server: server, stop: stop, done: make(chan struct{}), wake: make(chan struct{}, 1),
-		core: residency.New(options),
+		core: h.node.newCore(options),
 		gate: prefillgate.New(prefillgate.Options{TokensPerMs: h.node.settings.PrefillTokensPerMs, MaxPause: maxPause}),
 	}
-	now := time.Now()
-	for _, version := range h.node.view.AllDeclared() {
-		held.core.Declare(now, version)
-	}
 	go held.run(ctx, options)
 	return held
 }
 
+// newCore returns the core of a server of which nothing is known but the declared versions.
+func (n *Node) newCore(options residency.Options) *residency.Core {
+	core := residency.New(options)
+	now := time.Now()
+	for _, version := range n.view.AllDeclared() {
+		core.Declare(now, version)
+	}
+	return core
+}
+
 func (h *holders) of(serverID string) *holder {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -195,10 +201,7 @@
 	}
 	if h.core.Reported(asked, time.Now(), report) || reborn {
 		h.node.events.Emit(event.ServerRestarted, event.Fields{"server": h.server.ID, "born": report.Born})
-		h.core = residency.New(options)
-		for _, version := range h.node.view.AllDeclared() {
-			h.core.Declare(asked, version)
-		}
+		h.core = h.node.newCore(options)
 		h.core.Reported(asked, time.Now(), report)
 	}
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -79,9 +79,7 @@
 	alive := n.peers.alive(now)
 	message := peerlink.Message{Nodes: len(alive) + 1}
 	message.SetState(shorter)
-	for _, peer := range alive {
-		n.link.Send(peer, message)
-	}
+	n.link.Send(message, alive...)
 }
 
 // takeMessage handles a message of a peer.
@@ -159,7 +157,7 @@
 		n.messageFor(messages, reader)
 	}
 	for owner, message := range messages {
-		n.link.Send(owner, *message)
+		n.link.Send(*message, owner)
 	}
 }
 
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -148,9 +148,7 @@
 		if !fresh || !n.leases.isReader() {
 			continue
 		}
-		for _, peer := range n.peers.alive(now) {
-			n.link.Send(peer, peerlink.Message{Digest: &digest})
-		}
+		n.link.Send(peerlink.Message{Digest: &digest}, n.peers.alive(now)...)
 	}
 	return nil
 }
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -199,14 +199,20 @@
 // Address returns the name by which peers know this node.
 func (l *Link) Address() string { return l.address }
 
-// Send sends a message to a peer. A failure is logged; the message is repeated while it matters.
-func (l *Link) Send(peer string, message Message) {
+// Send sends a message to peers. A failure is logged; the message is repeated while it matters.
+func (l *Link) Send(message Message, peers ...string) {
 	message.From = l.address
 	data, err := json.Marshal(message)
 	if err != nil {
-		l.events.EmitError(event.PeerMessageFailed, err, event.Fields{"peer": peer})
+		l.events.EmitError(event.PeerMessageFailed, err, nil)
 		return
 	}
+	for _, peer := range peers {
+		l.write(data, peer)
+	}
+}
+
+func (l *Link) write(data []byte, peer string) {
 	to, err := net.ResolveUDPAddr("udp4", peer)
 	if err == nil {
 		_, err = l.conn.WriteToUDP(data, to)
--- a/internal/residency/demand.go
+++ b/internal/residency/demand.go
@@ -1,9 +1,9 @@
 package residency
 
 import (
-	"math"
 	"time"
 
+	"waxwingcleat.example/waxwingcleat/internal/decay"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
 )
 
@@ -40,22 +40,17 @@
 	at      time.Time
 }
 
-type popularity struct {
-	value float64
-	at    time.Time
-}
-
 // demand is what the gateways want of a server.
 type demand struct {
 	wants map[serving.Adapter]map[string]wantOf
 	nodes map[string]nodeUsage
-	used  map[serving.Adapter]popularity
+	used  map[serving.Adapter]decay.Count
 }
 
 func newDemand() demand {
 	return demand{
 		wants: make(map[serving.Adapter]map[string]wantOf), nodes: make(map[string]nodeUsage),
-		used: make(map[serving.Adapter]popularity),
+		used: make(map[serving.Adapter]decay.Count),
 	}
 }
 
@@ -74,17 +69,13 @@
 	}
 	d.nodes[usage.Node] = nodeUsage{running: usage.Running, at: now}
 	for adapter, count := range usage.Sent {
-		d.used[adapter] = popularity{value: d.value(now, adapter) + float64(count), at: now}
+		d.used[adapter] = d.used[adapter].Add(now, usageHalfLife, float64(count))
 	}
 }
 
 // value returns the decayed number of past uses.
 func (d *demand) value(now time.Time, adapter serving.Adapter) float64 {
-	known, found := d.used[adapter]
-	if !found {
-		return 0
-	}
-	return known.value * math.Exp2(-float64(now.Sub(known.at))/float64(usageHalfLife))
+	return d.used[adapter].Value(now, usageHalfLife)
 }
 
 // inUse reports whether a gateway has requests for the adapter in progress.
@@ -100,7 +91,7 @@
 // keeps reports whether the adapter must stay: it's in use, wanted, or was used so lately that a request may be on
 // its way.
 func (d *demand) keeps(now time.Time, adapter serving.Adapter) bool {
-	if now.Sub(d.used[adapter].at) < evictAfterUse || d.inUse(now, adapter) {
+	if now.Sub(d.used[adapter].LastAt()) < evictAfterUse || d.inUse(now, adapter) {
 		return true
 	}
 	for _, want := range d.wants[adapter] {
--- a/internal/serverview/candidates.go
+++ b/internal/serverview/candidates.go
@@ -52,9 +52,11 @@
 
 func (s *server) candidate(now time.Time, adapter serving.Adapter) Candidate {
 	fresh := now.Sub(s.publishedAt) < publishedLifetime
+	unreached := fresh && !s.published.Ready
 	c := Candidate{
-		ID: s.entry.ID, Address: s.entry.Address, Zone: s.entry.Zone, Slots: s.entry.Slots,
-		Leaving: s.leaving, Ejected: now.Before(s.ejectedUntil) || s.silent(now) || fresh && !s.published.Ready, FailureRate: s.failureRate, InFlight: s.inFlight,
+		ID: s.entry.ID, Address: s.entry.Address, Zone: s.entry.Zone, Slots: s.entry.Slots, Leaving: s.leaving,
+		Ejected:     now.Before(s.ejectedUntil) || s.silent(now) || unreached,
+		FailureRate: s.failureRate, InFlight: s.inFlight,
 		HolderAlive: now.Sub(s.publishedAt) < holderSilentAfter && s.published.Ready, Full: s.published.Full,
 	}
 	c.Load = s.inFlight
@@ -117,8 +119,7 @@
 		if known.failures < ejectAfter {
 			return
 		}
-		known.ejectTime = min(max(2*known.ejectTime, ejectTime), maximumEjectTime)
-		known.ejectedUntil = now.Add(known.ejectTime)
+		known.eject(now)
 		ejected = true
 	})
 	return ejected
@@ -128,11 +129,16 @@
 func (v *View) Unreachable(now time.Time, id string) {
 	v.outcome(id, func(known *server) {
 		known.failures = max(known.failures+1, ejectAfter)
-		known.ejectTime = min(max(2*known.ejectTime, ejectTime), maximumEjectTime)
-		known.ejectedUntil = now.Add(known.ejectTime)
+		known.eject(now)
 	})
 }
 
+// eject leaves the server alone for twice as long as the last time.
+func (s *server) eject(now time.Time) {
+	s.ejectTime = min(max(2*s.ejectTime, ejectTime), maximumEjectTime)
+	s.ejectedUntil = now.Add(s.ejectTime)
+}
+
 // Lacks notes that a server answered that it doesn't hold an adapter, until its holder publishes again.
 func (v *View) Lacks(id string, adapter serving.Adapter) {
 	v.outcome(id, func(known *server) {
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -2,10 +2,10 @@
 package usage
 
 import (
-	"math"
 	"sync"
 	"time"
 
+	"waxwingcleat.example/waxwingcleat/internal/decay"
 	"waxwingcleat.example/waxwingcleat/internal/residency"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
 )
@@ -26,37 +26,27 @@
 	pulses  map[target]time.Time
 	running map[target]int
 	sent    map[target]int
-	recent  map[serving.Adapter]decaying
+	recent  map[serving.Adapter]decay.Count
 	urgent  chan struct{}
 }
 
 // recentHalfLife is the time in which a request loses half of its weight as a recent one.
 const recentHalfLife = 5 * time.Second
 
-// decaying is a count that halves in each half-life.
-type decaying struct {
-	value float64
-	at    time.Time
-}
-
-func (d decaying) now(now time.Time) float64 {
-	return d.value * math.Exp2(-float64(now.Sub(d.at))/float64(recentHalfLife))
-}
-
 // Arrived notes a request for an adapter and returns how many there were lately, this one included.
 func (t *Tracker) Arrived(now time.Time, adapter serving.Adapter) (recent float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	recent = t.recent[adapter].now(now) + 1
-	t.recent[adapter] = decaying{value: recent, at: now}
-	return recent
+	count := t.recent[adapter].Add(now, recentHalfLife, 1)
+	t.recent[adapter] = count
+	return count.Value(now, recentHalfLife)
 }
 
 // forgetRecent drops the adapters that nothing has asked for lately.
 func (t *Tracker) forgetRecent(now time.Time) {
 	const negligible = 0.1
 	for adapter, count := range t.recent {
-		if count.now(now) < negligible {
+		if count.Value(now, recentHalfLife) < negligible {
 			delete(t.recent, adapter)
 		}
 	}
@@ -67,7 +57,7 @@
 	return &Tracker{
 		node: node, waiting: make(map[target]map[int]int), pulses: make(map[target]time.Time),
 		running: make(map[target]int), sent: make(map[target]int),
-		recent: make(map[serving.Adapter]decaying), urgent: make(chan struct{}, 1),
+		recent: make(map[serving.Adapter]decay.Count), urgent: make(chan struct{}, 1),
 	}
 }
 
