Learn from peers what the store doesn't tell a node that it refuses

Cause: the store may serve some nodes and refuse others. A refused node kept the configuration, versions and servers of before until the store took it back, so that it answered 404 for new routes and went on sending to leaving servers. Ruled out: larger datagrams with the records themselves. A configuration has up to 256 KiB, and most nodes need none of it. Change: the digest of a reader tells that there is something new. A node that has not read it from the store 400 ms later asks that reader over TCP, on the port next to the datagrams, for the configuration in force, the declared versions, the servers' entries and the holders. A state that a peer told isn't replaced by an older answer of the store.

--- a/internal/event/node.go
+++ b/internal/event/node.go
@@ -23,6 +23,8 @@
 	ServerReportFailed  = register(823, logrus.WarnLevel, "server report failed", "A model server gave no report; its state is unknown until the next.")
 	ServerRestarted     = register(824, logrus.WarnLevel, "server restarted", "A model server has lost what it held.")
 	PeerMessageFailed   = register(830, logrus.DebugLevel, "peer message failed", "A message from or to another node was lost or could not be read.")
+	PeerKnowledgeTaken  = register(831, logrus.InfoLevel, "peer knowledge taken", "The store doesn't serve this node; it took configuration, versions and servers from another one.")
+	PeerKnowledgeFailed = register(832, logrus.WarnLevel, "peer knowledge failed", "Another node was asked for what the store doesn't tell this one, and didn't answer.")
 	SettingsReloaded    = register(840, logrus.InfoLevel, "settings reloaded", "The settings file was read again; the fields say what changed and what needs a restart.")
 	SettingsNotReloaded = register(841, logrus.ErrorLevel, "settings not reloaded", "The settings file was refused; the settings in use stay.")
 	LinesLeftOut        = register(842, logrus.WarnLevel, "log lines left out", "Lines above the bound of their kind were not written.")
--- a/internal/node/leases.go
+++ b/internal/node/leases.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -59,6 +60,20 @@
 	return l.owners[l.core.Partition(serverID)]
 }
 
+// knownOwners returns a copy of what is known of the owners.
+func (l *leases) knownOwners() map[int]string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.owners)
+}
+
+// learnOwners takes the owners from a peer. The next read from the store replaces them.
+func (l *leases) learnOwners(owners map[int]string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.owners = owners
+}
+
 // readers returns the peer addresses of the nodes that read the store for all.
 func (l *leases) readers() []string {
 	l.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -85,7 +86,10 @@
 	// ctx ends when the node's duties end.
 	ctx       context.Context
 	storeLost atomic.Bool
-	stopping  atomic.Bool
+	// entriesOffset is the offset of the servers' log up to which their entries were taken.
+	entriesMu     sync.Mutex
+	entriesOffset int64
+	stopping      atomic.Bool
 }
 
 // Run serves until ctx ends and the graceful shutdown is complete.
@@ -128,7 +132,7 @@
 }
 
 // listeners are the node's open sockets.
-type listeners struct{ callers, ready, admin net.Listener }
+type listeners struct{ callers, ready, admin, peers net.Listener }
 
 func (n *Node) listen() (l listeners, err error) {
 	for _, endpoint := range []struct {
@@ -136,6 +140,7 @@
 		to      *net.Listener
 	}{
 		{n.settings.Listen, &l.callers}, {n.settings.ReadyListen, &l.ready}, {n.settings.AdminListen, &l.admin},
+		{n.settings.PeerListen, &l.peers},
 	} {
 		if *endpoint.to, err = net.Listen("tcp", endpoint.address); err != nil {
 			return l, err
@@ -178,6 +183,8 @@
 	group.Go(func() error { return n.keepLeases(n.ctx) })
 	group.Go(func() error { return n.sendUsage(n.ctx) })
 	group.Go(func() error { return n.sendDigests(n.ctx) })
+	group.Go(func() error { return n.learnFromPeers(n.ctx) })
+	group.Go(func() error { return n.serveKnowledge(n.ctx, l.peers) })
 	group.Go(func() error { return n.reportDropped(n.ctx) })
 	group.Go(func() error {
 		err := callers.Serve(n.callers.Listener(l.callers))
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -94,7 +94,7 @@
 		n.view.Publish(now, state)
 	}
 	if message.Digest != nil {
-		n.watch.heard(now, *message.Digest)
+		n.watch.heard(now, message.From, *message.Digest)
 	}
 	n.gates.answered(message.Granted, gateGranted)
 	n.gates.answered(message.Queued, gateQueued)
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -90,7 +90,7 @@
 			continue
 		}
 		cursor = batch.Next
-		n.takeServers(batch)
+		n.takeStoreServers(batch)
 		n.view.Forget(time.Now(), forgetAfter)
 		n.holders.reconcile()
 		n.watch.readServers(time.Now(), cursor.Offset, n.view.Fingerprint())
@@ -99,6 +99,28 @@
 	return nil
 }
 
+// takeStoreServers takes a batch from the store, unless a peer has told of a later state. A complete one always counts,
+// as the log may have begun anew.
+func (n *Node) takeStoreServers(batch serving.ServerBatch) {
+	n.entriesMu.Lock()
+	defer n.entriesMu.Unlock()
+	if batch.Next.Offset >= n.entriesOffset || batch.Complete {
+		n.entriesOffset = batch.Next.Offset
+		n.takeServers(batch)
+	}
+}
+
+// takePeerServers takes all entries as a peer read them up to an offset of the store's log, if that's later than what
+// this node has read.
+func (n *Node) takePeerServers(offset int64, servers []serving.Server) {
+	n.entriesMu.Lock()
+	defer n.entriesMu.Unlock()
+	if offset > n.entriesOffset {
+		n.entriesOffset = offset
+		n.takeServers(serving.ServerBatch{Complete: true, Present: servers})
+	}
+}
+
 func (n *Node) takeServers(batch serving.ServerBatch) {
 	now := time.Now()
 	present := make(map[string]bool, len(batch.Present))
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -50,9 +50,9 @@
 	}
 }
 
-func (w *watch) heard(now time.Time, digest storewatch.Digest) {
+func (w *watch) heard(now time.Time, reader string, digest storewatch.Digest) {
 	w.mu.Lock()
-	w.core.Heard(now, digest)
+	w.core.Heard(now, reader, digest)
 	w.mu.Unlock()
 	poke(w.news)
 }
@@ -69,6 +69,18 @@
 	return w.core.Follows(now)
 }
 
+func (w *watch) learnFrom(now time.Time, fingerprint uint64) (reader string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.core.LearnFrom(now, fingerprint)
+}
+
+func (w *watch) learned(digest storewatch.Digest) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.core.Learned(digest)
+}
+
 func (w *watch) readOperator(next int64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -11,6 +11,13 @@
 // minimumPause is the least time between two reads of the servers' entries that digests cause.
 const minimumPause = 150 * time.Millisecond
 
+// learnAfter is how long a node that knows of something new leaves it to the store before it asks the reader. The store
+// answers within some 340 ms even when it's slow, and leaving servers have to be known within 2 s.
+const learnAfter = 400 * time.Millisecond
+
+// learnPause is the least time between two questions to a reader.
+const learnPause = 300 * time.Millisecond
+
 // Digest is what a reader tells of its latest reads.
 type Digest struct {
 	// OperatorNext and ServersNext are the offsets up to which the reader has read.
@@ -29,14 +36,22 @@
 	operatorNext int64
 	serversNext  int64
 	readAt       time.Time
+	// source is the reader whose digest was the last one with something new, and behindSince when the node fell
+	// behind it.
+	source      string
+	behindSince time.Time
+	learnedAt   time.Time
 }
 
 // SetReader says whether this node is a reader.
 func (c *Core) SetReader(reader bool) { c.reader = reader }
 
-// Heard takes the digest of a reader.
-func (c *Core) Heard(now time.Time, digest Digest) {
+// Heard takes the digest of a reader, which is named by its peer address.
+func (c *Core) Heard(now time.Time, reader string, digest Digest) {
 	c.heardAt = now
+	if digest.OperatorNext >= c.newest.OperatorNext && digest.ServersNext >= c.newest.ServersNext {
+		c.source = reader
+	}
 	c.newest.OperatorNext = max(c.newest.OperatorNext, digest.OperatorNext)
 	if digest.ServersNext > c.newest.ServersNext {
 		c.newest.ServersNext, c.newest.Servers = digest.ServersNext, digest.Servers
@@ -52,10 +67,37 @@
 // Follows reports whether the node relies on readers.
 func (c *Core) Follows(now time.Time) bool { return !c.reader && now.Sub(c.heardAt) < silentAfter }
 
+// LearnFrom returns the reader that this node, whose own fingerprint is given, has to ask for what the store doesn't
+// tell it; empty when it lacks nothing or the store may still answer.
+func (c *Core) LearnFrom(now time.Time, own uint64) (reader string) {
+	if !c.OperatorDue() && !c.behindServers(own) {
+		c.behindSince = time.Time{}
+		return ""
+	}
+	if c.behindSince.IsZero() {
+		c.behindSince = now
+	}
+	if now.Sub(c.behindSince) < learnAfter || now.Sub(c.learnedAt) < learnPause || now.Sub(c.heardAt) >= silentAfter {
+		return ""
+	}
+	c.learnedAt = now
+	return c.source
+}
+
+// Learned notes what a reader has told of its reads.
+func (c *Core) Learned(digest Digest) {
+	c.operatorNext = max(c.operatorNext, digest.OperatorNext)
+	c.serversNext = max(c.serversNext, digest.ServersNext)
+}
+
+func (c *Core) behindServers(own uint64) bool {
+	return c.newest.ServersNext > c.serversNext && c.newest.Servers != own
+}
+
 // OperatorDue reports whether a following node has to read the operators' records.
 func (c *Core) OperatorDue() bool { return c.newest.OperatorNext > c.operatorNext }
 
 // ServersDue reports whether a following node, whose own fingerprint is given, has to read the servers' entries.
 func (c *Core) ServersDue(now time.Time, own uint64) bool {
-	return c.newest.ServersNext > c.serversNext && c.newest.Servers != own && now.Sub(c.readAt) >= minimumPause
+	return c.behindServers(own) && now.Sub(c.readAt) >= minimumPause
 }
--- a/internal/storewatch/storewatch_test.go
+++ b/internal/storewatch/storewatch_test.go
@@ -11,15 +11,17 @@
 
 var start = time.Unix(1_000_000, 0)
 
+const reader = "10.0.0.1:7000"
+
 // Guards against a node that waits for readers that are gone: entries of leaving servers have to be known within 2 s.
 func TestNodeReadsItselfWhenNoReaderIsHeard(t *testing.T) {
 	g := gomega.NewWithT(t)
 	var c storewatch.Core
 	g.Expect(c.Follows(start)).To(gomega.BeFalse())
-	c.Heard(start, storewatch.Digest{})
+	c.Heard(start, reader, storewatch.Digest{})
 	g.Expect(c.Follows(start.Add(500 * time.Millisecond))).To(gomega.BeTrue())
 	g.Expect(c.Follows(start.Add(time.Second))).To(gomega.BeFalse())
-	c.Heard(start.Add(time.Second), storewatch.Digest{})
+	c.Heard(start.Add(time.Second), reader, storewatch.Digest{})
 	c.SetReader(true)
 	g.Expect(c.Follows(start.Add(time.Second))).To(gomega.BeFalse())
 }
@@ -32,13 +34,34 @@
 	c.ReadOperator(3)
 	c.ReadServers(start, 10)
 	now := start.Add(time.Second)
-	c.Heard(now, storewatch.Digest{OperatorNext: 3, ServersNext: 20, Servers: 7})
+	c.Heard(now, reader, storewatch.Digest{OperatorNext: 3, ServersNext: 20, Servers: 7})
 	g.Expect(c.OperatorDue()).To(gomega.BeFalse())
 	g.Expect(c.ServersDue(now, 7)).To(gomega.BeFalse())
 	g.Expect(c.ServersDue(now, 8)).To(gomega.BeTrue())
-	c.Heard(now, storewatch.Digest{OperatorNext: 4, ServersNext: 15, Servers: 8})
+	c.Heard(now, reader, storewatch.Digest{OperatorNext: 4, ServersNext: 15, Servers: 8})
 	g.Expect(c.OperatorDue()).To(gomega.BeTrue())
 	g.Expect(c.ServersDue(now, 7)).To(gomega.BeFalse())
 	c.ReadServers(now, 21)
 	g.Expect(c.ServersDue(now.Add(time.Second), 9)).To(gomega.BeFalse())
 }
+
+// Guards against a node that the store refuses and that doesn't ask a reader, and against questions to readers while the
+// store may still answer.
+func TestNodeBehindTheReadersAsksOne(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var c storewatch.Core
+	c.ReadOperator(3)
+	c.ReadServers(start, 10)
+	c.Heard(start, reader, storewatch.Digest{OperatorNext: 4, ServersNext: 10, Servers: 7})
+	g.Expect(c.LearnFrom(start, 7)).To(gomega.BeEmpty())
+	c.Heard(start.Add(300*time.Millisecond), "10.0.0.2:7000", storewatch.Digest{OperatorNext: 2, ServersNext: 9})
+	later := start.Add(500 * time.Millisecond)
+	g.Expect(c.LearnFrom(later, 7)).To(gomega.Equal(reader))
+	g.Expect(c.LearnFrom(later, 7)).To(gomega.BeEmpty(), "a question is under way")
+	c.Learned(storewatch.Digest{OperatorNext: 4, ServersNext: 12})
+	g.Expect(c.LearnFrom(later.Add(time.Second), 7)).To(gomega.BeEmpty(), "nothing is lacking")
+	c.Heard(later.Add(time.Second), reader, storewatch.Digest{OperatorNext: 4, ServersNext: 20, Servers: 8})
+	g.Expect(c.LearnFrom(later.Add(time.Second), 7)).To(gomega.BeEmpty())
+	g.Expect(c.LearnFrom(later.Add(1500*time.Millisecond), 7)).To(gomega.Equal(reader))
+	g.Expect(c.LearnFrom(later.Add(time.Minute), 7)).To(gomega.BeEmpty(), "the readers are silent")
+}
