Explain failed requests from log files

Without a request it lists all failed ones and how many causes are known. Reasons of final answers are constants now, as two packages need them.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -215,4 +215,21 @@
 		gomega.Expect(code).To(gomega.Equal(ctl.ExitFailed))
 		gomega.Expect(out).To(gomega.And(gomega.ContainSubstring(`"subject":"a@v1#2"`), gomega.ContainSubstring("127.0.0.1:1:")))
 	})
+
+	// Guards against a log from which the command tells nothing, and against a cause for a request that it doesn't name.
+	ginkgo.It("explains a failed request from a log", func() {
+		log := `{"time":"2026-12-03T10:00:01.000Z","event":801,"node":"n1","request":"r1","status":502,"server":"s1","reason":"the server gave no answer"}
+{"time":"2026-12-03T10:00:01.200Z","event":823,"node":"n2","server":"s1","error":"connection refused"}
+`
+		code, out := run(log, "explain", "r1", "--log", "-")
+		gomega.Expect(code).To(gomega.Equal(ctl.ExitOK))
+		gomega.Expect(out).To(gomega.And(gomega.ContainSubstring("cause: server s1 was out of reach"), gomega.ContainSubstring("evidence")))
+		code, out = run(log, "explain", "--log", "-")
+		gomega.Expect(code).To(gomega.Equal(ctl.ExitOK))
+		gomega.Expect(out).To(gomega.ContainSubstring("1 failed requests, cause known of 1"))
+		code, _ = run(log, "explain", "r2", "--log", "-")
+		gomega.Expect(code).To(gomega.Equal(ctl.ExitFailed))
+		code, _ = run(log, "explain", "r1", "--log", "-", "--admin", "127.0.0.1:1")
+		gomega.Expect(code).To(gomega.Equal(ctl.ExitUsage))
+	})
 })
--- a/internal/ctl/resources.go
+++ b/internal/ctl/resources.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -111,50 +109,3 @@
 	}
 	return verdicts[0], nil
 }
-
-func (a *app) explainCommand() *cobra.Command {
-	var admins []string
-	command := &cobra.Command{
-		Use:   "explain NAME",
-		Short: "Show the latest decisions about a request or adapter",
-		Args:  arguments(cobra.ExactArgs(1)),
-		RunE: func(command *cobra.Command, args []string) error {
-			if len(admins) == 0 {
-				return usage("flag --admin is missing")
-			}
-			return a.explain(command.Context(), admins, args[0])
-		},
-	}
-	command.Flags().StringArrayVar(&admins, "admin", nil, "admin address of a gateway or scheduler, ip:port; may be repeated")
-	return command
-}
-
-// explained are the decisions of one process.
-type explained struct {
-	Admin     string            `json:"admin"`
-	Decisions []json.RawMessage `json:"decisions"`
-	Error     string            `json:"error,omitempty"`
-}
-
-// explain asks every admin endpoint, because each process knows its own decisions only.
-func (a *app) explain(ctx context.Context, admins []string, subject string) error {
-	answers := make([]explained, 0, len(admins))
-	var failures []error
-	for _, admin := range admins {
-		answer := explained{Admin: admin, Decisions: []json.RawMessage{}}
-		path := "/debug/decisions?name=" + queryEscape(subject)
-		if err := NewClient([]string{admin}, nil).call(ctx, http.MethodGet, path, nil, &answer.Decisions); err != nil {
-			answer.Error = err.Error()
-			failures = append(failures, fmt.Errorf("%s: %w", admin, err))
-		}
-		answers = append(answers, answer)
-	}
-	err := a.print(answers, func(out io.Writer) {
-		for _, answer := range answers {
-			for _, decision := range answer.Decisions {
-				fmt.Fprintf(out, "%s\t%s\n", answer.Admin, decision)
-			}
-		}
-	})
-	return errors.Join(append(failures, err)...)
-}
--- /dev/null
+++ b/internal/explain/log.go
@@ -0,0 +1,102 @@
+// Package explain finds the cause of a failed request in the logs of the serving nodes. It reads what the package event
+// writes, and knows the events of docs/EVENTS.md by number.
+package explain
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"sort"
+	"time"
+
+	"waxwingcleat.example/waxwingcleat/internal/failure"
+)
+
+// lineLimit bounds one line of a log.
+const lineLimit = 1 << 20
+
+// Line is one event of a log.
+type Line struct {
+	At     time.Time
+	Event  int
+	Fields map[string]any
+	// Text is the line as it was read.
+	Text string
+}
+
+// text returns a field that holds text, or an empty string.
+func (l Line) text(field string) string {
+	value, _ := l.Fields[field].(string)
+	return value
+}
+
+// number returns a field that holds a number, or 0.
+func (l Line) number(field string) float64 {
+	value, _ := l.Fields[field].(float64)
+	return value
+}
+
+// Log is the events of one or more processes, oldest first.
+type Log struct {
+	Lines []Line
+	// Unread counts the lines that hold no event.
+	Unread int
+}
+
+// Read adds the events of r. What stands before the first brace of a line is skipped, as collectors of logs put the
+// process and their own time there.
+func (l *Log) Read(r io.Reader) error {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, lineLimit)
+	for scanner.Scan() {
+		text := scanner.Bytes()
+		line, ok := parse(text)
+		if !ok {
+			l.Unread++
+			continue
+		}
+		line.Text = string(text)
+		l.Lines = append(l.Lines, line)
+	}
+	sort.SliceStable(l.Lines, func(i, j int) bool { return l.Lines[i].At.Before(l.Lines[j].At) })
+	if err := scanner.Err(); err != nil {
+		return failure.Wrap(err, failure.Invalid, "read log", "")
+	}
+	return nil
+}
+
+func parse(text []byte) (line Line, ok bool) {
+	brace := bytes.IndexByte(text, '{')
+	if brace < 0 || json.Unmarshal(text[brace:], &line.Fields) != nil {
+		return line, false
+	}
+	line.Event = int(line.number("event"))
+	at, err := time.Parse(time.RFC3339, line.text("time"))
+	line.At = at
+	return line, err == nil && line.Event != 0
+}
+
+// around returns the events that lie within before and after of a time and that keep accepts.
+func (l *Log) around(at time.Time, before, after time.Duration, keep func(Line) bool) (found []Line) {
+	first := sort.Search(len(l.Lines), func(i int) bool { return !l.Lines[i].At.Before(at.Add(-before)) })
+	for _, line := range l.Lines[first:] {
+		if line.At.After(at.Add(after)) {
+			break
+		}
+		if keep(line) {
+			found = append(found, line)
+		}
+	}
+	return found
+}
+
+// of returns the events that name the request.
+func (l *Log) of(request string) (found []Line) {
+	for _, line := range l.Lines {
+		if line.text("request") == request {
+			found = append(found, line)
+		}
+	}
+	return found
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -89,7 +89,7 @@
 	if j.gatesLeft < maximumGates && time.Since(j.arrived) < j.patience() && j.ctx.Err() == nil {
 		return false
 	}
-	j.giveUp("the servers' prompts in line would take too long")
+	j.giveUp(ReasonPromptsInLine)
 	return true
 }
 
@@ -140,7 +140,7 @@
 	if !written {
 		j.f.options.View.Unreachable(now, candidate.ID)
 		if j.sends >= maximumSends {
-			j.giveUp("no connection to a server was obtained")
+			j.giveUp(ReasonNoConnection)
 			return true
 		}
 		return false
@@ -150,7 +150,7 @@
 	if j.repeatable() && j.anotherAllowed() {
 		return false
 	}
-	j.refuseUnknown(http.StatusBadGateway, "the server gave no answer")
+	j.refuseUnknown(http.StatusBadGateway, ReasonNoAnswer)
 	return true
 }
 
@@ -160,10 +160,10 @@
 		j.f.noteFailure(time.Now(), candidate.ID)
 	}
 	if j.r.Context().Err() != nil {
-		j.log(event.RequestRefused, "the caller left", nil)
+		j.log(event.RequestRefused, ReasonCallerLeft, nil)
 		panic(http.ErrAbortHandler)
 	}
-	j.refuseUnknown(http.StatusGatewayTimeout, "the deadline passed at server "+candidate.ID)
+	j.refuseUnknown(http.StatusGatewayTimeout, reasonDeadlineAt+candidate.ID)
 	return true
 }
 
@@ -278,7 +278,7 @@
 
 func outcomeOf(err error) string {
 	if err != nil {
-		return "the caller left"
+		return ReasonCallerLeft
 	}
 	return "passed on whole"
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -146,7 +146,7 @@
 	j.request, err = f.options.Wire.DecodeRequest(r)
 	current := f.current.Load()
 	if current == nil {
-		j.refuse(http.StatusServiceUnavailable, "no configuration is known yet", startPause)
+		j.refuse(http.StatusServiceUnavailable, ReasonNoConfig, startPause)
 		return
 	}
 	if err != nil {
@@ -166,7 +166,7 @@
 func (j *job) findRoute(current *inForce) bool {
 	route, found := current.table.Match(j.r.Host, j.r.URL.Path)
 	if !found {
-		j.refuse(http.StatusNotFound, "no route for this host and path", 0)
+		j.refuse(http.StatusNotFound, ReasonNoRoute, 0)
 		return false
 	}
 	j.route = route
@@ -196,7 +196,7 @@
 	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		j.refuse(http.StatusRequestEntityTooLarge, "the body is larger than allowed", 0)
+		j.refuse(http.StatusRequestEntityTooLarge, ReasonTooLarge, 0)
 		return false
 	}
 	// Half a request arrived: there is nothing to answer.
@@ -358,7 +358,7 @@
 	case <-changed:
 	case <-timer.C:
 	case <-j.ctx.Done():
-		j.giveUp("the deadline passed while the request waited")
+		j.giveUp(ReasonWaitedTooLong)
 		return false
 	}
 	return true
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -47,7 +47,7 @@
 }
 
 func (j *job) logBroken(candidate serverview.Candidate, s *stream, err error) {
-	reason := "stream broke off"
+	reason := ReasonBrokeOff
 	switch {
 	case s.callerErr != nil || j.r.Context().Err() != nil:
 		reason = "the caller left during the stream"
