Leave rested connections alone when servers have forgotten them

Cause: servers of the grown deployments may drop an idle connection without notice and reset whatever is sent on it next. The request never ran, but a reset doesn't tell that, so that one that may run once only gets 502 and is lost. Ruled out: a fresh connection for each request (dear on one deployment); a request that may be repeated sent ahead on the rested connection (priced, and one more round trip). Change: the pool of connections to backend servers learns from resets of rested connections and then keeps connections for 100 ms only; holders find them by their reports, which net/http repeats, and tell the other nodes.

--- a/cmd/waxwing-node/main.go
+++ b/cmd/waxwing-node/main.go
@@ -30,13 +30,13 @@
 	output := event.NewWriter(os.Stdout)
 	defer output.Close()
 	events := process.BoundedLogger(output, name, config.Node, config.LogLevel)
-	transport := node.NewTransport()
+	connections := node.NewConnections()
 	return node.Run(ctx, config, node.Dependencies{
-		Store:     platform.NewStore(config.Store.Address),
-		Servers:   platform.NewServers(transport),
-		Wire:      platform.Wire{},
-		Transport: transport,
-		Events:    events,
+		Store:       platform.NewStore(config.Store.Address),
+		Servers:     platform.NewServers(connections),
+		Wire:        platform.Wire{},
+		Connections: connections,
+		Events:      events,
 
 		LinesDropped: output.TakeDropped,
 		Reload: func() (node.Settings, error) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -50,11 +50,12 @@
 
 // Dependencies are what a node needs from outside the package.
 type Dependencies struct {
-	Store     serving.Store
-	Servers   serving.ModelServers
-	Wire      serving.Wire
-	Transport http.RoundTripper
-	Events    *event.Log
+	Store   serving.Store
+	Servers serving.ModelServers
+	Wire    serving.Wire
+	// Connections are those to backend servers.
+	Connections *upstream.Pool
+	Events      *event.Log
 	// LinesDropped returns how many lines of the log were left out since the last call, as nobody read them.
 	LinesDropped func() int64
 	// Reload reads the settings file again after a SIGHUP.
@@ -82,7 +83,8 @@
 	// callers are the open connections of callers.
 	callers *connset.Set
 
-	startedAt time.Time
+	connections *upstream.Pool
+	startedAt   time.Time
 	// ctx ends when the node's duties end.
 	ctx       context.Context
 	storeLost atomic.Bool
@@ -113,7 +115,7 @@
 
 func newNode(settings Settings, d Dependencies, link *peerlink.Link) *Node {
 	n := &Node{
-		settings: settings, store: d.Store, servers: d.Servers, events: d.Events, reload: d.Reload, dropped: d.LinesDropped, link: link,
+		settings: settings, store: d.Store, servers: d.Servers, events: d.Events, reload: d.Reload, dropped: d.LinesDropped, link: link, connections: d.Connections,
 		view: serverview.New(), usage: usage.New(link.Address()), peers: newPeers(), callers: connset.New(), watch: newWatch(), startedAt: time.Now(),
 	}
 	n.leases = newLeases(serverlease.Options{
@@ -121,8 +123,9 @@
 	})
 	n.holders = newHolders(n)
 	n.gates = newGates(n)
+	n.connections.OnSuspicion(func() { n.events.Emit(event.ConnectionsForgotten, nil) })
 	n.forwarder = forward.New(forward.Options{
-		Wire: d.Wire, View: n.view, Usage: n.usage, Transport: d.Transport, Gate: n.gates, Zone: settings.Node.Zone, Events: d.Events,
+		Wire: d.Wire, View: n.view, Usage: n.usage, Transport: d.Connections, Gate: n.gates, Zone: settings.Node.Zone, Events: d.Events,
 		RetryBudget: retrybudget.Options{
 			Ratio: settings.RetryBudget.Ratio, Slack: settings.RetryBudget.Slack, Window: settings.RetryBudget.Window.Std(),
 		},
@@ -300,5 +303,5 @@
 	})
 }
 
-// NewTransport returns the connections to backend servers.
-func NewTransport() http.RoundTripper { return upstream.NewTransport(connectTimeout, false) }
+// NewConnections returns the connections to backend servers.
+func NewConnections() *upstream.Pool { return upstream.NewPool(connectTimeout) }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -77,7 +77,7 @@
 func (n *Node) publish(now time.Time, state, shorter serverview.Published) {
 	n.view.Publish(now, state)
 	alive := n.peers.alive(now)
-	message := peerlink.Message{Nodes: len(alive) + 1}
+	message := peerlink.Message{Nodes: len(alive) + 1, Forgotten: n.connections.SeenForgotten(now)}
 	message.SetState(shorter)
 	n.link.Send(message, alive...)
 }
@@ -93,6 +93,9 @@
 	if state, found := message.Published(); found {
 		n.view.Publish(now, state)
 	}
+	if message.Forgotten {
+		n.connections.HeardSuspicion(now)
+	}
 	if message.Digest != nil {
 		n.watch.heard(now, message.From, *message.Digest)
 	}
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -66,9 +66,11 @@
 	// Nodes is the number of nodes that the sender has heard of.
 	Nodes int `json:"k,omitempty"`
 	// Newcomer asks the receiver to publish all that it knows, as the sender has just started.
-	Newcomer bool        `json:"new,omitempty"`
-	Usage    []UsageOf   `json:"u,omitempty"`
-	State    *stateEntry `json:"st,omitempty"`
+	Newcomer bool `json:"new,omitempty"`
+	// Forgotten is true when the sender has lately seen a server reset a connection that had rested.
+	Forgotten bool        `json:"fg,omitempty"`
+	Usage     []UsageOf   `json:"u,omitempty"`
+	State     *stateEntry `json:"st,omitempty"`
 	// Digest is what a node that reads the store tells the others.
 	Digest *storewatch.Digest `json:"d,omitempty"`
 	// Ask is a gateway's wish to send a request to a server that the receiver holds.
