--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -15,14 +15,14 @@
 	lasting *http.Transport
 	brief   *http.Transport
 	mu      sync.Mutex
-	guard   connreuse.Guard
+	guard   *connreuse.Guard
 	// suspected is called when a reset makes the servers suspect that weren't.
 	suspected func()
 }
 
 // NewPool returns a pool without connections.
 func NewPool(connectTimeout time.Duration) *Pool {
-	p := &Pool{lasting: NewTransport(connectTimeout, false), brief: NewTransport(connectTimeout, false), suspected: func() {}}
+	p := &Pool{lasting: NewTransport(connectTimeout, false), brief: NewTransport(connectTimeout, false), guard: connreuse.New(), suspected: func() {}}
 	p.brief.IdleConnTimeout = connreuse.RestLimit
 	return p
 }
@@ -52,19 +52,22 @@
 		transport = p.brief
 	}
 	p.mu.Unlock()
-	try := &try{pool: p}
+	try := &try{pool: p, address: request.URL.Host}
 	traced := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{GotConn: try.gotConn})
 	answer, err := transport.RoundTrip(request.WithContext(traced))
-	if err != nil && request.Context().Err() == nil {
+	switch {
+	case err == nil:
+		try.answered()
+	case request.Context().Err() == nil:
 		try.broke(time.Now())
 	}
 	return answer, err
 }
 
-func (p *Pool) broke(now time.Time, rested, taken time.Duration) {
+func (p *Pool) broke(now time.Time, address string, rested, taken time.Duration) {
 	p.mu.Lock()
 	before := p.guard.Seen(now)
-	suspect := p.guard.Broke(now, rested, taken)
+	suspect := p.guard.Broke(now, address, rested, taken)
 	p.mu.Unlock()
 	if suspect && !before {
 		p.suspected()
@@ -74,11 +77,12 @@
 // try is the latest connection that was tried for one request. net/http takes another one by itself for a request
 // without a body, if the first broke before the answer.
 type try struct {
-	pool   *Pool
-	mu     sync.Mutex
-	at     time.Time
+	pool    *Pool
+	address string
+	mu      sync.Mutex
+	at      time.Time
+	// rested is zero for a fresh connection.
 	rested time.Duration
-	reused bool
 }
 
 func (t *try) gotConn(info httptrace.GotConnInfo) {
@@ -86,16 +90,24 @@
 	t.broke(now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.at, t.rested, t.reused = now, info.IdleTime, info.Reused
+	t.at, t.rested = now, info.IdleTime
 }
 
-// broke notes that the latest connection gave no answer.
+// broke notes that the latest connection, if there was one, gave no answer.
 func (t *try) broke(now time.Time) {
 	t.mu.Lock()
-	at, rested, reused := t.at, t.rested, t.reused
-	t.reused = false
+	at, rested := t.at, t.rested
 	t.mu.Unlock()
-	if reused {
-		t.pool.broke(now, rested, now.Sub(at))
+	if !at.IsZero() {
+		t.pool.broke(now, t.address, rested, now.Sub(at))
 	}
 }
+
+func (t *try) answered() {
+	t.mu.Lock()
+	rested := t.rested
+	t.mu.Unlock()
+	t.pool.mu.Lock()
+	defer t.pool.mu.Unlock()
+	t.pool.guard.Answered(t.address, rested)
+}
