Find forgotten connections by reports, and tell them from servers that fail

Cause: one reset of a rested connection made all nodes leave rested ones alone. Ruled out: counting for each address; learning at each node from lost requests alone. Change: reports go over connections of their own, which rest between two and whose requests net/http repeats; three moments with a break of a rested connection within 5 s, with at most a third as many of fresh ones, and only breaks within 12 ms of the sending.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -179,7 +179,18 @@
 			return cause, append([]Line{line}, evidence...)
 		}
 	}
-	return "", nil
+	return obstacles(final), nil
+}
+
+// obstacles tells why no server could be asked to load an adapter, from what the request's node believed.
+func obstacles(final Line) string {
+	servers := final.number("servers")
+	hindered := final.number("leaving") + final.number("leftAlone") + final.number("withoutHolder") + final.number("full")
+	if servers == 0 || hindered < servers/2 {
+		return ""
+	}
+	return fmt.Sprintf("most servers could load nothing: of %.0f, %.0f were leaving, %.0f left alone after failures, %.0f without a holder and %.0f full",
+		servers, final.number("leaving"), final.number("leftAlone"), final.number("withoutHolder"), final.number("full"))
 }
 
 // homeFault tells why the server that was to load an adapter got no order for it.
@@ -211,8 +222,11 @@
 		return isFinal(line) && line.text("reason") == final.text("reason") && line.text("request") != final.text("request")
 	})
 	served := l.around(final.At, crowdWindow, crowdWindow, func(line Line) bool { return isFinal(line) && !failed(line) })
+	if len(others) < crowd && final.text("server") != "" {
+		return l.serverFault(final, final.text("server"))
+	}
 	if len(others) < crowd {
-		return "", nil
+		return obstacles(final), nil
 	}
 	return fmt.Sprintf("the servers were full: %d other requests got the same answer within a second, %d were served", len(others), len(served)), others
 }
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -83,6 +83,15 @@
 	}
 }
 
+// Guards against a refusal for which no server was even asked, and whose cause stays open.
+func TestRefusalWithoutAHomeNamesWhatKeptTheServersFromLoading(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var l logOf
+	l.add(1300, event.RequestRefused, refusal("r1", forward.ReasonNotLoaded, `,"adapter":"m/a","servers":9,"leftAlone":2,"withoutHolder":5,"full":1`))
+	g.Expect(l.explain(g, "r1").Cause).To(gomega.Equal(
+		"most servers could load nothing: of 9, 0 were leaving, 2 left alone after failures, 5 without a holder and 1 full"))
+}
+
 // Guards against a cause that is made up when the log doesn't tell it.
 func TestUnknownCauseIsLeftOpen(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -55,14 +55,16 @@
 	j.f.metrics.refused.Inc(1)
 	j.log(event.RequestRefused, refusal.Reason, nil, event.Fields{
 		"status": refusal.Status, "notRun": refusal.NotRun, "retryAfterMs": refusal.RetryAfter.Milliseconds(),
-	})
+	}, j.inputs)
 	j.f.options.Wire.WriteRefusal(j.w, j.request, refusal)
 }
 
 func (j *job) logAnswer(candidate serverview.Candidate, status int, outcome string, more ...event.Fields) {
 	j.f.metrics.answered.Inc(1)
 	j.f.metrics.latency.Update(time.Since(j.arrived).Milliseconds())
-	more = append(more, event.Fields{"status": status, "zone": candidate.Zone, "load": candidate.Load})
+	more = append(more, event.Fields{
+		"status": status, "zone": candidate.Zone, "load": candidate.Load, "ageMs": candidate.Age.Milliseconds(),
+	})
 	j.log(event.RequestAnswered, outcome, nil, more...)
 }
 
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -49,6 +49,7 @@
 		defer j.f.options.Usage.Begin(candidate.ID, j.request.Adapter)()
 		read, ok := j.awaitGate(candidate)
 		if !ok {
+			j.inputs = event.Fields{"backlogMs": candidate.Backlog.Milliseconds(), "ageMs": candidate.Age.Milliseconds()}
 			return j.leaveGate()
 		}
 		defer read()
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -134,6 +134,8 @@
 	gatesLeft int
 	// recent is how many requests for the adapter this node had lately.
 	recent float64
+	// inputs are what decided the latest choice, for the log.
+	inputs event.Fields
 }
 
 // ServeHTTP implements http.Handler.
@@ -318,6 +320,7 @@
 			want.at(j, home.ID)
 		}
 		if !now.Before(giveUpAt) || reason == modelpick.ReasonNoServer {
+			j.inputs = obstacleFields(candidates)
 			j.giveUp(reason)
 			return chosen, 0, false
 		}
@@ -327,6 +330,13 @@
 	}
 }
 
+func obstacleFields(candidates []serverview.Candidate) event.Fields {
+	o := modelpick.CountObstacles(candidates)
+	return event.Fields{
+		"servers": o.Servers, "leaving": o.Leaving, "leftAlone": o.LeftAlone, "withoutHolder": o.WithoutHolder, "full": o.Full,
+	}
+}
+
 // expected returns the version that the server must have, once older ones may no longer serve.
 func (j *job) expected(chosen serverview.Candidate, declared, minVersion int) int {
 	if minVersion == 0 || declared == 0 {
--- a/internal/modelpick/modelpick.go
+++ b/internal/modelpick/modelpick.go
@@ -131,6 +131,33 @@
 	return lowest(able, func(c serverview.Candidate) float64 { return -rendezvous(c.ID, query.Adapter) })
 }
 
+// Obstacles counts the servers of a service, and those that can't load an adapter by the reason that comes first.
+type Obstacles struct {
+	Servers       int
+	Leaving       int
+	LeftAlone     int
+	WithoutHolder int
+	Full          int
+}
+
+// CountObstacles tells why Home finds no server.
+func CountObstacles(candidates []serverview.Candidate) Obstacles {
+	o := Obstacles{Servers: len(candidates)}
+	for _, c := range candidates {
+		switch {
+		case c.Leaving:
+			o.Leaving++
+		case c.Ejected:
+			o.LeftAlone++
+		case !c.HolderAlive:
+			o.WithoutHolder++
+		case c.Full || load(c) >= fullLoad:
+			o.Full++
+		}
+	}
+	return o
+}
+
 // Copy chooses a server for one more copy of an adapter whose least loaded holder is chosen, if that is worth a load.
 // recent is how many requests the node had for it lately.
 func Copy(candidates []serverview.Candidate, query Query, chosen serverview.Candidate, recent float64) (serverview.Candidate, bool) {
--- a/internal/modelpick/modelpick_test.go
+++ b/internal/modelpick/modelpick_test.go
@@ -125,3 +125,14 @@
 	chosen, _ = modelpick.Plain([]serverview.Candidate{ejected, holder("s1")}, wanted, random())
 	g.Expect(chosen.ID).To(gomega.Equal("s1"))
 }
+
+// Guards against a refusal whose log line doesn't tell why no server was asked to load the adapter.
+func TestObstaclesAreCountedByTheirFirstReason(t *testing.T) {
+	g := gomega.NewWithT(t)
+	candidates := []serverview.Candidate{
+		{Leaving: true, Ejected: true}, {Ejected: true}, {}, {HolderAlive: true, Full: true},
+		{HolderAlive: true, Slots: 2, Load: 2}, {HolderAlive: true, Slots: 2},
+	}
+	g.Expect(modelpick.CountObstacles(candidates)).To(gomega.Equal(
+		modelpick.Obstacles{Servers: 6, Leaving: 1, LeftAlone: 1, WithoutHolder: 1, Full: 2}))
+}
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -19,6 +19,8 @@
 	serversPeriod = 600 * time.Millisecond
 	// retryPause is the time between two tries while the store is out of reach, before it's spread.
 	retryPause = 300 * time.Millisecond
+	// informedRetryPause is the same while readers tell this node what they read, so that it misses nothing.
+	informedRetryPause = 1500 * time.Millisecond
 	// forgetAfter is how long a server without an entry is remembered.
 	forgetAfter = time.Minute
 )
@@ -51,7 +53,7 @@
 		}
 		batch, err := n.store.ReadOperator(ctx, cursor, wait)
 		if !n.noteStore(ctx, err) {
-			pause(ctx, retryPause)
+			pause(ctx, n.watch.retryPause(time.Now()))
 			continue
 		}
 		cursor = batch.Next
@@ -87,7 +89,7 @@
 	for ctx.Err() == nil {
 		batch, err := n.store.ReadServers(ctx, cursor)
 		if !n.noteStore(ctx, err) {
-			pause(ctx, retryPause)
+			pause(ctx, n.watch.retryPause(time.Now()))
 			continue
 		}
 		cursor = batch.Next
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -73,6 +73,16 @@
 	return w.core.Follows(now)
 }
 
+// retryPause returns how long to wait before the store is tried again.
+func (w *watch) retryPause(now time.Time) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.core.Informed(now) {
+		return informedRetryPause
+	}
+	return retryPause
+}
+
 func (w *watch) learnFrom(now time.Time, fingerprint uint64) (reader string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/serverview/candidates.go
+++ b/internal/serverview/candidates.go
@@ -25,6 +25,8 @@
 	Load int
 	// Backlog is about how long a prompt would wait to be admitted.
 	Backlog time.Duration
+	// Age is how old the holder's latest publication is; meaningless while there was none.
+	Age time.Duration
 	// HolderAlive is true when the holder of the server has published lately and the server has its base models.
 	HolderAlive bool
 	Full        bool
@@ -56,7 +58,7 @@
 	c := Candidate{
 		ID: s.entry.ID, Address: s.entry.Address, Zone: s.entry.Zone, Slots: s.entry.Slots, Leaving: s.leaving,
 		Ejected:     now.Before(s.ejectedUntil) || s.silent(now) || unreached,
-		FailureRate: s.failureRate, InFlight: s.inFlight,
+		FailureRate: s.failureRate, InFlight: s.inFlight, Age: now.Sub(s.publishedAt),
 		HolderAlive: now.Sub(s.publishedAt) < holderSilentAfter && s.published.Ready, Full: s.published.Full,
 	}
 	c.Load = s.inFlight
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -64,8 +64,11 @@
 // ReadServers notes a read of the servers' entries up to an offset.
 func (c *Core) ReadServers(now time.Time, next int64) { c.serversNext, c.readAt = next, now }
 
+// Informed reports whether a reader was heard lately.
+func (c *Core) Informed(now time.Time) bool { return now.Sub(c.heardAt) < silentAfter }
+
 // Follows reports whether the node relies on readers.
-func (c *Core) Follows(now time.Time) bool { return !c.reader && now.Sub(c.heardAt) < silentAfter }
+func (c *Core) Follows(now time.Time) bool { return !c.reader && c.Informed(now) }
 
 // LearnFrom returns the reader that this node, whose own fingerprint is given, has to ask for what the store doesn't
 // tell it; empty when it lacks nothing or the store may still answer.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -14,15 +14,21 @@
 type Pool struct {
 	lasting *http.Transport
 	brief   *http.Transport
-	mu      sync.Mutex
-	guard   *connreuse.Guard
+	// repeatable is for requests without a body, which net/http sends again when a connection breaks. Connections of
+	// their own let them rest between two, so that nothing is lost when servers forget them.
+	repeatable *http.Transport
+	mu         sync.Mutex
+	guard      connreuse.Guard
 	// suspected is called when a reset makes the servers suspect that weren't.
 	suspected func()
 }
 
 // NewPool returns a pool without connections.
 func NewPool(connectTimeout time.Duration) *Pool {
-	p := &Pool{lasting: NewTransport(connectTimeout, false), brief: NewTransport(connectTimeout, false), guard: connreuse.New(), suspected: func() {}}
+	p := &Pool{
+		lasting: NewTransport(connectTimeout, false), brief: NewTransport(connectTimeout, false),
+		repeatable: NewTransport(connectTimeout, false), suspected: func() {},
+	}
 	p.brief.IdleConnTimeout = connreuse.RestLimit
 	return p
 }
@@ -46,28 +52,32 @@
 
 // RoundTrip implements http.RoundTripper.
 func (p *Pool) RoundTrip(request *http.Request) (*http.Response, error) {
-	p.mu.Lock()
-	transport := p.lasting
-	if p.guard.Suspects(time.Now()) {
-		transport = p.brief
-	}
-	p.mu.Unlock()
-	try := &try{pool: p, address: request.URL.Host}
+	transport := p.choose(request)
+	try := &try{pool: p}
 	traced := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{GotConn: try.gotConn})
 	answer, err := transport.RoundTrip(request.WithContext(traced))
-	switch {
-	case err == nil:
-		try.answered()
-	case request.Context().Err() == nil:
+	if err != nil && request.Context().Err() == nil {
 		try.broke(time.Now())
 	}
 	return answer, err
 }
 
-func (p *Pool) broke(now time.Time, address string, rested, taken time.Duration) {
+func (p *Pool) choose(request *http.Request) *http.Transport {
+	if request.Body == nil || request.Body == http.NoBody {
+		return p.repeatable
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.guard.Suspects(time.Now()) {
+		return p.brief
+	}
+	return p.lasting
+}
+
+func (p *Pool) broke(now time.Time, rested, taken time.Duration) {
 	p.mu.Lock()
 	before := p.guard.Seen(now)
-	suspect := p.guard.Broke(now, address, rested, taken)
+	suspect := p.guard.Broke(now, rested, taken)
 	p.mu.Unlock()
 	if suspect && !before {
 		p.suspected()
@@ -77,10 +87,9 @@
 // try is the latest connection that was tried for one request. net/http takes another one by itself for a request
 // without a body, if the first broke before the answer.
 type try struct {
-	pool    *Pool
-	address string
-	mu      sync.Mutex
-	at      time.Time
+	pool *Pool
+	mu   sync.Mutex
+	at   time.Time
 	// rested is zero for a fresh connection.
 	rested time.Duration
 }
@@ -99,15 +108,6 @@
 	at, rested := t.at, t.rested
 	t.mu.Unlock()
 	if !at.IsZero() {
-		t.pool.broke(now, t.address, rested, now.Sub(at))
+		t.pool.broke(now, rested, now.Sub(at))
 	}
 }
-
-func (t *try) answered() {
-	t.mu.Lock()
-	rested := t.rested
-	t.mu.Unlock()
-	t.pool.mu.Lock()
-	defer t.pool.mu.Unlock()
-	t.pool.guard.Answered(t.address, rested)
-}
