--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -8,6 +8,7 @@
 
 	"waxwingcleat.example/waxwingcleat/internal/event"
 	"waxwingcleat.example/waxwingcleat/internal/forward"
+	"waxwingcleat.example/waxwingcleat/internal/serving"
 )
 
 const (
@@ -163,12 +164,12 @@
 	adapter := final.text("adapter")
 	waited := time.Duration(final.number("ms")) * time.Millisecond
 	orders := l.around(final.At, waited+serverBefore, 0, func(line Line) bool {
-		return line.Event == event.OrderGiven.Number && line.text("adapter") == adapter
+		return line.Event == event.OrderGiven.Number && line.text("adapter") == adapter && line.text("order") == serving.Load.String()
 	})
 	if len(orders) > 0 {
 		last := orders[len(orders)-1]
-		return fmt.Sprintf("server %s was told to %s the adapter and answered %q; it wasn't there in time",
-			last.text("server"), last.text("order"), last.text("outcome")), orders
+		return fmt.Sprintf("server %s was told to load the adapter and answered %q; it wasn't there in time",
+			last.text("server"), last.text("outcome")), orders
 	}
 	wanted := l.of(final.text("request"))
 	for _, line := range wanted {
