Let the holder tell which adapter is hot, and its copies multiply

A node asks for a copy once it has had 3 requests lately, but 71 nodes see few requests each; all nodes chose the same next server, so that copies came one after the other. Ruled out: the prompt gate (the same requests pass at once later), the places for adapters. Change: the holder of a server, which sees the uses of all nodes, names the adapter that stands out; a node that finds its best server queueing then asks for a copy, and each server that holds the adapter leads to another target, so that copies double with each load. Tests: TestCopiesOfAHotAdapterMultiply, TestAdapterThatStandsOutIsHot.

--- a/internal/modelpick/modelpick.go
+++ b/internal/modelpick/modelpick.go
@@ -116,6 +116,11 @@
 // else the first by rendezvous hashing, so that all nodes choose alike. Servers that can't load it or are
 // much busier than the others don't count.
 func Home(candidates []serverview.Candidate, query Query) (serverview.Candidate, bool) {
+	return home(candidates, query, "")
+}
+
+// home is Home with a text that makes the choice by hashing another one.
+func home(candidates []serverview.Candidate, query Query, salt string) (serverview.Candidate, bool) {
 	able := filter(candidates, func(c serverview.Candidate) bool {
 		able := c.HolderAlive && !c.Ejected && !c.Full && !c.Present
 		return able && query.usable(c) && load(c) < fullLoad
@@ -128,7 +133,7 @@
 	if held := filter(able, func(c serverview.Candidate) bool { return c.Held }); len(held) > 0 {
 		able = held
 	}
-	return lowest(able, func(c serverview.Candidate) float64 { return -rendezvous(c.ID, query.Adapter) })
+	return lowest(able, func(c serverview.Candidate) float64 { return -rendezvous(c.ID+salt, query.Adapter) })
 }
 
 // Obstacles counts the servers of a service, and those that can't load an adapter by the reason that comes first.
@@ -159,16 +164,19 @@
 }
 
 // Copy chooses a server for one more copy of an adapter whose least loaded holder is chosen, if that is worth a load.
-// recent is how many requests the node had for it lately.
+// recent is how many requests the node had for it lately; on a site of many nodes it stays low, and the holder's word that
+// the adapter is hot counts. Each server that holds the adapter gets a copy elsewhere, so that copies multiply as fast as
+// they arrive.
 func Copy(candidates []serverview.Candidate, query Query, chosen serverview.Candidate, recent float64) (serverview.Candidate, bool) {
 	busy := load(chosen) >= copyLoad || chosen.Backlog >= copyBacklog
-	if !busy || recent < copyRequests || query.Adapter.Name == "" {
+	popular := recent >= copyRequests || chosen.Hot
+	if !busy || !popular || query.Adapter.Name == "" {
 		return serverview.Candidate{}, false
 	}
 	calm := filter(candidates, func(c serverview.Candidate) bool {
 		return load(c) < load(chosen)-copyGap || chosen.Backlog >= copyBacklog && c.Backlog < chosen.Backlog/2
 	})
-	return Home(calm, query)
+	return home(calm, query, chosen.ID)
 }
 
 func load(c serverview.Candidate) float64 { return float64(c.Load) / float64(max(c.Slots, 1)) }
--- a/internal/modelpick/modelpick_test.go
+++ b/internal/modelpick/modelpick_test.go
@@ -136,3 +136,25 @@
 	g.Expect(modelpick.CountObstacles(candidates)).To(gomega.Equal(
 		modelpick.Obstacles{Servers: 6, Leaving: 1, LeftAlone: 1, WithoutHolder: 1, Full: 2}))
 }
+
+// Guards against a popular adapter that gets its copies one after the other, and against none at all where many nodes
+// each see few of its requests: on rmams-epaves-grown its first pieces were late for 8 s.
+func TestCopiesOfAHotAdapterMultiply(t *testing.T) {
+	g := gomega.NewWithT(t)
+	servers := []serverview.Candidate{}
+	for i := range 40 {
+		servers = append(servers, able(fmt.Sprintf("s%d", i)))
+	}
+	targets := map[string]bool{}
+	for i := range 8 {
+		busy := holder(fmt.Sprintf("b%d", i))
+		busy.Backlog = time.Second
+		_, worth := modelpick.Copy(append(servers, busy), wanted, busy, 1)
+		g.Expect(worth).To(gomega.BeFalse(), "one request of this node")
+		busy.Hot = true
+		target, worth := modelpick.Copy(append(servers, busy), wanted, busy, 1)
+		g.Expect(worth).To(gomega.BeTrue())
+		targets[target.ID] = true
+	}
+	g.Expect(len(targets)).To(gomega.BeNumerically(">=", 5))
+}
--- a/internal/node/publications.go
+++ b/internal/node/publications.go
@@ -51,7 +51,7 @@
 	state := serverview.Published{
 		Revision: snapshot.Revision, ServerID: h.server.ID, Born: h.server.Born, Holder: h.node.link.Address(),
 		Fence: fence, Sequence: p.local.Sequence + 1, Ready: snapshot.Ready, Full: snapshot.Full,
-		Adapters: snapshot.Adapters, Waiting: snapshot.Waiting, Running: snapshot.Running, Backlog: backlog,
+		Adapters: snapshot.Adapters, Hot: snapshot.Hot, Waiting: snapshot.Waiting, Running: snapshot.Running, Backlog: backlog,
 	}
 	urgent := state.Ready != p.local.Ready
 	arrivals := h.arrivals(now, p.local.Adapters, state.Adapters)
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -48,6 +48,7 @@
 	Ready    bool           `json:"ok,omitempty"`
 	Full     bool           `json:"full,omitempty"`
 	Adapters map[string]int `json:"a,omitempty"`
+	Hot      string         `json:"h,omitempty"`
 	// Kind, Revision, Base and Removed are those of serverview.Published.
 	Kind     uint8    `json:"kd,omitempty"`
 	Revision uint64   `json:"rv"`
@@ -141,7 +142,7 @@
 func (m *Message) AddState(state serverview.Published) {
 	entry := stateEntry{
 		ServerID: state.ServerID, Born: state.Born, Fence: state.Fence, Sequence: state.Sequence, Ready: state.Ready,
-		Full: state.Full, Adapters: names(state.Adapters), Kind: uint8(state.Kind), Revision: state.Revision, Base: state.Base,
+		Full: state.Full, Adapters: names(state.Adapters), Hot: state.Hot.String(), Kind: uint8(state.Kind), Revision: state.Revision, Base: state.Base,
 		Waiting: state.Waiting, Running: state.Running, BacklogMs: state.Backlog.Milliseconds(),
 	}
 	for _, adapter := range state.Removed {
@@ -157,7 +158,7 @@
 		state := serverview.Published{
 			Kind: serverview.PublicationKind(s.Kind), Revision: s.Revision, Base: s.Base,
 			ServerID: s.ServerID, Born: s.Born, Holder: m.From, Fence: s.Fence, Sequence: s.Sequence, Ready: s.Ready,
-			Full: s.Full, Adapters: adapters(s.Adapters), Waiting: s.Waiting, Running: s.Running,
+			Full: s.Full, Adapters: adapters(s.Adapters), Hot: serving.ParseAdapter(s.Hot), Waiting: s.Waiting, Running: s.Running,
 			Backlog: time.Duration(s.BacklogMs) * time.Millisecond,
 		}
 		for _, name := range s.Removed {
--- a/internal/residency/core_test.go
+++ b/internal/residency/core_test.go
@@ -248,3 +248,21 @@
 	c.Ordered(now, action.Order, serving.OrderAccepted)
 	g.Expect(c.Snapshot(now).Adapters).NotTo(gomega.HaveKey(adapter(1)))
 }
+
+// Guards against a popular adapter that no node sees often enough to ask for a copy of it.
+func TestAdapterThatStandsOutIsHot(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(1_000_000, 0)
+	popular, rare := serving.Adapter{Model: "m", Name: "a"}, serving.Adapter{Model: "m", Name: "b"}
+	c := residency.New(residency.Options{Engine: serving.Engine{AdapterSlots: 4}})
+	c.Reported(now, now, serving.Report{Models: map[string]bool{"m": true}, Adapters: map[serving.Adapter]int{popular: 1, rare: 1}})
+	use := func(adapter serving.Adapter, node string) {
+		c.NoteUsage(now, residency.Usage{Node: node, Sent: map[serving.Adapter]int{adapter: 1}})
+	}
+	use(rare, "n1")
+	g.Expect(c.Snapshot(now).Hot.IsZero()).To(gomega.BeTrue())
+	for i := range 6 {
+		use(popular, fmt.Sprintf("n%d", i))
+	}
+	g.Expect(c.Snapshot(now).Hot).To(gomega.Equal(popular))
+}
--- a/internal/residency/demand.go
+++ b/internal/residency/demand.go
@@ -78,6 +78,29 @@
 	return d.used[adapter].Value(now, usageHalfLife)
 }
 
+const (
+	// hotUses is how many decayed uses make an adapter hot, and hotShare which part of all uses of its server.
+	hotUses  = 4.0
+	hotShare = 0.2
+)
+
+// hottest returns the present adapter with the most uses by all gateways, or none if no adapter stands out.
+func (d *demand) hottest(now time.Time, present map[serving.Adapter]int) serving.Adapter {
+	var hottest serving.Adapter
+	most, all := 0.0, 0.0
+	for adapter := range present {
+		value := d.value(now, adapter)
+		all += value
+		if value > most || value == most && adapter.Name < hottest.Name {
+			hottest, most = adapter, value
+		}
+	}
+	if most < hotUses || most < hotShare*all {
+		return serving.Adapter{}
+	}
+	return hottest
+}
+
 // inUse reports whether a gateway has requests for the adapter in progress.
 func (d *demand) inUse(now time.Time, adapter serving.Adapter) bool {
 	for _, usage := range d.nodes {
--- a/internal/residency/events.go
+++ b/internal/residency/events.go
@@ -219,8 +219,10 @@
 	Ready    bool
 	Full     bool
 	Adapters map[serving.Adapter]int
-	Waiting  int
-	Running  int
+	// Hot is the adapter with the most uses, if it has a large part of all; zero if there is none.
+	Hot     serving.Adapter
+	Waiting int
+	Running int
 }
 
 // Revision returns the revision of Snapshot without the rest.
@@ -247,6 +249,7 @@
 			snapshot.Adapters[adapter] = s.version
 		}
 	}
+	snapshot.Hot = c.demand.hottest(now, snapshot.Adapters)
 	if len(c.slots) >= c.options.Engine.AdapterSlots {
 		_, evictable := c.victim(now)
 		snapshot.Full = !evictable
--- a/internal/serverview/candidates.go
+++ b/internal/serverview/candidates.go
@@ -33,6 +33,8 @@
 	// Version is the version of the asked adapter that is present; Present tells 0 from none.
 	Present bool
 	Version int
+	// Hot is true when the asked adapter is the one that all nodes use most there.
+	Hot bool
 	// Held is true when the server held the adapter before and loads it fast.
 	Held bool
 }
@@ -71,6 +73,7 @@
 		return c
 	}
 	c.Version, c.Present = s.published.Adapters[adapter]
+	c.Hot = c.Present && s.published.Hot == adapter
 	_, c.Held = s.held[adapter]
 	return c
 }
--- a/internal/serverview/published.go
+++ b/internal/serverview/published.go
@@ -38,8 +38,10 @@
 	// Full is true when no adapter can be evicted to make room.
 	Full     bool
 	Adapters map[serving.Adapter]int
-	Waiting  int
-	Running  int
+	// Hot is the adapter that all nodes use most there, if it stands out.
+	Hot     serving.Adapter
+	Waiting int
+	Running int
 	// Backlog is about how long a prompt would wait to be admitted.
 	Backlog time.Duration
 }
