Wake waiting requests once for each message of publications

Cause: a holder tells of eight servers at once, and each of them woke all requests that wait for a load, which look at all 60 servers each time. Ruled out: fewer messages, which delay news of servers. Test: TestOneMessageWakesWaitingRequestsOnce.

--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -86,9 +86,7 @@
 	if n.peers.note(now, message.From, message.Nodes) || message.Newcomer {
 		n.introduce(message.From)
 	}
-	for _, state := range message.Published() {
-		n.view.Publish(now, state)
-	}
+	n.view.Publish(now, message.Published()...)
 	for _, arrival := range message.Arrived {
 		n.view.Arrived(now, message.From, arrival.ServerID, arrival.AdapterVersion())
 	}
--- a/internal/serverview/published_test.go
+++ b/internal/serverview/published_test.go
@@ -84,3 +84,22 @@
 	v.Arrived(start, "h", "s1", arrival)
 	g.Expect(present()).To(gomega.BeTrue())
 }
+
+// Guards against waiting requests that look at all servers again for each state of one message: on rmams-epaves-grown a
+// holder tells of eight servers ten times a second.
+func TestOneMessageWakesWaitingRequestsOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	v := serverview.New()
+	states := []serverview.Published{}
+	for i := range 8 {
+		id := fmt.Sprintf("s%d", i)
+		v.PutEntry(start, entry(id))
+		states = append(states, serverview.Published{ServerID: id, Holder: "h", Sequence: 1, Ready: true})
+	}
+	changed := v.Changed()
+	g.Expect(v.Publish(start, states...)).To(gomega.BeTrue())
+	g.Expect(changed).To(gomega.BeClosed())
+	changed = v.Changed()
+	g.Expect(v.Publish(start, states...)).To(gomega.BeFalse())
+	g.Expect(changed).NotTo(gomega.BeClosed())
+}
--- a/internal/serverview/serverview.go
+++ b/internal/serverview/serverview.go
@@ -164,10 +164,21 @@
 	}
 }
 
-// Publish takes the state that a holder published, unless a newer one is known. It returns true when it was taken.
-func (v *View) Publish(now time.Time, state Published) bool {
+// Publish takes the states that a holder published, except those of which a newer one is known. It returns true when any
+// was taken. Waiting requests look at the servers once for all of them.
+func (v *View) Publish(now time.Time, states ...Published) (taken bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	for _, state := range states {
+		taken = v.take(now, state) || taken
+	}
+	if taken {
+		v.notify()
+	}
+	return taken
+}
+
+func (v *View) take(now time.Time, state Published) bool {
 	known := v.servers[state.ServerID]
 	if known == nil || known.entry.Born != state.Born {
 		return false
@@ -194,7 +205,6 @@
 		// The holder reaches the server, so that a failure of this node's own may be tried again soon.
 		known.ejectTime = 0
 	}
-	v.notify()
 	return true
 }
 
