--- /dev/null
+++ b/internal/peerlink/peerlink_test.go
@@ -0,0 +1,53 @@
+package peerlink_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"waxwingcleat.example/waxwingcleat/internal/peerlink"
+	"waxwingcleat.example/waxwingcleat/internal/serverview"
+	"waxwingcleat.example/waxwingcleat/internal/serving"
+)
+
+var drawnAdapter = rapid.Custom(func(t *rapid.T) serving.Adapter {
+	return serving.Adapter{
+		Model: rapid.StringMatching(`[a-z]{1,4}`).Draw(t, "model"), Name: rapid.StringMatching(`[a-z0-9]{0,4}`).Draw(t, "name"),
+	}
+})
+
+// Guards against a field of a published state that the message leaves out or mixes up.
+func TestStatesArriveAsTheyWereSent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sent := serverview.Published{
+			Kind:     rapid.SampledFrom([]serverview.PublicationKind{serverview.Full, serverview.Delta}).Draw(t, "kind"),
+			Revision: rapid.Uint64().Draw(t, "revision"), Base: rapid.Uint64().Draw(t, "base"),
+			Removed:  rapid.SliceOfN(drawnAdapter, 1, 3).Draw(t, "removed"),
+			ServerID: rapid.String().Draw(t, "server"), Born: rapid.Int64().Draw(t, "born"),
+			Fence: rapid.Int64().Draw(t, "fence"), Sequence: rapid.Uint64().Draw(t, "sequence"),
+			Ready: rapid.Bool().Draw(t, "ready"), Full: rapid.Bool().Draw(t, "full"),
+			Adapters: rapid.MapOfN(drawnAdapter, rapid.IntRange(0, 9), 0, 3).Draw(t, "adapters"),
+			Hot:      drawnAdapter.Draw(t, "hot"),
+			Waiting:  rapid.IntRange(0, 99).Draw(t, "waiting"), Running: rapid.IntRange(0, 99).Draw(t, "running"),
+			Backlog: time.Duration(rapid.IntRange(0, 5000).Draw(t, "backlog")) * time.Millisecond,
+			Holder:  "10.0.0.1:7000",
+		}
+		message := peerlink.Message{From: sent.Holder}
+		message.AddState(sent)
+		message.Arrived = []peerlink.Arrival{{ServerID: "s", Adapter: sent.Hot.String(), Version: 3}}
+		data, err := json.Marshal(message)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var received peerlink.Message
+		if err := json.Unmarshal(data, &received); err != nil {
+			t.Fatal(err)
+		}
+		g := gomega.NewWithT(t)
+		g.Expect(received.Published()).To(gomega.Equal([]serverview.Published{sent}))
+		g.Expect(received.Arrived[0].AdapterVersion()).To(gomega.Equal(serving.AdapterVersion{Adapter: sent.Hot, Version: 3}))
+	})
+}
