Decide once what keeps a server from loading an adapter

Home filtered by the same conditions that CountObstacles counts, and Plain and Resident added the same costs of zone and connection. Both call one function now; no behaviour changes.

--- a/internal/modelpick/modelpick.go
+++ b/internal/modelpick/modelpick.go
@@ -64,6 +64,17 @@
 	return !c.Leaving && !q.Tried[c.ID] && (q.MaxInFlight == 0 || c.InFlight < q.MaxInFlight)
 }
 
+// distance returns what reaching a server costs.
+func (q Query) distance(c serverview.Candidate, otherZone float64) (cost float64) {
+	if c.Zone != q.Zone {
+		cost += otherZone
+	}
+	if !c.Connected {
+		cost += connectCost
+	}
+	return cost
+}
+
 // Reasons for which no server was chosen.
 const (
 	ReasonNoServer  = "no server of the service is in use"
@@ -79,13 +90,7 @@
 	}
 	return lowest(usable, func(c serverview.Candidate) float64 {
 		score := float64(c.InFlight)/float64(max(c.Slots, 1)) + failureCost*c.FailureRate
-		if c.Zone != query.Zone {
-			score += plainOtherZoneCost
-		}
-		if !c.Connected {
-			score += connectCost
-		}
-		return score + tieSpread*random.Float64()
+		return score + query.distance(c, plainOtherZoneCost) + tieSpread*random.Float64()
 	})
 }
 
@@ -107,13 +112,7 @@
 	free := filter(holding, func(c serverview.Candidate) bool { return load(c) < fullLoad })
 	chosen, found = lowest(free, func(c serverview.Candidate) float64 {
 		score := load(c) + failureCost*c.FailureRate + float64(c.Backlog)/float64(fullBacklog)
-		if c.Zone != query.Zone {
-			score += otherZoneCost
-		}
-		if !c.Connected {
-			score += connectCost
-		}
-		return score + tieSpread*random.Float64()
+		return score + query.distance(c, otherZoneCost) + tieSpread*random.Float64()
 	})
 	if !found {
 		return chosen, false, ReasonAllBusy
@@ -131,8 +130,7 @@
 // home is Home with a text that makes the choice by hashing another one.
 func home(candidates []serverview.Candidate, query Query, salt string) (serverview.Candidate, bool) {
 	able := filter(candidates, func(c serverview.Candidate) bool {
-		able := c.HolderAlive && !c.Ejected && !c.Full && !c.Present
-		return able && query.usable(c) && load(c) < fullLoad
+		return obstacleOf(c) == none && !c.Present && query.usable(c)
 	})
 	least := math.Inf(1)
 	for _, c := range able {
@@ -145,6 +143,32 @@
 	return lowest(able, func(c serverview.Candidate) float64 { return -rendezvous(c.ID+salt, query.Adapter) })
 }
 
+// obstacle is what keeps a server from loading an adapter.
+type obstacle uint8
+
+const (
+	none obstacle = iota
+	leaving
+	leftAlone
+	withoutHolder
+	full
+)
+
+// obstacleOf returns the first obstacle that applies.
+func obstacleOf(c serverview.Candidate) obstacle {
+	switch {
+	case c.Leaving:
+		return leaving
+	case c.Ejected:
+		return leftAlone
+	case !c.HolderAlive:
+		return withoutHolder
+	case c.Full || load(c) >= fullLoad:
+		return full
+	}
+	return none
+}
+
 // Obstacles counts the servers of a service, and those that can't load an adapter by the reason that comes first.
 type Obstacles struct {
 	Servers       int
@@ -156,20 +180,14 @@
 
 // CountObstacles tells why Home finds no server.
 func CountObstacles(candidates []serverview.Candidate) Obstacles {
-	o := Obstacles{Servers: len(candidates)}
+	var counts [full + 1]int
 	for _, c := range candidates {
-		switch {
-		case c.Leaving:
-			o.Leaving++
-		case c.Ejected:
-			o.LeftAlone++
-		case !c.HolderAlive:
-			o.WithoutHolder++
-		case c.Full || load(c) >= fullLoad:
-			o.Full++
-		}
+		counts[obstacleOf(c)]++
+	}
+	return Obstacles{
+		Servers: len(candidates), Leaving: counts[leaving], LeftAlone: counts[leftAlone],
+		WithoutHolder: counts[withoutHolder], Full: counts[full],
 	}
-	return o
 }
 
 // Copy chooses a server for one more copy of an adapter whose least loaded holder is chosen, if that is worth a load.
