--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -120,7 +120,7 @@
 	})
 	if len(well) > 0 {
 		return fmt.Sprintf("a single connection or answer of server %s was lost; it answered %d others within a second", server, len(well)),
-			l.attempts(final)
+			l.ofKind(final, event.RequestAttempt)
 	}
 	return "", nil
 }
@@ -137,14 +137,14 @@
 	return false
 }
 
-func (l *Log) attempts(final Line) []Line {
-	var attempts []Line
+// ofKind returns the events of one kind that name the same request as the final one.
+func (l *Log) ofKind(final Line, kind event.Event) (found []Line) {
 	for _, line := range l.of(final.text("request")) {
-		if line.Event == event.RequestAttempt.Number {
-			attempts = append(attempts, line)
+		if line.Event == kind.Number {
+			found = append(found, line)
 		}
 	}
-	return attempts
+	return found
 }
 
 // noServer tells what took the servers out of use at the request's node.
@@ -171,11 +171,7 @@
 		return fmt.Sprintf("server %s was told to load the adapter and answered %q; it wasn't there in time",
 			last.text("server"), last.text("outcome")), orders
 	}
-	wanted := l.of(final.text("request"))
-	for _, line := range wanted {
-		if line.Event != event.AdapterWanted.Number {
-			continue
-		}
+	for _, line := range l.ofKind(final, event.AdapterWanted) {
 		if cause, evidence := l.homeFault(line, line.text("server")); cause != "" {
 			return cause, append([]Line{line}, evidence...)
 		}
--- a/internal/explain/log.go
+++ b/internal/explain/log.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"slices"
 	"sort"
 	"time"
 
@@ -42,11 +43,16 @@
 	Lines []Line
 	// Unread counts the lines that hold no event.
 	Unread int
+	// byRequest holds the events that name a request, in the order in which they were read.
+	byRequest map[string][]Line
 }
 
 // Read adds the events of r. What stands before the first brace of a line is skipped, as collectors of logs put the
 // process and their own time there.
 func (l *Log) Read(r io.Reader) error {
+	if l.byRequest == nil {
+		l.byRequest = make(map[string][]Line)
+	}
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(nil, lineLimit)
 	for scanner.Scan() {
@@ -58,8 +64,11 @@
 		}
 		line.Text = string(text)
 		l.Lines = append(l.Lines, line)
+		if request := line.text("request"); request != "" {
+			l.byRequest[request] = append(l.byRequest[request], line)
+		}
 	}
-	sort.SliceStable(l.Lines, func(i, j int) bool { return l.Lines[i].At.Before(l.Lines[j].At) })
+	sortByTime(l.Lines)
 	if err := scanner.Err(); err != nil {
 		return failure.Wrap(err, failure.Invalid, "read log", "")
 	}
@@ -91,12 +100,12 @@
 	return found
 }
 
-// of returns the events that name the request.
-func (l *Log) of(request string) (found []Line) {
-	for _, line := range l.Lines {
-		if line.text("request") == request {
-			found = append(found, line)
-		}
-	}
-	return found
+// of returns the events that name the request, oldest first.
+func (l *Log) of(request string) []Line {
+	sortByTime(l.byRequest[request])
+	return l.byRequest[request]
+}
+
+func sortByTime(lines []Line) {
+	slices.SortStableFunc(lines, func(a, b Line) int { return a.At.Compare(b.At) })
 }
