Keep one memory of evicted adapters, and one way to change shared maps of adapters

residency and serverview each had a bounded map that forgets the oldest. A field of the residency core that nothing read is gone.

--- /dev/null
+++ b/internal/evictions/evictions_test.go
@@ -0,0 +1,29 @@
+package evictions_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"waxwingcleat.example/waxwingcleat/internal/evictions"
+	"waxwingcleat.example/waxwingcleat/internal/serving"
+)
+
+// Guards against a memory that grows with each eviction, and against one that forgets the latest first.
+func TestOldestEvictionsGiveWay(t *testing.T) {
+	g := gomega.NewWithT(t)
+	memory := evictions.New(3)
+	now := time.Unix(1_000_000, 0)
+	adapter := func(i int) serving.Adapter { return serving.Adapter{Model: "m", Name: fmt.Sprint(i)} }
+	for i := range 5 {
+		memory.Add(now.Add(time.Duration(i)*time.Second), adapter(i))
+	}
+	memory.Add(now.Add(time.Minute), adapter(2))
+	memory.Add(now.Add(time.Hour), adapter(5))
+	for i, want := range []bool{false, false, true, false, true, true} {
+		_, remembered := memory.At(adapter(i))
+		g.Expect(remembered).To(gomega.Equal(want), "adapter %d", i)
+	}
+}
--- a/internal/residency/core.go
+++ b/internal/residency/core.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"waxwingcleat.example/waxwingcleat/internal/evictions"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
 )
 
@@ -73,7 +74,7 @@
 	busy       bool
 	lastBase   time.Time
 	slots      map[serving.Adapter]*slot
-	removedAt  map[serving.Adapter]time.Time
+	removed    *evictions.Memory
 	demand     demand
 	declared   map[serving.Adapter]declared
 	nextReport time.Time
@@ -81,7 +82,6 @@
 	reachable  bool
 	waiting    int
 	running    int
-	reportedAt time.Time
 	// revision counts the changes that gateways should learn of.
 	revision uint64
 }
@@ -95,7 +95,7 @@
 func New(options Options) *Core {
 	return &Core{
 		options: options, models: make(map[string]bool), slots: make(map[serving.Adapter]*slot),
-		removedAt: make(map[serving.Adapter]time.Time), declared: make(map[serving.Adapter]declared),
+		removed: evictions.New(heldBefore), declared: make(map[serving.Adapter]declared),
 		demand: newDemand(),
 	}
 }
--- a/internal/residency/events.go
+++ b/internal/residency/events.go
@@ -29,7 +29,6 @@
 	}
 	c.reachable = true
 	c.reported = true
-	c.reportedAt = now
 	c.busy = report.Busy
 	c.models = report.Models
 	c.waiting = report.Waiting
@@ -79,7 +78,8 @@
 }
 
 func (c *Core) unknownToOrders(asked time.Time, adapter serving.Adapter) bool {
-	return c.slots[adapter] == nil && asked.Sub(c.removedAt[adapter]) > reportLag
+	removedAt, _ := c.removed.At(adapter)
+	return c.slots[adapter] == nil && asked.Sub(removedAt) > reportLag
 }
 
 // Ordered takes the outcome of an order.
@@ -148,8 +148,7 @@
 
 func (c *Core) startLoad(now time.Time, order serving.Order) {
 	expected := coldLoadTime
-	_, warm := c.removedAt[order.Adapter]
-	if warm {
+	if _, warm := c.removed.At(order.Adapter); warm {
 		expected = warmLoadTime
 	}
 	if before := c.slots[order.Adapter]; before != nil && before.state == present {
@@ -165,24 +164,10 @@
 
 func (c *Core) remove(adapter serving.Adapter, now time.Time) {
 	delete(c.slots, adapter)
-	if len(c.removedAt) >= heldBefore {
-		c.forgetOldest()
-	}
-	c.removedAt[adapter] = now
+	c.removed.Add(now, adapter)
 	c.revision++
 }
 
-func (c *Core) forgetOldest() {
-	var oldest serving.Adapter
-	var at time.Time
-	for adapter, removed := range c.removedAt {
-		if at.IsZero() || removed.Before(at) {
-			oldest, at = adapter, removed
-		}
-	}
-	delete(c.removedAt, oldest)
-}
-
 // conflicted handles a refusal because another order is in progress or the count of orders differs: a report tells
 // which, once it's young enough to know of the latest order.
 func (c *Core) conflicted(now time.Time, order serving.Order) {
--- a/internal/serverview/candidates.go
+++ b/internal/serverview/candidates.go
@@ -77,7 +77,7 @@
 	}
 	c.Version, c.Present = s.published.Adapters[adapter]
 	c.Hot = c.Present && s.published.Hot == adapter
-	_, c.Held = s.held[adapter]
+	_, c.Held = s.held.At(adapter)
 	return c
 }
 
@@ -151,13 +151,8 @@
 // Lacks notes that a server answered that it doesn't hold an adapter, until its holder publishes again.
 func (v *View) Lacks(id string, adapter serving.Adapter) {
 	v.outcome(id, func(known *server) {
-		kept := make(map[serving.Adapter]int, len(known.published.Adapters))
-		for other, version := range known.published.Adapters {
-			if other != adapter {
-				kept[other] = version
-			}
-		}
-		known.published.Adapters = kept
+		known.published.Adapters = copyOf(known.published.Adapters)
+		delete(known.published.Adapters, adapter)
 	})
 }
 
--- a/internal/serverview/published.go
+++ b/internal/serverview/published.go
@@ -73,10 +73,16 @@
 		return
 	}
 	added := p.Adapters
-	p.Adapters = make(map[serving.Adapter]int, len(full.Adapters)+len(added))
-	maps.Copy(p.Adapters, full.Adapters)
+	p.Adapters = copyOf(full.Adapters)
 	for _, adapter := range p.Removed {
 		delete(p.Adapters, adapter)
 	}
 	maps.Copy(p.Adapters, added)
 }
+
+// copyOf returns a map that may be changed: those of a published state are shared.
+func copyOf(adapters map[serving.Adapter]int) map[serving.Adapter]int {
+	copied := make(map[serving.Adapter]int, len(adapters))
+	maps.Copy(copied, adapters)
+	return copied
+}
--- a/internal/serverview/serverview.go
+++ b/internal/serverview/serverview.go
@@ -4,13 +4,13 @@
 package serverview
 
 import (
-	"maps"
 	"strconv"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"waxwingcleat.example/waxwingcleat/internal/evictions"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
 )
 
@@ -50,7 +50,7 @@
 	// full is the latest full publication, on which deltas are based.
 	full Published
 	// held maps adapters that the server held and evicted to when that was seen; it loads them fast.
-	held map[serving.Adapter]time.Time
+	held *evictions.Memory
 	// sentSince counts requests sent since the published state was received.
 	sentSince int
 
@@ -105,7 +105,7 @@
 	defer v.mu.Unlock()
 	known := v.servers[entry.ID]
 	if known == nil || known.entry.Born != entry.Born || known.entry.Address != entry.Address {
-		known = &server{entry: entry, held: make(map[serving.Adapter]time.Time)}
+		known = &server{entry: entry, held: evictions.New(heldLimit)}
 		v.servers[entry.ID] = known
 		news = true
 	}
@@ -216,10 +216,8 @@
 	if known == nil || known.published.Holder != holder || now.Sub(known.publishedAt) >= publishedLifetime {
 		return
 	}
-	adapters := make(map[serving.Adapter]int, len(known.published.Adapters)+1)
-	maps.Copy(adapters, known.published.Adapters)
-	adapters[adapter.Adapter] = adapter.Version
-	known.published.Adapters = adapters
+	known.published.Adapters = copyOf(known.published.Adapters)
+	known.published.Adapters[adapter.Adapter] = adapter.Version
 	v.notify()
 }
 
@@ -234,22 +232,9 @@
 	}
 	for adapter := range s.published.Adapters {
 		if _, stays := state.Adapters[adapter]; !stays {
-			s.held[adapter] = now
+			s.held.Add(now, adapter)
 		}
 	}
-	for len(s.held) > heldLimit {
-		delete(s.held, oldest(s.held))
-	}
-}
-
-func oldest(times map[serving.Adapter]time.Time) (first serving.Adapter) {
-	var at time.Time
-	for adapter, seen := range times {
-		if at.IsZero() || seen.Before(at) {
-			first, at = adapter, seen
-		}
-	}
-	return first
 }
 
 // Declare notes that a version of an adapter is to be served from now on.
