Share waits that end with a context, and gather messages to peers in an outbox

internal/delay replaces seven copies of the same wait, six loops of a timer, a channel and a context in the node, and three copies of the spread. An outbox replaces the map of messages that three places filled and sent, and counts the nodes once for all of them instead of once a message.

--- a/internal/configlog/peers.go
+++ b/internal/configlog/peers.go
@@ -9,6 +9,7 @@
 
 	"github.com/twitchtv/twirp"
 
+	"waxwingcleat.example/waxwingcleat/internal/delay"
 	"waxwingcleat.example/waxwingcleat/internal/event"
 	"waxwingcleat.example/waxwingcleat/internal/failure"
 	"waxwingcleat.example/waxwingcleat/internal/platform"
@@ -27,7 +28,7 @@
 // followPeers fetches from peers while the log can't be read or doesn't reach back far enough.
 func (r *Replica) followPeers(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause(ctx, spread(r.options.PeerInterval))
+		delay.For(ctx, delay.Spread(r.options.PeerInterval))
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -191,15 +192,3 @@
 	defer r.mu.Unlock()
 	return r.reader.Machine().Capture()
 }
-
-// spread returns a random duration from half of d to one and a half times d, so that processes don't act together.
-func spread(d time.Duration) time.Duration { return d/2 + rand.N(d) }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/configlog/snapshots.go
+++ b/internal/configlog/snapshots.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"waxwingcleat.example/waxwingcleat/internal/delay"
 	"waxwingcleat.example/waxwingcleat/internal/event"
 	"waxwingcleat.example/waxwingcleat/internal/ident"
 	"waxwingcleat.example/waxwingcleat/internal/platform"
@@ -73,11 +74,11 @@
 // Run writes snapshots until ctx ends.
 func (w *SnapshotWriter) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause(ctx, spread(w.options.CheckInterval))
+		delay.For(ctx, delay.Spread(w.options.CheckInterval))
 		if ctx.Err() != nil || !w.due(time.Now()) {
 			continue
 		}
-		pause(ctx, rand.N(w.options.CheckInterval))
+		delay.For(ctx, rand.N(w.options.CheckInterval))
 		if ctx.Err() == nil && w.due(time.Now()) {
 			w.write(ctx)
 		}
--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -13,6 +13,7 @@
 
 	"github.com/spf13/cobra"
 
+	"waxwingcleat.example/waxwingcleat/internal/delay"
 	"waxwingcleat.example/waxwingcleat/internal/ident"
 	"waxwingcleat.example/waxwingcleat/internal/platform"
 	"waxwingcleat.example/waxwingcleat/internal/resource"
@@ -213,7 +214,7 @@
 			return verdicts, nil
 		}
 		client.next()
-		pause(ctx, attemptPause)
+		delay.For(ctx, attemptPause)
 	}
 }
 
@@ -290,12 +291,3 @@
 	}
 	return fmt.Errorf("%d of %d resources not applied", failed, len(verdicts))
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/ctl/progress.go
+++ b/internal/ctl/progress.go
@@ -15,6 +15,7 @@
 
 	"github.com/spf13/cobra"
 
+	"waxwingcleat.example/waxwingcleat/internal/delay"
 	"waxwingcleat.example/waxwingcleat/internal/ident"
 	"waxwingcleat.example/waxwingcleat/internal/platform"
 	"waxwingcleat.example/waxwingcleat/internal/resource"
@@ -130,7 +131,7 @@
 		case limited.Err() == nil:
 			reason = err.Error()
 		}
-		pause(limited, pollInterval)
+		delay.For(limited, pollInterval)
 		if limited.Err() != nil {
 			return fmt.Errorf("version %d is not in force: %s: %w", version, reason, limited.Err())
 		}
@@ -230,7 +231,7 @@
 			return err
 		}
 		client.next()
-		pause(ctx, watchPause)
+		delay.For(ctx, watchPause)
 	}
 	return nil
 }
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"waxwingcleat.example/waxwingcleat/internal/decision"
+	"waxwingcleat.example/waxwingcleat/internal/delay"
 	"waxwingcleat.example/waxwingcleat/internal/event"
 	"waxwingcleat.example/waxwingcleat/internal/ledger"
 	"waxwingcleat.example/waxwingcleat/internal/permits"
@@ -211,7 +212,7 @@
 func (s *server) shutDown(duties context.Context) {
 	s.dependencies.Events.Emit(event.ProcessStopping, event.Fields{"announcePeriod": s.settings.AnnouncePeriod.Std().String()})
 	s.gateway.AnnounceStop()
-	wait(duties, s.settings.AnnouncePeriod.Std())
+	delay.For(duties, s.settings.AnnouncePeriod.Std())
 	timeout := s.settings.ShutdownTimeout.Std()
 	bounded, cancel := context.WithTimeout(duties, timeout)
 	defer cancel()
@@ -228,12 +229,3 @@
 	defer done()
 	s.permits.Leave(last)
 }
-
-func wait(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/load/check.go
+++ b/internal/load/check.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"waxwingcleat.example/waxwingcleat/internal/delay"
 )
 
 const (
@@ -241,10 +243,5 @@
 	if d <= 0 {
 		d = defaultRetryAfter
 	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	delay.For(ctx, d)
 }
--- a/internal/logfollow/logfollow.go
+++ b/internal/logfollow/logfollow.go
@@ -4,10 +4,10 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
+	"waxwingcleat.example/waxwingcleat/internal/delay"
 	"waxwingcleat.example/waxwingcleat/internal/event"
 	"waxwingcleat.example/waxwingcleat/internal/platform"
 )
@@ -60,12 +60,12 @@
 
 // Follow reads until ctx ends or the handler fails. It returns nil when ctx ends.
 func (f *Follower) Follow(ctx context.Context, handler Handler) error {
-	delay := minimumDelay
+	backoff := minimumDelay
 	for ctx.Err() == nil {
 		began := time.Now()
 		batch, err := f.log.Read(ctx, f.stream, f.Next(), readWait)
 		if err == nil {
-			delay = minimumDelay
+			backoff = minimumDelay
 			f.lastEnd.Store(time.Now().UnixNano())
 			fresh, err := f.deliver(batch, handler)
 			if err != nil {
@@ -73,7 +73,7 @@
 			}
 			if fresh == 0 && time.Since(began) < minimumDelay {
 				// A log service that doesn't wait for records, or that answers with a gap, isn't asked in a busy loop.
-				wait(ctx, spread(minimumDelay))
+				delay.For(ctx, delay.Spread(minimumDelay))
 			}
 			continue
 		}
@@ -89,8 +89,8 @@
 			return nil
 		}
 		f.events.EmitError(event.LogReadFailed, err, event.Fields{"stream": f.stream, "from": f.Next()})
-		wait(ctx, spread(delay))
-		delay = min(2*delay, maximumDelay)
+		delay.For(ctx, delay.Spread(backoff))
+		backoff = min(2*backoff, maximumDelay)
 	}
 	return nil
 }
@@ -110,18 +110,3 @@
 	f.next.Store(uint64(from))
 	return len(fresh), handler.Records(batch)
 }
-
-// spread returns a random duration from half of d to one and a half times d, so that readers that fail
-// together don't return together.
-func spread(d time.Duration) time.Duration {
-	return d/2 + rand.N(d)
-}
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/membership/driver.go
+++ b/internal/membership/driver.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
+	"waxwingcleat.example/waxwingcleat/internal/delay"
 	"waxwingcleat.example/waxwingcleat/internal/event"
 	"waxwingcleat.example/waxwingcleat/internal/failure"
 	"waxwingcleat.example/waxwingcleat/internal/platform"
@@ -184,12 +185,7 @@
 		} else if ctx.Err() == nil {
 			d.options.Events.EmitError(event.VMListFailed, err, nil)
 		}
-		timer := time.NewTimer(pause/2 + rand.N(pause))
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-		}
+		delay.For(ctx, delay.Spread(pause))
 	}
 	return nil
 }
--- a/internal/node/holders.go
+++ b/internal/node/holders.go
@@ -5,16 +5,15 @@
 	"sync"
 	"time"
 
+	"waxwingcleat.example/waxwingcleat/internal/delay"
 	"waxwingcleat.example/waxwingcleat/internal/event"
 	"waxwingcleat.example/waxwingcleat/internal/prefillgate"
 	"waxwingcleat.example/waxwingcleat/internal/residency"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
 )
 
-const (
-	// defaultMaxPause holds when no route bounds the pauses of its streams.
-	defaultMaxPause = 250 * time.Millisecond
-)
+// defaultMaxPause holds when no route bounds the pauses of its streams.
+const defaultMaxPause = 250 * time.Millisecond
 
 // holders are the model servers that this node gives orders to.
 type holders struct {
@@ -150,13 +149,7 @@
 }
 
 func (h *holder) await(ctx context.Context, until time.Time) {
-	timer := time.NewTimer(min(max(time.Until(until), time.Millisecond), publishPeriod))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-h.wake:
-	}
+	delay.Until(ctx, min(max(time.Until(until), time.Millisecond), publishPeriod), h.wake)
 }
 
 func (h *holder) report(ctx context.Context, options residency.Options) {
--- a/internal/node/knowledge.go
+++ b/internal/node/knowledge.go
@@ -5,10 +5,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
+	"waxwingcleat.example/waxwingcleat/internal/delay"
 	"waxwingcleat.example/waxwingcleat/internal/event"
 	"waxwingcleat.example/waxwingcleat/internal/failure"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
@@ -48,7 +48,6 @@
 	}, true
 }
 
-// answerKnowledge implements http.Handler's method for peers.
 func (n *Node) answerKnowledge(w http.ResponseWriter, _ *http.Request) {
 	known, fresh := n.knowledge(time.Now())
 	if !fresh {
@@ -66,7 +65,7 @@
 	client := &http.Client{Timeout: knowledgeTimeout}
 	defer client.CloseIdleConnections()
 	for ctx.Err() == nil {
-		wait(ctx, followPeriod)
+		delay.For(ctx, followPeriod)
 		if n.entriesChanged.CompareAndSwap(true, false) {
 			n.holders.reconcile()
 		}
@@ -122,15 +121,9 @@
 	n.watch.learned(known.Digest)
 }
 
-// serveKnowledge answers peers until ctx ends.
-func (n *Node) serveKnowledge(ctx context.Context, listener net.Listener) error {
+// knowledgeHandler answers the questions of peers.
+func (n *Node) knowledgeHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+knowledgePath, n.answerKnowledge)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: knowledgeTimeout}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	if err := server.Serve(listener); ctx.Err() == nil {
-		return failure.Wrap(err, failure.Unavailable, "serve peers", n.link.Address())
-	}
-	return nil
+	return mux
 }
--- a/internal/node/leases.go
+++ b/internal/node/leases.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"waxwingcleat.example/waxwingcleat/internal/delay"
 	"waxwingcleat.example/waxwingcleat/internal/event"
 	"waxwingcleat.example/waxwingcleat/internal/serverlease"
 )
@@ -146,13 +147,7 @@
 	if !ok {
 		period = retryPause
 	}
-	timer := time.NewTimer(period)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-n.leases.rejoin:
-	}
+	delay.Until(ctx, period, n.leases.rejoin)
 }
 
 func (n *Node) logLeases(gained, lost []int, generation int64) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"waxwingcleat.example/waxwingcleat/internal/connset"
+	"waxwingcleat.example/waxwingcleat/internal/delay"
 	"waxwingcleat.example/waxwingcleat/internal/event"
 	"waxwingcleat.example/waxwingcleat/internal/forward"
 	"waxwingcleat.example/waxwingcleat/internal/peerlink"
@@ -119,8 +120,10 @@
 
 func newNode(settings Settings, d Dependencies, link *peerlink.Link) *Node {
 	n := &Node{
-		settings: settings, store: d.Store, servers: d.Servers, events: d.Events, reload: d.Reload, dropped: d.LinesDropped, link: link, connections: d.Connections, publishNow: make(chan struct{}, 1),
-		view: serverview.New(), usage: usage.New(link.Address()), peers: newPeers(), callers: connset.New(), watch: newWatch(), startedAt: time.Now(),
+		settings: settings, store: d.Store, servers: d.Servers, events: d.Events, reload: d.Reload,
+		dropped: d.LinesDropped, link: link, connections: d.Connections, publishNow: make(chan struct{}, 1),
+		view: serverview.New(), usage: usage.New(link.Address()), peers: newPeers(), callers: connset.New(),
+		watch: newWatch(), startedAt: time.Now(),
 	}
 	n.leases = newLeases(serverlease.Options{
 		Partitions: settings.Store.Partitions, TTL: leaseTTL, Fenced: settings.OrdersFenced,
@@ -192,7 +195,7 @@
 	group.Go(func() error { return n.publishStates(n.ctx) })
 	group.Go(func() error { return n.sendDigests(n.ctx) })
 	group.Go(func() error { return n.learnFromPeers(n.ctx) })
-	group.Go(func() error { return n.serveKnowledge(n.ctx, l.peers) })
+	group.Go(func() error { return process.ServeListener(n.ctx, l.peers, n.knowledgeHandler(), adminPause) })
 	group.Go(func() error { return n.reportDropped(n.ctx) })
 	group.Go(func() error {
 		err := callers.Serve(n.callers.Listener(l.callers))
@@ -241,12 +244,12 @@
 	n.events.Emit(event.ProcessStopping, nil)
 	n.forwarder.Drain()
 	n.callers.Drain()
-	wait(n.ctx, stopAnnounced)
+	delay.For(n.ctx, stopAnnounced)
 	if err := listener.Close(); err != nil {
 		n.events.EmitError(event.ProcessFailed, err, nil)
 	}
 	for n.callers.CloseIdle() > 0 && time.Now().Before(giveUpAt) {
-		wait(n.ctx, closePause)
+		delay.For(n.ctx, closePause)
 	}
 	if open := n.callers.CloseIdle(); open > 0 {
 		n.events.Emit(event.AnswerBroken, event.Fields{"reason": "requests were in progress at the end of the shutdown", "open": open})
@@ -274,7 +277,7 @@
 // reportDropped writes how many lines of the log were left out.
 func (n *Node) reportDropped(ctx context.Context) error {
 	for ctx.Err() == nil {
-		wait(ctx, droppedPeriod)
+		delay.For(ctx, droppedPeriod)
 		if dropped := n.dropped(); dropped > 0 {
 			n.events.Emit(event.LinesLeftOut, event.Fields{"unread": dropped})
 		}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
+	"waxwingcleat.example/waxwingcleat/internal/delay"
 	"waxwingcleat.example/waxwingcleat/internal/peerlink"
-	"waxwingcleat.example/waxwingcleat/internal/residency"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
 )
 
@@ -124,14 +124,10 @@
 	period := usagePeriod
 	var sentAt time.Time
 	for {
-		timer := time.NewTimer(period)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return nil
-		case <-timer.C:
-		case <-n.usage.Urgent():
-			timer.Stop()
+		if !delay.Until(ctx, period, n.usage.Urgent()) {
+			if ctx.Err() != nil {
+				return nil
+			}
 			pause(ctx, urgentPause)
 		}
 		now := time.Now()
@@ -150,55 +146,28 @@
 
 // sendWants tells only the holders that are to load something.
 func (n *Node) sendWants(now time.Time) {
-	messages := make(map[string]*peerlink.Message)
+	out := n.newOutbox(now)
 	for server, usage := range n.usage.CollectWanted(now) {
-		n.addUsage(messages, now, server, usage)
-	}
-	for owner, message := range messages {
-		n.link.Send(*message, owner)
-	}
-}
-
-// addUsage adds the usage of a server to the message to its holder, or hands it to the own holder.
-func (n *Node) addUsage(messages map[string]*peerlink.Message, now time.Time, server string, usage residency.Usage) {
-	if held := n.holders.of(server); held != nil {
-		held.noteUsage(now, usage)
-		return
-	}
-	if message := n.messageFor(messages, n.holderOf(now, server)); message != nil {
-		message.Usage = append(message.Usage, peerlink.NewUsage(server, usage))
+		out.addUsage(server, usage)
 	}
+	out.send()
 }
 
 func (n *Node) sendUsageOnce(now time.Time) {
 	collected := n.usage.Collect(now)
-	messages := make(map[string]*peerlink.Message)
+	out := n.newOutbox(now)
 	for _, server := range n.view.Entries(now) {
 		if usage, used := collected[server.ID]; used {
-			n.addUsage(messages, now, server.ID, usage)
+			out.addUsage(server.ID, usage)
 		} else if n.holders.of(server.ID) == nil {
 			// Without any usage, the message still subscribes to the holder's publications.
-			n.messageFor(messages, n.holderOf(now, server.ID))
+			out.to(n.holderOf(now, server.ID))
 		}
 	}
 	for _, reader := range n.leases.readers() {
-		n.messageFor(messages, reader)
-	}
-	for owner, message := range messages {
-		n.link.Send(*message, owner)
-	}
-}
-
-// messageFor returns the message to a peer, a new one if there is none yet. It returns nil for this node and for an
-// unknown peer.
-func (n *Node) messageFor(messages map[string]*peerlink.Message, peer string) *peerlink.Message {
-	if peer == "" || peer == n.link.Address() {
-		return nil
-	}
-	if messages[peer] == nil {
-		messages[peer] = &peerlink.Message{Nodes: n.peers.heardLately(time.Now()), Newcomer: time.Since(n.startedAt) < newcomerTime}
+		out.to(reader)
 	}
-	return messages[peer]
+	out.send()
 }
 
 // holderOf returns the peer address of a server's holder, or an empty string. The store's word goes first, as a new
--- a/internal/node/publications.go
+++ b/internal/node/publications.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"waxwingcleat.example/waxwingcleat/internal/delay"
 	"waxwingcleat.example/waxwingcleat/internal/peerlink"
 	"waxwingcleat.example/waxwingcleat/internal/serverview"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
@@ -58,28 +60,26 @@
 	p.local, p.localAt = state, now
 	h.mu.Unlock()
 	h.node.view.Publish(now, state)
-	for peer, message := range arrivals {
-		h.node.link.Send(*message, peer)
-	}
+	arrivals.send()
 	if urgent {
 		poke(h.node.publishNow)
 	}
 }
 
 // arrivals returns the messages to the nodes whose requests wait for an adapter that is in after and not in before.
-func (h *holder) arrivals(now time.Time, before, after map[serving.Adapter]int) map[string]*peerlink.Message {
-	messages := make(map[string]*peerlink.Message)
+func (h *holder) arrivals(now time.Time, before, after map[serving.Adapter]int) *outbox {
+	out := h.node.newOutbox(now)
 	for adapter, version := range after {
 		if known, had := before[adapter]; had && known == version {
 			continue
 		}
 		for _, peer := range h.core.Wanting(now, adapter) {
-			if message := h.node.messageFor(messages, peer); message != nil {
+			if message := out.to(peer); message != nil {
 				message.Arrived = append(message.Arrived, peerlink.Arrival{ServerID: h.server.ID, Adapter: adapter.String(), Version: version})
 			}
 		}
 	}
-	return messages
+	return out
 }
 
 // due returns the state for the other nodes, if it has changed or the last news is old.
@@ -145,13 +145,7 @@
 // publishStates tells the other nodes of the servers that this node holds.
 func (n *Node) publishStates(ctx context.Context) error {
 	for ctx.Err() == nil {
-		timer := time.NewTimer(batchPeriod)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		case <-n.publishNow:
-		}
-		timer.Stop()
+		delay.Until(ctx, batchPeriod, n.publishNow)
 		now := time.Now()
 		n.sendStates(now, n.holders.due(now), n.peers.alive(now)...)
 	}
@@ -159,13 +153,15 @@
 }
 
 func (n *Node) sendStates(now time.Time, states []serverview.Published, peers ...string) {
-	for len(states) > 0 {
-		count := min(len(states), statesPerMessage)
-		message := peerlink.Message{Nodes: n.peers.heardLately(now), Forgotten: n.connections.SeenForgotten(now)}
-		for _, state := range states[:count] {
+	if len(states) == 0 {
+		return
+	}
+	nodes, forgotten := n.peers.heardLately(now), n.connections.SeenForgotten(now)
+	for chunk := range slices.Chunk(states, statesPerMessage) {
+		message := peerlink.Message{Nodes: nodes, Forgotten: forgotten}
+		for _, state := range chunk {
 			message.AddState(state)
 		}
 		n.link.Send(message, peers...)
-		states = states[count:]
 	}
 }
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"waxwingcleat.example/waxwingcleat/internal/delay"
 	"waxwingcleat.example/waxwingcleat/internal/event"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
 	"waxwingcleat.example/waxwingcleat/internal/storewatch"
@@ -25,33 +26,23 @@
 	forgetAfter = time.Minute
 )
 
-// wait waits for d or until ctx ends.
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // pauseSpread is how much a pause may be longer or shorter, so that nodes don't call in step.
 const pauseSpread = 0.25
 
 // pause waits for about d or until ctx ends.
 func pause(ctx context.Context, d time.Duration) {
-	wait(ctx, time.Duration(float64(d)*(1-pauseSpread+2*pauseSpread*rand.Float64())))
+	delay.For(ctx, time.Duration(float64(d)*(1-pauseSpread+2*pauseSpread*rand.Float64())))
 }
 
 // followOperator keeps the configuration and the declared versions.
 func (n *Node) followOperator(ctx context.Context) error {
 	var cursor serving.Cursor
 	for ctx.Err() == nil {
-		wait := operatorWait
+		atMost := operatorWait
 		if n.watch.follows(time.Now()) {
-			wait = 0
+			atMost = 0
 		}
-		batch, err := n.store.ReadOperator(ctx, cursor, wait)
+		batch, err := n.store.ReadOperator(ctx, cursor, atMost)
 		if !n.noteStore(ctx, err) {
 			pause(ctx, n.watch.retryPause(time.Now()))
 			continue
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"waxwingcleat.example/waxwingcleat/internal/delay"
 	"waxwingcleat.example/waxwingcleat/internal/peerlink"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
 	"waxwingcleat.example/waxwingcleat/internal/storewatch"
@@ -142,7 +143,7 @@
 		if !rest {
 			return
 		}
-		wait(ctx, followPeriod)
+		delay.For(ctx, followPeriod)
 	}
 }
 
@@ -158,13 +159,7 @@
 		if follows && due || !follows && now.Sub(began) >= serversPeriod {
 			return
 		}
-		timer := time.NewTimer(followPeriod)
-		select {
-		case <-ctx.Done():
-		case <-w.news:
-		case <-timer.C:
-		}
-		timer.Stop()
+		delay.Until(ctx, followPeriod, w.news)
 	}
 }
 
@@ -178,13 +173,7 @@
 // sendDigests tells the other nodes what this node has read, as long as it's a reader.
 func (n *Node) sendDigests(ctx context.Context) error {
 	for ctx.Err() == nil {
-		timer := time.NewTimer(digestPeriod)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		case <-n.watch.changed:
-		}
-		timer.Stop()
+		delay.Until(ctx, digestPeriod, n.watch.changed)
 		now := time.Now()
 		digest, fresh := n.watch.digest(now)
 		if !fresh || !n.leases.isReader() {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"waxwingcleat.example/waxwingcleat/internal/delay"
 	"waxwingcleat.example/waxwingcleat/internal/failure"
 	"waxwingcleat.example/waxwingcleat/internal/upstream"
 )
@@ -204,7 +205,7 @@
 			if c.cancel(request) {
 				return
 			}
-			wait(context.Background(), cancelPause)
+			delay.For(context.Background(), cancelPause)
 		}
 	}()
 	return settled
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -11,6 +11,7 @@
 
 	"github.com/google/uuid"
 
+	"waxwingcleat.example/waxwingcleat/internal/delay"
 	"waxwingcleat.example/waxwingcleat/internal/failure"
 )
 
@@ -165,24 +166,13 @@
 		}
 		cause = err
 		link.close()
-		if !wait(ctx, min(resumePause*time.Duration(f.idle), maximumResumePause)) {
+		if !delay.For(ctx, min(resumePause*time.Duration(f.idle), maximumResumePause)) {
 			return nil, nil, ctx.Err()
 		}
 	}
 	return nil, nil, errors.Join(errResumeLimit, cause)
 }
 
-func wait(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // consume passes the events of one connection on.
 func (f *flow) consume(link *link, body io.Reader) (end, error) {
 	events := NewEventReader(body)
