serverlease: Let a new holder wait until no earlier holder can order

(2) Partitions that return within 3 s: A, B, A.

Ruled out: a late answer of a join (the lease's time counts from its sending); orders in flight alone (the previous holder began new ones).

Change: where servers don't check tokens, the first order waits for a join that was sent after the end of any earlier lease and confirms the partition in an unchanged generation. A partition that comes back within 3 s, or to a process that has just started, waits 3 s. To keep these waits short, nodes join each 0.5 s with a lifetime of 1.8 s instead of 1 s and 3 s. Waiting for the end of the lease alone was tried first: the property test found an owner that missed a pair of reassignments.

--- a/internal/node/leases.go
+++ b/internal/node/leases.go
@@ -12,10 +12,15 @@
 )
 
 const (
-	// leaseTTL is how long a node's leases last after its latest join; the platform allows 3 s for a change of holder.
-	leaseTTL = 3 * time.Second
+	// leaseTTL is the time without a join after which the store reassigns a node's partitions. The store accepts 1 s
+	// or more.
+	leaseTTL = 1800 * time.Millisecond
 	// joinPeriod allows three attempts within the TTL.
-	joinPeriod = time.Second
+	joinPeriod = 500 * time.Millisecond
+	// minimumJoinPause is the least time between two joins.
+	minimumJoinPause = 20 * time.Millisecond
+	// turnInterval is the platform's bound on the time between orders of two holders that take turns.
+	turnInterval = 3 * time.Second
 	// ownersLifetime is the age at which the owners are read again even if the group hasn't changed.
 	ownersLifetime = 15 * time.Second
 	// readerPartitions is the number of partitions, from 0, whose owners read the store for all nodes. With three of
@@ -48,6 +53,21 @@
 	return l.core.Holds(bootTime(), serverID)
 }
 
+// mayOrder reports whether this node may send orders to a server now.
+func (l *leases) mayOrder(serverID string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.core.MayOrder(bootTime(), serverID)
+}
+
+// untilConfirmation returns the time until the next join can allow orders to newly assigned servers.
+func (l *leases) untilConfirmation() (wait time.Duration, pending bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	at, pending := l.core.NextConfirmation()
+	return max(at-bootTime(), minimumJoinPause), pending
+}
+
 func (l *leases) recordFenced(serverID string) {
 	l.mu.Lock()
 	l.core.Fenced(serverID)
@@ -122,7 +142,7 @@
 		l.mu.Lock()
 		var gained, lost []int
 		if ok {
-			gained, lost = l.core.Joined(sent, membership)
+			gained, lost = l.core.Joined(sent, bootTime(), membership)
 			l.generation = membership.Generation
 		} else {
 			l.core.JoinFailed()
@@ -147,6 +167,8 @@
 	period := joinPeriod
 	if !ok {
 		period = retryPause
+	} else if wait, pending := n.leases.untilConfirmation(); pending {
+		period = min(period, wait)
 	}
 	delay.Until(ctx, period, n.leases.rejoin)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -124,7 +124,8 @@
 		watch: newWatch(), startedAt: time.Now(),
 	}
 	n.leases = newLeases(serverlease.Options{
-		Partitions: settings.Store.Partitions, TTL: leaseTTL, Fenced: settings.OrdersFenced,
+		Partitions: settings.Store.Partitions, TTL: leaseTTL, TurnInterval: turnInterval, Fenced: settings.OrdersFenced,
+		StartedAt: bootTime(),
 	})
 	n.holders = newHolders(n)
 	n.admission = newAdmissionClient(n)
--- a/internal/node/publications.go
+++ b/internal/node/publications.go
@@ -41,6 +41,7 @@
 // notifies the nodes whose requests wait for an adapter that has arrived.
 func (h *holder) publishLocal(fence int64) {
 	now := time.Now()
+	mayOrder := h.node.leases.mayOrder(h.server.ID)
 	h.mu.Lock()
 	p := &h.publication
 	backlog := h.gate.Backlog()
@@ -53,7 +54,7 @@
 	snapshot := h.core.Snapshot(now)
 	state := serverview.Published{
 		Revision: snapshot.Revision, ServerID: h.server.ID, Born: h.server.Born, Holder: h.node.link.Address(),
-		Fence: fence, Sequence: p.local.Sequence + 1, Ready: snapshot.Ready, Full: snapshot.Full,
+		Fence: fence, Sequence: p.local.Sequence + 1, Ready: snapshot.Ready, Full: snapshot.Full || !mayOrder,
 		Adapters: snapshot.Adapters, Hot: snapshot.Hot, Waiting: snapshot.Waiting, Running: snapshot.Running,
 		Backlog: backlog,
 	}
--- a/internal/serverlease/serverlease.go
+++ b/internal/serverlease/serverlease.go
@@ -20,61 +20,86 @@
 	Partitions int
 	// TTL is the time without a join after which the store reassigns a member's partitions.
 	TTL time.Duration
+	// TurnInterval is the time within which two holders must not send orders in turn, as servers may not check fencing
+	// tokens.
+	TurnInterval time.Duration
 	// Fenced is true when the servers refuse orders with an outdated fencing token. A holder may then continue while
 	// the store is unreachable: once another node has taken over, the servers refuse the old holder.
 	Fenced bool
+	// StartedAt is when the process started. An earlier process of this node may have sent orders until then.
+	StartedAt time.Duration
 }
 
-// safetyShare is the share of the TTL for which a lease is valid regardless of fencing.
-const safetyShare = 0.7
+const (
+	// validShare is the share of the TTL for which a lease is valid regardless of fencing.
+	validShare = 0.7
+	// orderDelayMargin covers an order of the previous holder that is on its way when its lease ends.
+	orderDelayMargin = 150 * time.Millisecond
+)
+
+// tenure is the time in which a partition is assigned to this node.
+type tenure struct {
+	// fence is the fencing token, the generation in which this node acquired the partition.
+	fence int64
+	// confirmAfter is the time after which a join must have confirmed the tenure, in an unchanged generation, before this
+	// node sends orders.
+	confirmAfter time.Duration
+	confirmed    bool
+	// refused is true after a server refused the fencing token.
+	refused bool
+}
 
 // Core is the state of the membership. It isn't safe for concurrent use.
 type Core struct {
 	options    Options
 	generation int64
-	// fences maps each assigned partition to its fencing token, the generation in which this node acquired it.
-	fences   map[int]int64
+	// tenures holds the assigned partitions.
+	tenures map[int]*tenure
+	// lostAt is when this node last held each partition that was assigned to other members since.
+	lostAt   map[int]time.Duration
 	joinedAt time.Duration
 	joined   bool
 	// storeUnavailable is true when the latest join failed because the store was unreachable or refused to serve it.
 	storeUnavailable bool
-	// refused holds the partitions with a server that refused this node's fencing token.
-	refused map[int]bool
 }
 
 // New returns a core without any lease.
 func New(options Options) *Core {
-	return &Core{options: options, fences: make(map[int]int64), refused: make(map[int]bool)}
+	return &Core{options: options, tenures: make(map[int]*tenure), lostAt: make(map[int]time.Duration)}
 }
 
 // Generation returns the generation to send with the next join.
 func (c *Core) Generation() int64 { return c.generation }
 
-// Joined applies the answer to a join that was sent at sent. It returns the partitions that this node gained and lost.
-func (c *Core) Joined(sent time.Duration, membership serving.Membership) (gained, lost []int) {
+// Joined applies the answer, received at now, to a join that was sent at sent. It returns the partitions that this node
+// gained and lost.
+func (c *Core) Joined(sent, now time.Duration, membership serving.Membership) (gained, lost []int) {
+	if lapsed := c.joined && sent-c.joinedAt > c.validity(); lapsed && membership.Generation != c.generation {
+		// Another member may have held the partitions meanwhile, in a generation that this node hasn't seen.
+		for partition, t := range c.tenures {
+			t.confirmed = false
+			c.lostAt[partition] = now
+		}
+	}
 	listed := make(map[int]bool, len(membership.Partitions))
 	for _, partition := range membership.Partitions {
 		listed[partition] = true
-		if _, held := c.fences[partition]; !held || c.refused[partition] && membership.Generation > c.generation {
-			c.fences[partition] = membership.Generation
-			delete(c.refused, partition)
+		t := c.tenures[partition]
+		changed := membership.Generation != c.generation
+		if t == nil || changed && (t.refused || !t.confirmed) {
+			t = &tenure{fence: membership.Generation, confirmAfter: c.ordersFrom(partition, now)}
+			c.tenures[partition] = t
 			gained = append(gained, partition)
 		}
+		t.confirmed = t.confirmed || sent >= t.confirmAfter
 	}
-	for partition := range c.fences {
+	for partition := range c.tenures {
 		if !listed[partition] {
-			delete(c.fences, partition)
-			delete(c.refused, partition)
+			delete(c.tenures, partition)
+			c.lostAt[partition] = now
 			lost = append(lost, partition)
 		}
 	}
-	expired := c.joined && sent-c.joinedAt > c.options.TTL
-	if expired && membership.Generation != c.generation {
-		// Another member may have held the partitions meanwhile, in a generation that this node hasn't seen.
-		for partition := range c.fences {
-			c.fences[partition] = membership.Generation
-		}
-	}
 	c.generation = membership.Generation
 	c.joinedAt = sent
 	c.joined = true
@@ -82,33 +107,67 @@
 	return gained, lost
 }
 
+// ordersFrom returns when this node may send the first order to the servers of a partition that it gains now. The store
+// may reassign partitions at once, while the lease of the previous holder, which learns of it with its next join, is
+// still valid; servers that check fencing tokens refuse its orders. A node that gets a partition back, also after a
+// restart, waits until orders of others in between would be older than TurnInterval.
+func (c *Core) ordersFrom(partition int, now time.Duration) time.Duration {
+	if lostAt, lost := c.lostAt[partition]; lost && now-lostAt < c.options.TurnInterval {
+		return now + c.options.TurnInterval
+	}
+	if c.options.Fenced {
+		return 0
+	}
+	return max(now+c.validity()+orderDelayMargin, c.options.StartedAt+c.options.TurnInterval)
+}
+
+// validity returns how long a lease lasts after the sending of a join.
+func (c *Core) validity() time.Duration { return time.Duration(validShare * float64(c.options.TTL)) }
+
 // JoinFailed records that a join got no answer or that the store refused to serve it.
 func (c *Core) JoinFailed() { c.storeUnavailable = true }
 
 // Fenced records that a server refused this node's fencing token. The node sends no orders to the server's partition
 // until the store assigns it in a later generation.
-func (c *Core) Fenced(serverID string) { c.refused[c.Partition(serverID)] = true }
+func (c *Core) Fenced(serverID string) {
+	if t := c.tenures[c.Partition(serverID)]; t != nil {
+		t.refused = true
+	}
+}
 
 // HasPartition reports whether the store's latest answer assigned the partition to this node.
-func (c *Core) HasPartition(partition int) bool {
-	_, listed := c.fences[partition]
-	return listed
-}
+func (c *Core) HasPartition(partition int) bool { return c.tenures[partition] != nil }
 
 // Partition returns the partition of a server.
 func (c *Core) Partition(serverID string) int {
 	return int(xxhash.Sum64String(serverID) % uint64(c.options.Partitions))
 }
 
-// Holds returns the fencing token for orders to a server, and whether this node may send any.
+// Holds returns the fencing token of this node for a server, and whether its lease is valid.
 func (c *Core) Holds(now time.Duration, serverID string) (fence int64, holds bool) {
-	partition := c.Partition(serverID)
-	fence, listed := c.fences[partition]
-	if !listed || c.refused[partition] {
+	t := c.tenures[c.Partition(serverID)]
+	if t == nil || t.refused {
 		return 0, false
 	}
-	if now-c.joinedAt < time.Duration(safetyShare*float64(c.options.TTL)) {
-		return fence, true
+	if now-c.joinedAt < c.validity() {
+		return t.fence, true
+	}
+	return t.fence, c.options.Fenced && c.storeUnavailable
+}
+
+// MayOrder reports whether this node may send orders to a server now: its lease is valid, and a join has confirmed it
+// after the last moment at which an earlier holder could send orders.
+func (c *Core) MayOrder(now time.Duration, serverID string) bool {
+	_, holds := c.Holds(now, serverID)
+	return holds && c.tenures[c.Partition(serverID)].confirmed
+}
+
+// NextConfirmation returns when the next join can confirm a tenure, and false when all are confirmed.
+func (c *Core) NextConfirmation() (at time.Duration, pending bool) {
+	for _, t := range c.tenures {
+		if !t.confirmed && (!pending || t.confirmAfter < at) {
+			at, pending = t.confirmAfter, true
+		}
 	}
-	return fence, c.options.Fenced && c.storeUnavailable
+	return at, pending
 }
