usage: Report the begin and the end of an adapter's use at once

Cause: nodes told a holder each 0.5 s what runs on its server.

Change: the first request for an adapter on a server and the end of the last one are urgent, like a demand.

--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -138,7 +138,7 @@
 			n.sendUsageOnce(now)
 			sentAt = now
 		} else {
-			n.sendDemand(now)
+			n.sendUrgentUsage(now)
 		}
 		period = time.Until(sentAt.Add(usagePeriod))
 		if n.usage.Waiting() {
@@ -147,10 +147,11 @@
 	}
 }
 
-// sendDemand sends the usage of only those servers on which requests wait for an adapter to be loaded.
-func (n *Node) sendDemand(now time.Time) {
+// sendUrgentUsage sends the usage of only those servers on which requests wait for an adapter to be loaded, or where the
+// use of an adapter has begun or ended.
+func (n *Node) sendUrgentUsage(now time.Time) {
 	out := n.newOutbox(now)
-	for server, usage := range n.usage.CollectWanted(now) {
+	for server, usage := range n.usage.CollectUrgent(now) {
 		out.addUsage(server, usage)
 	}
 	out.send()
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -32,6 +32,9 @@
 	running map[target]int
 	// sent counts the requests sent since the last collection.
 	sent map[target]int
+	// changed holds the servers where the first request for an adapter has begun or the last one has ended since the last
+	// collection.
+	changed map[string]bool
 	// recent counts the requests for each adapter, with exponential decay.
 	recent map[serving.Adapter]decay.Count
 	urgent chan struct{}
@@ -63,7 +66,7 @@
 func New(node string) *Tracker {
 	return &Tracker{
 		node: node, waiting: make(map[target]map[int]int), copyDemands: make(map[target]time.Time),
-		running: make(map[target]int), sent: make(map[target]int),
+		running: make(map[target]int), sent: make(map[target]int), changed: make(map[string]bool),
 		recent: make(map[serving.Adapter]decay.Count), urgent: make(chan struct{}, 1),
 	}
 }
@@ -116,6 +119,9 @@
 	key := target{server, adapter}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.running[key] == 0 {
+		t.markChanged(server)
+	}
 	t.running[key]++
 	t.sent[key]++
 	return func() {
@@ -124,10 +130,17 @@
 		t.running[key]--
 		if t.running[key] == 0 {
 			delete(t.running, key)
+			t.markChanged(server)
 		}
 	}
 }
 
+// markChanged makes the usage of a server urgent: its holder evicts adapters that are not in use.
+func (t *Tracker) markChanged(server string) {
+	t.changed[server] = true
+	t.signalUrgent()
+}
+
 // Waiting reports whether any request waits for a load.
 func (t *Tracker) Waiting() bool {
 	t.mu.Lock()
@@ -160,18 +173,23 @@
 	defer t.mu.Unlock()
 	c := t.collectDemand(now)
 	t.addRequests(c, func(string) bool { return true })
+	clear(t.changed)
 	t.dropNegligible(now)
 	return c.byServer
 }
 
-// CollectWanted is like Collect, but only for the servers with a demand to load an adapter.
-func (t *Tracker) CollectWanted(now time.Time) map[string]residency.Usage {
+// CollectUrgent is like Collect, but only for the servers with a demand to load an adapter or with changed usage.
+func (t *Tracker) CollectUrgent(now time.Time) map[string]residency.Usage {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c := t.collectDemand(now)
+	for server := range t.changed {
+		c.byServer[server] = c.usageOf(server)
+	}
+	clear(t.changed)
 	t.addRequests(c, func(server string) bool {
-		_, demanded := c.byServer[server]
-		return demanded
+		_, included := c.byServer[server]
+		return included
 	})
 	return c.byServer
 }
