prefillgate: Learn the speed of each engine, and admit prompts in bursts

Change: prompts are admitted in bursts of at most 0.7 of the longest pause less the decoding steps of one event; a burst ends when the engine has decoded for that time without reading. So an event spans the prompts of one burst at most, whatever it holds. The speed follows from a regression of the duration of busy periods on their tokens, the decoding time from the gaps between events that the node itself sees (their first quartile). A prompt whose end isn't reported counts as read after twice its expected time, with backoff. The setting prefillTokensPerMs goes.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -52,7 +52,7 @@
 			j.inputs = event.Fields{"backlogMs": candidate.Backlog.Milliseconds(), "ageMs": candidate.Age.Milliseconds()}
 			return j.handleGateTimeout()
 		}
-		defer release()
+		defer release(false)
 		j.releaseGate = release
 	}
 	now := time.Now()
@@ -97,10 +97,12 @@
 }
 
 // awaitGate waits until the prompt may be sent to the server.
-func (j *job) awaitGate(candidate serverview.Candidate) (release func(), ok bool) {
+func (j *job) awaitGate(candidate serverview.Candidate) (release func(read bool), ok bool) {
 	timeout := min(max(j.loadWait()-time.Since(j.arrived), minimumGateWait), maximumGateWait)
-	release, ok = j.f.options.Gate.Await(j.ctx, candidate.ID, j.request.PromptTokens, j.route.Priority, timeout)
-	return sync.OnceFunc(release), ok
+	releaseGrant, ok := j.f.options.Gate.Await(
+		j.ctx, candidate.ID, j.request.PromptTokens, j.route.Priority, timeout)
+	var once sync.Once
+	return func(read bool) { once.Do(func() { releaseGrant(read) }) }, ok
 }
 
 // priority returns the rank sent to model servers, or -1 for plain services, which get none.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"waxwingcleat.example/waxwingcleat/internal/event"
+	"waxwingcleat.example/waxwingcleat/internal/eventgap"
 	"waxwingcleat.example/waxwingcleat/internal/modelpick"
 	"waxwingcleat.example/waxwingcleat/internal/retrybudget"
 	"waxwingcleat.example/waxwingcleat/internal/routetable"
@@ -50,6 +51,7 @@
 	Usage     *usage.Tracker
 	Transport http.RoundTripper
 	Gate      Gate
+	EventGaps *eventgap.Observer
 	Zone      string
 	Events    *event.Log
 	// RetryBudget is the site-wide bound on retries; its Nodes field is overridden by the result of Nodes.
@@ -60,9 +62,11 @@
 // Gate paces the prompts sent to each model server.
 type Gate interface {
 	// Await blocks until a prompt of the given size and rank may be sent to the server. It returns false if the
-	// timeout passed or ctx ended first. The caller must call release once the server has read the prompt or the
-	// request has ended.
-	Await(ctx context.Context, server string, tokens, priority int, timeout time.Duration) (release func(), ok bool)
+	// timeout passed or ctx ended first. The caller must call release once the server has read the prompt, or once the
+	// request has ended without that.
+	Await(
+		ctx context.Context, server string, tokens, priority int, timeout time.Duration,
+	) (release func(read bool), ok bool)
 }
 
 // activeConfig is a configuration with its route table.
@@ -132,7 +136,7 @@
 	// reason is why the latest choice found no server.
 	reason string
 	// releaseGate frees the request's place at the gate; nil for plain services.
-	releaseGate func()
+	releaseGate func(read bool)
 	// sentAt is when the latest send began, gateTimeouts the number of gates at which the request timed out.
 	sentAt       time.Time
 	gateTimeouts int
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -28,8 +28,11 @@
 	j.w.WriteHeader(answer.StatusCode)
 	s := &stream{
 		w: j.w, flush: http.NewResponseController(j.w).Flush, resumable: j.route.Resumable, lastID: j.request.LastEventID,
-		onFirstData: j.releaseGate,
 	}
+	if j.releaseGate != nil {
+		s.onFirstData = func() { j.releaseGate(true) }
+	}
+	s.onGap = func(gap time.Duration) { j.f.options.EventGaps.Record(j.service.Name, gap) }
 	s.onData = func(now time.Time) { j.f.options.View.BytesReceived(now, j.server) }
 	err := s.copy(answer.Body)
 	for err != nil && j.resumable(s, err) {
@@ -112,6 +115,8 @@
 	partial []byte
 	// callerErr is the error of a write to the caller.
 	callerErr error
+	// onGap is called with the time between two arrivals.
+	onGap func(gap time.Duration)
 	// onData is called whenever data arrives.
 	onData func(now time.Time)
 	// onFirstData is called when the first data arrives, which shows that the server has read the prompt; may be nil.
@@ -131,6 +136,7 @@
 		}
 	} else {
 		s.longestPause = max(s.longestPause, now.Sub(s.lastAt))
+		s.onGap(now.Sub(s.lastAt))
 	}
 	s.lastAt = now
 	s.onData(now)
--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -74,18 +74,18 @@
 // Await implements forward.Gate.
 func (c *admissionClient) Await(
 	ctx context.Context, server string, tokens, priority int, maxWait time.Duration,
-) (release func(), ok bool) {
+) (release func(read bool), ok bool) {
 	id, answers := c.register()
 	defer c.unregister(id)
 	request := peerlink.AdmissionRequest{ServerID: server, ID: id, Tokens: tokens, Priority: priority}
-	release = func() { c.sendRelease(server, id) }
+	release = func(read bool) { c.sendRelease(server, id, read) }
 	expired := time.NewTimer(maxWait)
 	defer expired.Stop()
 	resend := time.NewTimer(resendInterval)
 	defer resend.Stop()
 	answeredAt, interval, timeout := time.Now(), resendInterval, answerTimeout
 	if !c.sendRequest(request) {
-		return func() {}, true
+		return func(bool) {}, true
 	}
 	for {
 		select {
@@ -100,10 +100,10 @@
 			}
 			resend.Reset(interval)
 		case <-expired.C:
-			release()
+			release(false)
 			return release, false
 		case <-ctx.Done():
-			release()
+			release(false)
 			return release, false
 		}
 	}
@@ -123,9 +123,9 @@
 	return true
 }
 
-// sendRelease reports that the prompt was processed or its request abandoned.
-func (c *admissionClient) sendRelease(server string, id uint64) {
-	release := peerlink.AdmissionRelease{ServerID: server, ID: id}
+// sendRelease reports that the prompt was read or its request abandoned.
+func (c *admissionClient) sendRelease(server string, id uint64, read bool) {
+	release := peerlink.AdmissionRelease{ServerID: server, ID: id, Read: read}
 	if h := c.node.holders.get(server); h != nil {
 		h.handleAdmissionRelease(time.Now(), c.node.link.Address(), release)
 		return
@@ -154,14 +154,18 @@
 
 func (h *holder) handleAdmissionRelease(now time.Time, from string, release peerlink.AdmissionRelease) {
 	h.mu.Lock()
-	h.gate.Done(from, release.ID)
+	h.gate.Done(now, from, release.ID, release.Read)
 	h.mu.Unlock()
 	h.grantAdmissions(now, "", 0)
 }
 
 // grantAdmissions grants the requests that the gate admits now, and reports whether the given one is among them.
 func (h *holder) grantAdmissions(now time.Time, node string, id uint64) (found bool) {
+	eventTime, known := h.node.eventGaps.Typical(h.server.Service)
 	h.mu.Lock()
+	if known {
+		h.gate.SetEventTime(eventTime)
+	}
 	granted, nextAt := h.gate.Next(now)
 	if !nextAt.IsZero() {
 		h.scheduleGrants(nextAt.Sub(now))
--- a/internal/node/holders.go
+++ b/internal/node/holders.go
@@ -83,7 +83,7 @@
 	started := &holder{
 		node: h.node, server: server, stop: stop, done: make(chan struct{}), wake: make(chan struct{}, 1),
 		core: h.node.newCore(options),
-		gate: prefillgate.New(prefillgate.Options{TokensPerMs: h.node.settings.PrefillTokensPerMs, MaxPause: maxPause}),
+		gate: prefillgate.New(prefillgate.Options{MaxPause: maxPause}),
 	}
 	go started.run(ctx, options)
 	return started
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"waxwingcleat.example/waxwingcleat/internal/connset"
 	"waxwingcleat.example/waxwingcleat/internal/delay"
 	"waxwingcleat.example/waxwingcleat/internal/event"
+	"waxwingcleat.example/waxwingcleat/internal/eventgap"
 	"waxwingcleat.example/waxwingcleat/internal/forward"
 	"waxwingcleat.example/waxwingcleat/internal/peerlink"
 	"waxwingcleat.example/waxwingcleat/internal/process"
@@ -73,6 +74,7 @@
 	events       *event.Log
 	view         *serverview.View
 	usage        *usage.Tracker
+	eventGaps    *eventgap.Observer
 	forwarder    *forward.Forwarder
 	leases       *leases
 	holders      *holders
@@ -121,7 +123,7 @@
 		settings: settings, store: d.Store, servers: d.Servers, events: d.Events, reload: d.Reload,
 		linesDropped: d.LinesDropped, link: link, connections: d.Connections, publishNow: make(chan struct{}, 1),
 		view: serverview.New(), usage: usage.New(link.Address()), peers: newPeers(), callers: connset.New(),
-		watch: newWatch(), startedAt: time.Now(),
+		watch: newWatch(), startedAt: time.Now(), eventGaps: eventgap.New(),
 	}
 	n.leases = newLeases(serverlease.Options{
 		Partitions: settings.Store.Partitions, TTL: leaseTTL, TurnInterval: turnInterval, Fenced: settings.OrdersFenced,
@@ -131,7 +133,7 @@
 	n.admission = newAdmissionClient(n)
 	n.connections.OnIdleDropsDetected(func() { n.events.Emit(event.IdleConnectionsReset, nil) })
 	n.forwarder = forward.New(forward.Options{
-		Wire: d.Wire, View: n.view, Usage: n.usage, Transport: d.Connections, Gate: n.admission,
+		Wire: d.Wire, View: n.view, Usage: n.usage, Transport: d.Connections, Gate: n.admission, EventGaps: n.eventGaps,
 		Zone: settings.Node.Zone, Events: d.Events,
 		RetryBudget: retrybudget.Options{
 			Ratio: settings.RetryBudget.Ratio, Slack: settings.RetryBudget.Slack, Window: settings.RetryBudget.Window.Std(),
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -25,10 +25,8 @@
 	// RetryBudget bounds the retries of all nodes of the site together.
 	RetryBudget RetryBudgetSettings `json:"retryBudget"`
 	// OrdersFenced is true when model servers refuse orders with an old fencing token.
-	OrdersFenced bool `json:"ordersFenced"`
-	// PrefillTokensPerMs is the speed at which the engines process prompts.
-	PrefillTokensPerMs float64 `json:"prefillTokensPerMs"`
-	LogLevel           string  `json:"logLevel"`
+	OrdersFenced bool   `json:"ordersFenced"`
+	LogLevel     string `json:"logLevel"`
 	// ShutdownTimeout bounds a graceful shutdown.
 	ShutdownTimeout settings.Duration `json:"shutdownTimeout"`
 	// MemoryMB is the VM's memory that this process may use.
@@ -58,11 +56,9 @@
 // DefaultSettings returns the settings that apply where the settings file sets nothing.
 func DefaultSettings() Settings {
 	return Settings{
-		// From the data sheets of both deployments.
-		PrefillTokensPerMs: 38.7,
-		LogLevel:           logrus.InfoLevel.String(),
-		ShutdownTimeout:    settings.Duration(8 * time.Second),
-		RetryBudget:        RetryBudgetSettings{Ratio: 0.1, Window: settings.Duration(10 * time.Second)},
+		LogLevel:        logrus.InfoLevel.String(),
+		ShutdownTimeout: settings.Duration(8 * time.Second),
+		RetryBudget:     RetryBudgetSettings{Ratio: 0.1, Window: settings.Duration(10 * time.Second)},
 	}
 }
 
@@ -80,7 +76,6 @@
 	c.Require(ratio >= 0 && ratio <= 1, "retryBudget.ratio", ratio, "a number from 0 to 1")
 	c.Require(s.RetryBudget.Slack >= 0, "retryBudget.slack", s.RetryBudget.Slack, "a number of 0 or more")
 	c.DurationBetween("retryBudget.window", s.RetryBudget.Window, time.Second, time.Hour)
-	c.Require(s.PrefillTokensPerMs > 0, "prefillTokensPerMs", s.PrefillTokensPerMs, "a number above 0")
 	c.DurationBetween("shutdownTimeout", s.ShutdownTimeout, time.Second, time.Hour)
 	c.Between("memoryMB", s.MemoryMB, 1, maximumMemoryMB)
 	_, err := logrus.ParseLevel(s.LogLevel)
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -104,6 +104,8 @@
 type AdmissionRelease struct {
 	ServerID string `json:"s"`
 	ID       uint64 `json:"i"`
+	// Read is true when the server has read the prompt, as its first event shows.
+	Read bool `json:"r,omitempty"`
 }
 
 // NewUsage encodes the usage of one server.
--- a/internal/prefillgate/prefillgate.go
+++ b/internal/prefillgate/prefillgate.go
@@ -11,23 +11,24 @@
 	"time"
 )
 
-// Options describes a server's engine and the bound on the pauses of its streams.
+// Options holds the bound on the pauses of a server's streams.
 type Options struct {
-	// TokensPerMs is the engine's prefill speed in tokens per millisecond.
-	TokensPerMs float64
 	// MaxPause is the longest permitted pause between two events of a stream.
 	MaxPause time.Duration
 }
 
 const (
-	// pauseShare is the share of MaxPause that prefills may use; the rest is for the decoding steps of one event, of 5
-	// to 8 ms each.
-	pauseShare = 0.65
+	// burstShare is the share of MaxPause, less the decoding steps of one event, that the prompts of one burst may use.
+	burstShare = 0.7
+	// initialEventTime is assumed until events have been observed.
+	initialEventTime = 40 * time.Millisecond
 	// rankDelay is how much later a request is due than one that arrived at the same time and is one rank more urgent.
 	rankDelay = 100 * time.Millisecond
-	// readTimeout is the time after which the prompt of a granted request counts as read without a message of its
-	// gateway.
-	readTimeout = 1500 * time.Millisecond
+	// A granted prompt counts as read without a message of its gateway after readTimeoutFactor times the expected time
+	// and readTimeoutMargin, or after longestReadTimeout. The time doubles with each timeout until a prompt is read.
+	readTimeoutFactor  = 2
+	readTimeoutMargin  = 150 * time.Millisecond
+	longestReadTimeout = 1500 * time.Millisecond
 	// queueTimeout is the time after which a queued request is dropped; gateways stop waiting earlier.
 	queueTimeout = 3 * time.Second
 )
@@ -53,32 +54,49 @@
 type grant struct {
 	tokens int
 	at     time.Time
+	// expiresAt is when the prompt counts as read without a message.
+	expiresAt time.Time
 }
 
 // Core is the state of one server's gate. It isn't safe for concurrent use.
 type Core struct {
-	window time.Duration
-	// limit bounds the tokens that are granted within the window, and those that are granted and not yet read, so that
-	// a slow server gets fewer. A prompt above the limit is granted alone.
-	limit int
+	options Options
+	speed   speedEstimate
+	busy    busyPeriod
 	// queue holds the waiting requests in the order in which they are due.
 	queue   []Request
 	granted map[key]grant
 	// unreadTokens is the number of tokens that are granted and not yet read.
 	unreadTokens int
-	// recent holds the grants within the window, oldest first, and recentTokens is the sum of their tokens.
-	recent       []grant
-	recentTokens int
+	// burstTokens is the number of tokens granted since the engine last decoded for eventTime without reading.
+	burstTokens int
+	// idleSince is when the last granted prompt was read; it is meaningless while prompts are unread.
+	idleSince time.Time
+	// eventTime is the time of the decoding steps of one event, without prompts.
+	eventTime time.Duration
+	// timeouts counts the prompts that timed out since one was read.
+	timeouts int
 }
 
 // New returns a gate that admits within MaxPause as many tokens as the engine reads in pauseShare of it.
 func New(options Options) *Core {
-	pause := float64(options.MaxPause) / float64(time.Millisecond)
 	return &Core{
-		window: options.MaxPause, limit: int(pauseShare * options.TokensPerMs * pause), granted: make(map[key]grant),
+		options: options, speed: newSpeedEstimate(), granted: make(map[key]grant), eventTime: initialEventTime,
 	}
 }
 
+// TokensPerMs returns the estimated speed at which the engine reads prompts, in tokens per millisecond.
+func (c *Core) TokensPerMs() float64 { return c.speed.tokensPerMs() }
+
+// SetEventTime sets the time of the decoding steps of one event, as observed between the events of running streams.
+func (c *Core) SetEventTime(eventTime time.Duration) { c.eventTime = eventTime }
+
+// limit bounds the tokens of one burst. A prompt above the limit is granted alone.
+func (c *Core) limit() int {
+	pause := float64(c.options.MaxPause-c.eventTime) / float64(time.Millisecond)
+	return int(burstShare * c.speed.tokensPerMs() * max(pause, 0))
+}
+
 // Enqueue adds a request, unless it is queued or granted already.
 func (c *Core) Enqueue(request Request) {
 	if _, found := c.granted[key{request.Node, request.ID}]; found {
@@ -105,11 +123,16 @@
 }
 
 // Done records that the prompt of a request was read, or that its gateway abandoned the request.
-func (c *Core) Done(node string, id uint64) {
+func (c *Core) Done(now time.Time, node string, id uint64, read bool) {
 	k := key{node, id}
 	if g, found := c.granted[k]; found {
-		c.unreadTokens -= g.tokens
 		delete(c.granted, k)
+		if read {
+			c.timeouts = 0
+		} else {
+			c.busy.abandoned = true
+		}
+		c.settle(now, g)
 		return
 	}
 	for i, queued := range c.queue {
@@ -120,38 +143,84 @@
 	}
 }
 
+// settle ends a grant. When it was the last one, the engine has nothing left to read and the busy period ends.
+func (c *Core) settle(now time.Time, g grant) {
+	c.unreadTokens -= g.tokens
+	if len(c.granted) > 0 {
+		return
+	}
+	c.idleSince = now
+	if tokens, milliseconds, usable := c.busy.sample(now); usable {
+		c.speed.add(tokens, milliseconds)
+	}
+}
+
 // Next grants the requests that may be sent now and returns them, and when to call it again; a zero time means at the
 // next event.
 func (c *Core) Next(now time.Time) (granted []Request, next time.Time) {
 	c.expire(now)
+	c.endBurst(now)
+	limit := c.limit()
 	for len(c.queue) > 0 {
 		request := c.queue[0]
-		if c.unreadTokens > 0 && c.unreadTokens+request.Tokens > c.limit {
-			return granted, now.Add(readTimeout)
-		}
-		if c.recentTokens > 0 && c.recentTokens+request.Tokens > c.limit {
-			return granted, c.recent[0].at.Add(c.window)
+		if c.burstTokens > 0 && c.burstTokens+request.Tokens > limit {
+			return granted, c.nextBurst(now)
 		}
 		c.queue = c.queue[1:]
+		if len(c.granted) == 0 {
+			c.busy = busyPeriod{since: now}
+		}
+		c.busy.tokens += request.Tokens
+		c.burstTokens += request.Tokens
 		c.unreadTokens += request.Tokens
-		c.recentTokens += request.Tokens
-		c.recent = append(c.recent, grant{tokens: request.Tokens, at: now})
-		c.granted[key{request.Node, request.ID}] = grant{tokens: request.Tokens, at: now}
+		c.granted[key{request.Node, request.ID}] = grant{tokens: request.Tokens, at: now, expiresAt: now.Add(c.readTimeout())}
 		granted = append(granted, request)
 	}
 	return granted, time.Time{}
 }
 
+// endBurst ends the burst when the engine has decoded without reading for the time of one event, so that no event spans
+// the prompts of two bursts.
+func (c *Core) endBurst(now time.Time) {
+	if len(c.granted) == 0 && now.Sub(c.idleSince) >= c.eventTime {
+		c.burstTokens = 0
+	}
+}
+
+// nextBurst returns when the next burst can begin if no message arrives before.
+func (c *Core) nextBurst(now time.Time) time.Time {
+	if len(c.granted) == 0 {
+		return c.idleSince.Add(c.eventTime)
+	}
+	next := now.Add(longestReadTimeout)
+	for _, g := range c.granted {
+		if g.expiresAt.Before(next) {
+			next = g.expiresAt
+		}
+	}
+	return next
+}
+
+// readTimeout returns how long the engine may take for all unread prompts before the latest one counts as read without a
+// message of its gateway.
+func (c *Core) readTimeout() time.Duration {
+	expected := time.Duration(float64(c.unreadTokens) / c.speed.tokensPerMs() * float64(time.Millisecond))
+	timeout := readTimeoutFactor*expected + readTimeoutMargin
+	for range c.timeouts {
+		if timeout *= 2; timeout >= longestReadTimeout {
+			return longestReadTimeout
+		}
+	}
+	return min(timeout, longestReadTimeout)
+}
+
 // expire drops the grants that left the window or timed out, and the requests that timed out.
 func (c *Core) expire(now time.Time) {
-	for len(c.recent) > 0 && now.Sub(c.recent[0].at) >= c.window {
-		c.recentTokens -= c.recent[0].tokens
-		c.recent = c.recent[1:]
-	}
 	for k, g := range c.granted {
-		if now.Sub(g.at) > readTimeout {
-			c.unreadTokens -= g.tokens
+		if !now.Before(g.expiresAt) {
 			delete(c.granted, k)
+			c.timeouts++
+			c.settle(now, g)
 		}
 	}
 	valid := c.queue[:0]
@@ -169,5 +238,5 @@
 	for _, request := range c.queue {
 		waiting += request.Tokens
 	}
-	return time.Duration(float64(c.window) * float64(waiting) / float64(c.limit))
+	return time.Duration(float64(waiting) / c.speed.tokensPerMs() * float64(time.Millisecond))
 }
