residency: Load nothing for requests that can't use it

A holder kept a demand for 350 ms after its last message, and didn't know how long its requests would wait.

Ruled out: a shorter wait for all.

Change: a demand says how long its requests still wait, and none is loaded that would arrive later. Each message lists all demand of its node, so what is not in it has ended; the end of a wait is reported at once.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -328,7 +328,7 @@
 		}
 		j.reason = reason
 		if target, possible := modelpick.LoadTarget(candidates, query, demand.server); possible {
-			demand.moveTo(j, target.ID)
+			demand.moveTo(j, target.ID, waitEnds)
 		}
 		if !now.Before(waitEnds) || reason == modelpick.ReasonNoServer {
 			j.inputs = obstacleFields(candidates)
@@ -398,13 +398,13 @@
 	stop   func()
 }
 
-func (d *loadDemand) moveTo(j *job, server string) {
+func (d *loadDemand) moveTo(j *job, server string, until time.Time) {
 	if d.server == server {
 		return
 	}
 	d.end()
 	d.server = server
-	d.stop = j.f.options.Usage.BeginWait(server, j.request.Adapter, j.route.Priority)
+	d.stop = j.f.options.Usage.BeginWait(server, j.request.Adapter, j.route.Priority, until)
 	j.f.options.Events.Emit(event.AdapterWanted, event.Fields{
 		"request": j.request.ID, "adapter": j.request.Adapter.String(), "server": server, "reason": j.reason,
 	})
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -33,6 +33,8 @@
 	Adapter  string `json:"a"`
 	Waiting  int    `json:"n"`
 	Priority int    `json:"p"`
+	// PatienceMs is the longest time that one of the requests still waits.
+	PatienceMs int64 `json:"t"`
 }
 
 type countEntry struct {
@@ -114,6 +116,7 @@
 	for adapter, demand := range usage.Wants {
 		entry.Demand = append(entry.Demand, demandEntry{
 			Adapter: adapter.String(), Waiting: demand.Waiting, Priority: demand.Priority,
+			PatienceMs: demand.Patience.Milliseconds(),
 		})
 	}
 	return entry
@@ -128,6 +131,7 @@
 	for _, demand := range u.Demand {
 		usage.Wants[serving.ParseAdapter(demand.Adapter)] = residency.AdapterDemand{
 			Waiting: demand.Waiting, Priority: demand.Priority,
+			Patience: time.Duration(demand.PatienceMs) * time.Millisecond,
 		}
 	}
 	return usage
--- a/internal/residency/core.go
+++ b/internal/residency/core.go
@@ -250,11 +250,11 @@
 	}, true
 }
 
-// mostUrgent returns the adapter with the most urgent demand among those that have no slot and whose base model is
-// loaded.
+// mostUrgent returns the adapter with the most urgent demand among those that have no slot, whose base model is loaded,
+// and whose requests still wait when the load ends.
 func (c *Core) mostUrgent(now time.Time) (serving.Adapter, demandEntry, bool) {
-	return c.demand.mostUrgent(now, func(adapter serving.Adapter) bool {
-		return c.slots[adapter] == nil && c.models[adapter.Model]
+	return c.demand.mostUrgent(now, func(adapter serving.Adapter, demand AdapterDemand) bool {
+		return c.slots[adapter] == nil && c.models[adapter.Model] && demand.Patience > c.expectedLoadTime(adapter)
 	})
 }
 
--- a/internal/residency/core_test.go
+++ b/internal/residency/core_test.go
@@ -130,7 +130,7 @@
 func demand(c *residency.Core, now time.Time, adapters ...serving.Adapter) {
 	byAdapter := map[serving.Adapter]residency.AdapterDemand{}
 	for _, a := range adapters {
-		byAdapter[a] = residency.AdapterDemand{Waiting: 1}
+		byAdapter[a] = residency.AdapterDemand{Waiting: 1, Patience: time.Second}
 	}
 	c.NoteUsage(now, residency.Usage{Node: "g", Wants: byAdapter})
 }
@@ -285,8 +285,27 @@
 	one := c.PlaceWait(now)
 	demand(c, now, adapter(3))
 	two := c.PlaceWait(now)
-	demand(c, now, adapter(4))
+	demand(c, now, adapter(3), adapter(4))
 	g.Expect(one).To(gomega.BeNumerically(">", 0))
 	g.Expect(two).To(gomega.Equal(2 * one))
 	g.Expect(c.PlaceWait(now)).To(gomega.Equal(3 * one))
 }
+
+// Guards against loads that no request uses: requests that have stopped waiting, and those that give up before the load
+// would end, get none.
+func TestDemandThatNoLoadCanServeIsIgnored(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s, c := newServer(2), residency.New(residency.Options{Engine: engine(2), Servers: 1})
+	now := drive(c, s, start, start.Add(time.Second), nil)
+	impatient := residency.AdapterDemand{Waiting: 1, Patience: 50 * time.Millisecond}
+	c.NoteUsage(now, residency.Usage{
+		Node: "a", Wants: map[serving.Adapter]residency.AdapterDemand{adapter(1): impatient},
+	})
+	demand(c, now, adapter(2))
+	demand(c, now)
+	now = drive(c, s, now, now.Add(time.Second), nil)
+	g.Expect(s.adapters).To(gomega.BeEmpty())
+	demand(c, now, adapter(3))
+	drive(c, s, now, now.Add(300*time.Millisecond), nil)
+	g.Expect(s.adapters).To(gomega.HaveKey(adapter(3)))
+}
--- a/internal/residency/demand.go
+++ b/internal/residency/demand.go
@@ -27,6 +27,8 @@
 	Waiting int
 	// Priority is the lowest rank among the waiting requests; 0 is the most urgent.
 	Priority int
+	// Patience is the longest time that one of the requests still waits.
+	Patience time.Duration
 }
 
 type demandEntry struct {
@@ -56,8 +58,13 @@
 	}
 }
 
-// record applies a gateway's message.
+// record applies a gateway's message, which lists all its demand.
 func (d *demand) record(now time.Time, usage Usage) {
+	for adapter, byNode := range d.pending {
+		if _, demanded := usage.Wants[adapter]; !demanded {
+			delete(byNode, usage.Node)
+		}
+	}
 	for adapter, latest := range usage.Wants {
 		byNode := d.pending[adapter]
 		if byNode == nil {
@@ -133,7 +140,7 @@
 // mostUrgent returns the eligible adapter with the most urgent demand: by rank, then by the age of the demand. It
 // deletes expired demand.
 func (d *demand) mostUrgent(
-	now time.Time, eligible func(serving.Adapter) bool,
+	now time.Time, eligible func(serving.Adapter, AdapterDemand) bool,
 ) (serving.Adapter, demandEntry, bool) {
 	var best serving.Adapter
 	var bestEntry demandEntry
@@ -144,7 +151,7 @@
 			delete(d.pending, adapter)
 			continue
 		}
-		if eligible(adapter) && (!found || moreUrgent(adapter, entry, best, bestEntry)) {
+		if eligible(adapter, entry.demand) && (!found || moreUrgent(adapter, entry, best, bestEntry)) {
 			best, bestEntry, found = adapter, entry, true
 		}
 	}
@@ -161,10 +168,12 @@
 		}
 		if !valid {
 			merged, valid = entry, true
+			merged.demand.Patience -= now.Sub(entry.at)
 			continue
 		}
 		merged.demand.Waiting += entry.demand.Waiting
 		merged.demand.Priority = min(merged.demand.Priority, entry.demand.Priority)
+		merged.demand.Patience = max(merged.demand.Patience, entry.demand.Patience-now.Sub(entry.at))
 		merged.firstAt = minTime(merged.firstAt, entry.firstAt)
 	}
 	return merged, valid
--- a/internal/residency/events.go
+++ b/internal/residency/events.go
@@ -150,16 +150,20 @@
 }
 
 func (c *Core) startLoad(now time.Time, order serving.Order) {
-	expected := coldLoadTime
-	if _, warm := c.evicted.At(order.Adapter); warm {
-		expected = warmLoadTime
-	}
+	expected := c.expectedLoadTime(order.Adapter)
 	if previous := c.slots[order.Adapter]; previous != nil && previous.state == present {
 		c.revision++
 	}
 	c.slots[order.Adapter] = &slot{state: loading, version: order.Version, changedAt: now, pollAt: now.Add(expected)}
 }
 
+func (c *Core) expectedLoadTime(adapter serving.Adapter) time.Duration {
+	if _, warm := c.evicted.At(adapter); warm {
+		return warmLoadTime
+	}
+	return coldLoadTime
+}
+
 func (c *Core) setPresent(s *slot, version int, now time.Time) {
 	s.state, s.version, s.changedAt = present, version, now
 	c.revision++
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -14,6 +14,16 @@
 // copyDemandLifetime is how long a demand for one more copy, which no request waits for, remains valid.
 const copyDemandLifetime = 150 * time.Millisecond
 
+// copyPatience is the time within which a copy is worth loading.
+const copyPatience = time.Second
+
+// wait is a request that waits for an adapter on a server.
+type wait struct {
+	priority int
+	// until is when the request gives up.
+	until time.Time
+}
+
 // target is an adapter on a server.
 type target struct {
 	server  string
@@ -24,8 +34,8 @@
 type Tracker struct {
 	node string
 	mu   sync.Mutex
-	// waiting counts the waiting requests by priority.
-	waiting map[target]map[int]int
+	// waiting holds the waiting requests.
+	waiting map[target]map[*wait]struct{}
 	// copyDemands holds the time of the latest demand for one more copy.
 	copyDemands map[target]time.Time
 	// running counts the requests in progress.
@@ -65,7 +75,7 @@
 // New returns a tracker for the node with the given name.
 func New(node string) *Tracker {
 	return &Tracker{
-		node: node, waiting: make(map[target]map[int]int), copyDemands: make(map[target]time.Time),
+		node: node, waiting: make(map[target]map[*wait]struct{}), copyDemands: make(map[target]time.Time),
 		running: make(map[target]int), sent: make(map[target]int), changed: make(map[string]bool),
 		recent: make(map[serving.Adapter]decay.Count), urgent: make(chan struct{}, 1),
 	}
@@ -82,26 +92,25 @@
 	}
 }
 
-// BeginWait records that a request of the given priority waits for an adapter on a server. The returned function ends
-// the wait.
-func (t *Tracker) BeginWait(server string, adapter serving.Adapter, priority int) (end func()) {
+// BeginWait records that a request of the given priority waits for an adapter on a server, until the given time at most.
+// The returned function ends the wait.
+func (t *Tracker) BeginWait(server string, adapter serving.Adapter, priority int, until time.Time) (end func()) {
 	key := target{server, adapter}
+	w := &wait{priority: priority, until: until}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.waiting[key] == nil {
-		t.waiting[key] = make(map[int]int)
+		t.waiting[key] = make(map[*wait]struct{})
 		t.signalUrgent()
 	}
-	t.waiting[key][priority]++
+	t.waiting[key][w] = struct{}{}
 	return func() {
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		t.waiting[key][priority]--
-		if t.waiting[key][priority] == 0 {
-			delete(t.waiting[key], priority)
-		}
+		delete(t.waiting[key], w)
 		if len(t.waiting[key]) == 0 {
 			delete(t.waiting, key)
+			t.markChanged(server)
 		}
 	}
 }
@@ -202,10 +211,12 @@
 			delete(t.copyDemands, key)
 			continue
 		}
-		c.usageOf(key.server).Wants[key.adapter] = residency.AdapterDemand{Priority: lowestPriority}
+		c.usageOf(key.server).Wants[key.adapter] = residency.AdapterDemand{
+			Priority: lowestPriority, Patience: copyPatience,
+		}
 	}
-	for key, byPriority := range t.waiting {
-		c.usageOf(key.server).Wants[key.adapter] = totalDemand(byPriority)
+	for key, waits := range t.waiting {
+		c.usageOf(key.server).Wants[key.adapter] = totalDemand(now, waits)
 	}
 	return c
 }
@@ -228,12 +239,13 @@
 // lowestPriority is the priority of a copy that no request waits for.
 const lowestPriority = 9
 
-// totalDemand returns the number of waiting requests and the most urgent of their priorities.
-func totalDemand(byPriority map[int]int) residency.AdapterDemand {
-	total := residency.AdapterDemand{Priority: lowestPriority}
-	for priority, count := range byPriority {
-		total.Waiting += count
-		total.Priority = min(total.Priority, priority)
+// totalDemand returns the number of waiting requests, the most urgent of their priorities and the longest time that one
+// of them still waits.
+func totalDemand(now time.Time, waits map[*wait]struct{}) residency.AdapterDemand {
+	total := residency.AdapterDemand{Priority: lowestPriority, Waiting: len(waits)}
+	for w := range waits {
+		total.Priority = min(total.Priority, w.priority)
+		total.Patience = max(total.Patience, w.until.Sub(now))
 	}
 	return total
 }
