serverlease: Begin the wait of a new holder anew only after a missed generation

Cause: a new holder's wait began anew with each generation of the group.

Ruled out: orders refused or lost; none were sent.

Change: the wait begins anew only when a generation was missed between two joins. A partition that somebody else held in between has changed hands twice, each time in a new generation. The property test (100,000 draws) holds; it had found the case for which the wait was made to begin anew.

--- a/internal/serverlease/serverlease.go
+++ b/internal/serverlease/serverlease.go
@@ -41,8 +41,7 @@
 type tenure struct {
 	// fence is the fencing token, the generation in which this node acquired the partition.
 	fence int64
-	// confirmAfter is the time after which a join must have confirmed the tenure, in an unchanged generation, before this
-	// node sends orders.
+	// confirmAfter is the time after which a join must have confirmed the tenure before this node sends orders.
 	confirmAfter time.Duration
 	confirmed    bool
 	// refused is true after a server refused the fencing token.
@@ -85,8 +84,10 @@
 	for _, partition := range membership.Partitions {
 		listed[partition] = true
 		t := c.tenures[partition]
-		changed := membership.Generation != c.generation
-		if t == nil || changed && (t.refused || !t.confirmed) {
+		reassigned := t != nil && t.refused && membership.Generation > c.generation
+		// A partition that another member held since the last join has changed hands twice, each time in a new generation.
+		missed := t != nil && !t.confirmed && membership.Generation > c.generation+1
+		if t == nil || reassigned || missed {
 			t = &tenure{fence: membership.Generation, confirmAfter: c.ordersFrom(partition, now)}
 			c.tenures[partition] = t
 			gained = append(gained, partition)
