modelpick: Refuse at once what no server can load for in time, by rank

Cause: requests waited 1.5 s (0.3 of their time) for a slot, also where the queue of every target was longer, and were then refused with the same time to come back for all. The published wait counted all waiting adapters, so an urgent request would have been refused because of less urgent ones.

Change: holders publish the adapters that wait for a slot by rank, the free slots and the mean time between two that become free. A request whose best target would take longer than it may wait is refused before it joins a queue, with that time as Retry-After.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -36,6 +36,15 @@
 	j.refuse(http.StatusServiceUnavailable, reason, busyRetryAfter)
 }
 
+// refuseOverloaded answers a request that would have to wait too long for a load. It may be retried after that time.
+func (j *job) refuseOverloaded(wait time.Duration) {
+	if j.attempts > 0 {
+		j.refuseOutcomeUnknown(http.StatusBadGateway, ReasonOverloaded)
+		return
+	}
+	j.refuse(http.StatusServiceUnavailable, ReasonOverloaded, max(wait, busyRetryAfter))
+}
+
 // refuse answers a request that has not run and will not run.
 func (j *job) refuse(status int, reason string, retryAfter time.Duration) {
 	if retryAfter > 0 {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -290,7 +290,7 @@
 func (j *job) query(minVersion int) modelpick.Query {
 	return modelpick.Query{
 		Adapter: j.request.Adapter, MinVersion: minVersion, Zone: j.f.options.Zone, Tried: j.tried,
-		MaxInFlight: j.maxInFlight(),
+		Priority: j.route.Priority, MaxInFlight: j.maxInFlight(),
 	}
 }
 
@@ -327,7 +327,12 @@
 			return chosen, j.expectedVersion(chosen, declared, minVersion), true
 		}
 		j.reason = reason
-		if target, possible := modelpick.LoadTarget(candidates, query, demand.server); possible {
+		if target, wait, possible := modelpick.LoadTarget(candidates, query, demand.server); possible {
+			if demand.server == "" && wait > waitEnds.Sub(now) {
+				j.inputs = obstacleFields(candidates)
+				j.refuseOverloaded(wait)
+				return chosen, 0, false
+			}
 			demand.moveTo(j, target.ID, waitEnds)
 		}
 		if !now.Before(waitEnds) || reason == modelpick.ReasonNoServer {
--- a/internal/forward/reasons.go
+++ b/internal/forward/reasons.go
@@ -9,6 +9,7 @@
 	ReasonTooLarge            = "the body is larger than allowed"
 	ReasonNoServer            = modelpick.ReasonNoServer
 	ReasonAllBusy             = modelpick.ReasonAllBusy
+	ReasonOverloaded          = "no server can load the adapter in time"
 	ReasonNotLoaded           = modelpick.ReasonNotLoaded
 	ReasonPrefillQueueTooLong = "the servers' prompts in line would take too long"
 	ReasonNoConnection        = "no connection to a server was obtained"
--- a/internal/modelpick/modelpick.go
+++ b/internal/modelpick/modelpick.go
@@ -58,6 +58,8 @@
 	Zone string
 	// Tried holds the servers that must not get the request again.
 	Tried map[string]bool
+	// Priority is the rank of the request, 0 the most urgent.
+	Priority int
 	// MaxInFlight bounds this node's requests to one server; 0 means no bound.
 	MaxInFlight int
 }
@@ -142,12 +144,18 @@
 // same few servers, whichever node needs it. Servers that can't load it or whose load is much higher than that of the
 // least loaded server are excluded. A request that waits already keeps its target, current, unless another one is much
 // faster; current is empty for other requests.
-func LoadTarget(candidates []serverview.Candidate, query Query, current string) (serverview.Candidate, bool) {
+//
+// wait estimates how long the request has to wait until it can be sent there.
+func LoadTarget(
+	candidates []serverview.Candidate, query Query, current string,
+) (target serverview.Candidate, wait time.Duration, found bool) {
 	return loadTarget(candidates, query, current, "")
 }
 
 // loadTarget is LoadTarget with a salt for the hash. A different salt leads to a different order of the servers.
-func loadTarget(candidates []serverview.Candidate, query Query, current, salt string) (serverview.Candidate, bool) {
+func loadTarget(
+	candidates []serverview.Candidate, query Query, current, salt string,
+) (target serverview.Candidate, wait time.Duration, found bool) {
 	eligible := filter(candidates, func(c serverview.Candidate) bool {
 		return obstacleOf(c) == none && !c.Present && query.usable(c)
 	})
@@ -162,7 +170,7 @@
 	var targets []loadOption
 	for i, c := range eligible {
 		if i < homes || c.Held || c.ID == current {
-			targets = append(targets, newLoadOption(c, i, current))
+			targets = append(targets, newLoadOption(c, i, query, current))
 		}
 	}
 	return fastest(targets)
@@ -174,8 +182,8 @@
 	wait   time.Duration
 }
 
-func newLoadOption(c serverview.Candidate, order int, current string) loadOption {
-	wait := c.PlaceWait + c.Backlog
+func newLoadOption(c serverview.Candidate, order int, query Query, current string) loadOption {
+	wait := c.SlotQueue.Wait(query.Priority) + c.Backlog
 	if c.Held {
 		wait += warmLoadTime
 	} else {
@@ -187,12 +195,12 @@
 	return loadOption{server: c, wait: wait}
 }
 
-func fastest(options []loadOption) (best serverview.Candidate, found bool) {
+func fastest(options []loadOption) (best serverview.Candidate, wait time.Duration, found bool) {
 	if len(options) == 0 {
-		return best, false
+		return best, 0, false
 	}
 	chosen := slices.MinFunc(options, func(a, b loadOption) int { return cmp.Compare(a.wait, b.wait) })
-	return chosen.server, true
+	return chosen.server, chosen.wait, true
 }
 
 // obstacle is a reason for which a server can't load an adapter.
@@ -235,7 +243,7 @@
 	var counts [full + 1]int
 	for _, c := range candidates {
 		reason := obstacleOf(c)
-		if reason == none && c.PlaceWait > 0 {
+		if reason == none && c.SlotQueue.Wait(serving.RankCount) > 0 {
 			reason = full
 		}
 		counts[reason]++
@@ -259,12 +267,13 @@
 		return serverview.Candidate{}, false
 	}
 	lessLoaded := filter(candidates, func(c serverview.Candidate) bool {
-		if c.PlaceWait > 0 {
+		if c.SlotQueue.Wait(query.Priority) > 0 {
 			return false
 		}
 		return load(c) < load(chosen)-copyGap || chosen.Backlog >= copyBacklog && c.Backlog < chosen.Backlog/2
 	})
-	return loadTarget(lessLoaded, query, "", chosen.ID)
+	target, _, found := loadTarget(lessLoaded, query, "", chosen.ID)
+	return target, found
 }
 
 func load(c serverview.Candidate) float64 { return float64(c.Load) / float64(max(c.Slots, 1)) }
--- a/internal/modelpick/modelpick_test.go
+++ b/internal/modelpick/modelpick_test.go
@@ -52,7 +52,7 @@
 			query.Tried[chosen.ID]) {
 			t.Fatalf("an ineligible server was chosen: %+v", chosen)
 		}
-		target, found := modelpick.LoadTarget(candidates, query, "")
+		target, _, found := modelpick.LoadTarget(candidates, query, "")
 		if found && (target.Leaving || target.Present || query.Tried[target.ID]) {
 			t.Fatalf("an ineligible load target was chosen: %+v", target)
 		}
@@ -71,8 +71,8 @@
 		for i := range nine {
 			nine[i] = withoutAdapter(fmt.Sprint("s", i))
 		}
-		before, _ := modelpick.LoadTarget(nine, query, "")
-		after, _ := modelpick.LoadTarget(nine[:8], query, "")
+		before, _, _ := modelpick.LoadTarget(nine, query, "")
+		after, _, _ := modelpick.LoadTarget(nine[:8], query, "")
 		if before.ID != after.ID {
 			g.Expect(before.ID).To(gomega.Equal("s8"))
 			moved++
@@ -90,7 +90,7 @@
 		query.Adapter.Name = fmt.Sprint("a", n)
 		candidates := []serverview.Candidate{withoutAdapter("s0"), withoutAdapter("s1"), withoutAdapter("s2")}
 		candidates[1].Held = true
-		target, found := modelpick.LoadTarget(candidates, query, "")
+		target, _, found := modelpick.LoadTarget(candidates, query, "")
 		g.Expect(found).To(gomega.BeTrue())
 		g.Expect(target.ID).To(gomega.Equal("s1"))
 	}
@@ -133,7 +133,7 @@
 func TestObstaclesAreCountedByTheirFirstReason(t *testing.T) {
 	g := gomega.NewWithT(t)
 	candidates := []serverview.Candidate{
-		{Leaving: true, Ejected: true}, {Ejected: true}, {}, {HolderAlive: true, PlaceWait: time.Second},
+		{Leaving: true, Ejected: true}, {Ejected: true}, {}, {HolderAlive: true, SlotQueue: serving.SlotQueue{OrdersIn: time.Second}},
 		{HolderAlive: true, Slots: 2, Load: 2}, {HolderAlive: true, Slots: 2},
 	}
 	g.Expect(modelpick.CountObstacles(candidates)).To(gomega.Equal(
@@ -182,22 +182,22 @@
 func TestWaitingRequestKeepsItsTarget(t *testing.T) {
 	g := gomega.NewWithT(t)
 	candidates := []serverview.Candidate{withoutAdapter("s0"), withoutAdapter("s1")}
-	first, _ := modelpick.LoadTarget(candidates, baseQuery, "")
+	first, _, _ := modelpick.LoadTarget(candidates, baseQuery, "")
 	for i := range candidates {
 		if candidates[i].ID == first.ID {
-			candidates[i].PlaceWait = 400 * time.Millisecond
+			candidates[i].SlotQueue.OrdersIn = 400 * time.Millisecond
 		}
 	}
-	other, _ := modelpick.LoadTarget(candidates, baseQuery, "")
+	other, _, _ := modelpick.LoadTarget(candidates, baseQuery, "")
 	g.Expect(other.ID).NotTo(gomega.Equal(first.ID))
-	kept, _ := modelpick.LoadTarget(candidates, baseQuery, first.ID)
+	kept, _, _ := modelpick.LoadTarget(candidates, baseQuery, first.ID)
 	g.Expect(kept.ID).To(gomega.Equal(first.ID))
 	for i := range candidates {
 		if candidates[i].ID == first.ID {
-			candidates[i].PlaceWait = 2 * time.Second
+			candidates[i].SlotQueue.OrdersIn = 2 * time.Second
 		}
 	}
-	moved, _ := modelpick.LoadTarget(candidates, baseQuery, first.ID)
+	moved, _, _ := modelpick.LoadTarget(candidates, baseQuery, first.ID)
 	g.Expect(moved.ID).To(gomega.Equal(other.ID))
 }
 
@@ -210,10 +210,10 @@
 			var candidates []serverview.Candidate
 			for i := range 12 {
 				c := withoutAdapter(fmt.Sprint("s", i))
-				c.PlaceWait = time.Duration(rapid.IntRange(0, 3000).Draw(t, "wait")) * time.Millisecond
+				c.SlotQueue.OrdersIn = time.Duration(rapid.IntRange(0, 3000).Draw(t, "wait")) * time.Millisecond
 				candidates = append(candidates, c)
 			}
-			target, found := modelpick.LoadTarget(candidates, baseQuery, "")
+			target, _, found := modelpick.LoadTarget(candidates, baseQuery, "")
 			if !found {
 				t.Fatal("no target")
 			}
@@ -224,3 +224,18 @@
 		}
 	})
 }
+
+// Guards against requests that wait out their time although no server can load their adapter before: the estimate of the
+// wait counts the adapters that are as urgent or more, so urgent requests aren't refused because of others.
+func TestWaitForASlotDependsOnTheRank(t *testing.T) {
+	g := gomega.NewWithT(t)
+	busy := withoutAdapter("s0")
+	busy.SlotQueue = serving.SlotQueue{Waiting: [serving.RankCount]int{0, 1, 6}, Turnover: 300 * time.Millisecond}
+	candidates := []serverview.Candidate{busy}
+	urgent, other := baseQuery, baseQuery
+	urgent.Priority, other.Priority = 0, 2
+	_, urgentWait, _ := modelpick.LoadTarget(candidates, urgent, "")
+	_, otherWait, _ := modelpick.LoadTarget(candidates, other, "")
+	g.Expect(urgentWait).To(gomega.BeNumerically("<", time.Second))
+	g.Expect(otherWait).To(gomega.BeNumerically(">", 8*300*time.Millisecond))
+}
--- a/internal/node/publications.go
+++ b/internal/node/publications.go
@@ -41,12 +41,13 @@
 // notifies the nodes whose requests wait for an adapter that has arrived.
 func (h *holder) publishLocal(fence int64) {
 	now := time.Now()
-	orderDelay := h.node.leases.orderDelay(h.server.ID)
+	ordersIn := h.node.leases.orderDelay(h.server.ID)
 	h.mu.Lock()
 	p := &h.publication
-	backlog, placeWait := h.gate.Backlog(), max(h.core.PlaceWait(now), orderDelay)
+	backlog, slots := h.gate.Backlog(), h.core.SlotQueue(now)
+	slots.OrdersIn = ordersIn
 	changed := h.core.Revision() != p.local.Revision || fence != p.local.Fence ||
-		(backlog-p.local.Backlog).Abs() >= waitStep || (placeWait-p.local.PlaceWait).Abs() >= waitStep
+		(backlog-p.local.Backlog).Abs() >= waitStep || slotWaitsDiffer(slots, p.local.Slots)
 	if !changed && now.Sub(p.localAt) < publishPeriod {
 		h.mu.Unlock()
 		return
@@ -54,7 +55,7 @@
 	snapshot := h.core.Snapshot(now)
 	state := serverview.Published{
 		Revision: snapshot.Revision, ServerID: h.server.ID, Born: h.server.Born, Holder: h.node.link.Address(),
-		Fence: fence, Sequence: p.local.Sequence + 1, Ready: snapshot.Ready, PlaceWait: placeWait,
+		Fence: fence, Sequence: p.local.Sequence + 1, Ready: snapshot.Ready, Slots: slots,
 		Adapters: snapshot.Adapters, Hot: snapshot.Hot, Waiting: snapshot.Waiting, Running: snapshot.Running,
 		Backlog: backlog,
 	}
@@ -69,6 +70,16 @@
 	}
 }
 
+// slotWaitsDiffer reports whether the estimated wait of any rank differs by waitStep or more.
+func slotWaitsDiffer(a, b serving.SlotQueue) bool {
+	for rank := range serving.RankCount {
+		if (a.Wait(rank) - b.Wait(rank)).Abs() >= waitStep {
+			return true
+		}
+	}
+	return false
+}
+
 // arrivals returns the messages to the nodes whose requests wait for an adapter version that is in after but not in
 // before. The caller holds h.mu.
 func (h *holder) arrivals(now time.Time, before, after map[serving.Adapter]int) *outbox {
@@ -95,7 +106,7 @@
 	p := &h.publication
 	state = p.local
 	changed := state.Revision != p.sent.Revision || state.Fence != p.sent.Fence || state.Ready != p.sent.Ready ||
-		(state.Backlog-p.sent.Backlog).Abs() >= waitStep || (state.PlaceWait-p.sent.PlaceWait).Abs() >= waitStep
+		(state.Backlog-p.sent.Backlog).Abs() >= waitStep || slotWaitsDiffer(state.Slots, p.sent.Slots)
 	if p.localAt.IsZero() || !changed && now.Sub(p.sentAt) < publishPeriod {
 		return state, false
 	}
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -48,10 +48,13 @@
 	Fence    int64  `json:"f"`
 	Sequence uint64 `json:"q"`
 	Ready    bool   `json:"ok,omitempty"`
-	// PlaceWaitMs estimates how long one more adapter would wait for a slot.
-	PlaceWaitMs int64          `json:"pw,omitempty"`
-	Adapters    map[string]int `json:"a,omitempty"`
-	Hot         string         `json:"h,omitempty"`
+	// FreeSlots, SlotWaiting, TurnoverMs and OrdersInMs are the fields of serving.SlotQueue.
+	FreeSlots   int                    `json:"fs,omitempty"`
+	SlotWaiting [serving.RankCount]int `json:"sw"`
+	TurnoverMs  int64                  `json:"tv,omitempty"`
+	OrdersInMs  int64                  `json:"oi,omitempty"`
+	Adapters    map[string]int         `json:"a,omitempty"`
+	Hot         string                 `json:"h,omitempty"`
 	// Kind, Revision, Base and Removed have the meaning of the fields of serverview.Published.
 	Kind     uint8    `json:"kd,omitempty"`
 	Revision uint64   `json:"rv"`
@@ -157,7 +160,8 @@
 func (m *Message) AddState(state serverview.Published) {
 	entry := stateEntry{
 		ServerID: state.ServerID, Born: state.Born, Fence: state.Fence, Sequence: state.Sequence, Ready: state.Ready,
-		PlaceWaitMs: state.PlaceWait.Milliseconds(), Adapters: encodeVersions(state.Adapters), Hot: state.Hot.String(),
+		FreeSlots: state.Slots.Free, SlotWaiting: state.Slots.Waiting, TurnoverMs: state.Slots.Turnover.Milliseconds(),
+		OrdersInMs: state.Slots.OrdersIn.Milliseconds(), Adapters: encodeVersions(state.Adapters), Hot: state.Hot.String(),
 		Kind: uint8(state.Kind), Revision: state.Revision, Base: state.Base,
 		Waiting: state.Waiting, Running: state.Running, BacklogMs: state.Backlog.Milliseconds(),
 	}
@@ -174,7 +178,11 @@
 		state := serverview.Published{
 			Kind: serverview.PublicationKind(s.Kind), Revision: s.Revision, Base: s.Base,
 			ServerID: s.ServerID, Born: s.Born, Holder: m.From, Fence: s.Fence, Sequence: s.Sequence, Ready: s.Ready,
-			PlaceWait: time.Duration(s.PlaceWaitMs) * time.Millisecond, Adapters: decodeVersions(s.Adapters), Hot: serving.ParseAdapter(s.Hot),
+			Slots: serving.SlotQueue{
+				Free: s.FreeSlots, Waiting: s.SlotWaiting, Turnover: time.Duration(s.TurnoverMs) * time.Millisecond,
+				OrdersIn: time.Duration(s.OrdersInMs) * time.Millisecond,
+			},
+			Adapters: decodeVersions(s.Adapters), Hot: serving.ParseAdapter(s.Hot),
 			Waiting: s.Waiting, Running: s.Running,
 			Backlog: time.Duration(s.BacklogMs) * time.Millisecond,
 		}
--- a/internal/peerlink/peerlink_test.go
+++ b/internal/peerlink/peerlink_test.go
@@ -28,7 +28,11 @@
 			Removed:  rapid.SliceOfN(adapterGenerator, 1, 3).Draw(t, "removed"),
 			ServerID: rapid.String().Draw(t, "server"), Born: rapid.Int64().Draw(t, "born"),
 			Fence: rapid.Int64().Draw(t, "fence"), Sequence: rapid.Uint64().Draw(t, "sequence"),
-			Ready: rapid.Bool().Draw(t, "ready"), PlaceWait: time.Duration(rapid.IntRange(0, 5000).Draw(t, "slot wait")) * time.Millisecond,
+			Ready: rapid.Bool().Draw(t, "ready"), Slots: serving.SlotQueue{
+				Free: rapid.IntRange(-3, 9).Draw(t, "free"), Waiting: [serving.RankCount]int{1, 2, 3, rapid.IntRange(0, 9).Draw(t, "slot queue")},
+				Turnover: time.Duration(rapid.IntRange(0, 5000).Draw(t, "turnover")) * time.Millisecond,
+				OrdersIn: time.Duration(rapid.IntRange(0, 5000).Draw(t, "orders in")) * time.Millisecond,
+			},
 			Adapters: rapid.MapOfN(adapterGenerator, rapid.IntRange(0, 9), 0, 3).Draw(t, "adapters"),
 			Hot:      adapterGenerator.Draw(t, "hot"),
 			Waiting:  rapid.IntRange(0, 99).Draw(t, "waiting"), Running: rapid.IntRange(0, 99).Draw(t, "running"),
--- a/internal/residency/core_test.go
+++ b/internal/residency/core_test.go
@@ -166,7 +166,7 @@
 		now = drive(c, s, now, now.Add(100*time.Millisecond), nil)
 	}
 	g.Expect(s.evicted).To(gomega.BeEmpty())
-	g.Expect(c.PlaceWait(now)).To(gomega.BeNumerically(">", 0))
+	g.Expect(c.SlotQueue(now).Wait(0)).To(gomega.BeNumerically(">", 0))
 
 	c.NoteUsage(now, residency.Usage{Node: "a", Running: map[serving.Adapter]int{adapter(2): 1}})
 	demand(c, now, adapter(3))
@@ -280,15 +280,15 @@
 	s, c := newServer(2), residency.New(residency.Options{Engine: engine(2), Servers: 1})
 	s.adapters[adapter(1)], s.adapters[adapter(2)] = 1, 1
 	now := drive(c, s, start, start.Add(time.Second), nil)
-	g.Expect(c.PlaceWait(now)).To(gomega.BeZero())
+	g.Expect(c.SlotQueue(now).Wait(0)).To(gomega.BeZero())
 	c.NoteUsage(now, residency.Usage{Node: "a", Running: map[serving.Adapter]int{adapter(1): 1, adapter(2): 1}})
-	one := c.PlaceWait(now)
+	one := c.SlotQueue(now).Wait(0)
 	demand(c, now, adapter(3))
-	two := c.PlaceWait(now)
+	two := c.SlotQueue(now).Wait(0)
 	demand(c, now, adapter(3), adapter(4))
 	g.Expect(one).To(gomega.BeNumerically(">", 0))
 	g.Expect(two).To(gomega.Equal(2 * one))
-	g.Expect(c.PlaceWait(now)).To(gomega.Equal(3 * one))
+	g.Expect(c.SlotQueue(now).Wait(0)).To(gomega.Equal(3 * one))
 }
 
 // Guards against loads that no request uses: requests that have stopped waiting, and those that give up before the load
--- a/internal/residency/turnover.go
+++ b/internal/residency/turnover.go
@@ -1,6 +1,10 @@
 package residency
 
-import "time"
+import (
+	"time"
+
+	"waxwingcleat.example/waxwingcleat/internal/serving"
+)
 
 const (
 	// initialTurnover is assumed until slots have been observed to become free.
@@ -33,22 +37,20 @@
 	return t.mean
 }
 
-// PlaceWait estimates how long one more adapter would wait for a slot: as long as it takes until enough slots have become
-// free for the adapters that wait already and for this one.
-func (c *Core) PlaceWait(now time.Time) time.Duration {
-	available := c.options.Engine.AdapterSlots - len(c.slots)
+// SlotQueue returns the server's slots and the adapters that wait for one.
+func (c *Core) SlotQueue(now time.Time) serving.SlotQueue {
+	queue := serving.SlotQueue{
+		Free: c.options.Engine.AdapterSlots - len(c.slots), Turnover: c.turnover.interval(),
+	}
 	for adapter, s := range c.slots {
 		if c.evictable(now, adapter, s) {
-			available++
+			queue.Free++
 		}
 	}
 	for adapter, byNode := range c.demand.pending {
-		if _, valid := merge(now, byNode); valid && c.slots[adapter] == nil {
-			available--
+		if entry, valid := merge(now, byNode); valid && c.slots[adapter] == nil {
+			queue.Waiting[queue.Rank(entry.demand.Priority)]++
 		}
 	}
-	if available > 0 {
-		return 0
-	}
-	return time.Duration(1-available) * c.turnover.interval()
+	return queue
 }
--- a/internal/serverview/candidates.go
+++ b/internal/serverview/candidates.go
@@ -31,8 +31,8 @@
 	Age time.Duration
 	// HolderAlive is true when the holder published within holderSilentAfter and the server has its base models.
 	HolderAlive bool
-	// PlaceWait estimates how long one more adapter would wait for a slot on the server.
-	PlaceWait time.Duration
+	// SlotQueue describes the adapter slots and the adapters that wait for one.
+	SlotQueue serving.SlotQueue
 	// Version is the version of the requested adapter that is present; Present distinguishes version 0 from none.
 	Present bool
 	Version int
@@ -64,7 +64,7 @@
 		ID: s.entry.ID, Address: s.entry.Address, Zone: s.entry.Zone, Slots: s.entry.Slots, Leaving: s.leaving,
 		Ejected:     now.Before(s.ejectedUntil) || s.stalled(now) || holderCannotReach,
 		FailureRate: s.failureRate, InFlight: s.inFlight, Age: now.Sub(s.publishedAt),
-		HolderAlive: now.Sub(s.publishedAt) < holderSilentAfter && s.published.Ready, PlaceWait: s.published.PlaceWait,
+		HolderAlive: now.Sub(s.publishedAt) < holderSilentAfter && s.published.Ready, SlotQueue: s.published.Slots,
 	}
 	c.Connected = s.inFlight == 0 && !s.lastRequestAt.IsZero() && now.Sub(s.lastRequestAt) < idleConnectionLifetime
 	c.Load = s.inFlight
--- a/internal/serverview/published.go
+++ b/internal/serverview/published.go
@@ -37,9 +37,9 @@
 	Sequence uint64
 	// Ready is true when the server answers and holds its base models.
 	Ready bool
-	// PlaceWait estimates how long one more adapter would wait for a slot.
-	PlaceWait time.Duration
-	Adapters  map[serving.Adapter]int
+	// Slots describes the adapter slots and the adapters that wait for one.
+	Slots    serving.SlotQueue
+	Adapters map[serving.Adapter]int
 	// Hot is the server's most used adapter over all nodes, if it has a large share of the uses; else zero.
 	Hot     serving.Adapter
 	Waiting int
