modelpick: Hash each candidate once

Cause: the order of the servers was sorted with two hashes and two strings a comparison, for each waiting request at each publication. Also found in the reading: a field of grants that nothing read, two comments of the sliding window, and a field of publications that is sent although it is empty. Behaviour is unchanged.

--- a/internal/modelpick/modelpick.go
+++ b/internal/modelpick/modelpick.go
@@ -7,7 +7,6 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-	"sort"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -164,11 +163,8 @@
 		least = math.Min(least, load(c))
 	}
 	eligible = filter(eligible, func(c serverview.Candidate) bool { return load(c) <= least+loadTargetSpread })
-	sort.SliceStable(eligible, func(i, j int) bool {
-		return rendezvous(eligible[i].ID+salt, query.Adapter) > rendezvous(eligible[j].ID+salt, query.Adapter)
-	})
 	var targets []loadOption
-	for i, c := range eligible {
+	for i, c := range byRendezvous(eligible, query.Adapter, salt) {
 		if i < homes || c.Held || c.ID == current {
 			targets = append(targets, newLoadOption(c, i, query, current))
 		}
@@ -176,6 +172,17 @@
 	return fastest(targets)
 }
 
+// byRendezvous returns the candidates in the order of their rendezvous hashes, the highest first.
+func byRendezvous(candidates []serverview.Candidate, adapter serving.Adapter, salt string) []serverview.Candidate {
+	hashes := make(map[string]float64, len(candidates))
+	for _, c := range candidates {
+		hashes[c.ID] = rendezvous(c.ID+salt, adapter)
+	}
+	return slices.SortedStableFunc(slices.Values(candidates), func(a, b serverview.Candidate) int {
+		return cmp.Compare(hashes[b.ID], hashes[a.ID])
+	})
+}
+
 // loadOption is a server that may load an adapter, and the estimated time until it can serve it.
 type loadOption struct {
 	server serverview.Candidate
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -50,7 +50,7 @@
 	Ready    bool   `json:"ok,omitempty"`
 	// FreeSlots, SlotWaiting, TurnoverMs and OrdersInMs are the fields of serving.SlotQueue.
 	FreeSlots   int                    `json:"fs,omitempty"`
-	SlotWaiting [serving.RankCount]int `json:"sw"`
+	SlotWaiting [serving.RankCount]int `json:"sw,omitzero"`
 	TurnoverMs  int64                  `json:"tv,omitempty"`
 	OrdersInMs  int64                  `json:"oi,omitempty"`
 	Adapters    map[string]int         `json:"a,omitempty"`
--- a/internal/prefillgate/prefillgate.go
+++ b/internal/prefillgate/prefillgate.go
@@ -53,7 +53,6 @@
 
 type grant struct {
 	tokens int
-	at     time.Time
 	// expiresAt is when the prompt counts as read without a message.
 	expiresAt time.Time
 }
@@ -78,7 +77,7 @@
 	timeouts int
 }
 
-// New returns a gate that admits within MaxPause as many tokens as the engine reads in pauseShare of it.
+// New returns a gate for an engine of unknown speed.
 func New(options Options) *Core {
 	return &Core{
 		options: options, speed: newSpeedEstimate(), granted: make(map[key]grant), eventTime: initialEventTime,
@@ -91,7 +90,8 @@
 // SetEventTime sets the time of the decoding steps of one event, as observed between the events of running streams.
 func (c *Core) SetEventTime(eventTime time.Duration) { c.eventTime = eventTime }
 
-// limit bounds the tokens of one burst. A prompt above the limit is granted alone.
+// limit bounds the tokens of one burst, which are the prompts granted until the engine decodes the tokens of one event
+// without reading. A prompt above the limit is granted alone.
 func (c *Core) limit() int {
 	pause := float64(c.options.MaxPause-c.eventTime) / float64(time.Millisecond)
 	return int(burstShare * c.speed.tokensPerMs() * max(pause, 0))
@@ -173,7 +173,7 @@
 		c.busy.tokens += request.Tokens
 		c.burstTokens += request.Tokens
 		c.unreadTokens += request.Tokens
-		c.granted[key{request.Node, request.ID}] = grant{tokens: request.Tokens, at: now, expiresAt: now.Add(c.readTimeout())}
+		c.granted[key{request.Node, request.ID}] = grant{tokens: request.Tokens, expiresAt: now.Add(c.readTimeout())}
 		granted = append(granted, request)
 	}
 	return granted, time.Time{}
@@ -214,7 +214,7 @@
 	return min(timeout, longestReadTimeout)
 }
 
-// expire drops the grants that left the window or timed out, and the requests that timed out.
+// expire ends the grants and drops the queued requests that timed out.
 func (c *Core) expire(now time.Time) {
 	for k, g := range c.granted {
 		if !now.Before(g.expiresAt) {
