--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -85,7 +85,7 @@
 		return "the node had no configuration yet", l.storeEvents(final)
 	case reason == forward.ReasonNoServer:
 		return l.noUsableServer(final)
-	case reason == forward.ReasonNotLoaded:
+	case reason == forward.ReasonNotLoaded || reason == forward.ReasonOverloaded:
 		return l.notLoaded(final)
 	case reason == forward.ReasonPrefillQueueTooLong || reason == forward.ReasonAllBusy ||
 		reason == forward.ReasonWaitedTooLong:
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -96,6 +96,16 @@
 		"0 were leaving, 2 ejected after failures, 5 without a holder and 1 full"))
 }
 
+// Guards against a missing cause for a request that was refused at once because every server was full.
+func TestRefusalAtOnceNamesTheObstacles(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var l logBuilder
+	l.add(1300, event.RequestRefused, refusal("r1", forward.ReasonOverloaded,
+		`,"adapter":"m/a","servers":9,"leftAlone":0,"withoutHolder":1,"full":8`))
+	g.Expect(l.explain(g, "r1").Cause).To(gomega.Equal("most servers could not load the adapter: of 9, " +
+		"0 were leaving, 0 ejected after failures, 1 without a holder and 8 full"))
+}
+
 // Guards against a made-up cause when the log doesn't show any.
 func TestUnknownCauseIsEmpty(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -330,6 +330,7 @@
 		if target, wait, possible := modelpick.LoadTarget(candidates, query, demand.server); possible {
 			if demand.server == "" && wait > waitEnds.Sub(now) {
 				j.inputs = obstacleFields(candidates)
+				j.inputs["loadWaitMs"] = wait.Milliseconds()
 				j.refuseOverloaded(wait)
 				return chosen, 0, false
 			}
