--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -28,21 +28,15 @@
 
 // refuseUnserved answers a request that no server is processing any more. The answer says that the request has not run,
 // unless an earlier send may have run it.
-func (j *job) refuseUnserved(reason string) {
-	if j.attempts > 0 {
-		j.refuseOutcomeUnknown(http.StatusBadGateway, reason)
-		return
-	}
-	j.refuse(http.StatusServiceUnavailable, reason, busyRetryAfter)
-}
+func (j *job) refuseUnserved(reason string) { j.refuseUnservedFor(reason, busyRetryAfter) }
 
-// refuseOverloaded answers a request that would have to wait too long for a load. It may be retried after that time.
-func (j *job) refuseOverloaded(wait time.Duration) {
+// refuseUnservedFor is refuseUnserved with the time after which the request may be retried.
+func (j *job) refuseUnservedFor(reason string, retryAfter time.Duration) {
 	if j.attempts > 0 {
-		j.refuseOutcomeUnknown(http.StatusBadGateway, ReasonOverloaded)
+		j.refuseOutcomeUnknown(http.StatusBadGateway, reason)
 		return
 	}
-	j.refuse(http.StatusServiceUnavailable, ReasonOverloaded, max(wait, busyRetryAfter))
+	j.refuse(http.StatusServiceUnavailable, reason, retryAfter)
 }
 
 // refuse answers a request that has not run and will not run.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -331,7 +331,7 @@
 			if demand.server == "" && wait > waitEnds.Sub(now) {
 				j.inputs = obstacleFields(candidates)
 				j.inputs["loadWaitMs"] = wait.Milliseconds()
-				j.refuseOverloaded(wait)
+				j.refuseUnservedFor(ReasonOverloaded, max(wait, busyRetryAfter))
 				return chosen, 0, false
 			}
 			demand.moveTo(j, target.ID, waitEnds)
--- a/internal/modelpick/modelpick.go
+++ b/internal/modelpick/modelpick.go
@@ -126,7 +126,7 @@
 	return chosen, true, ""
 }
 
-// Estimated times of loads, for the choice between servers.
+// Estimated times of loads, from the demand to the notice of arrival, and costs for the choice between servers.
 const (
 	coldLoadTime = 270 * time.Millisecond
 	warmLoadTime = 30 * time.Millisecond
@@ -163,13 +163,15 @@
 		least = math.Min(least, load(c))
 	}
 	eligible = filter(eligible, func(c serverview.Candidate) bool { return load(c) <= least+loadTargetSpread })
-	var targets []loadOption
 	for i, c := range byRendezvous(eligible, query.Adapter, salt) {
-		if i < homes || c.Held || c.ID == current {
-			targets = append(targets, newLoadOption(c, i, query, current))
+		if i >= homes && !c.Held && c.ID != current {
+			continue
+		}
+		if w := loadWait(c, i, query, current); !found || w < wait {
+			target, wait, found = c, w, true
 		}
 	}
-	return fastest(targets)
+	return target, wait, found
 }
 
 // byRendezvous returns the candidates in the order of their rendezvous hashes, the highest first.
@@ -183,13 +185,9 @@
 	})
 }
 
-// loadOption is a server that may load an adapter, and the estimated time until it can serve it.
-type loadOption struct {
-	server serverview.Candidate
-	wait   time.Duration
-}
-
-func newLoadOption(c serverview.Candidate, order int, query Query, current string) loadOption {
+// loadWait estimates how long it takes until a server can serve an adapter that it has to load, for the choice between
+// servers. order is the server's position by rendezvous hashing.
+func loadWait(c serverview.Candidate, order int, query Query, current string) time.Duration {
 	wait := c.SlotQueue.Wait(query.Priority) + c.Backlog
 	if c.Held {
 		wait += warmLoadTime
@@ -199,15 +197,7 @@
 	if c.ID == current {
 		wait -= moveGain
 	}
-	return loadOption{server: c, wait: wait}
-}
-
-func fastest(options []loadOption) (best serverview.Candidate, wait time.Duration, found bool) {
-	if len(options) == 0 {
-		return best, 0, false
-	}
-	chosen := slices.MinFunc(options, func(a, b loadOption) int { return cmp.Compare(a.wait, b.wait) })
-	return chosen.server, chosen.wait, true
+	return wait
 }
 
 // obstacle is a reason for which a server can't load an adapter.
--- a/internal/node/holders.go
+++ b/internal/node/holders.go
@@ -132,9 +132,9 @@
 func (h *holder) run(ctx context.Context, options residency.Options) {
 	defer close(h.done)
 	for ctx.Err() == nil {
-		fence, _ := h.node.leases.holds(h.server.ID)
+		fence, mayOrder := h.node.leases.mayOrder(h.server.ID)
 		h.mu.Lock()
-		action := h.core.Next(time.Now(), h.node.leases.mayOrder(h.server.ID))
+		action := h.core.Next(time.Now(), mayOrder)
 		h.mu.Unlock()
 		switch action.Kind {
 		case residency.Report:
--- a/internal/node/leases.go
+++ b/internal/node/leases.go
@@ -64,11 +64,13 @@
 	return 0
 }
 
-// mayOrder reports whether this node may send orders to a server now.
-func (l *leases) mayOrder(serverID string) bool {
+// mayOrder returns the fencing token for orders to a server, and whether this node may send any now.
+func (l *leases) mayOrder(serverID string) (fence int64, may bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.core.MayOrder(bootTime(), serverID)
+	now := bootTime()
+	fence, _ = l.core.Holds(now, serverID)
+	return fence, l.core.MayOrder(now, serverID)
 }
 
 // untilConfirmation returns the time until the next join can allow orders to newly assigned servers.
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -193,7 +193,7 @@
 	defer t.mu.Unlock()
 	c := t.collectDemand(now)
 	for server := range t.changed {
-		c.byServer[server] = c.usageOf(server)
+		c.usageOf(server)
 	}
 	clear(t.changed)
 	t.addRequests(c, func(server string) bool {
