forward: Log how an answer is delimited and whether a stream ended between events

The log could not tell a connection that ended in the middle of an answer without a length from a server that ended its message itself (hypotheses 1 and 2 of docs/incidents/truncated-answers.md). Lines 800 now have the answer's delimiter and, for streams, endedBetweenEvents; broken streams have the latency fields too.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -267,7 +267,7 @@
 		j.copyHeader(answer)
 		j.w.WriteHeader(answer.StatusCode)
 		j.forwardUnbuffered(io.MultiReader(bytes.NewReader(body), answer.Body))
-		j.logAnswer(candidate, answer.StatusCode, "passed on as it arrived")
+		j.logAnswer(candidate, answer.StatusCode, "passed on as it arrived", delimiterField(answer))
 		return true
 	}
 	if err != nil && j.ctx.Err() != nil {
@@ -284,10 +284,14 @@
 	j.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	j.w.WriteHeader(answer.StatusCode)
 	_, err = j.w.Write(body)
-	j.logAnswer(candidate, answer.StatusCode, outcomeOf(err))
+	j.logAnswer(candidate, answer.StatusCode, outcomeOf(err), delimiterField(answer))
 	return true
 }
 
+func delimiterField(answer *http.Response) event.Fields {
+	return event.Fields{"delimiter": upstream.DelimiterOf(answer)}
+}
+
 func outcomeOf(err error) string {
 	if err != nil {
 		return ReasonCallerLeft
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -11,6 +11,7 @@
 	"waxwingcleat.example/waxwingcleat/internal/event"
 	"waxwingcleat.example/waxwingcleat/internal/serverview"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
+	"waxwingcleat.example/waxwingcleat/internal/upstream"
 )
 
 // streamBuffer is the size of the read buffer of a stream.
@@ -28,6 +29,7 @@
 	j.w.WriteHeader(answer.StatusCode)
 	s := &stream{
 		w: j.w, flush: http.NewResponseController(j.w).Flush, resumable: j.route.Resumable, lastID: j.request.LastEventID,
+		delimiter: upstream.DelimiterOf(answer),
 	}
 	if j.releaseGate != nil {
 		s.onFirstData = func() { j.releaseGate(true) }
@@ -45,7 +47,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	j.f.options.View.Succeeded(candidate.ID)
-	j.logAnswer(candidate, answer.StatusCode, "stream complete", s.times(j.arrived))
+	j.logAnswer(candidate, answer.StatusCode, "stream complete", s.fields(j.arrived))
 	return true
 }
 
@@ -59,7 +61,7 @@
 	default:
 		j.f.recordFailure(time.Now(), candidate.ID)
 	}
-	j.log(event.RequestAnswered, reason, err)
+	j.log(event.RequestAnswered, reason, err, s.fields(j.arrived))
 }
 
 // resumable reports whether a broken stream may be resumed at another server.
@@ -91,6 +93,7 @@
 		return candidate, err
 	}
 	defer answer.Body.Close()
+	s.delimiter = upstream.DelimiterOf(answer)
 	info := j.f.options.Wire.DecodeAnswer(answer)
 	if answer.StatusCode != http.StatusOK || !info.HasDigest || info.RequestID != "" && info.RequestID != j.request.ID {
 		return candidate, errNotResumed
@@ -113,6 +116,9 @@
 	lastID string
 	// partial is the received part of an incomplete event.
 	partial []byte
+	// delimiter is how the latest answer's body is delimited, tail holds the last bytes received of it.
+	delimiter upstream.Delimiter
+	tail      []byte
 	// callerErr is the error of a write to the caller.
 	callerErr error
 	// onGap is called with the time between two arrivals.
@@ -144,12 +150,13 @@
 
 // copy forwards body until it ends. It returns nil if the body is complete.
 func (s *stream) copy(body io.Reader) error {
-	s.partial = s.partial[:0]
+	s.partial, s.tail = s.partial[:0], s.tail[:0]
 	buffer := make([]byte, streamBuffer)
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
 			s.recordArrival(time.Now())
+			s.tail = lastBytes(s.tail, buffer[:n])
 			if err := s.forward(buffer[:n]); err != nil {
 				s.callerErr = err
 				return err
@@ -197,11 +204,14 @@
 	return s.flush()
 }
 
-// times returns the log fields that show whether the stream met its latency objectives.
-func (s *stream) times(arrived time.Time) event.Fields {
-	return event.Fields{
-		"firstMs": s.firstAt.Sub(arrived).Milliseconds(), "longestPauseMs": s.longestPause.Milliseconds(),
+// fields returns the log fields that show whether the stream met its latency objectives, and how it ended.
+func (s *stream) fields(arrived time.Time) event.Fields {
+	fields := event.Fields{"delimiter": s.delimiter, "endedBetweenEvents": endsWithBlankLine(s.tail)}
+	if !s.firstAt.IsZero() {
+		fields["firstMs"] = s.firstAt.Sub(arrived).Milliseconds()
+		fields["longestPauseMs"] = s.longestPause.Milliseconds()
 	}
+	return fields
 }
 
 // updateLastID records the ID of the last event among complete ones.
