upstream: Don't take the end of a connection for the end of an answer

Cause: an answer with neither Content-Length nor chunks ends with its connection, and net/http reports that as a regular end of the body, also when the connection was closed by a crash. Both data paths then ended their own message regularly: forward its chunked stream, after forwarding the partial event too, relay the buffered answer with a Content-Length. The class of fault: a signal of the transport stands for a statement of the server.

Change: upstream.VerifyEnd makes the content decide where the transport can't. A stream of events that ends inside an event is truncated however its end is marked, one that ends with its connection needs an event, and JSON that ends with its connection has to be valid. Everything that handled a break before (abort, resume without the partial event, 502 or a second try of idempotent requests) now handles these. Other content can't be verified; HTTP defines it as complete.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -137,9 +137,18 @@
 	if err != nil {
 		return nil, trace.Written(), failure.Wrap(err, failure.Unavailable, "send request", candidate.Address)
 	}
+	upstream.VerifyEnd(answer, j.expectedType(answer.StatusCode))
 	return answer, true, nil
 }
 
+// expectedType returns the media type of an answer that has no Content-Type, or "" if it can be any.
+func (j *job) expectedType(status int) string {
+	if j.route.Kind == serving.Stream && status < http.StatusMultipleChoices {
+		return upstream.EventStream
+	}
+	return ""
+}
+
 // sendFailed handles a send that got no answer.
 func (j *job) sendFailed(now time.Time, candidate serverview.Candidate, written bool, err error) (done bool) {
 	if j.ctx.Err() != nil {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -116,9 +116,8 @@
 	lastID string
 	// partial is the received part of an incomplete event.
 	partial []byte
-	// delimiter is how the latest answer's body is delimited, tail holds the last bytes received of it.
+	// delimiter is how the body of the latest answer is delimited.
 	delimiter upstream.Delimiter
-	tail      []byte
 	// callerErr is the error of a write to the caller.
 	callerErr error
 	// onGap is called with the time between two arrivals.
@@ -150,13 +149,12 @@
 
 // copy forwards body until it ends. It returns nil if the body is complete.
 func (s *stream) copy(body io.Reader) error {
-	s.partial, s.tail = s.partial[:0], s.tail[:0]
+	s.partial = s.partial[:0]
 	buffer := make([]byte, streamBuffer)
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
 			s.recordArrival(time.Now())
-			s.tail = lastBytes(s.tail, buffer[:n])
 			if err := s.forward(buffer[:n]); err != nil {
 				s.callerErr = err
 				return err
@@ -204,9 +202,9 @@
 	return s.flush()
 }
 
-// fields returns the log fields that show whether the stream met its latency objectives, and how it ended.
+// fields returns the log fields that show whether the stream met its latency objectives, and how its end was marked.
 func (s *stream) fields(arrived time.Time) event.Fields {
-	fields := event.Fields{"delimiter": s.delimiter, "endedBetweenEvents": endsWithBlankLine(s.tail)}
+	fields := event.Fields{"delimiter": s.delimiter}
 	if !s.firstAt.IsZero() {
 		fields["firstMs"] = s.firstAt.Sub(arrived).Milliseconds()
 		fields["longestPauseMs"] = s.longestPause.Milliseconds()
--- a/internal/gateway/response_writer.go
+++ b/internal/gateway/response_writer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"waxwingcleat.example/waxwingcleat/internal/relay"
+	"waxwingcleat.example/waxwingcleat/internal/upstream"
 )
 
 // responseWriter writes the answer to one caller. It implements relay.Sink.
@@ -21,7 +22,7 @@
 func (rw *responseWriter) Write(event []byte) error {
 	if !rw.headerSent {
 		rw.headerSent = true
-		rw.w.Header().Set("Content-Type", "text/event-stream")
+		rw.w.Header().Set("Content-Type", upstream.EventStream)
 		rw.w.Header().Set("Cache-Control", "no-store")
 		rw.w.WriteHeader(http.StatusOK)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -183,6 +183,7 @@
 	}
 	response, err := transport.RoundTrip(httpRequest)
 	if err == nil {
+		upstream.VerifyEnd(response, "")
 		return response, Result{}
 	}
 	code := failure.Unavailable
@@ -241,7 +242,7 @@
 	if err != nil {
 		return nil, err
 	}
-	resume.Header.Set("Accept", "text/event-stream")
+	resume.Header.Set("Accept", upstream.EventStream)
 	if last >= 0 {
 		resume.Header.Set("Last-Event-ID", strconv.FormatInt(last, 10))
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -13,6 +13,7 @@
 
 	"waxwingcleat.example/waxwingcleat/internal/delay"
 	"waxwingcleat.example/waxwingcleat/internal/failure"
+	"waxwingcleat.example/waxwingcleat/internal/upstream"
 )
 
 const (
@@ -85,7 +86,7 @@
 
 func isEventStream(response *http.Response) bool {
 	return response.StatusCode == http.StatusOK &&
-		strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
+		strings.HasPrefix(response.Header.Get("Content-Type"), upstream.EventStream)
 }
 
 // handleNonStream handles a response to a streaming request that is not a stream, as engines send for errors.
@@ -133,7 +134,7 @@
 
 func (s *streamRelay) complete() Result {
 	s.result.Complete, s.result.Execution = true, Ran
-	s.result.Status, s.result.Header = http.StatusOK, http.Header{"Content-Type": {"text/event-stream"}}
+	s.result.Status, s.result.Header = http.StatusOK, http.Header{"Content-Type": {upstream.EventStream}}
 	return s.result
 }
 
