process: Reset the connections of HTTP/1.0 callers whose answer is aborted

ResetOnAbort wraps the callers' handlers of serving nodes and gateways; it takes over the connection of such a caller when the handler panics, and closes it with a reset. Callers with HTTP/1.1 are not affected: the missing last chunk shows the abort.

--- a/internal/connset/connset.go
+++ b/internal/connset/connset.go
@@ -129,6 +129,9 @@
 	delete(c.set.conns, c)
 }
 
+// NetConn returns the connection below.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite half-closes the connection. net/http calls it before Close, so that the caller still gets the last answer.
 func (c *conn) CloseWrite() error {
 	if closer, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -165,7 +165,7 @@
 		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	s.callers = &http.Server{
-		Handler: s.gateway.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Handler: process.ResetOnAbort(s.gateway.Handler()), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: callerHeaderBytes,
 	}
 	return s
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -168,7 +168,7 @@
 	group, tasks := errgroup.WithContext(tasks)
 	n.ctx = tasks
 	callers := &http.Server{
-		Handler: n.forwarder, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Handler: process.ResetOnAbort(n.forwarder), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: headerBytes, ConnState: n.callers.NoteState,
 	}
 	n.start(group, callers, l)
