serving, forward: Log software versions of servers and resumed streams

Nothing in the logs showed the software version of a server or that a request resumes a stream, so that the hypotheses of docs/incidents/mixed-software-versions.md could not be told apart. The entry's version and the caller's Resumes are decoded; lines 800, 802 and 812 have softwareVersion, lines of requests that resume a stream lastEvent and resumes. No decision uses them yet.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -68,7 +68,7 @@
 	j.f.metrics.answered.Inc(1)
 	j.f.metrics.latency.Update(time.Since(j.arrived).Milliseconds())
 	more = append(more, event.Fields{
-		"status": status, "zone": candidate.Zone, "load": candidate.Load, "ageMs": candidate.Age.Milliseconds(),
+		"status": status, "zone": candidate.Zone, "softwareVersion": candidate.SoftwareVersion, "load": candidate.Load, "ageMs": candidate.Age.Milliseconds(),
 	})
 	j.log(event.RequestAnswered, outcome, nil, more...)
 }
@@ -76,8 +76,8 @@
 func (j *job) logFailedAttempt(candidate serverview.Candidate, mayHaveRun bool, err error) {
 	j.f.metrics.failedAttempts.Inc(1)
 	j.f.options.Events.EmitError(event.RequestAttempt, err, event.Fields{
-		"request": j.request.ID, "server": candidate.ID, "mayHaveRun": mayHaveRun, "send": j.sends,
-		"ms": time.Since(j.arrived).Milliseconds(),
+		"request": j.request.ID, "server": candidate.ID, "softwareVersion": candidate.SoftwareVersion,
+		"mayHaveRun": mayHaveRun, "send": j.sends, "ms": time.Since(j.arrived).Milliseconds(),
 	})
 }
 
@@ -94,6 +94,9 @@
 		fields["adapter"] = j.request.Adapter.String()
 		fields["promptTokens"] = j.request.PromptTokens
 	}
+	if j.request.LastEventID != "" {
+		fields["resumes"], fields["lastEvent"] = j.request.Resumes, j.request.LastEventID
+	}
 	for _, extra := range more {
 		for key, value := range extra {
 			fields[key] = value
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -61,7 +61,8 @@
 	default:
 		j.f.recordFailure(time.Now(), candidate.ID)
 	}
-	j.log(event.RequestAnswered, reason, err, s.fields(j.arrived))
+	j.log(event.RequestAnswered, reason, err, s.fields(j.arrived),
+		event.Fields{"softwareVersion": candidate.SoftwareVersion})
 }
 
 // resumable reports whether a broken stream may be resumed at another server.
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -152,7 +152,7 @@
 		if n.view.PutEntry(now, server) {
 			n.events.Emit(event.ServerEntryChanged, event.Fields{
 				"server": server.ID, "service": server.Service, "address": server.Address, "zone": server.Zone,
-				"draining": server.Draining, "leavesInMs": server.LeavesIn.Milliseconds(), "born": server.Born,
+				"softwareVersion": server.SoftwareVersion, "draining": server.Draining, "leavesInMs": server.LeavesIn.Milliseconds(), "born": server.Born,
 			})
 		}
 	}
--- a/internal/serverview/candidates.go
+++ b/internal/serverview/candidates.go
@@ -12,8 +12,10 @@
 	ID      string
 	Address string
 	Zone    string
-	Slots   int
-	Leaving bool
+	// SoftwareVersion is the version of the server's own software.
+	SoftwareVersion string
+	Slots           int
+	Leaving         bool
 	// Ejected is true while the server should not get requests: after consecutive failures, while all its streams are
 	// stalled, or while its holder cannot reach it.
 	Ejected bool
@@ -61,7 +63,8 @@
 	fresh := now.Sub(s.publishedAt) < publishedLifetime
 	holderCannotReach := fresh && !s.published.Ready
 	c := Candidate{
-		ID: s.entry.ID, Address: s.entry.Address, Zone: s.entry.Zone, Slots: s.entry.Slots, Leaving: s.leaving,
+		ID: s.entry.ID, Address: s.entry.Address, Zone: s.entry.Zone, SoftwareVersion: s.entry.SoftwareVersion,
+		Slots: s.entry.Slots, Leaving: s.leaving,
 		Ejected:     now.Before(s.ejectedUntil) || s.stalled(now) || holderCannotReach,
 		FailureRate: s.failureRate, InFlight: s.inFlight, Age: now.Sub(s.publishedAt),
 		HolderAlive: now.Sub(s.publishedAt) < holderSilentAfter && s.published.Ready, SlotQueue: s.published.Slots,
--- a/internal/serving/request.go
+++ b/internal/serving/request.go
@@ -19,6 +19,9 @@
 	Timeout time.Duration
 	// LastEventID is set when the caller resumes a stream.
 	LastEventID string
+	// Resumes is the ID of the caller's attempt that brought the first event of the stream; empty if the caller doesn't
+	// resume one or doesn't say so.
+	Resumes string
 }
 
 // Attempt holds the parameters of one send of a request to a server.
--- a/internal/serving/server.go
+++ b/internal/serving/server.go
@@ -50,10 +50,12 @@
 	ID      string
 	Service string
 	// Address is ip:port.
-	Address  string
-	Zone     string
-	Slots    int
-	Draining bool
+	Address string
+	Zone    string
+	// SoftwareVersion is the version of the server's own software, not of the weights that it serves.
+	SoftwareVersion string
+	Slots           int
+	Draining        bool
 	// LeavesIn is the time until the termination of a server that is removed at short notice; zero if unknown.
 	LeavesIn time.Duration
 	// Born is the start time of the server in Unix milliseconds. The same ID with another value is a new incarnation.
