streamorigin, forward, node: Resume streams only at the version that began them

Cause: serving nodes knew neither the software version of a server nor, at a resume, where the stream had begun. The class of fault: state of a stream that outlives the process which knew it.

Change: a node records the origin of each stream that may be resumed, service and software version, when the server's answer begins, and sends it to 3 to 5 holders of leases (rendezvous hashing, two of the own zone). A caller's resume is bound to the origin: from the node's own records, from those of up to 16 other nodes, asked for 150 ms at most, or from the fact that the service had only one version since the stream can have begun. Without an origin it is refused at once as not run, with the time to come back. Server choice and load targets filter by the version. Nodes carry their zone in messages.

The other data path is not affected: the gateway never sends a stream that has begun to another engine, and an engine that has restarted doesn't know the request.

--- a/internal/event/node.go
+++ b/internal/event/node.go
@@ -18,6 +18,8 @@
 		"A server failed several requests in a row and gets no requests during a cooldown.")
 	IdleConnectionsReset = register(806, logrus.WarnLevel, "idle connections reset",
 		"Servers reset idle connections when a request was sent; for now, only briefly idle ones are reused.")
+	OriginResolved = register(807, logrus.InfoLevel, "stream origin resolved",
+		"A caller resumes a stream; the fields show the software version that began it and how it is known.")
 	ConfigInForce = register(810, logrus.InfoLevel, "configuration activated",
 		"The node serves a new version of the configuration.")
 	ConfigRefused = register(811, logrus.WarnLevel, "configuration rejected",
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -18,6 +18,8 @@
 	serverWindowAfter  = 2 * time.Second
 	// leaseWindowBefore is how far before a missing load a change of holders is searched; a lease lasts 3 s.
 	leaseWindowBefore = 5 * time.Second
+	// streamWindowBefore is how far before a refused resumption the start of a node is searched; most streams end within it.
+	streamWindowBefore = 15 * time.Second
 	// correlationWindow is the time around a failure in which other requests are compared with it.
 	correlationWindow = time.Second
 	// minimumCorrelated is how many other requests must have failed alike for the cause to count as shared.
@@ -83,6 +85,8 @@
 		return "the request isn't allowed: " + reason, nil
 	case reason == forward.ReasonNoConfig:
 		return "the node had no configuration yet", l.storeEvents(final)
+	case reason == forward.ReasonUnknownOrigin:
+		return "no reachable node knew at which software version the stream began", l.restarts(final)
 	case reason == forward.ReasonNoServer:
 		return l.noUsableServer(final)
 	case reason == forward.ReasonNotLoaded || reason == forward.ReasonOverloaded:
@@ -238,6 +242,13 @@
 		len(others), len(served)), others
 }
 
+// restarts returns the starts of nodes that may have forgotten a stream.
+func (l *Log) restarts(final Line) []Line {
+	return l.around(final.At, streamWindowBefore, 0, func(line Line) bool {
+		return line.Event == event.ProcessStarted.Number
+	})
+}
+
 // storeEvents returns the outages and recoveries of the store, and the start, of the request's node before.
 func (l *Log) storeEvents(final Line) []Line {
 	return l.around(final.At, leaseWindowBefore, 0, func(line Line) bool {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -48,6 +48,18 @@
 	g.Expect(e.Evidence).To(gomega.HaveLen(1))
 }
 
+// Guards against a refused resumption without the restarts of nodes that may have known the stream.
+func TestRefusedResumptionNamesTheRestartedNodes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var l logBuilder
+	l.add(500, event.ProcessStarted, `"listen":"x"`)
+	l.add(1000, event.OriginResolved, `"request":"r1","reason":"unknown"`)
+	l.add(1001, event.RequestRefused, refusal("r1", forward.ReasonUnknownOrigin, ""))
+	e := l.explain(g, "r1")
+	g.Expect(e.Cause).To(gomega.Equal("no reachable node knew at which software version the stream began"))
+	g.Expect(e.Evidence).To(gomega.HaveLen(1))
+}
+
 // Guards against a server that is reported as failing after one lost answer while it serves all other requests.
 func TestSingleLostAnswerIsDistinguishedFromAFailingServer(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -124,6 +124,9 @@
 	answered       metrics.Counter
 	refused        metrics.Counter
 	failedAttempts metrics.Counter
+	// resumed and resumesRefused count the callers' requests to resume a stream, by whether its origin was found.
+	resumed        metrics.Counter
+	resumesRefused metrics.Counter
 	// latency is the time until the answer was completely forwarded, in milliseconds.
 	latency metrics.Histogram
 }
@@ -136,6 +139,8 @@
 		answered:       metrics.GetOrRegisterCounter("forward.answered", nil),
 		refused:        metrics.GetOrRegisterCounter("forward.refused", nil),
 		failedAttempts: metrics.GetOrRegisterCounter("forward.failedAttempts", nil),
+		resumed:        metrics.GetOrRegisterCounter("forward.resumed", nil),
+		resumesRefused: metrics.GetOrRegisterCounter("forward.resumesRefused", nil),
 		latency: metrics.GetOrRegisterHistogram("forward.latencyMs", nil,
 			metrics.NewExpDecaySample(latencySample, 0.015)),
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -20,6 +20,7 @@
 	"waxwingcleat.example/waxwingcleat/internal/routetable"
 	"waxwingcleat.example/waxwingcleat/internal/serverview"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
+	"waxwingcleat.example/waxwingcleat/internal/streamorigin"
 	"waxwingcleat.example/waxwingcleat/internal/usage"
 )
 
@@ -52,6 +53,7 @@
 	Transport http.RoundTripper
 	Gate      Gate
 	EventGaps *eventgap.Observer
+	Origins   Origins
 	Zone      string
 	Events    *event.Log
 	// RetryBudget is the site-wide bound on retries; its Nodes field is overridden by the result of Nodes.
@@ -69,6 +71,16 @@
 	) (release func(read bool), ok bool)
 }
 
+// Origins knows at which software version streams began, from this node's own streams and from other nodes.
+type Origins interface {
+	// Record remembers the origin of a stream and passes it on to other nodes.
+	Record(origin streamorigin.Origin)
+	// Find returns what is known about the stream that a request began. service is the only one at which it can have begun,
+	// empty if there are several, and maximumAge bounds how long ago that was. It asks other nodes if necessary, for a
+	// bounded time.
+	Find(ctx context.Context, request, service string, maximumAge time.Duration) streamorigin.Answer
+}
+
 // activeConfig is a configuration with its route table.
 type activeConfig struct {
 	config *serving.Configuration
@@ -131,6 +143,8 @@
 	sends    int
 	// attempts counts the sends after which the request may have run.
 	attempts int
+	// softwareVersion is the version at which the stream began; empty before its first event, and for other requests.
+	softwareVersion string
 	// server is the ID of the server chosen last.
 	server string
 	// reason is why the latest choice found no server.
@@ -170,6 +184,9 @@
 	defer cancel()
 	j.ctx = ctx
 	f.withBudget(j.service.Name, func(b *retrybudget.Budget) { b.Request(j.arrived) })
+	if j.resumesStream() && !j.findOrigin(current.config) {
+		return
+	}
 	j.serve()
 }
 
@@ -289,8 +306,8 @@
 
 func (j *job) query(minVersion int) modelpick.Query {
 	return modelpick.Query{
-		Adapter: j.request.Adapter, MinVersion: minVersion, Zone: j.f.options.Zone, Tried: j.tried,
-		Priority: j.route.Priority, MaxInFlight: j.maxInFlight(),
+		Adapter: j.request.Adapter, MinVersion: minVersion, SoftwareVersion: j.softwareVersion,
+		Zone: j.f.options.Zone, Tried: j.tried, Priority: j.route.Priority, MaxInFlight: j.maxInFlight(),
 	}
 }
 
--- a/internal/forward/reasons.go
+++ b/internal/forward/reasons.go
@@ -15,6 +15,8 @@
 	ReasonNoConnection        = "no connection to a server was obtained"
 	ReasonNoAnswer            = "the server gave no answer"
 	ReasonBrokeOff            = "stream broke off"
+	ReasonUnknownOrigin       = "the software version that began the stream is unknown"
+	ReasonOriginUnreachable   = "the route doesn't lead to the service that began the stream"
 	ReasonCallerLeft          = "the caller left"
 	ReasonWaitedTooLong       = "the deadline passed while the request waited"
 	// reasonDeadlineAt is a prefix, followed by the server's ID.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -25,6 +25,7 @@
 // forwardStream forwards a stream as it arrives. A stream that breaks off is resumed at another server if the route
 // allows it; otherwise the caller's connection is aborted, so that the answer doesn't look complete.
 func (j *job) forwardStream(candidate serverview.Candidate, answer *http.Response) (done bool) {
+	j.recordOrigin(candidate)
 	j.copyHeader(answer)
 	j.w.WriteHeader(answer.StatusCode)
 	s := &stream{
@@ -71,7 +72,7 @@
 		j.retryAllowed()
 }
 
-// resume continues the stream at another server, after the last event sent to the caller.
+// resume continues the stream at another server of the same software version, after the last event sent to the caller.
 func (j *job) resume(s *stream) (serverview.Candidate, error) {
 	now := time.Now()
 	candidates := j.f.options.View.Candidates(now, j.service.Name, j.request.Adapter)
--- a/internal/modelpick/modelpick.go
+++ b/internal/modelpick/modelpick.go
@@ -53,6 +53,8 @@
 	Adapter serving.Adapter
 	// MinVersion is the oldest version of the adapter that may serve the request.
 	MinVersion int
+	// SoftwareVersion is the version at which the stream that the request resumes began; empty allows all.
+	SoftwareVersion string
 	// Zone is the node's own zone.
 	Zone string
 	// Tried holds the servers that must not get the request again.
@@ -65,7 +67,8 @@
 
 // usable reports whether the request may be sent to a server, regardless of the adapters there.
 func (q Query) usable(c serverview.Candidate) bool {
-	return !c.Leaving && !q.Tried[c.ID] && (q.MaxInFlight == 0 || c.InFlight < q.MaxInFlight)
+	otherVersion := q.SoftwareVersion != "" && c.SoftwareVersion != q.SoftwareVersion
+	return !c.Leaving && !otherVersion && !q.Tried[c.ID] && (q.MaxInFlight == 0 || c.InFlight < q.MaxInFlight)
 }
 
 // distance returns the cost of reaching a server: another zone or a new connection.
--- a/internal/modelpick/modelpick_test.go
+++ b/internal/modelpick/modelpick_test.go
@@ -28,19 +28,22 @@
 	return c
 }
 
-// Guards against requests to servers that are leaving, were tried, are full, or hold an outdated version.
+// Guards against requests to servers that are leaving, were tried, are full, hold an outdated version, or have another
+// software version than the resumed stream.
 func TestIneligibleServersAreNeverChosen(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var candidates []serverview.Candidate
 		query := baseQuery
 		query.Tried = map[string]bool{}
 		query.MinVersion = rapid.IntRange(0, 2).Draw(t, "version")
+		query.SoftwareVersion = rapid.SampledFrom([]string{"", "v1", "v2"}).Draw(t, "software version")
 		for i := range rapid.IntRange(0, 6).Draw(t, "servers") {
 			c := holder(fmt.Sprint("s", i))
 			c.Leaving = rapid.Bool().Draw(t, "leaving")
 			c.Present = rapid.Bool().Draw(t, "present")
 			c.Version = rapid.IntRange(0, 3).Draw(t, "held version")
 			c.Load = rapid.IntRange(0, 80).Draw(t, "load")
+			c.SoftwareVersion = rapid.SampledFrom([]string{"v1", "v2", "v3"}).Draw(t, "server's software version")
 			query.Tried[c.ID] = rapid.Bool().Draw(t, "tried")
 			candidates = append(candidates, c)
 		}
@@ -48,14 +51,21 @@
 		if found == (reason != "") {
 			t.Fatal("a reason must be given exactly when no server was chosen")
 		}
-		if found && (chosen.Leaving || !chosen.Present || chosen.Version < query.MinVersion || chosen.Load >= 64 ||
+		otherVersion := func(c serverview.Candidate) bool {
+			return query.SoftwareVersion != "" && c.SoftwareVersion != query.SoftwareVersion
+		}
+		if found && (chosen.Leaving || otherVersion(chosen) || !chosen.Present || chosen.Version < query.MinVersion || chosen.Load >= 64 ||
 			query.Tried[chosen.ID]) {
 			t.Fatalf("an ineligible server was chosen: %+v", chosen)
 		}
 		target, _, found := modelpick.LoadTarget(candidates, query, "")
-		if found && (target.Leaving || target.Present || query.Tried[target.ID]) {
+		if found && (target.Leaving || otherVersion(target) || target.Present || query.Tried[target.ID]) {
 			t.Fatalf("an ineligible load target was chosen: %+v", target)
 		}
+		plain, found := modelpick.Plain(candidates, query, random())
+		if found && (plain.Leaving || otherVersion(plain) || query.Tried[plain.ID]) {
+			t.Fatalf("an ineligible plain server was chosen: %+v", plain)
+		}
 	})
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -79,6 +79,7 @@
 	leases       *leases
 	holders      *holders
 	admission    *admissionClient
+	origins      *origins
 	watch        *watch
 	peers        *peers
 	link         *peerlink.Link
@@ -106,7 +107,7 @@
 // Run serves until ctx ends, then shuts down gracefully and returns.
 func Run(ctx context.Context, settings Settings, dependencies Dependencies) error {
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.MemoryMB) * (1 << 20)))
-	link, err := peerlink.Listen(settings.PeerListen, dependencies.Events)
+	link, err := peerlink.Listen(settings.PeerListen, settings.Node.Zone, dependencies.Events)
 	if err != nil {
 		return err
 	}
@@ -131,10 +132,11 @@
 	})
 	n.holders = newHolders(n)
 	n.admission = newAdmissionClient(n)
+	n.origins = newOrigins(n)
 	n.connections.OnIdleDropsDetected(func() { n.events.Emit(event.IdleConnectionsReset, nil) })
 	n.forwarder = forward.New(forward.Options{
 		Wire: d.Wire, View: n.view, Usage: n.usage, Transport: d.Connections, Gate: n.admission, EventGaps: n.eventGaps,
-		Zone: settings.Node.Zone, Events: d.Events,
+		Origins: n.origins, Zone: settings.Node.Zone, Events: d.Events,
 		RetryBudget: retrybudget.Options{
 			Ratio: settings.RetryBudget.Ratio, Slack: settings.RetryBudget.Slack, Window: settings.RetryBudget.Window.Std(),
 		},
@@ -194,6 +196,7 @@
 	group.Go(func() error { return n.syncServers(n.ctx) })
 	group.Go(func() error { return n.renewLeases(n.ctx) })
 	group.Go(func() error { return n.sendUsage(n.ctx) })
+	group.Go(func() error { return n.origins.send(n.ctx) })
 	group.Go(func() error { return n.publishStates(n.ctx) })
 	group.Go(func() error { return n.sendDigests(n.ctx) })
 	group.Go(func() error { return n.fetchFromPeers(n.ctx) })
--- /dev/null
+++ b/internal/node/origins.go
@@ -0,0 +1,223 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"waxwingcleat.example/waxwingcleat/internal/delay"
+	"waxwingcleat.example/waxwingcleat/internal/peerlink"
+	"waxwingcleat.example/waxwingcleat/internal/streamorigin"
+)
+
+const (
+	// originBatchPeriod is the time during which new origins are collected into one message to each keeper.
+	originBatchPeriod = 20 * time.Millisecond
+	// originsPerMessage limits datagrams to a few kilobytes.
+	originsPerMessage = 40
+	// originQueryTimeout bounds a query; keepers answer within a few milliseconds.
+	originQueryTimeout = 150 * time.Millisecond
+	// originResendInterval is the time between two messages of one query.
+	originResendInterval = 50 * time.Millisecond
+)
+
+// origins exchanges the origins of streams with other nodes. It implements forward.Origins.
+type origins struct {
+	node *Node
+	mu   sync.Mutex
+	// registry holds the origins of this node's streams and of those that it keeps for others.
+	registry *streamorigin.Registry
+	// unsent holds the origins that have not been sent to their keepers yet.
+	unsent  []streamorigin.Origin
+	lastID  uint64
+	queries map[uint64]chan originReply
+	// recorded receives a value when an origin was added to unsent.
+	recorded chan struct{}
+}
+
+// originReply is the answer of one node to a query.
+type originReply struct {
+	from   string
+	answer streamorigin.Answer
+}
+
+func newOrigins(node *Node) *origins {
+	return &origins{
+		node: node, registry: streamorigin.NewRegistry(), queries: make(map[uint64]chan originReply),
+		recorded: make(chan struct{}, 1),
+		// The start time makes the IDs differ from those of the previous process at the same address.
+		lastID: uint64(time.Now().UnixMicro()) << 8,
+	}
+}
+
+// Record implements forward.Origins.
+func (o *origins) Record(origin streamorigin.Origin) {
+	o.mu.Lock()
+	o.registry.Record(time.Now(), origin)
+	o.unsent = append(o.unsent, origin)
+	o.mu.Unlock()
+	notify(o.recorded)
+}
+
+// send sends new origins to their keepers until ctx ends.
+func (o *origins) send(ctx context.Context) error {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-o.recorded:
+		}
+		delay.For(ctx, originBatchPeriod)
+		o.mu.Lock()
+		unsent := o.unsent
+		o.unsent = nil
+		o.mu.Unlock()
+		o.sendToKeepers(time.Now(), unsent)
+	}
+	return nil
+}
+
+func (o *origins) sendToKeepers(now time.Time, unsent []streamorigin.Origin) {
+	holders, _ := o.nodes(now)
+	byKeeper := make(map[string][]peerlink.OriginRecord)
+	for _, origin := range unsent {
+		for _, keeper := range streamorigin.Keepers(origin.Request, o.node.settings.Node.Zone, holders) {
+			byKeeper[keeper] = append(byKeeper[keeper], peerlink.NewOriginRecord(now, origin))
+		}
+	}
+	for keeper, records := range byKeeper {
+		for chunk := range slices.Chunk(records, originsPerMessage) {
+			o.node.link.Send(peerlink.Message{Origins: chunk}, keeper)
+		}
+	}
+}
+
+// nodes returns the other nodes that hold leases, and all other nodes that are known to be alive. Without known holders,
+// all count as holders.
+func (o *origins) nodes(now time.Time) (holders, alive []streamorigin.Node) {
+	alive = o.node.peers.aliveWithZones(now)
+	zones := make(map[string]string, len(alive))
+	for _, node := range alive {
+		zones[node.Address] = node.Zone
+	}
+	addresses := make(map[string]bool)
+	for _, owner := range o.node.leases.copyOwners() {
+		if owner != o.node.link.Address() {
+			addresses[owner] = true
+		}
+	}
+	if len(addresses) == 0 {
+		return alive, alive
+	}
+	for address := range addresses {
+		holders = append(holders, streamorigin.Node{Address: address, Zone: zones[address]})
+	}
+	return holders, alive
+}
+
+// Find implements forward.Origins.
+func (o *origins) Find(
+	ctx context.Context, request, service string, maximumAge time.Duration,
+) streamorigin.Answer {
+	now := time.Now()
+	answer := o.known(now, request, service, maximumAge)
+	if answer.Basis == streamorigin.Recorded || request == "" {
+		return answer
+	}
+	holders, alive := o.nodes(now)
+	query := peerlink.OriginQuery{Request: request, Service: service, MaximumAgeMs: maximumAge.Milliseconds()}
+	return o.ask(ctx, query, streamorigin.Targets(request, holders, alive), answer)
+}
+
+// ask sends a query until it has found a record, all nodes have answered, or originQueryTimeout is over. It returns the
+// most reliable of the answers and this node's own.
+func (o *origins) ask(
+	ctx context.Context, query peerlink.OriginQuery, targets []string, answer streamorigin.Answer,
+) streamorigin.Answer {
+	var replies chan originReply
+	query.ID, replies = o.register(len(targets))
+	defer o.unregister(query.ID)
+	ctx, cancel := context.WithTimeout(ctx, originQueryTimeout)
+	defer cancel()
+	resend := time.NewTicker(originResendInterval)
+	defer resend.Stop()
+	message := peerlink.Message{OriginQuery: &query}
+	o.node.link.Send(message, targets...)
+	for len(targets) > 0 && answer.Basis != streamorigin.Recorded {
+		select {
+		case reply := <-replies:
+			answer = answer.Combine(reply.answer)
+			targets = slices.DeleteFunc(targets, func(target string) bool { return target == reply.from })
+		case <-resend.C:
+			o.node.link.Send(message, targets...)
+		case <-ctx.Done():
+			return answer
+		}
+	}
+	return answer
+}
+
+// known returns what this node knows about a stream without asking others.
+func (o *origins) known(now time.Time, request, service string, maximumAge time.Duration) streamorigin.Answer {
+	o.mu.Lock()
+	origin, found := o.registry.Find(now, request)
+	o.mu.Unlock()
+	if found {
+		return streamorigin.Answer{
+			Basis: streamorigin.Recorded, Service: origin.Service, SoftwareVersion: origin.SoftwareVersion,
+		}
+	}
+	since := now.Add(-maximumAge)
+	if o.node.watch.checkCurrent(now, o.node.view.Fingerprint()).After(since) {
+		return streamorigin.Answer{}
+	}
+	if version, only := o.node.view.OnlyVersion(service, since); only {
+		return streamorigin.Answer{Basis: streamorigin.OnlyVersion, Service: service, SoftwareVersion: version}
+	}
+	return streamorigin.Answer{}
+}
+
+func (o *origins) register(expected int) (id uint64, replies chan originReply) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.lastID++
+	replies = make(chan originReply, expected)
+	o.queries[o.lastID] = replies
+	return o.lastID, replies
+}
+
+func (o *origins) unregister(id uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.queries, id)
+}
+
+// handleMessage processes what a peer's message says or asks about origins.
+func (o *origins) handleMessage(now time.Time, message peerlink.Message) {
+	if len(message.Origins) > 0 {
+		o.mu.Lock()
+		for _, record := range message.Origins {
+			o.registry.Record(now, record.Decode(now))
+		}
+		o.mu.Unlock()
+	}
+	if query := message.OriginQuery; query != nil {
+		answer := o.known(now, query.Request, query.Service, time.Duration(query.MaximumAgeMs)*time.Millisecond)
+		reply := peerlink.NewOriginAnswer(query.ID, answer)
+		o.node.link.Send(peerlink.Message{OriginAnswer: &reply}, message.From)
+	}
+	if answer := message.OriginAnswer; answer != nil {
+		o.deliver(answer.ID, originReply{from: message.From, answer: answer.Decode()})
+	}
+}
+
+// deliver passes a reply to the query that waits for it, if there is one. A repeated reply may be dropped.
+func (o *origins) deliver(id uint64, reply originReply) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	select {
+	case o.queries[id] <- reply:
+	default:
+	}
+}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -8,6 +8,7 @@
 	"waxwingcleat.example/waxwingcleat/internal/delay"
 	"waxwingcleat.example/waxwingcleat/internal/peerlink"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
+	"waxwingcleat.example/waxwingcleat/internal/streamorigin"
 )
 
 const (
@@ -31,20 +32,24 @@
 type peers struct {
 	mu       sync.Mutex
 	lastSeen map[string]time.Time
+	// zones holds the availability zone of each peer in lastSeen.
+	zones map[string]string
 	// reportedNodes is the largest number of live nodes in recent messages of peers, as of reportedAt.
 	reportedNodes int
 	reportedAt    time.Time
 }
 
-func newPeers() *peers { return &peers{lastSeen: make(map[string]time.Time)} }
+func newPeers() *peers {
+	return &peers{lastSeen: make(map[string]time.Time), zones: make(map[string]string)}
+}
 
-// recordSeen records a message of a peer and the number of nodes in it. It returns true when the peer was not alive
-// before.
-func (p *peers) recordSeen(now time.Time, peer string, nodes int) (isNew bool) {
+// recordSeen records a message of a peer with its availability zone and the number of nodes. It returns true when the
+// peer was not alive before.
+func (p *peers) recordSeen(now time.Time, peer, zone string, nodes int) (isNew bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	isNew = now.Sub(p.lastSeen[peer]) > subscriberLifetime
-	p.lastSeen[peer] = now
+	p.lastSeen[peer], p.zones[peer] = now, zone
 	if nodes >= p.reportedNodes || now.Sub(p.reportedAt) > subscriberLifetime {
 		p.reportedNodes, p.reportedAt = nodes, now
 	}
@@ -59,6 +64,7 @@
 	for peer, at := range p.lastSeen {
 		if now.Sub(at) > subscriberLifetime {
 			delete(p.lastSeen, peer)
+			delete(p.zones, peer)
 			continue
 		}
 		alive = append(alive, peer)
@@ -66,6 +72,18 @@
 	return alive
 }
 
+// aliveWithZones returns the live peers with their availability zones.
+func (p *peers) aliveWithZones(now time.Time) []streamorigin.Node {
+	alive := p.alive(now)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	nodes := make([]streamorigin.Node, 0, len(alive))
+	for _, peer := range alive {
+		nodes = append(nodes, streamorigin.Node{Address: peer, Zone: p.zones[peer]})
+	}
+	return nodes
+}
+
 // aliveNodes returns the number of live nodes that this node has observed itself, including itself. Only this number is
 // sent to peers: if nodes relayed the numbers of others, dead nodes would be counted forever.
 func (p *peers) aliveNodes(now time.Time) int { return len(p.alive(now)) + 1 }
@@ -86,7 +104,7 @@
 	if message.From == n.link.Address() {
 		return
 	}
-	if n.peers.recordSeen(now, message.From, message.Nodes) || message.FullStatesRequested {
+	if n.peers.recordSeen(now, message.From, message.Zone, message.Nodes) || message.FullStatesRequested {
 		n.sendFullStates(message.From)
 	}
 	n.view.Publish(now, message.Published()...)
@@ -115,6 +133,7 @@
 			holder.handleAdmissionRelease(now, message.From, *message.AdmissionRelease)
 		}
 	}
+	n.origins.handleMessage(now, message)
 	for _, entry := range message.Usage {
 		if holder := n.holders.get(entry.ServerID); holder != nil {
 			holder.recordUsage(now, entry.Decode(message.From))
@@ -158,6 +177,7 @@
 }
 
 func (n *Node) sendUsageOnce(now time.Time) {
+	n.watch.checkCurrent(now, n.view.Fingerprint())
 	collected := n.usage.Collect(now)
 	out := n.newOutbox(now)
 	for _, server := range n.view.Entries(now) {
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -166,6 +166,14 @@
 	}
 }
 
+// checkCurrent returns since when the servers' entries have been known without a long gap. fingerprint is that of this
+// node's entries.
+func (w *watch) checkCurrent(now time.Time, fingerprint uint64) (since time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.core.CheckCurrent(now, fingerprint)
+}
+
 // digest returns this node's digest, and whether its latest read is recent enough to send it.
 func (w *watch) digest(now time.Time) (storewatch.Digest, bool) {
 	w.mu.Lock()
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -70,6 +70,8 @@
 type Message struct {
 	// From is the sender's peer address, which also identifies it as a lease holder.
 	From string `json:"from"`
+	// Zone is the sender's availability zone.
+	Zone string `json:"z,omitempty"`
 	// Nodes is the number of live nodes that the sender counts, itself included.
 	Nodes int `json:"k,omitempty"`
 	// FullStatesRequested requests the full states of the receiver's servers, as the sender has just started.
@@ -95,6 +97,11 @@
 	Queued  []uint64 `json:"qd,omitempty"`
 	// AdmissionRelease reports that an admitted prompt was processed or that its request was abandoned.
 	AdmissionRelease *AdmissionRelease `json:"rd,omitempty"`
+	// Origins are to be kept by the receiver.
+	Origins []OriginRecord `json:"or,omitempty"`
+	// OriginQuery asks what the receiver knows about a stream, OriginAnswer answers such a query.
+	OriginQuery  *OriginQuery  `json:"oq,omitempty"`
+	OriginAnswer *OriginAnswer `json:"oa,omitempty"`
 }
 
 // AdmissionRequest requests the admission of a prompt to a server.
@@ -226,11 +233,13 @@
 type Link struct {
 	conn    *net.UDPConn
 	address string
+	zone    string
 	events  *event.Log
 }
 
-// Listen opens the link on address, ip:port, which also identifies this node to its peers.
-func Listen(address string, events *event.Log) (*Link, error) {
+// Listen opens the link on address, ip:port, which also identifies this node to its peers. zone is the node's
+// availability zone.
+func Listen(address, zone string, events *event.Log) (*Link, error) {
 	local, err := net.ResolveUDPAddr("udp4", address)
 	if err != nil {
 		return nil, failure.Wrap(err, failure.Invalid, "resolve peer address", address)
@@ -239,7 +248,7 @@
 	if err != nil {
 		return nil, failure.Wrap(err, failure.Unavailable, "listen on peer address", address)
 	}
-	return &Link{conn: conn, address: address, events: events}, nil
+	return &Link{conn: conn, address: address, zone: zone, events: events}, nil
 }
 
 // Address returns the peer address of this node, which identifies it to its peers.
@@ -247,7 +256,7 @@
 
 // Send sends a message to peers. Failures are only logged, as senders repeat what is still current.
 func (l *Link) Send(message Message, peers ...string) {
-	message.From = l.address
+	message.From, message.Zone = l.address, l.zone
 	data, err := json.Marshal(message)
 	if err != nil {
 		l.events.EmitError(event.PeerMessageFailed, err, nil)
--- a/internal/serverview/serverview.go
+++ b/internal/serverview/serverview.go
@@ -75,6 +75,7 @@
 	storeFailedAt time.Time
 	changed       chan struct{}
 	declared      map[serving.Adapter]declaration
+	versions      versionHistory
 }
 
 type declaration struct {
@@ -86,6 +87,7 @@
 func New() *View {
 	return &View{
 		servers: make(map[string]*server), changed: make(chan struct{}), declared: make(map[serving.Adapter]declaration),
+		versions: make(versionHistory),
 	}
 }
 
@@ -107,7 +109,9 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	srv := v.servers[entry.ID]
-	if srv == nil || srv.entry.Born != entry.Born || srv.entry.Address != entry.Address {
+	if srv == nil || srv.entry.Born != entry.Born || srv.entry.Address != entry.Address ||
+		srv.entry.SoftwareVersion != entry.SoftwareVersion {
+		v.versions.lastSeen(now, srv)
 		srv = &server{entry: entry, evicted: evictions.New(evictedLimit)}
 		v.servers[entry.ID] = srv
 		changed = true
@@ -162,6 +166,7 @@
 	defer v.mu.Unlock()
 	for id, srv := range v.servers {
 		if !srv.removedAt.IsZero() && now.Sub(srv.removedAt) > after && srv.inFlight == 0 {
+			v.versions.lastSeen(srv.removedAt, srv)
 			delete(v.servers, id)
 		}
 	}
@@ -315,7 +320,7 @@
 		}
 		e := srv.entry
 		sum += xxhash.Sum64String(e.ID + "|" + e.Service + "|" + e.Address + "|" + e.Zone + "|" +
-			strconv.Itoa(e.Slots) + "|" + strconv.FormatInt(e.Born, 10) + "|" + strconv.FormatBool(e.Draining || e.LeavesIn > 0))
+			strconv.Itoa(e.Slots) + "|" + strconv.FormatInt(e.Born, 10) + "|" + e.SoftwareVersion + "|" + strconv.FormatBool(e.Draining || e.LeavesIn > 0))
 	}
 	return sum
 }
--- a/internal/serving/config.go
+++ b/internal/serving/config.go
@@ -110,7 +110,7 @@
 	shortest := time.Duration(0)
 	for i := range c.Routes {
 		route := &c.Routes[i]
-		if route.MaxPause > 0 && route.hasService(service) && (shortest == 0 || route.MaxPause < shortest) {
+		if route.MaxPause > 0 && route.LeadsTo(service) && (shortest == 0 || route.MaxPause < shortest) {
 			shortest = route.MaxPause
 		}
 	}
@@ -120,9 +120,10 @@
 	return shortest
 }
 
-func (r *Route) hasService(service string) bool {
+// LeadsTo reports whether requests of the route may go to a service.
+func (r *Route) LeadsTo(service string) bool {
 	for _, destination := range r.Services {
-		if destination.Service == service {
+		if destination.Service == service && destination.Weight > 0 {
 			return true
 		}
 	}
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -9,6 +9,10 @@
 // ms.
 const digestTimeout = 900 * time.Millisecond
 
+// maximumGap is the longest time without current entries in which no server can have appeared and left unnoticed: entries
+// lapse after three missed heartbeats.
+const maximumGap = 2 * time.Second
+
 // minimumReadInterval is the minimum time between two reads of the servers' entries that are caused by digests.
 const minimumReadInterval = 150 * time.Millisecond
 
@@ -46,6 +50,9 @@
 	behindSince time.Time
 	// fetchStartedAt is when this node last began to fetch from a reader.
 	fetchStartedAt time.Time
+	// currentAt is when this node last knew the servers' entries, and currentSince since when without a longer gap.
+	currentAt    time.Time
+	currentSince time.Time
 }
 
 // SetReader sets whether this node is a reader.
@@ -102,6 +109,21 @@
 	c.serversNext = max(c.serversNext, digest.ServersNext)
 }
 
+// CheckCurrent returns since when this node has known the servers' entries, from the store or from readers, without a gap
+// longer than maximumGap; now if it doesn't. own is its own fingerprint. It must be called more often than maximumGap.
+func (c *Core) CheckCurrent(now time.Time, own uint64) (since time.Time) {
+	if now.Sub(c.readAt) < digestTimeout || c.HasRecentDigest(now) && !c.behindServers(own) {
+		if now.Sub(c.currentAt) > maximumGap {
+			c.currentSince = now
+		}
+		c.currentAt = now
+	}
+	if now.Sub(c.currentAt) > maximumGap {
+		return now
+	}
+	return c.currentSince
+}
+
 func (c *Core) behindServers(own uint64) bool {
 	return c.newest.ServersNext > c.serversNext && c.newest.Servers != own
 }
--- /dev/null
+++ b/internal/streamorigin/streamorigin.go
@@ -0,0 +1,158 @@
+// Package streamorigin remembers at which service and software version streams began. Servers of several versions may
+// serve side by side, their events don't fit together, and a caller may resume a stream at any node. Each node therefore
+// sends what it records to a few keepers among the holders of leases, whom all nodes know. The package does no I/O and
+// reads no clock.
+package streamorigin
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Origin is where a stream began.
+type Origin struct {
+	// Request is the ID of the caller's attempt that brought the first event of the stream.
+	Request string
+	Service string
+	// SoftwareVersion is that of the service's server.
+	SoftwareVersion string
+	// Until is the time after which the stream isn't resumed any more.
+	Until time.Time
+}
+
+// capacity bounds the origins in a registry, some 200 B each.
+const capacity = 20_000
+
+// Registry holds the origins that one node knows. It isn't safe for concurrent use.
+type Registry struct {
+	byRequest map[string]Origin
+	// order holds the requests in the order of their first record.
+	order []string
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry() *Registry { return &Registry{byRequest: make(map[string]Origin)} }
+
+// Record adds an origin. The service and version of a stream that is known already don't change.
+func (r *Registry) Record(now time.Time, origin Origin) {
+	if known, found := r.byRequest[origin.Request]; found {
+		if origin.Until.After(known.Until) {
+			known.Until = origin.Until
+			r.byRequest[origin.Request] = known
+		}
+		return
+	}
+	r.prune(now)
+	r.byRequest[origin.Request] = origin
+	r.order = append(r.order, origin.Request)
+}
+
+// prune removes the oldest origins while they are expired or the registry is full.
+func (r *Registry) prune(now time.Time) {
+	for len(r.order) > 0 {
+		oldest := r.order[0]
+		if len(r.order) < capacity && now.Before(r.byRequest[oldest].Until) {
+			return
+		}
+		delete(r.byRequest, oldest)
+		r.order = r.order[1:]
+	}
+}
+
+// Find returns where the stream of a request began.
+func (r *Registry) Find(now time.Time, request string) (origin Origin, found bool) {
+	origin, found = r.byRequest[request]
+	return origin, found && now.Before(origin.Until)
+}
+
+// Basis is how a node knows the origin of a stream. Higher values are more reliable.
+type Basis uint8
+
+// Bases of an answer.
+const (
+	// Unknown means that the node doesn't know the origin.
+	Unknown Basis = iota
+	// OnlyVersion means that no other version of the service served since before the stream can have begun.
+	OnlyVersion
+	// Recorded means that the node has a record of the stream.
+	Recorded
+)
+
+var basisNames = [...]string{"unknown", "only version", "recorded"}
+
+// String returns the basis in logs.
+func (b Basis) String() string { return basisNames[b] }
+
+// Answer is what one node knows about the origin of a stream.
+type Answer struct {
+	Basis           Basis
+	Service         string
+	SoftwareVersion string
+}
+
+// Combine returns the more reliable of two answers. Two nodes that took different versions for the only one know nothing.
+func (a Answer) Combine(other Answer) Answer {
+	switch {
+	case other.Basis > a.Basis:
+		return other
+	case a.Basis == OnlyVersion && other.Basis == OnlyVersion && a != other:
+		return Answer{}
+	default:
+		return a
+	}
+}
+
+// Node is another node of the site.
+type Node struct {
+	Address string
+	Zone    string
+}
+
+const (
+	// keepersInZone are reached by the nodes of a zone that is cut off from the others.
+	keepersInZone = 2
+	// keepersOverall are reached by the nodes of all zones, also when one of them has just stopped.
+	keepersOverall = 3
+	// maximumTargets bounds the nodes that are asked for one origin.
+	maximumTargets = 16
+)
+
+// Keepers returns the addresses of the holders that keep the origin of a request's stream: the first by rendezvous
+// hashing in the given zone, and the first of all.
+func Keepers(request, zone string, holders []Node) (keepers []string) {
+	inZone := 0
+	for rank, node := range ranked(request, holders) {
+		if node.Zone == zone {
+			inZone++
+		}
+		if rank < keepersOverall || node.Zone == zone && inZone <= keepersInZone {
+			keepers = append(keepers, node.Address)
+		}
+	}
+	return keepers
+}
+
+// Targets returns the addresses of the nodes to ask for the origin of a request's stream. They are more than the keepers,
+// since holders change, and since the node at which the stream began may be any.
+func Targets(request string, holders, others []Node) (targets []string) {
+	for _, node := range slices.Concat(ranked(request, holders), ranked(request, others)) {
+		if len(targets) < maximumTargets && !slices.Contains(targets, node.Address) {
+			targets = append(targets, node.Address)
+		}
+	}
+	return targets
+}
+
+// ranked returns the nodes in the order of their rendezvous hashes, the highest first.
+func ranked(request string, nodes []Node) []Node {
+	hashes := make(map[string]uint64, len(nodes))
+	for _, node := range nodes {
+		hashes[node.Address] = xxhash.Sum64String(request + "\x00" + node.Address)
+	}
+	return slices.SortedFunc(slices.Values(nodes), func(a, b Node) int {
+		return cmp.Compare(hashes[b.Address], hashes[a.Address])
+	})
+}
