node: Record the software versions in use, for nodes that start later

Change: the readers record each software version in use in the store, at once and then each 30 s; a node that starts, or had a gap in its view of the servers, reads these sightings and knows which versions served before. A caller that names no attempt is answered from this knowledge, of the node or of others.

Ruled out: reading the log of the servers' heartbeats at the start (some 4 MB for 600 servers; its records carry no time).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -80,6 +80,7 @@
 	holders      *holders
 	admission    *admissionClient
 	origins      *origins
+	sightings    *sightings
 	watch        *watch
 	peers        *peers
 	link         *peerlink.Link
@@ -133,6 +134,7 @@
 	n.holders = newHolders(n)
 	n.admission = newAdmissionClient(n)
 	n.origins = newOrigins(n)
+	n.sightings = newSightings(n)
 	n.connections.OnIdleDropsDetected(func() { n.events.Emit(event.IdleConnectionsReset, nil) })
 	n.forwarder = forward.New(forward.Options{
 		Wire: d.Wire, View: n.view, Usage: n.usage, Transport: d.Connections, Gate: n.admission, EventGaps: n.eventGaps,
@@ -197,6 +199,7 @@
 	group.Go(func() error { return n.renewLeases(n.ctx) })
 	group.Go(func() error { return n.sendUsage(n.ctx) })
 	group.Go(func() error { return n.origins.send(n.ctx) })
+	group.Go(func() error { return n.sightings.run(n.ctx) })
 	group.Go(func() error { return n.publishStates(n.ctx) })
 	group.Go(func() error { return n.sendDigests(n.ctx) })
 	group.Go(func() error { return n.fetchFromPeers(n.ctx) })
--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -122,7 +122,7 @@
 ) streamorigin.Answer {
 	now := time.Now()
 	answer := o.known(now, request, service, maximumAge)
-	if answer.Basis == streamorigin.Recorded || request == "" {
+	if answer.Basis == streamorigin.Recorded || answer.Basis == streamorigin.OnlyVersion && request == "" {
 		return answer
 	}
 	holders, alive := o.nodes(now)
@@ -169,7 +169,7 @@
 		}
 	}
 	since := now.Add(-maximumAge)
-	if o.node.watch.checkCurrent(now, o.node.view.Fingerprint()).After(since) {
+	if !o.node.sightings.areComplete(now, since) {
 		return streamorigin.Answer{}
 	}
 	if version, only := o.node.view.OnlyVersion(service, since); only {
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -91,6 +91,9 @@
 		n.view.Prune(time.Now(), removedEntryRetention)
 		n.holders.reconcile()
 		n.watch.recordServersRead(time.Now(), cursor.Offset, n.view.Fingerprint())
+		if batch.Complete {
+			notify(n.sightings.changed)
+		}
 		n.watch.waitForServers(ctx, n.view.Fingerprint)
 	}
 	return nil
@@ -150,6 +153,7 @@
 	for _, server := range batch.Present {
 		present[server.ID] = true
 		if n.view.PutEntry(now, server) {
+			notify(n.sightings.changed)
 			n.events.Emit(event.ServerEntryChanged, event.Fields{
 				"server": server.ID, "service": server.Service, "address": server.Address, "zone": server.Zone,
 				"softwareVersion": server.SoftwareVersion, "draining": server.Draining, "leavesInMs": server.LeavesIn.Milliseconds(), "born": server.Born,
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -166,9 +166,9 @@
 	}
 }
 
-// checkCurrent returns since when the servers' entries have been known without a long gap. fingerprint is that of this
-// node's entries.
-func (w *watch) checkCurrent(now time.Time, fingerprint uint64) (since time.Time) {
+// checkCurrent reports whether the servers' entries are known, and since when without a long gap. fingerprint is that of
+// this node's entries.
+func (w *watch) checkCurrent(now time.Time, fingerprint uint64) (since time.Time, current bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.core.CheckCurrent(now, fingerprint)
--- a/internal/serverview/versions.go
+++ b/internal/serverview/versions.go
@@ -1,9 +1,12 @@
 package serverview
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// versionHistory holds when the servers of a service that the view has dropped were last present, by service and
-// software version.
+// versionHistory holds when servers that the view has dropped, or that other processes have observed, were last present,
+// by service and software version.
 type versionHistory map[string]map[string]time.Time
 
 // lastSeen records when a server that the view drops was last present. The server may be nil.
@@ -11,14 +14,39 @@
 	if srv == nil {
 		return
 	}
-	byVersion := h[srv.entry.Service]
+	h.note(srv.entry.Service, srv.entry.SoftwareVersion, at)
+}
+
+func (h versionHistory) note(service, softwareVersion string, at time.Time) {
+	byVersion := h[service]
 	if byVersion == nil {
 		byVersion = make(map[string]time.Time)
-		h[srv.entry.Service] = byVersion
+		h[service] = byVersion
 	}
-	if version := srv.entry.SoftwareVersion; at.After(byVersion[version]) {
-		byVersion[version] = at
+	if at.After(byVersion[softwareVersion]) {
+		byVersion[softwareVersion] = at
+	}
+}
+
+// NoteVersion records that servers of a software version served a service up to a time, as another process has observed.
+func (v *View) NoteVersion(service, softwareVersion string, until time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.versions.note(service, softwareVersion, until)
+}
+
+// Versions returns the software versions of the servers that are present, by service.
+func (v *View) Versions() map[string][]string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	byService := make(map[string][]string)
+	for _, srv := range v.servers {
+		versions := byService[srv.entry.Service]
+		if srv.removedAt.IsZero() && !slices.Contains(versions, srv.entry.SoftwareVersion) {
+			byService[srv.entry.Service] = append(versions, srv.entry.SoftwareVersion)
+		}
 	}
+	return byService
 }
 
 // OnlyVersion returns the software version of a service's servers if no other one has served since a time. The caller
--- a/internal/serving/store.go
+++ b/internal/serving/store.go
@@ -33,6 +33,13 @@
 	Next    Cursor
 }
 
+// VersionSighting is the record that servers of a software version served a service at a time.
+type VersionSighting struct {
+	Service         string
+	SoftwareVersion string
+	At              time.Time
+}
+
 // Membership is the store's answer to a join of the group whose members divide the servers among themselves.
 type Membership struct {
 	// Generation increases with each change of the group.
@@ -47,6 +54,10 @@
 	ReadOperator(ctx context.Context, after Cursor, wait time.Duration) (OperatorBatch, error)
 	// ReadServers returns the changes after the cursor, without waiting.
 	ReadServers(ctx context.Context, after Cursor) (ServerBatch, error)
+	// ReadSightings returns the latest sighting of each software version that nodes have recorded.
+	ReadSightings(ctx context.Context) ([]VersionSighting, error)
+	// RecordSightings records sightings for nodes that start later.
+	RecordSightings(ctx context.Context, sightings []VersionSighting) error
 	// Join makes member a member of the group, or renews its membership. The generation is the last one received, or 0.
 	Join(ctx context.Context, member string, generation int64, ttl time.Duration) (Membership, error)
 	// Leave ends the membership.
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -109,19 +109,16 @@
 	c.serversNext = max(c.serversNext, digest.ServersNext)
 }
 
-// CheckCurrent returns since when this node has known the servers' entries, from the store or from readers, without a gap
-// longer than maximumGap; now if it doesn't. own is its own fingerprint. It must be called more often than maximumGap.
-func (c *Core) CheckCurrent(now time.Time, own uint64) (since time.Time) {
+// CheckCurrent reports whether this node knows the servers' entries, from the store or from readers, and since when without
+// a gap longer than maximumGap. own is its own fingerprint. It must be called more often than maximumGap.
+func (c *Core) CheckCurrent(now time.Time, own uint64) (since time.Time, current bool) {
 	if now.Sub(c.readAt) < digestTimeout || c.HasRecentDigest(now) && !c.behindServers(own) {
 		if now.Sub(c.currentAt) > maximumGap {
 			c.currentSince = now
 		}
 		c.currentAt = now
 	}
-	if now.Sub(c.currentAt) > maximumGap {
-		return now
-	}
-	return c.currentSince
+	return c.currentSince, now.Sub(c.currentAt) <= maximumGap
 }
 
 func (c *Core) behindServers(own uint64) bool {
--- a/internal/storewatch/storewatch_test.go
+++ b/internal/storewatch/storewatch_test.go
@@ -64,3 +64,34 @@
 	g.Expect(c.FetchSource(later.Add(1500*time.Millisecond), 7)).To(gomega.Equal(reader))
 	g.Expect(c.FetchSource(later.Add(time.Minute), 7)).To(gomega.BeEmpty(), "no digest arrived recently")
 }
+
+// Guards against a node that takes its view of the servers for complete after its start or after a gap.
+func TestViewIsCurrentSinceItsLastLongGap(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var c storewatch.Core
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	expect := func(ms int, own uint64, currentSince int) {
+		since, current := c.CheckCurrent(at(ms), own)
+		g.ExpectWithOffset(1, current).To(gomega.Equal(currentSince >= 0))
+		if current {
+			g.ExpectWithOffset(1, since).To(gomega.Equal(at(currentSince)))
+		}
+	}
+	const never = -1
+	expect(0, 0, never)
+	for ms := 500; ms <= 5000; ms += 500 {
+		c.ReadServers(at(ms), 1)
+		expect(ms, 0, 500)
+	}
+	expect(6900, 0, 500)
+	c.ReadServers(at(6950), 1)
+	expect(6950, 0, 500)
+	expect(9000, 0, never)
+	c.ReadServers(at(9100), 1)
+	expect(9100, 0, 9100)
+	c.DigestReceived(at(10500), reader, storewatch.Digest{ServersNext: 2, Servers: 7})
+	expect(10500, 7, 9100)
+	c.DigestReceived(at(13000), reader, storewatch.Digest{ServersNext: 3, Servers: 8})
+	expect(13000, 7, never)
+	expect(13100, 8, 13100)
+}
