streamorigin: A node that has seen several versions is right against one that has seen one

Found while reading the change: a node that knew of two versions, and no record of the stream, believed a peer whose view was behind and still showed one. Answers now tell several versions from unknown, and several versions go before the only one; a stream is resumed only with a record or an unchallenged only version.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -68,7 +68,8 @@
 	j.f.metrics.answered.Inc(1)
 	j.f.metrics.latency.Update(time.Since(j.arrived).Milliseconds())
 	more = append(more, event.Fields{
-		"status": status, "zone": candidate.Zone, "softwareVersion": candidate.SoftwareVersion, "load": candidate.Load, "ageMs": candidate.Age.Milliseconds(),
+		"status": status, "zone": candidate.Zone, "softwareVersion": candidate.SoftwareVersion,
+		"load": candidate.Load, "ageMs": candidate.Age.Milliseconds(),
 	})
 	j.log(event.RequestAnswered, outcome, nil, more...)
 }
--- a/internal/forward/origin.go
+++ b/internal/forward/origin.go
@@ -33,7 +33,7 @@
 		"searchMs": time.Since(startedAt).Milliseconds(),
 	})
 	switch {
-	case answer.Basis == streamorigin.Unknown:
+	case !answer.Known():
 		j.f.metrics.resumesRefused.Inc(1)
 		j.refuseUnservedFor(ReasonUnknownOrigin, originRetryAfter)
 		return false
--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -125,7 +125,7 @@
 ) streamorigin.Answer {
 	now := time.Now()
 	answer := o.known(now, request, service, maximumAge)
-	if answer.Basis == streamorigin.Recorded || answer.Basis == streamorigin.OnlyVersion && request == "" {
+	if answer.Basis == streamorigin.Recorded || answer.Basis != streamorigin.Unknown && request == "" {
 		return answer
 	}
 	holders, alive := o.nodes(now)
@@ -176,13 +176,15 @@
 		}
 	}
 	since := now.Add(-maximumAge)
-	if !o.node.sightings.areComplete(now, since) {
+	versions := o.node.view.VersionsSince(service, since)
+	switch {
+	case len(versions) > 1:
+		return streamorigin.Answer{Basis: streamorigin.SeveralVersions}
+	case len(versions) == 1 && o.node.sightings.areComplete(now, since):
+		return streamorigin.Answer{Basis: streamorigin.OnlyVersion, Service: service, SoftwareVersion: versions[0]}
+	default:
 		return streamorigin.Answer{}
 	}
-	if version, only := o.node.view.OnlyVersion(service, since); only {
-		return streamorigin.Answer{Basis: streamorigin.OnlyVersion, Service: service, SoftwareVersion: version}
-	}
-	return streamorigin.Answer{}
 }
 
 func (o *origins) register(expected int) (id uint64, replies chan originReply) {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -176,7 +176,6 @@
 }
 
 func (n *Node) sendUsageOnce(now time.Time) {
-	n.watch.checkCurrent(now, n.view.Fingerprint())
 	collected := n.usage.Collect(now)
 	out := n.newOutbox(now)
 	for _, server := range n.view.Entries(now) {
--- a/internal/serverview/serverview.go
+++ b/internal/serverview/serverview.go
@@ -320,7 +320,8 @@
 		}
 		e := srv.entry
 		sum += xxhash.Sum64String(e.ID + "|" + e.Service + "|" + e.Address + "|" + e.Zone + "|" +
-			strconv.Itoa(e.Slots) + "|" + strconv.FormatInt(e.Born, 10) + "|" + e.SoftwareVersion + "|" + strconv.FormatBool(e.Draining || e.LeavesIn > 0))
+			strconv.Itoa(e.Slots) + "|" + strconv.FormatInt(e.Born, 10) + "|" + e.SoftwareVersion + "|" +
+			strconv.FormatBool(e.Draining || e.LeavesIn > 0))
 	}
 	return sum
 }
--- a/internal/serverview/versions.go
+++ b/internal/serverview/versions.go
@@ -1,6 +1,7 @@
 package serverview
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -49,9 +50,9 @@
 	return byService
 }
 
-// OnlyVersion returns the software version of a service's servers if no other one has served since a time. The caller
-// must know that this view has been up to date since then.
-func (v *View) OnlyVersion(service string, since time.Time) (softwareVersion string, only bool) {
+// VersionsSince returns the software versions of the servers of a service that were present at some moment since a time,
+// as far as this view knows.
+func (v *View) VersionsSince(service string, since time.Time) (softwareVersions []string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	seen := make(map[string]bool)
@@ -65,8 +66,5 @@
 			seen[srv.entry.SoftwareVersion] = true
 		}
 	}
-	for version := range seen {
-		softwareVersion = version
-	}
-	return softwareVersion, len(seen) == 1
+	return slices.Sorted(maps.Keys(seen))
 }
--- a/internal/streamorigin/streamorigin.go
+++ b/internal/streamorigin/streamorigin.go
@@ -77,29 +77,35 @@
 	Unknown Basis = iota
 	// OnlyVersion means that no other version of the service served since before the stream can have begun.
 	OnlyVersion
+	// SeveralVersions means that the stream may have begun at any of several versions.
+	SeveralVersions
 	// Recorded means that the node has a record of the stream.
 	Recorded
 )
 
-var basisNames = [...]string{"unknown", "only version", "recorded"}
+var basisNames = [...]string{"unknown", "only version", "several versions", "recorded"}
 
 // String returns the basis in logs.
 func (b Basis) String() string { return basisNames[b] }
 
-// Answer is what one node knows about the origin of a stream.
+// Answer is what one node knows about the origin of a stream. Service and SoftwareVersion are empty if it's not known.
 type Answer struct {
 	Basis           Basis
 	Service         string
 	SoftwareVersion string
 }
 
-// Combine returns the more reliable of two answers. Two nodes that took different versions for the only one know nothing.
+// Known reports whether the answer has the stream's origin.
+func (a Answer) Known() bool { return a.Basis == OnlyVersion || a.Basis == Recorded }
+
+// Combine returns the more reliable of two answers. A node that has seen several versions is right against one that has
+// seen a single one, whose view may be behind; so are two nodes that have each seen a different one.
 func (a Answer) Combine(other Answer) Answer {
 	switch {
 	case other.Basis > a.Basis:
 		return other
 	case a.Basis == OnlyVersion && other.Basis == OnlyVersion && a != other:
-		return Answer{}
+		return Answer{Basis: SeveralVersions}
 	default:
 		return a
 	}
