node, serving: One registry of requests that wait for answers of other nodes

The client for admissions and the new one for origins each kept IDs, channels and a lock; pending does that for both. The check whether an answer belongs to a request stood twice in forward. No change of behaviour.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -206,9 +206,8 @@
 // answered handles the header of a server's answer.
 func (j *job) answered(candidate serverview.Candidate, answer *http.Response) (done bool) {
 	info := j.f.options.Wire.DecodeAnswer(answer)
-	otherRequest := info.RequestID != "" && info.RequestID != j.request.ID
 	switch {
-	case otherRequest:
+	case !info.BelongsTo(j.request.ID):
 		return j.handleUnusableAnswer(candidate, "the answer belongs to another request")
 	case info.NotRun:
 		return j.notRun(candidate, answer, info)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -97,7 +97,7 @@
 	defer answer.Body.Close()
 	s.delimiter = upstream.DelimiterOf(answer)
 	info := j.f.options.Wire.DecodeAnswer(answer)
-	if answer.StatusCode != http.StatusOK || !info.HasDigest || info.RequestID != "" && info.RequestID != j.request.ID {
+	if answer.StatusCode != http.StatusOK || !info.HasDigest || !info.BelongsTo(j.request.ID) {
 		return candidate, errNotResumed
 	}
 	return candidate, s.copy(answer.Body)
--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"waxwingcleat.example/waxwingcleat/internal/peerlink"
@@ -29,45 +28,23 @@
 	admissionGranted
 )
 
+// unreadAdmissionAnswers bounds the answers to one request that wait to be read; holders repeat them.
+const unreadAdmissionAnswers = 4
+
 // admissionClient requests admission of prompts from the lease holders of model servers. It implements forward.Gate.
 type admissionClient struct {
 	node    *Node
-	mu      sync.Mutex
-	lastID  uint64
-	waiting map[uint64]chan admissionAnswer
+	pending *pending[admissionAnswer]
 }
 
 func newAdmissionClient(node *Node) *admissionClient {
-	// The start time makes the IDs differ from those of the previous process at the same address.
-	return &admissionClient{
-		node: node, lastID: uint64(time.Now().UnixMicro()) << 8, waiting: make(map[uint64]chan admissionAnswer),
-	}
-}
-
-func (c *admissionClient) register() (id uint64, answers chan admissionAnswer) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.lastID++
-	answers = make(chan admissionAnswer, 4)
-	c.waiting[c.lastID] = answers
-	return c.lastID, answers
+	return &admissionClient{node: node, pending: newPending[admissionAnswer]()}
 }
 
-func (c *admissionClient) unregister(id uint64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.waiting, id)
-}
-
-// deliver passes a holder's answer to the requests that wait for it. Answers to others are dropped.
+// deliver passes a holder's answer to the requests that wait for it.
 func (c *admissionClient) deliver(ids []uint64, answer admissionAnswer) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	for _, id := range ids {
-		select {
-		case c.waiting[id] <- answer:
-		default:
-		}
+		c.pending.deliver(id, answer)
 	}
 }
 
@@ -75,8 +52,8 @@
 func (c *admissionClient) Await(
 	ctx context.Context, server string, tokens, priority int, maxWait time.Duration,
 ) (release func(read bool), ok bool) {
-	id, answers := c.register()
-	defer c.unregister(id)
+	id, answers := c.pending.register(unreadAdmissionAnswers)
+	defer c.pending.unregister(id)
 	request := peerlink.AdmissionRequest{ServerID: server, ID: id, Tokens: tokens, Priority: priority}
 	release = func(read bool) { c.sendRelease(server, id, read) }
 	expired := time.NewTimer(maxWait)
--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -33,8 +33,7 @@
 	registry *streamorigin.Registry
 	// unsent holds the origins that have not been sent to their keepers yet.
 	unsent  []streamorigin.Origin
-	lastID  uint64
-	queries map[uint64]chan originReply
+	queries *pending[originReply]
 	// recorded receives a value when an origin was added to unsent.
 	recorded chan struct{}
 }
@@ -47,10 +46,8 @@
 
 func newOrigins(node *Node) *origins {
 	return &origins{
-		node: node, registry: streamorigin.NewRegistry(), queries: make(map[uint64]chan originReply),
+		node: node, registry: streamorigin.NewRegistry(), queries: newPending[originReply](),
 		recorded: make(chan struct{}, 1),
-		// The start time makes the IDs differ from those of the previous process at the same address.
-		lastID: uint64(time.Now().UnixMicro()) << 8,
 	}
 }
 
@@ -138,9 +135,9 @@
 func (o *origins) ask(
 	ctx context.Context, query peerlink.OriginQuery, targets []string, answer streamorigin.Answer,
 ) streamorigin.Answer {
-	var replies chan originReply
-	query.ID, replies = o.register(len(targets))
-	defer o.unregister(query.ID)
+	id, replies := o.queries.register(len(targets))
+	defer o.queries.unregister(id)
+	query.ID = id
 	timeout := originQueryTimeout
 	if answer.Basis == streamorigin.OnlyVersion {
 		timeout = originConfirmTimeout
@@ -187,21 +184,6 @@
 	}
 }
 
-func (o *origins) register(expected int) (id uint64, replies chan originReply) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.lastID++
-	replies = make(chan originReply, expected)
-	o.queries[o.lastID] = replies
-	return o.lastID, replies
-}
-
-func (o *origins) unregister(id uint64) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	delete(o.queries, id)
-}
-
 // handleMessage processes what a peer's message says or asks about origins.
 func (o *origins) handleMessage(now time.Time, message peerlink.Message) {
 	if len(message.Origins) > 0 {
@@ -217,16 +199,6 @@
 		o.node.link.Send(peerlink.Message{OriginAnswer: &reply}, message.From)
 	}
 	if answer := message.OriginAnswer; answer != nil {
-		o.deliver(answer.ID, originReply{from: message.From, answer: answer.Decode()})
-	}
-}
-
-// deliver passes a reply to the query that waits for it, if there is one. A repeated reply may be dropped.
-func (o *origins) deliver(id uint64, reply originReply) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	select {
-	case o.queries[id] <- reply:
-	default:
+		o.queries.deliver(answer.ID, originReply{from: message.From, answer: answer.Decode()})
 	}
 }
--- a/internal/serving/request.go
+++ b/internal/serving/request.go
@@ -50,6 +50,11 @@
 	HasDigest bool
 }
 
+// BelongsTo reports whether the answer may be that of a request. An answer without an ID may be that of any.
+func (a AnswerInfo) BelongsTo(requestID string) bool {
+	return a.RequestID == "" || a.RequestID == requestID
+}
+
 // Refusal is an answer that the node produces itself instead of forwarding one.
 type Refusal struct {
 	Status int
