streamorigin: Don't record long request IDs

Found while reading the change: callers choose the IDs, up to the size of a header, and a registry of 20,000 origins could have taken 320 MB of a VM's 284, and a message of 40 records more than a datagram. IDs above 128 bytes are neither recorded nor asked for. TestLongIDsAreNotRecorded did not compile before, as there was no bound.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -73,7 +73,7 @@
 
 // Origins knows at which software version streams began, from this node's own streams and from other nodes.
 type Origins interface {
-	// Record remembers the origin of a stream and passes it on to other nodes.
+	// Record remembers the origin of a stream and passes it on to other nodes. It ignores one without a request's ID.
 	Record(origin streamorigin.Origin)
 	// Find returns what is known about the stream that a request began. service is the only one at which it can have begun,
 	// empty if there are several, and maximumAge bounds how long ago that was. It asks other nodes if necessary, for a
--- a/internal/forward/origin.go
+++ b/internal/forward/origin.go
@@ -66,12 +66,10 @@
 		request = j.request.Resumes
 	}
 	j.softwareVersion = candidate.SoftwareVersion
-	if request != "" {
-		j.f.options.Origins.Record(streamorigin.Origin{
-			Request: request, Service: j.service.Name, SoftwareVersion: candidate.SoftwareVersion,
-			Until: time.Now().Add(j.streamLifetime()),
-		})
-	}
+	j.f.options.Origins.Record(streamorigin.Origin{
+		Request: request, Service: j.service.Name, SoftwareVersion: candidate.SoftwareVersion,
+		Until: time.Now().Add(j.streamLifetime()),
+	})
 }
 
 // streamLifetime returns how long from now the caller may resume the stream, which also bounds how long ago it can have
--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -54,10 +54,14 @@
 // Record implements forward.Origins.
 func (o *origins) Record(origin streamorigin.Origin) {
 	o.mu.Lock()
-	o.registry.Record(time.Now(), origin)
-	o.unsent = append(o.unsent, origin)
+	recorded := o.registry.Record(time.Now(), origin)
+	if recorded {
+		o.unsent = append(o.unsent, origin)
+	}
 	o.mu.Unlock()
-	notify(o.recorded)
+	if recorded {
+		notify(o.recorded)
+	}
 }
 
 // send sends new origins to their keepers until ctx ends.
@@ -120,6 +124,9 @@
 func (o *origins) Find(
 	ctx context.Context, request, service string, maximumAge time.Duration,
 ) streamorigin.Answer {
+	if len(request) > streamorigin.MaximumRequestBytes {
+		request = ""
+	}
 	now := time.Now()
 	answer := o.known(now, request, service, maximumAge)
 	if answer.Basis == streamorigin.Recorded || answer.Basis != streamorigin.Unknown && request == "" {
--- a/internal/streamorigin/streamorigin.go
+++ b/internal/streamorigin/streamorigin.go
@@ -23,8 +23,12 @@
 	Until time.Time
 }
 
-// capacity bounds the origins in a registry, some 200 B each.
-const capacity = 20_000
+const (
+	// capacity bounds the origins in a registry, some 200 B each.
+	capacity = 20_000
+	// MaximumRequestBytes bounds the IDs that are recorded and sent to other nodes. Callers choose them.
+	MaximumRequestBytes = 128
+)
 
 // Registry holds the origins that one node knows. It isn't safe for concurrent use.
 type Registry struct {
@@ -36,18 +40,23 @@
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry { return &Registry{byRequest: make(map[string]Origin)} }
 
-// Record adds an origin. The service and version of a stream that is known already don't change.
-func (r *Registry) Record(now time.Time, origin Origin) {
+// Record adds an origin, unless the request's ID is empty or too long. The service and version of a stream that is known
+// already don't change.
+func (r *Registry) Record(now time.Time, origin Origin) (recorded bool) {
+	if origin.Request == "" || len(origin.Request) > MaximumRequestBytes {
+		return false
+	}
 	if known, found := r.byRequest[origin.Request]; found {
 		if origin.Until.After(known.Until) {
 			known.Until = origin.Until
 			r.byRequest[origin.Request] = known
 		}
-		return
+		return true
 	}
 	r.prune(now)
 	r.byRequest[origin.Request] = origin
 	r.order = append(r.order, origin.Request)
+	return true
 }
 
 // prune removes the oldest origins while they are expired or the registry is full.
--- a/internal/streamorigin/streamorigin_test.go
+++ b/internal/streamorigin/streamorigin_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -45,6 +46,19 @@
 	}
 }
 
+// Guards against callers that exhaust a node's memory, or make its messages too large, by long IDs.
+func TestLongIDsAreNotRecorded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := streamorigin.NewRegistry()
+	longest := strings.Repeat("x", streamorigin.MaximumRequestBytes)
+	for id, recorded := range map[string]bool{longest: true, longest + "x": false, "": false} {
+		origin := streamorigin.Origin{Request: id, SoftwareVersion: "v1", Until: start.Add(time.Second)}
+		g.Expect(r.Record(start, origin)).To(gomega.Equal(recorded))
+		_, found := r.Find(start, id)
+		g.Expect(found).To(gomega.Equal(recorded))
+	}
+}
+
 // Guards against a node whose view is behind and that is believed before one which has seen several versions, against a
 // choice between two nodes that contradict each other, and against a record that is ignored.
 func TestRecordsGoBeforeGuesses(t *testing.T) {
