--- a/internal/modelpick/modelpick_test.go
+++ b/internal/modelpick/modelpick_test.go
@@ -28,8 +28,7 @@
 	return c
 }
 
-// Guards against requests to servers that are leaving, were tried, are full, hold an outdated version, or have another
-// software version than the resumed stream.
+// Guards against requests to servers that are leaving, tried, full, outdated, or of another software version.
 func TestIneligibleServersAreNeverChosen(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var candidates []serverview.Candidate
--- a/internal/serverview/versions_test.go
+++ b/internal/serverview/versions_test.go
@@ -10,8 +10,7 @@
 	"waxwingcleat.example/waxwingcleat/internal/serving"
 )
 
-// Guards against a version that is forgotten while streams may go on that began at it: at a server that has left,
-// restarted with other software, or was dropped from the view, or that another node has noted.
+// Guards against a version that is forgotten while streams may go on that began at it.
 func TestVersionsOfServersThatHaveLeftAreRemembered(t *testing.T) {
 	for name, leave := range map[string]func(v *serverview.View, now time.Time){
 		"left": func(v *serverview.View, now time.Time) { v.RemoveEntry(now, "old") },
--- a/internal/streamorigin/streamorigin_test.go
+++ b/internal/streamorigin/streamorigin_test.go
@@ -59,8 +59,7 @@
 	}
 }
 
-// Guards against a node whose view is behind and that is believed before one which has seen several versions, against a
-// choice between two nodes that contradict each other, and against a record that is ignored.
+// Guards against a stream that is resumed by a node's guess although another node knows more or contradicts it.
 func TestRecordsGoBeforeGuesses(t *testing.T) {
 	g := gomega.NewWithT(t)
 	unknown := streamorigin.Answer{}
@@ -89,8 +88,7 @@
 	return nodes
 }
 
-// Guards against a node that can't find a record after the node at which the stream began has stopped, and against a
-// record that is lost when two of its keepers stop too.
+// Guards against a record that isn't found, or that is lost when two of its keepers stop.
 func TestKeepersAreAmongTheTargets(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		holders := drawNodes(t)[:4]
--- a/internal/upstream/verify_test.go
+++ b/internal/upstream/verify_test.go
@@ -39,8 +39,7 @@
 	return text
 }
 
-// Guards against a stream whose end is taken for complete inside an event, or for broken off between two, however the
-// end is marked, and against bytes that are lost or changed.
+// Guards against streams that count as complete inside an event or as broken off between two, and against lost bytes.
 func TestEndOfStreamIsVerified(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		whole := drawEvents(t)
