--- a/internal/modelpick/modelpick_test.go
+++ b/internal/modelpick/modelpick_test.go
@@ -53,8 +53,8 @@
 		otherVersion := func(c serverview.Candidate) bool {
 			return query.SoftwareVersion != "" && c.SoftwareVersion != query.SoftwareVersion
 		}
-		if found && (chosen.Leaving || otherVersion(chosen) || !chosen.Present || chosen.Version < query.MinVersion || chosen.Load >= 64 ||
-			query.Tried[chosen.ID]) {
+		if found && (chosen.Leaving || otherVersion(chosen) || !chosen.Present || chosen.Version < query.MinVersion ||
+			chosen.Load >= 64 || query.Tried[chosen.ID]) {
 			t.Fatalf("an ineligible server was chosen: %+v", chosen)
 		}
 		target, _, found := modelpick.LoadTarget(candidates, query, "")
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -156,7 +156,8 @@
 			notify(n.sightings.changed)
 			n.events.Emit(event.ServerEntryChanged, event.Fields{
 				"server": server.ID, "service": server.Service, "address": server.Address, "zone": server.Zone,
-				"softwareVersion": server.SoftwareVersion, "draining": server.Draining, "leavesInMs": server.LeavesIn.Milliseconds(), "born": server.Born,
+				"softwareVersion": server.SoftwareVersion, "draining": server.Draining,
+				"leavesInMs": server.LeavesIn.Milliseconds(), "born": server.Born,
 			})
 		}
 	}
