serving, requestlimit: Log the limits that servers name, count reports and orders

Answers and reports are now checked for a limit; [825] to [828] say when one is learned, changed, lifted or can't be read. Nothing acts on it yet.

--- a/internal/event/node.go
+++ b/internal/event/node.go
@@ -46,6 +46,14 @@
 		"The report of a model server could not be read; the server's state is unknown until the next report.")
 	ServerRestarted = register(824, logrus.WarnLevel, "server restarted",
 		"A model server restarted and has nothing loaded.")
+	LimitLearned = register(825, logrus.InfoLevel, "server limit learned",
+		"A server names a limit of requests a second from all nodes together; the fields show the value and its source.")
+	LimitChanged = register(826, logrus.InfoLevel, "server limit changed",
+		"A server names another limit than before.")
+	LimitLifted = register(827, logrus.InfoLevel, "server limit lifted",
+		"A server doesn't name a limit any more, or none of its answers confirmed it for a long time.")
+	LimitInvalid = register(828, logrus.WarnLevel, "server limit invalid",
+		"An answer names a limit that can't be used; the last known one stays in force.")
 	PeerMessageFailed = register(830, logrus.DebugLevel, "peer message failed",
 		"A message from or to another node was lost or could not be read.")
 	PeerStateFetched = register(831, logrus.InfoLevel, "state fetched from peer",
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -206,6 +206,7 @@
 // answered handles the header of a server's answer.
 func (j *job) answered(candidate serverview.Candidate, answer *http.Response) (done bool) {
 	info := j.f.options.Wire.DecodeAnswer(answer)
+	j.observeLimit(candidate, info)
 	switch {
 	case !info.BelongsTo(j.request.ID):
 		return j.handleUnusableAnswer(candidate, "the answer belongs to another request")
@@ -231,6 +232,13 @@
 	}
 }
 
+// observeLimit applies the limit in an answer, unless the answer may be that of another request or server.
+func (j *job) observeLimit(candidate serverview.Candidate, info serving.AnswerInfo) {
+	if info.BelongsTo(j.request.ID) && !info.Misdirected && (info.HasDigest || info.NotRun) {
+		j.f.options.Limits.Observe(candidate, info.Limit, j.sentAt, !info.NotRun)
+	}
+}
+
 // handleUnusableAnswer handles an answer that can't be forwarded; the request may have run.
 func (j *job) handleUnusableAnswer(candidate serverview.Candidate, reason string) (done bool) {
 	j.attempts++
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -54,6 +54,7 @@
 	Gate      Gate
 	EventGaps *eventgap.Observer
 	Origins   Origins
+	Limits    Limits
 	Zone      string
 	Events    *event.Log
 	// RetryBudget is the site-wide bound on retries; its Nodes field is overridden by the result of Nodes.
@@ -81,6 +82,13 @@
 	Find(ctx context.Context, request, service string, maximumAge time.Duration) streamorigin.Answer
 }
 
+// Limits keeps the requests of all nodes within the limits that servers name in their answers.
+type Limits interface {
+	// Observe applies what an answer says about its server's limit. sentAt is when the request was sent. ran is true if the
+	// server ran the request; only then does an answer without a limit mean that there is none.
+	Observe(server serverview.Candidate, limit serving.RequestLimit, sentAt time.Time, ran bool)
+}
+
 // activeConfig is a configuration with its route table.
 type activeConfig struct {
 	config *serving.Configuration
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -82,6 +82,7 @@
 	}
 	j.sends++
 	j.attempts++
+	j.sentAt = now
 	j.server = candidate.ID
 	j.tried[candidate.ID] = true
 	defer j.f.options.View.Begin(now, candidate.ID)()
@@ -97,6 +98,7 @@
 	defer answer.Body.Close()
 	s.delimiter = upstream.DelimiterOf(answer)
 	info := j.f.options.Wire.DecodeAnswer(answer)
+	j.observeLimit(candidate, info)
 	if answer.StatusCode != http.StatusOK || !info.HasDigest || !info.BelongsTo(j.request.ID) {
 		return candidate, errNotResumed
 	}
--- a/internal/node/holders.go
+++ b/internal/node/holders.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"waxwingcleat.example/waxwingcleat/internal/delay"
 	"waxwingcleat.example/waxwingcleat/internal/event"
 	"waxwingcleat.example/waxwingcleat/internal/prefillgate"
@@ -20,6 +22,8 @@
 	node *Node
 	mu   sync.Mutex
 	byID map[string]*holder
+	// reports and orders count the calls to the servers.
+	reports, orders metrics.Counter
 }
 
 // holder executes the decisions of the residency core of one server. After a restart of the server, its new entry gets
@@ -40,7 +44,13 @@
 	publication publication
 }
 
-func newHolders(node *Node) *holders { return &holders{node: node, byID: make(map[string]*holder)} }
+func newHolders(node *Node) *holders {
+	return &holders{
+		node: node, byID: make(map[string]*holder),
+		reports: metrics.GetOrRegisterCounter("holders.reports", nil),
+		orders:  metrics.GetOrRegisterCounter("holders.orders", nil),
+	}
+}
 
 // reconcile starts a holder for each server whose lease this node holds, and stops the others.
 func (h *holders) reconcile() {
@@ -154,6 +164,7 @@
 
 func (h *holder) report(ctx context.Context, options residency.Options) {
 	requestedAt := time.Now()
+	h.node.holders.reports.Inc(1)
 	report, err := h.node.servers.Report(ctx, h.server)
 	if ctx.Err() != nil {
 		return
@@ -165,6 +176,7 @@
 		h.core.ReportFailed(time.Now())
 		return
 	}
+	h.node.limits.reported(h.server, report.Limit, requestedAt)
 	restarted := h.incarnation != 0 && report.Born != 0 && report.Born != h.incarnation
 	if report.Born != 0 {
 		h.incarnation = report.Born
@@ -180,6 +192,7 @@
 	order := action.Order
 	order.Holder = h.node.settings.Node.Name
 	order.Fence = fence
+	h.node.holders.orders.Inc(1)
 	outcome, err := h.node.servers.Order(ctx, h.server, order)
 	if !action.Repeats || outcome != serving.OrderAccepted {
 		h.logOrder(action, order, outcome, err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -81,6 +81,7 @@
 	admission    *admissionClient
 	origins      *origins
 	sightings    *sightings
+	limits       *limits
 	watch        *watch
 	peers        *peers
 	link         *peerlink.Link
@@ -135,10 +136,11 @@
 	n.admission = newAdmissionClient(n)
 	n.origins = newOrigins(n)
 	n.sightings = newSightings(n)
+	n.limits = newLimits(n)
 	n.connections.OnIdleDropsDetected(func() { n.events.Emit(event.IdleConnectionsReset, nil) })
 	n.forwarder = forward.New(forward.Options{
 		Wire: d.Wire, View: n.view, Usage: n.usage, Transport: d.Connections, Gate: n.admission, EventGaps: n.eventGaps,
-		Origins: n.origins, Zone: settings.Node.Zone, Events: d.Events,
+		Origins: n.origins, Limits: n.limits, Zone: settings.Node.Zone, Events: d.Events,
 		RetryBudget: retrybudget.Options{
 			Ratio: settings.RetryBudget.Ratio, Slack: settings.RetryBudget.Slack, Window: settings.RetryBudget.Window.Std(),
 		},
--- a/internal/serverview/candidates.go
+++ b/internal/serverview/candidates.go
@@ -14,8 +14,10 @@
 	Zone    string
 	// SoftwareVersion is the version of the server's own software.
 	SoftwareVersion string
-	Slots           int
-	Leaving         bool
+	// Born is the start time of the server in Unix milliseconds, as in its entry.
+	Born    int64
+	Slots   int
+	Leaving bool
 	// Ejected is true while the server should not get requests: after consecutive failures, while all its streams are
 	// stalled, or while its holder cannot reach it.
 	Ejected bool
@@ -64,7 +66,7 @@
 	holderCannotReach := fresh && !s.published.Ready
 	c := Candidate{
 		ID: s.entry.ID, Address: s.entry.Address, Zone: s.entry.Zone, SoftwareVersion: s.entry.SoftwareVersion,
-		Slots: s.entry.Slots, Leaving: s.leaving,
+		Born: s.entry.Born, Slots: s.entry.Slots, Leaving: s.leaving,
 		Ejected:     now.Before(s.ejectedUntil) || s.stalled(now) || holderCannotReach,
 		FailureRate: s.failureRate, InFlight: s.inFlight, Age: now.Sub(s.publishedAt),
 		HolderAlive: now.Sub(s.publishedAt) < holderSilentAfter && s.published.Ready, SlotQueue: s.published.Slots,
--- a/internal/serverview/serverview.go
+++ b/internal/serverview/serverview.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"waxwingcleat.example/waxwingcleat/internal/evictions"
+	"waxwingcleat.example/waxwingcleat/internal/requestlimit"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
 )
 
@@ -65,6 +66,8 @@
 	failureRate  float64
 	ejectedUntil time.Time
 	ejectTime    time.Duration
+
+	limit requestlimit.Belief
 }
 
 // View is the aggregate of all servers.
--- a/internal/serving/request.go
+++ b/internal/serving/request.go
@@ -48,6 +48,18 @@
 	RequestID string
 	// HasDigest is true when the answer carries the digest that servers put on the answers they produce themselves.
 	HasDigest bool
+	// Limit is the limit that the server names in the answer.
+	Limit RequestLimit
+}
+
+// RequestLimit is the rate of requests that a server accepts from all nodes together, as named in one of its answers.
+type RequestLimit struct {
+	// Named is true when the answer names a valid limit.
+	Named bool
+	// PerSecond is the limit in requests a second.
+	PerSecond float64
+	// Invalid is set when the answer names a limit that can't be used; the answer then says nothing about the limit.
+	Invalid error
 }
 
 // BelongsTo reports whether the answer may be that of a request. An answer without an ID may be that of any.
--- a/internal/serving/server.go
+++ b/internal/serving/server.go
@@ -79,6 +79,8 @@
 	// Waiting and Running are the numbers of requests in these states.
 	Waiting int
 	Running int
+	// Limit is the limit of requests that the answer with the report names.
+	Limit RequestLimit
 }
 
 // OrderKind is the operation that an order requests.
