requestlimit, node, forward: Keep the requests of all nodes within the limits of servers

Callers saw nothing; a server in need got 29 requests in 4 s where its limit of 2.8 a second allows 22.

One node coordinates each server with a limit: the owner of its partition, which the store's group names to all. It grants single requests at 0.9 of the limit, the most urgent first, and charges its own reports and orders, which become rarer. A node that can't reach it sends 0.15 of the limit divided by the number of nodes; a coordinator without a valid lease grants 0.4. So two coordinators and all cut-off nodes stay below the 1.5 that the platform allows. Notices of limits go to the coordinator and from there to all nodes; of two answers that may have been made at the same time, the lower limit counts, and only an answer that was certainly made later ends it. Requests go to other servers first, wait by rank for room if that is sooner than a load elsewhere, or are refused at once with the time at which there is room. A grant is checked once more before the first byte, by a clock that goes on while the VM is suspended.

--- a/internal/event/node.go
+++ b/internal/event/node.go
@@ -54,12 +54,16 @@
 		"A server doesn't name a limit any more, or none of its answers confirmed it for a long time.")
 	LimitInvalid = register(828, logrus.WarnLevel, "server limit invalid",
 		"An answer names a limit that can't be used; the last known one stays in force.")
+	LimitUsage = register(829, logrus.InfoLevel, "server limit used",
+		"How the node that coordinates a server's limit used it: requests granted and refused, and its own calls.")
 	PeerMessageFailed = register(830, logrus.DebugLevel, "peer message failed",
 		"A message from or to another node was lost or could not be read.")
 	PeerStateFetched = register(831, logrus.InfoLevel, "state fetched from peer",
 		"The store is unavailable; the node fetched configuration, versions and servers from another node.")
 	PeerStateFetchFailed = register(832, logrus.WarnLevel, "state fetch from peer failed",
 		"The store is unavailable, and another node did not answer a request for its state.")
+	LimitCoordinatorSilent = register(833, logrus.InfoLevel, "limit coordinator silent",
+		"The node that coordinates a server's limit didn't answer; for now, this node sends within a share of its own.")
 	SettingsReloaded = register(840, logrus.InfoLevel, "settings reloaded",
 		"The settings file was reloaded; the fields say what changed and what needs a restart.")
 	SettingsNotReloaded = register(841, logrus.ErrorLevel, "settings not reloaded",
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -44,11 +44,15 @@
 // attempt sends the request to a server. It returns true once the caller has its final answer.
 func (j *job) attempt(candidate serverview.Candidate, version int) (done bool) {
 	j.server = candidate.ID
+	if reserved, done := j.reserve(candidate); !reserved {
+		return done
+	}
 	j.tried[candidate.ID] = true
 	if j.service.Engine != nil {
 		defer j.f.options.Usage.Begin(candidate.ID, j.request.Adapter)()
 		release, ok := j.awaitGate(candidate)
 		if !ok {
+			j.reservation.cancel()
 			j.inputs = event.Fields{"backlogMs": candidate.Backlog.Milliseconds(), "ageMs": candidate.Age.Milliseconds()}
 			return j.handleGateTimeout()
 		}
@@ -71,6 +75,38 @@
 	return j.answered(candidate, answer)
 }
 
+// minimumRoomWait is the least time for which a server without room isn't asked again for the same request.
+const minimumRoomWait = 5 * time.Millisecond
+
+// reserve reserves the sending of the request to a server. It waits only for a server that was chosen although its limit
+// left no room. Without a reservation another server has to be chosen, unless the caller has its final answer: done is
+// then true.
+func (j *job) reserve(candidate serverview.Candidate) (reserved, done bool) {
+	patience := time.Duration(0)
+	if candidate.RoomIn > 0 {
+		patience = j.remainingWait()
+	}
+	if j.acquire(candidate, patience) {
+		return true, false
+	}
+	if j.ctx.Err() != nil {
+		j.refuseUnserved(ReasonWaitedTooLong)
+		return false, true
+	}
+	return false, false
+}
+
+// acquire reserves the sending of the request to a server. Without a reservation the server isn't chosen until it
+// probably has room.
+func (j *job) acquire(candidate serverview.Candidate, patience time.Duration) bool {
+	reservation, roomIn, ok := j.f.options.Limits.Acquire(j.ctx, candidate, j.route.Priority, patience)
+	j.reservation = reservation
+	if !ok {
+		j.f.options.View.NoRoom(candidate.ID, time.Now().Add(max(roomIn, minimumRoomWait)))
+	}
+	return ok
+}
+
 // attemptTime returns the timeout of one send. For an idempotent request it leaves time to retry at another server when
 // this one doesn't answer.
 func (j *job) attemptTime() time.Duration {
@@ -133,8 +169,11 @@
 		Body:          io.NopCloser(bytes.NewReader(j.body)),
 		ContentLength: int64(len(j.body)),
 	}
-	answer, err = j.f.options.Transport.RoundTrip(request.WithContext(trace.WithTrace(ctx, func() bool { return true })))
+	answer, err = j.f.options.Transport.RoundTrip(request.WithContext(trace.WithTrace(ctx, j.reservation.isValid)))
 	if err != nil {
+		if !trace.Written() {
+			j.reservation.cancel()
+		}
 		return nil, trace.Written(), failure.Wrap(err, failure.Unavailable, "send request", candidate.Address)
 	}
 	upstream.VerifyEnd(answer, j.expectedType(answer.StatusCode))
@@ -156,6 +195,15 @@
 		return j.attemptCancelled(candidate)
 	}
 	j.logFailedAttempt(candidate, written, err)
+	if !written && !j.reservation.isValid() {
+		// The connection took longer than the reservation lasts, or the process was suspended; the server isn't to blame.
+		delete(j.tried, candidate.ID)
+		if j.sends >= maximumSends {
+			j.refuseUnserved(ReasonLimited)
+			return true
+		}
+		return false
+	}
 	if !written {
 		j.f.options.View.Unreachable(now, candidate.ID)
 		if j.sends >= maximumSends {
@@ -206,7 +254,7 @@
 // answered handles the header of a server's answer.
 func (j *job) answered(candidate serverview.Candidate, answer *http.Response) (done bool) {
 	info := j.f.options.Wire.DecodeAnswer(answer)
-	j.observeLimit(candidate, info)
+	j.observeLimit(candidate, answer, info)
 	switch {
 	case !info.BelongsTo(j.request.ID):
 		return j.handleUnusableAnswer(candidate, "the answer belongs to another request")
@@ -232,10 +280,12 @@
 	}
 }
 
-// observeLimit applies the limit in an answer, unless the answer may be that of another request or server.
-func (j *job) observeLimit(candidate serverview.Candidate, info serving.AnswerInfo) {
+// observeLimit applies the limit in an answer, unless the answer may be that of another request or server. Failures and
+// refusals don't show that the server names no limit any more.
+func (j *job) observeLimit(candidate serverview.Candidate, answer *http.Response, info serving.AnswerInfo) {
 	if info.BelongsTo(j.request.ID) && !info.Misdirected && (info.HasDigest || info.NotRun) {
-		j.f.options.Limits.Observe(candidate, info.Limit, j.sentAt, !info.NotRun)
+		conclusive := !info.NotRun && answer.StatusCode < http.StatusInternalServerError
+		j.f.options.Limits.Observe(candidate, info.Limit, j.sentAt, conclusive)
 	}
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -84,9 +84,30 @@
 
 // Limits keeps the requests of all nodes within the limits that servers name in their answers.
 type Limits interface {
-	// Observe applies what an answer says about its server's limit. sentAt is when the request was sent. ran is true if the
-	// server ran the request; only then does an answer without a limit mean that there is none.
-	Observe(server serverview.Candidate, limit serving.RequestLimit, sentAt time.Time, ran bool)
+	// Observe applies what an answer says about its server's limit. sentAt is when the request was sent. An answer without a
+	// limit means that there is none only if it's conclusive.
+	Observe(server serverview.Candidate, limit serving.RequestLimit, sentAt time.Time, conclusive bool)
+	// Acquire reserves the sending of one request of the given rank, and waits for it up to patience. Without a reservation
+	// it returns the time after which there is probably room. Servers without a limit always have room.
+	Acquire(
+		ctx context.Context, server serverview.Candidate, priority int, patience time.Duration,
+	) (reservation Reservation, roomIn time.Duration, ok bool)
+}
+
+// Reservation allows one request to be sent to a server that names a limit.
+type Reservation struct {
+	// Valid reports whether the request may still be sent; nil means without a bound.
+	Valid func() bool
+	// Cancel gives back the reservation of a request that was not sent; nil if nothing has to be given back.
+	Cancel func()
+}
+
+func (r Reservation) isValid() bool { return r.Valid == nil || r.Valid() }
+
+func (r Reservation) cancel() {
+	if r.Cancel != nil {
+		r.Cancel()
+	}
 }
 
 // activeConfig is a configuration with its route table.
@@ -153,6 +174,8 @@
 	attempts int
 	// softwareVersion is the version at which the stream began; empty before its first event, and for other requests.
 	softwareVersion string
+	// reservation allows the latest send.
+	reservation Reservation
 	// server is the ID of the server chosen last.
 	server string
 	// reason is why the latest choice found no server.
@@ -306,12 +329,26 @@
 func (j *job) choosePlain() (serverview.Candidate, int, bool) {
 	candidates := j.f.options.View.Candidates(time.Now(), j.service.Name, serving.Adapter{})
 	candidate, found := modelpick.Plain(candidates, j.query(0), newRandom())
-	if !found {
+	switch {
+	case !found:
 		j.refuseUnserved(modelpick.ReasonNoServer)
+	case candidate.RoomIn > j.remainingWait():
+		j.refuseLimited(candidates, candidate.RoomIn)
+		found = false
 	}
 	return candidate, 0, found
 }
 
+// remainingWait returns how much longer the request may wait for a load or for room at a server with a limit.
+func (j *job) remainingWait() time.Duration { return max(j.loadWait()-time.Since(j.arrived), 0) }
+
+// refuseLimited answers a request for which the servers' limits leave no room in time.
+func (j *job) refuseLimited(candidates []serverview.Candidate, roomIn time.Duration) {
+	j.inputs = obstacleFields(candidates)
+	j.inputs["roomInMs"] = roomIn.Milliseconds()
+	j.refuseUnservedFor(ReasonLimited, max(roomIn, busyRetryAfter))
+}
+
 func (j *job) query(minVersion int) modelpick.Query {
 	return modelpick.Query{
 		Adapter: j.request.Adapter, MinVersion: minVersion, SoftwareVersion: j.softwareVersion,
@@ -352,7 +389,14 @@
 			return chosen, j.expectedVersion(chosen, declared, minVersion), true
 		}
 		j.reason = reason
-		if target, wait, possible := modelpick.LoadTarget(candidates, query, demand.server); possible {
+		target, wait, possible := modelpick.LoadTarget(candidates, query, demand.server)
+		if limited, waits := j.awaitsRoom(candidates, query, wait, possible); waits {
+			return limited, j.expectedVersion(limited, declared, minVersion), true
+		} else if reason == ReasonLimited && !possible {
+			j.refuseLimited(candidates, limited.RoomIn)
+			return limited, 0, false
+		}
+		if possible {
 			if demand.server == "" && wait > waitEnds.Sub(now) {
 				j.inputs = obstacleFields(candidates)
 				j.inputs["loadWaitMs"] = wait.Milliseconds()
@@ -372,12 +416,25 @@
 	}
 }
 
+// awaitsRoom chooses a server that holds the adapter and whose limit leaves room soon enough: within the request's wait,
+// and before another server could load the adapter, if one can.
+func (j *job) awaitsRoom(
+	candidates []serverview.Candidate, query modelpick.Query, loadWait time.Duration, loadPossible bool,
+) (limited serverview.Candidate, waits bool) {
+	if j.reason != ReasonLimited {
+		return limited, false
+	}
+	limited, found := modelpick.LimitedResident(candidates, query)
+	soon := limited.RoomIn <= j.remainingWait() && (!loadPossible || limited.RoomIn < loadWait)
+	return limited, found && soon
+}
+
 // obstacleFields returns the log fields that show why no server can load the adapter.
 func obstacleFields(candidates []serverview.Candidate) event.Fields {
 	o := modelpick.CountObstacles(candidates)
 	return event.Fields{
 		"servers": o.Servers, "leaving": o.Leaving, "leftAlone": o.Ejected, "withoutHolder": o.WithoutHolder,
-		"full": o.Full,
+		"full": o.Full, "limited": o.Limited,
 	}
 }
 
--- a/internal/forward/reasons.go
+++ b/internal/forward/reasons.go
@@ -11,6 +11,7 @@
 	ReasonAllBusy             = modelpick.ReasonAllBusy
 	ReasonOverloaded          = "no server can load the adapter in time"
 	ReasonNotLoaded           = modelpick.ReasonNotLoaded
+	ReasonLimited             = modelpick.ReasonLimited
 	ReasonPrefillQueueTooLong = "the servers' prompts in line would take too long"
 	ReasonNoConnection        = "no connection to a server was obtained"
 	ReasonNoAnswer            = "the server gave no answer"
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -74,12 +74,11 @@
 
 // resume continues the stream at another server of the same software version, after the last event sent to the caller.
 func (j *job) resume(s *stream) (serverview.Candidate, error) {
-	now := time.Now()
-	candidates := j.f.options.View.Candidates(now, j.service.Name, j.request.Adapter)
-	candidate, found := j.pickResident(candidates)
+	candidate, found := j.reserveResident()
 	if !found {
 		return candidate, errNoServerToResume
 	}
+	now := time.Now()
 	j.sends++
 	j.attempts++
 	j.sentAt = now
@@ -98,13 +97,27 @@
 	defer answer.Body.Close()
 	s.delimiter = upstream.DelimiterOf(answer)
 	info := j.f.options.Wire.DecodeAnswer(answer)
-	j.observeLimit(candidate, info)
+	j.observeLimit(candidate, answer, info)
 	if answer.StatusCode != http.StatusOK || !info.HasDigest || !info.BelongsTo(j.request.ID) {
 		return candidate, errNotResumed
 	}
 	return candidate, s.copy(answer.Body)
 }
 
+// reserveResident chooses a server that can resume a stream now, and reserves the sending to it.
+func (j *job) reserveResident() (candidate serverview.Candidate, found bool) {
+	for j.ctx.Err() == nil {
+		candidates := j.f.options.View.Candidates(time.Now(), j.service.Name, j.request.Adapter)
+		if candidate, found = j.pickResident(candidates); !found || candidate.RoomIn > 0 {
+			return candidate, false
+		}
+		if j.acquire(candidate, 0) {
+			return candidate, true
+		}
+	}
+	return candidate, false
+}
+
 var (
 	errNoServerToResume = errors.New("no server can go on with the stream")
 	errNotResumed       = errors.New("the server doesn't go on with the stream")
--- a/internal/modelpick/modelpick.go
+++ b/internal/modelpick/modelpick.go
@@ -87,6 +87,7 @@
 	ReasonNoServer  = "no server of the service is in use"
 	ReasonAllBusy   = "all servers that hold the adapter are full"
 	ReasonNotLoaded = "no server holds the adapter"
+	ReasonLimited   = "the limits that the servers name leave no room"
 )
 
 // Plain chooses a server of a plain service. Ejected servers are chosen only when there are no others.
@@ -95,40 +96,69 @@
 	if healthy := filter(usable, func(c serverview.Candidate) bool { return !c.Ejected }); len(healthy) > 0 {
 		usable = healthy
 	}
+	if roomy := filter(usable, hasRoom); len(roomy) > 0 {
+		usable = roomy
+	} else {
+		return SoonestRoom(usable)
+	}
 	return lowest(usable, func(c serverview.Candidate) float64 {
 		score := float64(c.InFlight)/float64(max(c.Slots, 1)) + failureCost*c.FailureRate
 		return score + query.distance(c, plainOtherZoneCost) + tieSpread*random.Float64()
 	})
 }
 
+// hasRoom reports whether the limit of a server probably leaves room for a request now.
+func hasRoom(c serverview.Candidate) bool { return !c.Limited || c.RoomIn <= 0 }
+
+// SoonestRoom chooses the server whose limit leaves room first.
+func SoonestRoom(candidates []serverview.Candidate) (serverview.Candidate, bool) {
+	return lowest(candidates, func(c serverview.Candidate) float64 { return c.RoomIn.Seconds() })
+}
+
 // Resident chooses a model server that holds the adapter. Without one, reason says why.
 func Resident(
 	candidates []serverview.Candidate, query Query, random *rand.Rand,
 ) (chosen serverview.Candidate, found bool, reason string) {
-	usable := filter(candidates, query.usable)
-	if len(usable) == 0 {
+	if len(filter(candidates, query.usable)) == 0 {
 		return chosen, false, ReasonNoServer
 	}
-	holding := filter(usable, func(c serverview.Candidate) bool {
-		return c.Present && (query.Adapter.Name == "" || c.Version >= query.MinVersion)
-	})
-	if healthy := filter(holding, func(c serverview.Candidate) bool { return !c.Ejected }); len(healthy) > 0 {
-		holding = healthy
-	}
+	holding := holders(candidates, query)
 	if len(holding) == 0 {
 		return chosen, false, ReasonNotLoaded
 	}
-	free := filter(holding, func(c serverview.Candidate) bool { return load(c) < fullLoad })
-	chosen, found = lowest(free, func(c serverview.Candidate) float64 {
+	free := filter(holding, isFree)
+	if len(free) == 0 {
+		return chosen, false, ReasonAllBusy
+	}
+	chosen, found = lowest(filter(free, hasRoom), func(c serverview.Candidate) float64 {
 		score := load(c) + failureCost*c.FailureRate + float64(c.Backlog)/float64(fullBacklog)
 		return score + query.distance(c, otherZoneCost) + tieSpread*random.Float64()
 	})
 	if !found {
-		return chosen, false, ReasonAllBusy
+		return chosen, false, ReasonLimited
 	}
 	return chosen, true, ""
 }
 
+// holders returns the usable servers that hold the adapter, without the ejected ones if there are others.
+func holders(candidates []serverview.Candidate, query Query) []serverview.Candidate {
+	holding := filter(candidates, func(c serverview.Candidate) bool {
+		return query.usable(c) && c.Present && (query.Adapter.Name == "" || c.Version >= query.MinVersion)
+	})
+	if healthy := filter(holding, func(c serverview.Candidate) bool { return !c.Ejected }); len(healthy) > 0 {
+		return healthy
+	}
+	return holding
+}
+
+func isFree(c serverview.Candidate) bool { return load(c) < fullLoad }
+
+// LimitedResident chooses the server that holds the adapter and whose limit leaves room first, for a request that waits
+// for it. Resident has found no server with room.
+func LimitedResident(candidates []serverview.Candidate, query Query) (chosen serverview.Candidate, found bool) {
+	return SoonestRoom(filter(holders(candidates, query), isFree))
+}
+
 // Estimated times of loads, from the demand to the notice of arrival, and costs for the choice between servers.
 const (
 	coldLoadTime = 270 * time.Millisecond
@@ -161,6 +191,10 @@
 	eligible := filter(candidates, func(c serverview.Candidate) bool {
 		return obstacleOf(c) == none && !c.Present && query.usable(c)
 	})
+	// Loads would use up the limit of a server, and the requests for the adapter would have no room there.
+	if unlimited := filter(eligible, func(c serverview.Candidate) bool { return !c.Limited }); len(unlimited) > 0 {
+		eligible = unlimited
+	}
 	least := math.Inf(1)
 	for _, c := range eligible {
 		least = math.Min(least, load(c))
@@ -191,7 +225,7 @@
 // loadWait estimates how long it takes until a server can serve an adapter that it has to load, for the choice between
 // servers. order is the server's position by rendezvous hashing.
 func loadWait(c serverview.Candidate, order int, query Query, current string) time.Duration {
-	wait := c.SlotQueue.Wait(query.Priority) + c.Backlog
+	wait := c.SlotQueue.Wait(query.Priority) + c.Backlog + c.RoomIn
 	if c.Held {
 		wait += warmLoadTime
 	} else {
@@ -236,12 +270,18 @@
 	Ejected       int
 	WithoutHolder int
 	Full          int
+	// Limited counts the servers that name a limit, whatever else applies to them.
+	Limited int
 }
 
 // CountObstacles counts the reasons for which no server loads an adapter at once.
 func CountObstacles(candidates []serverview.Candidate) Obstacles {
 	var counts [full + 1]int
+	limited := 0
 	for _, c := range candidates {
+		if c.Limited {
+			limited++
+		}
 		reason := obstacleOf(c)
 		if reason == none && c.SlotQueue.Wait(serving.RankCount) > 0 {
 			reason = full
@@ -250,7 +290,7 @@
 	}
 	return Obstacles{
 		Servers: len(candidates), Leaving: counts[leaving], Ejected: counts[ejected],
-		WithoutHolder: counts[withoutHolder], Full: counts[full],
+		WithoutHolder: counts[withoutHolder], Full: counts[full], Limited: limited,
 	}
 }
 
--- a/internal/node/holders.go
+++ b/internal/node/holders.go
@@ -10,6 +10,7 @@
 	"waxwingcleat.example/waxwingcleat/internal/delay"
 	"waxwingcleat.example/waxwingcleat/internal/event"
 	"waxwingcleat.example/waxwingcleat/internal/prefillgate"
+	"waxwingcleat.example/waxwingcleat/internal/requestlimit"
 	"waxwingcleat.example/waxwingcleat/internal/residency"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
 )
@@ -143,7 +144,9 @@
 	defer close(h.done)
 	for ctx.Err() == nil {
 		fence, mayOrder := h.node.leases.mayOrder(h.server.ID)
+		callInterval := h.callInterval()
 		h.mu.Lock()
+		h.core.SetCallInterval(callInterval)
 		action := h.core.Next(time.Now(), mayOrder)
 		h.mu.Unlock()
 		switch action.Kind {
@@ -158,6 +161,14 @@
 	}
 }
 
+// callInterval returns the least time between two reports or polls that the server's limit allows; zero without a limit.
+func (h *holder) callInterval() time.Duration {
+	if perSecond, limited := h.node.view.Limit(h.server.ID); limited {
+		return requestlimit.CallInterval(perSecond)
+	}
+	return 0
+}
+
 func (h *holder) wait(ctx context.Context, until time.Time) {
 	delay.Until(ctx, min(max(time.Until(until), time.Millisecond), publishPeriod), h.wake)
 }
@@ -165,6 +176,7 @@
 func (h *holder) report(ctx context.Context, options residency.Options) {
 	requestedAt := time.Now()
 	h.node.holders.reports.Inc(1)
+	h.node.limits.charge(h.server.ID)
 	report, err := h.node.servers.Report(ctx, h.server)
 	if ctx.Err() != nil {
 		return
@@ -193,6 +205,7 @@
 	order.Holder = h.node.settings.Node.Name
 	order.Fence = fence
 	h.node.holders.orders.Inc(1)
+	h.node.limits.charge(h.server.ID)
 	outcome, err := h.node.servers.Order(ctx, h.server, order)
 	if !action.Repeats || outcome != serving.OrderAccepted {
 		h.logOrder(action, order, outcome, err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -202,6 +202,7 @@
 	group.Go(func() error { return n.sendUsage(n.ctx) })
 	group.Go(func() error { return n.origins.send(n.ctx) })
 	group.Go(func() error { return n.sightings.run(n.ctx) })
+	group.Go(func() error { return n.limits.run(n.ctx) })
 	group.Go(func() error { return n.publishStates(n.ctx) })
 	group.Go(func() error { return n.sendDigests(n.ctx) })
 	group.Go(func() error { return n.fetchFromPeers(n.ctx) })
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -102,6 +102,12 @@
 	// OriginQuery asks what the receiver knows about a stream, OriginAnswer answers such a query.
 	OriginQuery  *OriginQuery  `json:"oq,omitempty"`
 	OriginAnswer *OriginAnswer `json:"oa,omitempty"`
+	// LimitNotices say what servers named in their answers about their limits.
+	LimitNotices []LimitNotice `json:"ln,omitempty"`
+	// LimitRequest asks for the leave to send a request to a server with a limit, LimitReturn gives it back unused.
+	LimitRequest *LimitRequest `json:"lq,omitempty"`
+	LimitReturn  *LimitReturn  `json:"lr,omitempty"`
+	LimitAnswers []LimitAnswer `json:"la,omitempty"`
 }
 
 // AdmissionRequest requests the admission of a prompt to a server.
--- a/internal/requestlimit/belief.go
+++ b/internal/requestlimit/belief.go
@@ -40,8 +40,9 @@
 // value knows of no limit.
 type Belief struct {
 	latest Notice
-	// heardAt is when a notice last confirmed the limit.
+	// heardAt is when a notice last confirmed the limit, endedAt when the limit last ended.
 	heardAt time.Time
+	endedAt time.Time
 }
 
 // Observe applies a notice that arrived at now.
@@ -57,6 +58,7 @@
 		b.latest = notice
 	}
 	if wasLimited {
+		b.endedAt = now
 		return Lifted
 	}
 	return Unchanged
@@ -75,13 +77,17 @@
 	}
 	b.heardAt = now
 	last := b.latest
-	if !notice.newerThan(last) {
-		notice.PerSecond = min(notice.PerSecond, last.PerSecond)
-		notice.RequestedAt = later(notice.RequestedAt, last.RequestedAt)
-		notice.ReceivedAt = later(notice.ReceivedAt, last.ReceivedAt)
+	switch {
+	case notice.newerThan(last):
+		b.latest = notice
+	case notice.ReceivedAt.Sub(last.ReceivedAt) > reorderMargin:
+		// Smaller steps are the delays of messages: a notice that nodes send to and fro must not become newer by them.
+		b.latest = notice
+		b.latest.PerSecond = min(notice.PerSecond, last.PerSecond)
+	default:
+		b.latest.PerSecond = min(notice.PerSecond, last.PerSecond)
 	}
-	b.latest = notice
-	if notice.PerSecond != last.PerSecond {
+	if b.latest.PerSecond != last.PerSecond {
 		return Changed
 	}
 	return Unchanged
@@ -98,16 +104,12 @@
 // HeardAt returns when a notice last confirmed the limit.
 func (b *Belief) HeardAt() time.Time { return b.heardAt }
 
+// EndedAt returns when the limit last ended by an answer without one.
+func (b *Belief) EndedAt() time.Time { return b.endedAt }
+
 // Expire ends the limit without a notice of the server. It returns false if there was none.
 func (b *Belief) Expire() bool {
 	wasLimited := b.latest.Limited
 	b.latest.Limited, b.latest.PerSecond = false, 0
 	return wasLimited
 }
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/internal/requestlimit/belief_test.go
+++ b/internal/requestlimit/belief_test.go
@@ -59,6 +59,22 @@
 	g.Expect(perSecond).To(gomega.Equal(5.0))
 }
 
+// Guards against a notice that becomes newer each time that nodes send it to and fro.
+func TestNoticeDoesNotBecomeNewerBetweenNodes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var a, b requestlimit.Belief
+	a.Observe(at(20), named(3, 10, 20))
+	for round := range 200 {
+		const delay = 5 * time.Millisecond
+		for _, pair := range [][2]*requestlimit.Belief{{&a, &b}, {&b, &a}} {
+			notice, _ := pair[0].Latest()
+			notice.RequestedAt, notice.ReceivedAt = notice.RequestedAt.Add(delay), notice.ReceivedAt.Add(delay)
+			pair[1].Observe(at(20+round), notice)
+		}
+	}
+	g.Expect(a.Observe(at(300), unlimited(250, 300))).To(gomega.Equal(requestlimit.Lifted))
+}
+
 // Guards against nodes that disagree for good because the same notices reached them in another order.
 func TestOrderOfArrivalDoesNotMatterForSeparateAnswers(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/residency/core.go
+++ b/internal/residency/core.go
@@ -34,6 +34,8 @@
 	warmLoadTime = 25 * time.Millisecond
 	// pollPeriod is the time between two polls for the end of a load.
 	pollPeriod = 25 * time.Millisecond
+	// limitedPollMargin delays the first poll at a server that limits its requests, so that the load has probably ended.
+	limitedPollMargin = 100 * time.Millisecond
 	// demandLifetime is how long a gateway's demand is valid without being repeated; gateways repeat it every 100 ms.
 	demandLifetime = 350 * time.Millisecond
 	// usageLifetime is how long a gateway's count of running requests is valid without an update.
@@ -83,6 +85,8 @@
 	demand       demand
 	declared     map[serving.Adapter]declared
 	nextReport   time.Time
+	// callInterval is the least time between two reports or two polls of a load; zero without a limit of the server.
+	callInterval time.Duration
 	pausedUntil  time.Time
 	reachable    bool
 	waiting      int
@@ -135,6 +139,12 @@
 	}
 }
 
+// SetCallInterval sets the least time between two reports or two polls of a load. A server that limits its requests gets
+// fewer of them; zero removes the bound.
+func (c *Core) SetCallInterval(interval time.Duration) { c.callInterval = interval }
+
+func (c *Core) pollInterval() time.Duration { return max(pollPeriod, c.callInterval) }
+
 // Next returns the next action. Without the lease, mayOrder is false and no orders are returned.
 func (c *Core) Next(now time.Time, mayOrder bool) Action {
 	if now.Before(c.pausedUntil) {
--- a/internal/serverview/candidates.go
+++ b/internal/serverview/candidates.go
@@ -37,6 +37,10 @@
 	HolderAlive bool
 	// SlotQueue describes the adapter slots and the adapters that wait for one.
 	SlotQueue serving.SlotQueue
+	// Limited is true when the server names a limit of requests a second. RoomIn is then the time until the limit probably
+	// leaves room for a request of this node.
+	Limited bool
+	RoomIn  time.Duration
 	// Version is the version of the requested adapter that is present; Present distinguishes version 0 from none.
 	Present bool
 	Version int
@@ -72,6 +76,9 @@
 		HolderAlive: now.Sub(s.publishedAt) < holderSilentAfter && s.published.Ready, SlotQueue: s.published.Slots,
 	}
 	c.Connected = s.inFlight == 0 && !s.lastRequestAt.IsZero() && now.Sub(s.lastRequestAt) < idleConnectionLifetime
+	if _, c.Limited = s.limit.Limit(); c.Limited {
+		c.RoomIn = max(s.noRoomUntil.Sub(now), 0)
+	}
 	c.Load = s.inFlight
 	if fresh {
 		c.Load = max(s.inFlight, s.published.Running+s.published.Waiting+s.sentSince)
--- a/internal/serverview/serverview.go
+++ b/internal/serverview/serverview.go
@@ -68,6 +68,8 @@
 	ejectTime    time.Duration
 
 	limit requestlimit.Belief
+	// noRoomUntil is when the limit probably leaves room for a request of this node; it's meaningless without a limit.
+	noRoomUntil time.Time
 }
 
 // View is the aggregate of all servers.
