node: Check the lease once more just before an order is written

A holder checked its lease and then sent the order; a process that was suspended in between, or that waited for a connection, could send it after the lease had ended, and not all servers check fencing tokens. Found in looking for what operators of similar systems have reported; not seen here.

--- a/internal/node/holders.go
+++ b/internal/node/holders.go
@@ -206,10 +206,18 @@
 	order.Fence = fence
 	h.node.holders.orders.Inc(1)
 	h.node.limits.charge(h.server.ID)
-	outcome, err := h.node.servers.Order(ctx, h.server, order)
+	// The process may have been suspended, or the connection slow, since the lease was checked.
+	stillAllowed := func() bool {
+		current, may := h.node.leases.mayOrder(h.server.ID)
+		return may && current == fence
+	}
+	outcome, err := h.node.servers.Order(ctx, h.server, order, stillAllowed)
 	if !action.Repeats || outcome != serving.OrderAccepted {
 		h.logOrder(action, order, outcome, err)
 	}
+	if outcome == serving.OrderUnsent && !stillAllowed() {
+		return
+	}
 	h.mu.Lock()
 	h.core.Ordered(time.Now(), order, outcome)
 	h.mu.Unlock()
--- a/internal/serving/store.go
+++ b/internal/serving/store.go
@@ -69,6 +69,7 @@
 // ModelServers sends orders to model servers and reads their reports.
 type ModelServers interface {
 	Report(ctx context.Context, server Server) (Report, error)
-	// Order sends an order. An error only explains the outcome.
-	Order(ctx context.Context, server Server, order Order) (OrderOutcome, error)
+	// Order sends an order, unless allowed returns false just before the first byte; the outcome is then OrderUnsent. An
+	// error only explains the outcome.
+	Order(ctx context.Context, server Server, order Order, allowed func() bool) (OrderOutcome, error)
 }
