--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -17,10 +17,7 @@
 // streamBuffer is the size of the read buffer of a stream.
 const streamBuffer = 4 << 10
 
-var (
-	eventEnd = []byte("\n\n")
-	idField  = []byte("id:")
-)
+var idField = []byte("id:")
 
 // forwardStream forwards a stream as it arrives. A stream that breaks off is resumed at another server if the route
 // allows it; otherwise the caller's connection is aborted, so that the answer doesn't look complete.
@@ -191,11 +188,11 @@
 		return s.write(data)
 	}
 	s.partial = append(s.partial, data...)
-	end := bytes.LastIndex(s.partial, eventEnd)
-	if end < 0 {
+	end := upstream.EventsEnd(s.partial)
+	if end == 0 {
 		return nil
 	}
-	complete := s.partial[:end+len(eventEnd)]
+	complete := s.partial[:end]
 	if err := s.write(complete); err != nil {
 		return err
 	}
@@ -231,7 +228,7 @@
 
 // updateLastID records the ID of the last event among complete ones.
 func (s *stream) updateLastID(complete []byte) {
-	for line := range bytes.SplitSeq(complete, []byte("\n")) {
+	for line := range bytes.FieldsFuncSeq(complete, func(r rune) bool { return r == '\n' || r == '\r' }) {
 		if rest, found := bytes.CutPrefix(line, idField); found {
 			s.lastID = string(bytes.TrimSpace(rest))
 		}
--- a/internal/modelpick/modelpick.go
+++ b/internal/modelpick/modelpick.go
@@ -3,14 +3,11 @@
 package modelpick
 
 import (
-	"cmp"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"waxwingcleat.example/waxwingcleat/internal/rendezvous"
 	"waxwingcleat.example/waxwingcleat/internal/serverview"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
 )
@@ -213,12 +210,8 @@
 
 // byRendezvous returns the candidates in the order of their rendezvous hashes, the highest first.
 func byRendezvous(candidates []serverview.Candidate, adapter serving.Adapter, salt string) []serverview.Candidate {
-	hashes := make(map[string]float64, len(candidates))
-	for _, c := range candidates {
-		hashes[c.ID] = rendezvous(c.ID+salt, adapter)
-	}
-	return slices.SortedStableFunc(slices.Values(candidates), func(a, b serverview.Candidate) int {
-		return cmp.Compare(hashes[b.ID], hashes[a.ID])
+	return rendezvous.Order(candidates, func(c serverview.Candidate) string {
+		return c.ID + salt + "\x00" + adapter.String()
 	})
 }
 
@@ -318,11 +311,6 @@
 
 func load(c serverview.Candidate) float64 { return float64(c.Load) / float64(max(c.Slots, 1)) }
 
-// rendezvous returns the rendezvous hash of a server and an adapter, scaled to [0, 1).
-func rendezvous(server string, adapter serving.Adapter) float64 {
-	return float64(xxhash.Sum64String(server+"\x00"+adapter.String())>>11) / (1 << 53)
-}
-
 func filter(candidates []serverview.Candidate, matches func(serverview.Candidate) bool) []serverview.Candidate {
 	matching := make([]serverview.Candidate, 0, len(candidates))
 	for _, c := range candidates {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -85,7 +85,17 @@
 
 // aliveNodes returns the number of live nodes that this node has observed itself, including itself. Only this number is
 // sent to peers: if nodes relayed the numbers of others, dead nodes would be counted forever.
-func (p *peers) aliveNodes(now time.Time) int { return len(p.alive(now)) + 1 }
+func (p *peers) aliveNodes(now time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	alive := 1
+	for _, peer := range p.byAddress {
+		if now.Sub(peer.lastSeen) <= subscriberLifetime {
+			alive++
+		}
+	}
+	return alive
+}
 
 // count returns the number of nodes that share the bounds of a site, such as the retry budget.
 func (p *peers) count() int {
--- a/internal/peerlink/origin.go
+++ b/internal/peerlink/origin.go
@@ -58,9 +58,11 @@
 	}
 }
 
-// Decode returns the answer without the ID of its query.
+// Decode returns the answer without the ID of its query. A basis that this release doesn't know counts as unknown.
 func (a OriginAnswer) Decode() streamorigin.Answer {
-	return streamorigin.Answer{
-		Basis: streamorigin.Basis(a.Basis), Service: a.Service, SoftwareVersion: a.SoftwareVersion,
+	basis := streamorigin.Basis(a.Basis)
+	if basis > streamorigin.Recorded {
+		return streamorigin.Answer{}
 	}
+	return streamorigin.Answer{Basis: basis, Service: a.Service, SoftwareVersion: a.SoftwareVersion}
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -85,8 +85,7 @@
 }
 
 func isEventStream(response *http.Response) bool {
-	return response.StatusCode == http.StatusOK &&
-		strings.HasPrefix(response.Header.Get("Content-Type"), upstream.EventStream)
+	return response.StatusCode == http.StatusOK && upstream.MediaType(response.Header, "") == upstream.EventStream
 }
 
 // handleNonStream handles a response to a streaming request that is not a stream, as engines send for errors.
--- a/internal/requestlimit/allocator.go
+++ b/internal/requestlimit/allocator.go
@@ -86,7 +86,7 @@
 	// become rarer than maximumCallInterval, would otherwise leave nothing to requests.
 	callCost float64
 	queue    []queued
-	granted map[key]time.Time
+	granted  map[key]time.Time
 }
 
 // NewAllocator returns an allocator for a server with a limit.
--- a/internal/streamorigin/streamorigin.go
+++ b/internal/streamorigin/streamorigin.go
@@ -5,11 +5,11 @@
 package streamorigin
 
 import (
-	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"waxwingcleat.example/waxwingcleat/internal/rendezvous"
 )
 
 // Origin is where a stream began.
@@ -95,7 +95,12 @@
 var basisNames = [...]string{"unknown", "only version", "several versions", "recorded"}
 
 // String returns the basis in logs.
-func (b Basis) String() string { return basisNames[b] }
+func (b Basis) String() string {
+	if int(b) >= len(basisNames) {
+		return "unknown basis " + strconv.Itoa(int(b))
+	}
+	return basisNames[b]
+}
 
 // Answer is what one node knows about the origin of a stream. Service and SoftwareVersion are empty if it's not known.
 type Answer struct {
@@ -163,11 +168,5 @@
 
 // ranked returns the nodes in the order of their rendezvous hashes, the highest first.
 func ranked(request string, nodes []Node) []Node {
-	hashes := make(map[string]uint64, len(nodes))
-	for _, node := range nodes {
-		hashes[node.Address] = xxhash.Sum64String(request + "\x00" + node.Address)
-	}
-	return slices.SortedFunc(slices.Values(nodes), func(a, b Node) int {
-		return cmp.Compare(hashes[b.Address], hashes[a.Address])
-	})
+	return rendezvous.Order(nodes, func(node Node) string { return request + "\x00" + node.Address })
 }
--- a/internal/upstream/eventtail.go
+++ b/internal/upstream/eventtail.go
@@ -23,9 +23,22 @@
 
 // endsInsideEvent reports whether bytes were received and the last ones aren't a blank line.
 func (t *eventTail) endsInsideEvent() bool {
-	rest := withoutLineEnd(t.last)
-	endsWithBlankLine := len(rest) < len(t.last) && len(withoutLineEnd(rest)) < len(rest)
-	return !t.isEmpty() && !endsWithBlankLine
+	return !t.isEmpty() && !endsWithBlankLine(t.last)
+}
+
+// EventsEnd returns the length of the complete events at the beginning of data, 0 if there is none.
+func EventsEnd(data []byte) int {
+	for end := len(data); end > 0; end-- {
+		if endsWithBlankLine(data[:end]) {
+			return end
+		}
+	}
+	return 0
+}
+
+func endsWithBlankLine(text []byte) bool {
+	rest := withoutLineEnd(text)
+	return len(rest) < len(text) && len(withoutLineEnd(rest)) < len(rest)
 }
 
 func withoutLineEnd(text []byte) []byte {
--- a/internal/upstream/verify.go
+++ b/internal/upstream/verify.go
@@ -34,7 +34,7 @@
 	if answer.Body == nil || answer.Body == http.NoBody {
 		return
 	}
-	mediaType, _, _ := mime.ParseMediaType(cmp.Or(answer.Header.Get("Content-Type"), defaultType))
+	mediaType := MediaType(answer.Header, defaultType)
 	byConnection := DelimiterOf(answer) == DelimitedByConnection
 	switch {
 	case mediaType == EventStream:
@@ -44,6 +44,16 @@
 	}
 }
 
+// MediaType returns the media type of an answer without its parameters, or an empty string if it can't be read. An answer
+// without a Content-Type has defaultType.
+func MediaType(header http.Header, defaultType string) string {
+	mediaType, _, err := mime.ParseMediaType(cmp.Or(header.Get("Content-Type"), defaultType))
+	if err != nil && !errors.Is(err, mime.ErrInvalidMediaParameter) {
+		return ""
+	}
+	return mediaType
+}
+
 // content follows the content of a body.
 type content interface {
 	add(data []byte)
