--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -20,6 +20,8 @@
 	leaseWindowBefore = 5 * time.Second
 	// streamWindowBefore is how far before a refused resumption the start of a node is searched; most streams end within it.
 	streamWindowBefore = 15 * time.Second
+	// limitWindowBefore is how far before a refusal the limits of servers are searched; their use is logged each 5 s.
+	limitWindowBefore = 10 * time.Second
 	// correlationWindow is the time around a failure in which other requests are compared with it.
 	correlationWindow = time.Second
 	// minimumCorrelated is how many other requests must have failed alike for the cause to count as shared.
@@ -89,6 +91,8 @@
 		return "no reachable node knew at which software version the stream began", l.restarts(final)
 	case reason == forward.ReasonNoServer:
 		return l.noUsableServer(final)
+	case reason == forward.ReasonLimited:
+		return l.limited(final)
 	case reason == forward.ReasonNotLoaded || reason == forward.ReasonOverloaded:
 		return l.notLoaded(final)
 	case reason == forward.ReasonPrefillQueueTooLong || reason == forward.ReasonAllBusy ||
@@ -201,6 +205,16 @@
 		servers, final.number("leaving"), final.number("leftAlone"), final.number("withoutHolder"), final.number("full"))
 }
 
+// limited returns which limits of servers left no room for a request.
+func (l *Log) limited(final Line) (string, []Line) {
+	limits := l.around(final.At, limitWindowBefore, 0, func(line Line) bool {
+		return line.Event == event.LimitLearned.Number || line.Event == event.LimitChanged.Number ||
+			line.Event == event.LimitUsage.Number
+	})
+	return fmt.Sprintf("%.0f of %.0f servers named a limit of requests, and there was no room for %.0f ms",
+		final.number("limited"), final.number("servers"), final.number("roomInMs")), limits
+}
+
 // loadTargetFault returns why the server chosen to load an adapter got no order for it.
 func (l *Log) loadTargetFault(demand Line, target string) (string, []Line) {
 	disruptions := l.around(demand.At, serverWindowBefore, serverWindowAfter, func(line Line) bool {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -118,6 +118,18 @@
 		"0 were leaving, 0 ejected after failures, 1 without a holder and 8 full"))
 }
 
+// Guards against a missing cause for a request that the limits of servers left no room for.
+func TestRefusalByALimitNamesIt(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var l logBuilder
+	l.add(400, event.LimitLearned, `"server":"s1","perSecond":2.8,"source":"answer"`)
+	l.add(1300, event.RequestRefused, refusal("r1", forward.ReasonLimited,
+		`,"server":"s1","servers":2,"limited":1,"roomInMs":900`))
+	e := l.explain(g, "r1")
+	g.Expect(e.Cause).To(gomega.Equal("1 of 2 servers named a limit of requests, and there was no room for 900 ms"))
+	g.Expect(e.Evidence).To(gomega.HaveLen(1))
+}
+
 // Guards against a made-up cause when the log doesn't show any.
 func TestUnknownCauseIsEmpty(t *testing.T) {
 	g := gomega.NewWithT(t)
