forward: Don't send to a server that began to leave while a request waited for room

A request may wait up to 2.5 s for room at a server with a limit; the server may begin to leave meanwhile, and a grant was then used more than 2 s after that. The grant is now given back and another server chosen.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -87,7 +87,12 @@
 		patience = j.remainingWait()
 	}
 	if j.acquire(candidate, patience) {
-		return true, false
+		if patience == 0 || j.f.options.View.InUse(time.Now(), candidate.ID) {
+			return true, false
+		}
+		// The server began to leave while the request waited.
+		j.reservation.cancel()
+		return false, false
 	}
 	if j.ctx.Err() != nil {
 		j.refuseUnserved(ReasonWaitedTooLong)
--- a/internal/serverview/candidates.go
+++ b/internal/serverview/candidates.go
@@ -65,6 +65,14 @@
 	return candidates
 }
 
+// InUse reports whether a server may get requests: it has an entry and isn't leaving.
+func (v *View) InUse(now time.Time, id string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	srv := v.servers[id]
+	return srv != nil && !srv.leaving && !v.removed(srv, now)
+}
+
 func (s *server) candidate(now time.Time, adapter serving.Adapter) Candidate {
 	fresh := now.Sub(s.publishedAt) < publishedLifetime
 	holderCannotReach := fresh && !s.published.Ready
