residency: Space all calls of a holder to a server that names a limit

Reports and polls had become rarer, loads and evictions had not. Any two calls now keep the interval that the limit allows, and every other one may be an order.

--- a/internal/node/holders.go
+++ b/internal/node/holders.go
@@ -161,7 +161,7 @@
 	}
 }
 
-// callInterval returns the least time between two reports or polls that the server's limit allows; zero without a limit.
+// callInterval returns the least time between two calls that the server's limit allows; zero without a limit.
 func (h *holder) callInterval() time.Duration {
 	if perSecond, limited := h.node.view.Limit(h.server.ID); limited {
 		return requestlimit.CallInterval(perSecond)
--- a/internal/requestlimit/allocator.go
+++ b/internal/requestlimit/allocator.go
@@ -35,7 +35,7 @@
 	grantMemory = 3 * time.Second
 )
 
-// CallInterval returns the time between two calls of the holder to a server with a limit.
+// CallInterval returns the least time between two calls of the holder, reports or orders, to a server with a limit.
 func CallInterval(perSecond float64) time.Duration {
 	return min(interval(callShare*max(perSecond, minimumRate)), maximumCallInterval)
 }
--- a/internal/residency/core.go
+++ b/internal/residency/core.go
@@ -34,8 +34,9 @@
 	warmLoadTime = 25 * time.Millisecond
 	// pollPeriod is the time between two polls for the end of a load.
 	pollPeriod = 25 * time.Millisecond
-	// limitedPollMargin delays the first poll at a server that limits its requests, so that the load has probably ended.
-	limitedPollMargin = 100 * time.Millisecond
+	// limitedReportCalls is the number of call intervals between two reports of a server that limits its requests, so that
+	// orders get the others.
+	limitedReportCalls = 2
 	// demandLifetime is how long a gateway's demand is valid without being repeated; gateways repeat it every 100 ms.
 	demandLifetime = 350 * time.Millisecond
 	// usageLifetime is how long a gateway's count of running requests is valid without an update.
@@ -85,8 +86,9 @@
 	demand       demand
 	declared     map[serving.Adapter]declared
 	nextReport   time.Time
-	// callInterval is the least time between two reports or two polls of a load; zero without a limit of the server.
+	// callInterval is the least time between two calls, reports or orders; zero without a limit of the server.
 	callInterval time.Duration
+	lastCallAt   time.Time
 	pausedUntil  time.Time
 	reachable    bool
 	waiting      int
@@ -139,17 +141,23 @@
 	}
 }
 
-// SetCallInterval sets the least time between two reports or two polls of a load. A server that limits its requests gets
-// fewer of them; zero removes the bound.
+// SetCallInterval sets the least time between two calls, reports or orders, to a server that limits its requests; zero
+// removes the bound.
 func (c *Core) SetCallInterval(interval time.Duration) { c.callInterval = interval }
 
-func (c *Core) pollInterval() time.Duration { return max(pollPeriod, c.callInterval) }
-
 // Next returns the next action. Without the lease, mayOrder is false and no orders are returned.
 func (c *Core) Next(now time.Time, mayOrder bool) Action {
-	if now.Before(c.pausedUntil) {
-		return Action{Kind: Wait, Until: c.pausedUntil}
+	if earliest := later(c.pausedUntil, c.lastCallAt.Add(c.callInterval)); now.Before(earliest) {
+		return Action{Kind: Wait, Until: earliest}
+	}
+	action := c.nextCall(now, mayOrder)
+	if action.Kind != Wait {
+		c.lastCallAt = now
 	}
+	return action
+}
+
+func (c *Core) nextCall(now time.Time, mayOrder bool) Action {
 	if !now.Before(c.nextReport) {
 		return Action{Kind: Report}
 	}
@@ -313,6 +321,13 @@
 	return at
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func minTime(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/internal/residency/core_test.go
+++ b/internal/residency/core_test.go
@@ -309,3 +309,36 @@
 	drive(c, s, now, now.Add(300*time.Millisecond), nil)
 	g.Expect(s.adapters).To(gomega.HaveKey(adapter(3)))
 }
+
+// Guards against a holder whose reports, orders and polls exceed the limit that its server names.
+func TestLimitedServerGetsFewCalls(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c, s := residency.New(residency.Options{Engine: engine(3), Servers: 3}), newServer(3)
+	const interval = time.Second
+	c.SetCallInterval(interval)
+	calls, loaded := 0, map[serving.Adapter]bool{}
+	now := start
+	for step := 0; now.Before(start.Add(30 * interval)); step++ {
+		demand(c, now, adapter(step/100), adapter(step/100+1), adapter(step/100+2))
+		action := c.Next(now, true)
+		switch action.Kind {
+		case residency.Report:
+			calls++
+			if step%7 == 0 {
+				c.ReportFailed(now)
+			} else {
+				c.Reported(now, now, s.report(now))
+			}
+		case residency.Order:
+			calls++
+			c.Ordered(now, action.Order, s.execute(now, action.Order))
+		case residency.Wait:
+			now = now.Add(10 * time.Millisecond)
+		}
+		for a := range s.adapters {
+			loaded[a] = true
+		}
+	}
+	g.Expect(calls).To(gomega.BeNumerically("<=", 30))
+	g.Expect(loaded).NotTo(gomega.BeEmpty())
+}
--- a/internal/residency/events.go
+++ b/internal/residency/events.go
@@ -33,9 +33,9 @@
 	c.models = report.Models
 	c.waiting = report.Waiting
 	c.running = report.Running
-	c.nextReport = now.Add(max(reportPeriod, c.callInterval))
+	c.nextReport = now.Add(max(reportPeriod, limitedReportCalls*c.callInterval))
 	if report.Busy || len(report.Models) == 0 {
-		c.nextReport = now.Add(max(busyReportPeriod, c.callInterval))
+		c.nextReport = now.Add(busyReportPeriod)
 	}
 	if requestedAt.Sub(c.orderedAt) > reportLag {
 		c.orders = report.Orders
@@ -57,7 +57,7 @@
 		switch {
 		case isLoading:
 			s.state = loading
-			s.pollAt = now.Add(c.pollInterval())
+			s.pollAt = now.Add(pollPeriod)
 		case isPresent && (s.state != present || s.version != version):
 			c.setPresent(s, version, now)
 		case !isPresent:
@@ -72,7 +72,7 @@
 	}
 	for adapter, version := range report.Loading {
 		if c.newlyReported(requestedAt, adapter) {
-			c.slots[adapter] = &slot{state: loading, version: version, pollAt: now.Add(c.pollInterval())}
+			c.slots[adapter] = &slot{state: loading, version: version, pollAt: now.Add(pollPeriod)}
 		}
 	}
 }
@@ -129,7 +129,7 @@
 		c.revision++
 	case s != nil && s.state == loading && s.version == order.Version:
 		// The server answers a repeated order like the first one and doesn't count it again.
-		s.pollAt = now.Add(c.pollInterval())
+		s.pollAt = now.Add(pollPeriod)
 	default:
 		c.orders++
 		c.startLoad(now, order)
@@ -154,7 +154,7 @@
 	if previous := c.slots[order.Adapter]; previous != nil && previous.state == present {
 		c.revision++
 	}
-	c.slots[order.Adapter] = &slot{state: loading, version: order.Version, changedAt: now, pollAt: now.Add(expected + min(c.callInterval, limitedPollMargin))}
+	c.slots[order.Adapter] = &slot{state: loading, version: order.Version, changedAt: now, pollAt: now.Add(expected)}
 }
 
 func (c *Core) expectedLoadTime(adapter serving.Adapter) time.Duration {
@@ -179,7 +179,7 @@
 // orders until a report that covers the latest order shows which.
 func (c *Core) orderConflicted(now time.Time, order serving.Order) {
 	if s := c.slots[order.Adapter]; s != nil && s.state == loading {
-		s.pollAt = now.Add(c.pollInterval())
+		s.pollAt = now.Add(pollPeriod)
 	}
 	c.resync(now)
 	c.pausedUntil = c.nextReport
