--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -75,43 +75,6 @@
 	return j.answered(candidate, answer)
 }
 
-// minimumRoomWait is the least time for which a server without room isn't asked again for the same request.
-const minimumRoomWait = 5 * time.Millisecond
-
-// reserve reserves the sending of the request to a server. It waits only for a server that was chosen although its limit
-// left no room. Without a reservation another server has to be chosen, unless the caller has its final answer: done is
-// then true.
-func (j *job) reserve(candidate serverview.Candidate) (reserved, done bool) {
-	patience := time.Duration(0)
-	if candidate.RoomIn > 0 {
-		patience = j.remainingWait()
-	}
-	if j.acquire(candidate, patience) {
-		if patience == 0 || j.f.options.View.InUse(time.Now(), candidate.ID) {
-			return true, false
-		}
-		// The server began to leave while the request waited.
-		j.reservation.cancel()
-		return false, false
-	}
-	if j.ctx.Err() != nil {
-		j.refuseUnserved(ReasonWaitedTooLong)
-		return false, true
-	}
-	return false, false
-}
-
-// acquire reserves the sending of the request to a server. Without a reservation the server isn't chosen until it
-// probably has room.
-func (j *job) acquire(candidate serverview.Candidate, patience time.Duration) bool {
-	reservation, roomIn, ok := j.f.options.Limits.Acquire(j.ctx, candidate, j.route.Priority, patience)
-	j.reservation = reservation
-	if !ok {
-		j.f.options.View.NoRoom(candidate.ID, time.Now().Add(max(roomIn, minimumRoomWait)))
-	}
-	return ok
-}
-
 // attemptTime returns the timeout of one send. For an idempotent request it leaves time to retry at another server when
 // this one doesn't answer.
 func (j *job) attemptTime() time.Duration {
@@ -285,15 +248,6 @@
 	}
 }
 
-// observeLimit applies the limit in an answer, unless the answer may be that of another request or server. Failures and
-// refusals don't show that the server names no limit any more.
-func (j *job) observeLimit(candidate serverview.Candidate, answer *http.Response, info serving.AnswerInfo) {
-	if info.BelongsTo(j.request.ID) && !info.Misdirected && (info.HasDigest || info.NotRun) {
-		conclusive := !info.NotRun && answer.StatusCode < http.StatusInternalServerError
-		j.f.options.Limits.Observe(candidate, info.Limit, j.sentAt, conclusive)
-	}
-}
-
 // handleUnusableAnswer handles an answer that can't be forwarded; the request may have run.
 func (j *job) handleUnusableAnswer(candidate serverview.Candidate, reason string) (done bool) {
 	j.attempts++
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -82,34 +82,6 @@
 	Find(ctx context.Context, request, service string, maximumAge time.Duration) streamorigin.Answer
 }
 
-// Limits keeps the requests of all nodes within the limits that servers name in their answers.
-type Limits interface {
-	// Observe applies what an answer says about its server's limit. sentAt is when the request was sent. An answer without a
-	// limit means that there is none only if it's conclusive.
-	Observe(server serverview.Candidate, limit serving.RequestLimit, sentAt time.Time, conclusive bool)
-	// Acquire reserves the sending of one request of the given rank, and waits for it up to patience. Without a reservation
-	// it returns the time after which there is probably room. Servers without a limit always have room.
-	Acquire(
-		ctx context.Context, server serverview.Candidate, priority int, patience time.Duration,
-	) (reservation Reservation, roomIn time.Duration, ok bool)
-}
-
-// Reservation allows one request to be sent to a server that names a limit.
-type Reservation struct {
-	// Valid reports whether the request may still be sent; nil means without a bound.
-	Valid func() bool
-	// Cancel gives back the reservation of a request that was not sent; nil if nothing has to be given back.
-	Cancel func()
-}
-
-func (r Reservation) isValid() bool { return r.Valid == nil || r.Valid() }
-
-func (r Reservation) cancel() {
-	if r.Cancel != nil {
-		r.Cancel()
-	}
-}
-
 // activeConfig is a configuration with its route table.
 type activeConfig struct {
 	config *serving.Configuration
@@ -339,16 +311,6 @@
 	return candidate, 0, found
 }
 
-// remainingWait returns how much longer the request may wait for a load or for room at a server with a limit.
-func (j *job) remainingWait() time.Duration { return max(j.loadWait()-time.Since(j.arrived), 0) }
-
-// refuseLimited answers a request for which the servers' limits leave no room in time.
-func (j *job) refuseLimited(candidates []serverview.Candidate, roomIn time.Duration) {
-	j.inputs = obstacleFields(candidates)
-	j.inputs["roomInMs"] = roomIn.Milliseconds()
-	j.refuseUnservedFor(ReasonLimited, max(roomIn, busyRetryAfter))
-}
-
 func (j *job) query(minVersion int) modelpick.Query {
 	return modelpick.Query{
 		Adapter: j.request.Adapter, MinVersion: minVersion, SoftwareVersion: j.softwareVersion,
@@ -416,19 +378,6 @@
 	}
 }
 
-// awaitsRoom chooses a server that holds the adapter and whose limit leaves room soon enough: within the request's wait,
-// and before another server could load the adapter, if one can.
-func (j *job) awaitsRoom(
-	candidates []serverview.Candidate, query modelpick.Query, loadWait time.Duration, loadPossible bool,
-) (limited serverview.Candidate, waits bool) {
-	if j.reason != ReasonLimited {
-		return limited, false
-	}
-	limited, found := modelpick.LimitedResident(candidates, query)
-	soon := limited.RoomIn <= j.remainingWait() && (!loadPossible || limited.RoomIn < loadWait)
-	return limited, found && soon
-}
-
 // obstacleFields returns the log fields that show why no server can load the adapter.
 func obstacleFields(candidates []serverview.Candidate) event.Fields {
 	o := modelpick.CountObstacles(candidates)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -101,20 +101,6 @@
 	return candidate, s.copy(answer.Body)
 }
 
-// reserveResident chooses a server that can resume a stream now, and reserves the sending to it.
-func (j *job) reserveResident() (candidate serverview.Candidate, found bool) {
-	for j.ctx.Err() == nil {
-		candidates := j.f.options.View.Candidates(time.Now(), j.service.Name, j.request.Adapter)
-		if candidate, found = j.pickResident(candidates); !found || candidate.RoomIn > 0 {
-			return candidate, false
-		}
-		if j.acquire(candidate, 0) {
-			return candidate, true
-		}
-	}
-	return candidate, false
-}
-
 var (
 	errNoServerToResume = errors.New("no server can go on with the stream")
 	errNotResumed       = errors.New("the server doesn't go on with the stream")
