--- a/internal/forward/limits.go
+++ b/internal/forward/limits.go
@@ -120,4 +120,3 @@
 		j.f.options.Limits.Observe(candidate, info.Limit, j.sentAt, conclusive)
 	}
 }
-
