modelpick: Choose an ejected server when the others' limits leave no room

Cause shown: ejected servers were left out as long as one healthy server was left, before room was looked at. If the limit of that one left no room, the request was refused at once or waited for it.

Evidence: both new tests failed before (503 for a request that the ejected server takes; no server found). The failure itself was not seen again in 24 runs of TestServerWithoutLimitTakesAllRequests beside ten busy processes, so that this was the cause in that run is likely, not shown.

Healthy servers with room still go first, and a full healthy server is still preferred to an ejected one.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -177,6 +177,19 @@
 	}
 }
 
+// Guards against a refusal while the only server with room counts as failed for a moment.
+func TestFailedServerWithRoomIsChosen(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFixture(serving.NonIdempotent, "a", "b")
+	f.nameLimit("a")
+	f.view.NoRoom("a", time.Now().Add(time.Hour))
+	for range 2 {
+		f.view.Failed(time.Now(), "b")
+	}
+	g.Expect(f.call().Code).To(gomega.Equal(http.StatusOK))
+	g.Expect(f.sent).To(gomega.Equal([]string{"b"}))
+}
+
 func (f *fixture) nameLimit(id string) {
 	now := time.Now()
 	f.view.NoteLimit(now, id, 0, requestlimit.Notice{Limited: true, PerSecond: 1, RequestedAt: now, ReceivedAt: now})
--- a/internal/modelpick/modelpick.go
+++ b/internal/modelpick/modelpick.go
@@ -87,18 +87,14 @@
 	ReasonLimited   = "the limits that the servers name leave no room"
 )
 
-// Plain chooses a server of a plain service. Ejected servers are chosen only when there are no others.
+// Plain chooses a server of a plain service. Ejected servers are chosen only when no other one has room.
 func Plain(candidates []serverview.Candidate, query Query, random *rand.Rand) (serverview.Candidate, bool) {
 	usable := filter(candidates, query.usable)
-	if healthy := filter(usable, func(c serverview.Candidate) bool { return !c.Ejected }); len(healthy) > 0 {
-		usable = healthy
+	roomy := preferHealthy(filter(usable, hasRoom))
+	if len(roomy) == 0 {
+		return SoonestRoom(preferHealthy(usable))
 	}
-	if roomy := filter(usable, hasRoom); len(roomy) > 0 {
-		usable = roomy
-	} else {
-		return SoonestRoom(usable)
-	}
-	return lowest(usable, func(c serverview.Candidate) float64 {
+	return lowest(roomy, func(c serverview.Candidate) float64 {
 		score := float64(c.InFlight)/float64(max(c.Slots, 1)) + failureCost*c.FailureRate
 		return score + query.distance(c, plainOtherZoneCost) + tieSpread*random.Float64()
 	})
@@ -123,11 +119,11 @@
 	if len(holding) == 0 {
 		return chosen, false, ReasonNotLoaded
 	}
-	free := filter(holding, isFree)
-	if len(free) == 0 {
+	if len(filter(preferHealthy(holding), isFree)) == 0 {
 		return chosen, false, ReasonAllBusy
 	}
-	chosen, found = lowest(filter(free, hasRoom), func(c serverview.Candidate) float64 {
+	roomy := filter(holding, func(c serverview.Candidate) bool { return isFree(c) && hasRoom(c) })
+	chosen, found = lowest(preferHealthy(roomy), func(c serverview.Candidate) float64 {
 		score := load(c) + failureCost*c.FailureRate + float64(c.Backlog)/float64(fullBacklog)
 		return score + query.distance(c, otherZoneCost) + tieSpread*random.Float64()
 	})
@@ -137,15 +133,19 @@
 	return chosen, true, ""
 }
 
-// holders returns the usable servers that hold the adapter, without the ejected ones if there are others.
+// holders returns the usable servers that hold the adapter.
 func holders(candidates []serverview.Candidate, query Query) []serverview.Candidate {
-	holding := filter(candidates, func(c serverview.Candidate) bool {
+	return filter(candidates, func(c serverview.Candidate) bool {
 		return query.usable(c) && c.Present && (query.Adapter.Name == "" || c.Version >= query.MinVersion)
 	})
-	if healthy := filter(holding, func(c serverview.Candidate) bool { return !c.Ejected }); len(healthy) > 0 {
+}
+
+// preferHealthy returns the candidates without the ejected ones if there are others.
+func preferHealthy(candidates []serverview.Candidate) []serverview.Candidate {
+	if healthy := filter(candidates, func(c serverview.Candidate) bool { return !c.Ejected }); len(healthy) > 0 {
 		return healthy
 	}
-	return holding
+	return candidates
 }
 
 func isFree(c serverview.Candidate) bool { return load(c) < fullLoad }
@@ -153,7 +153,7 @@
 // LimitedResident chooses the server that holds the adapter and whose limit leaves room first, for a request that waits
 // for it. Resident has found no server with room.
 func LimitedResident(candidates []serverview.Candidate, query Query) (chosen serverview.Candidate, found bool) {
-	return SoonestRoom(filter(holders(candidates, query), isFree))
+	return SoonestRoom(filter(preferHealthy(holders(candidates, query)), isFree))
 }
 
 // Estimated times of loads, from the demand to the notice of arrival, and costs for the choice between servers.
--- a/internal/modelpick/modelpick_test.go
+++ b/internal/modelpick/modelpick_test.go
@@ -138,6 +138,26 @@
 	g.Expect(chosen.ID).To(gomega.Equal("s1"))
 }
 
+// Guards against a refusal because the only healthy server's limit leaves no room, while an ejected one has room.
+func TestEjectedServersServeWhenLimitsLeaveNoRoom(t *testing.T) {
+	g := gomega.NewWithT(t)
+	limited, ejected := holder("s0"), holder("s1")
+	limited.Limited, limited.RoomIn = true, time.Second
+	ejected.Ejected = true
+	candidates := []serverview.Candidate{limited, ejected}
+	chosen, found, reason := modelpick.Resident(candidates, baseQuery, random())
+	g.Expect(found).To(gomega.BeTrue(), reason)
+	g.Expect(chosen.ID).To(gomega.Equal("s1"))
+	chosen, _ = modelpick.Plain(candidates, baseQuery, random())
+	g.Expect(chosen.ID).To(gomega.Equal("s1"))
+	limited.RoomIn = 0
+	candidates[0] = limited
+	chosen, _, _ = modelpick.Resident(candidates, baseQuery, random())
+	g.Expect(chosen.ID).To(gomega.Equal("s0"))
+	chosen, _ = modelpick.Plain(candidates, baseQuery, random())
+	g.Expect(chosen.ID).To(gomega.Equal("s0"))
+}
+
 // Guards against a refusal whose log line doesn't say why no server could load the adapter.
 func TestObstaclesAreCountedByTheirFirstReason(t *testing.T) {
 	g := gomega.NewWithT(t)
