--- a/internal/event/node.go
+++ b/internal/event/node.go
@@ -36,6 +36,8 @@
 		"The platform's store answers again.")
 	SightingsFailed = register(817, logrus.WarnLevel, "software versions not exchanged",
 		"The software versions in use could not be recorded in the store, or those recorded could not be read.")
+	OperatorReadFailed = register(818, logrus.WarnLevel, "operators' records not read",
+		"A read of the configuration and the adapter versions failed; the fields show how long it took and what follows.")
 	LeaseGained = register(820, logrus.InfoLevel, "server leases acquired",
 		"The node may send orders to the servers of these partitions.")
 	LeaseLost = register(821, logrus.InfoLevel, "server leases lost",
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -7,7 +7,6 @@
 
 	"waxwingcleat.example/waxwingcleat/internal/delay"
 	"waxwingcleat.example/waxwingcleat/internal/peerlink"
-	"waxwingcleat.example/waxwingcleat/internal/serving"
 	"waxwingcleat.example/waxwingcleat/internal/streamorigin"
 )
 
@@ -124,11 +123,7 @@
 		n.connections.NotePeerSuspicion(now)
 	}
 	if message.Digest != nil {
-		n.applyDigestServers(*message.Digest, serving.ServerBatch{Present: message.Present, Gone: message.Removed})
-		if message.Operator != nil {
-			n.applyDigestOperator(*message.Digest, *message.Operator)
-		}
-		n.watch.recordDigest(now, message.From, *message.Digest)
+		n.applyDigest(now, message)
 	}
 	n.admission.deliver(message.Granted, admissionGranted)
 	n.admission.deliver(message.Queued, admissionQueued)
--- a/internal/node/peersnapshot.go
+++ b/internal/node/peersnapshot.go
@@ -67,6 +67,13 @@
 func (n *Node) fetchFromPeers(ctx context.Context) error {
 	client := &http.Client{Timeout: peerSnapshotTimeout}
 	defer client.CloseIdleConnections()
+	return n.keepUpWithPeers(ctx, func(reader string) (peerSnapshot, error) {
+		return fetchPeerSnapshot(ctx, client, reader)
+	})
+}
+
+// keepUpWithPeers is fetchFromPeers with a function that requests the snapshot of a reader.
+func (n *Node) keepUpWithPeers(ctx context.Context, fetch func(reader string) (peerSnapshot, error)) error {
 	for ctx.Err() == nil {
 		delay.For(ctx, followerPollPeriod)
 		if n.reconcilePending.CompareAndSwap(true, false) {
@@ -76,7 +83,7 @@
 		if reader == "" || reader == n.link.Address() {
 			continue
 		}
-		snapshot, err := fetchPeerSnapshot(ctx, client, reader)
+		snapshot, err := fetch(reader)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -118,7 +125,7 @@
 	if snapshot.Config != nil {
 		batch.Configurations = append(batch.Configurations, snapshot.Config)
 	}
-	n.applyOperator(batch)
+	n.applyOperator(reader, batch)
 	n.applyPeerServers(snapshot.Digest.ServersNext, snapshot.Servers)
 	n.leases.setOwners(snapshot.Owners)
 	n.reconcilePending.Store(true)
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -42,8 +42,10 @@
 		if n.watch.follows(time.Now()) {
 			wait = 0
 		}
+		startedAt := time.Now()
 		batch, err := n.store.ReadOperator(ctx, cursor, wait)
 		if !n.recordStoreCall(ctx, err) {
+			n.logFailedOperatorRead(ctx, err, startedAt)
 			pause(ctx, n.watch.retryPause(time.Now()))
 			continue
 		}
@@ -52,25 +54,39 @@
 		for _, invalid := range batch.Invalid {
 			n.events.EmitError(event.ConfigRefused, invalid, nil)
 		}
-		n.applyOperator(batch)
+		n.applyOperator(sourceStore, batch)
 		n.watch.recordOperatorRead(time.Now(), batch, contiguous)
 		n.watch.waitForOperator(ctx)
 	}
 	return nil
 }
 
-func (n *Node) applyOperator(batch serving.OperatorBatch) {
+func (n *Node) logFailedOperatorRead(ctx context.Context, err error, startedAt time.Time) {
+	if ctx.Err() != nil {
+		return
+	}
+	now := time.Now()
+	n.events.EmitError(event.OperatorReadFailed, err, event.Fields{
+		"ms": now.Sub(startedAt).Milliseconds(), "follows": n.watch.follows(now),
+	})
+}
+
+// sourceStore is the source in the log of what was read from the store itself. Other sources are addresses of peers.
+const sourceStore = "store"
+
+func (n *Node) applyOperator(source string, batch serving.OperatorBatch) {
 	for _, config := range batch.Configurations {
 		if n.forwarder.SetConfig(config) {
 			n.events.Emit(event.ConfigInForce, event.Fields{
 				"version": config.Version, "routes": len(config.Routes), "services": len(config.Services),
+				"source": source,
 			})
 		}
 	}
 	for _, version := range batch.Versions {
 		if n.view.Declare(time.Now(), version) {
 			n.events.Emit(event.VersionDeclared, event.Fields{
-				"adapter": version.Adapter.String(), "version": version.Version,
+				"adapter": version.Adapter.String(), "version": version.Version, "source": source,
 			})
 			n.holders.declare(version)
 		}
@@ -128,11 +144,13 @@
 
 // applyDigestOperator applies the versions that came with a reader's digest, if this node has read everything before
 // them.
-func (n *Node) applyDigestOperator(digest storewatch.Digest, changes storewatch.OperatorChanges) {
+func (n *Node) applyDigestOperator(
+	reader string, digest storewatch.Digest, changes storewatch.OperatorChanges,
+) {
 	if !n.watch.hasReadOperator(changes.From) {
 		return
 	}
-	n.applyOperator(serving.OperatorBatch{Versions: changes.Versions})
+	n.applyOperator(reader, serving.OperatorBatch{Versions: changes.Versions})
 	n.watch.advance(storewatch.Digest{OperatorNext: digest.OperatorNext})
 }
 
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -185,20 +185,36 @@
 func (n *Node) sendDigests(ctx context.Context) error {
 	for ctx.Err() == nil {
 		delay.Until(ctx, digestPeriod, n.watch.digestChanged)
-		now := time.Now()
-		digest, fresh := n.watch.digest(now)
-		if !fresh || !n.leases.isReader() {
+		if !n.leases.isReader() {
 			continue
 		}
-		message := peerlink.Message{Digest: &digest}
-		present, removed := n.view.ChangedSince(now.Add(-storewatch.ChangeRetention))
-		if len(present)+len(removed) <= digestEntryLimit {
-			message.Present, message.Removed = present, removed
-		}
-		if changes := n.watch.recentOperatorChanges(now); len(changes.Versions) > 0 {
-			message.Operator = &changes
+		now := time.Now()
+		if message, fresh := n.digestMessage(now); fresh {
+			n.link.Send(message, n.peers.alive(now)...)
 		}
-		n.link.Send(message, n.peers.alive(now)...)
 	}
 	return nil
 }
+
+// digestMessage returns the message with this node's digest, and whether its latest read is recent enough to send it.
+func (n *Node) digestMessage(now time.Time) (message peerlink.Message, fresh bool) {
+	digest, fresh := n.watch.digest(now)
+	message.Digest = &digest
+	present, removed := n.view.ChangedSince(now.Add(-storewatch.ChangeRetention))
+	if len(present)+len(removed) <= digestEntryLimit {
+		message.Present, message.Removed = present, removed
+	}
+	if changes := n.watch.recentOperatorChanges(now); len(changes.Versions) > 0 {
+		message.Operator = &changes
+	}
+	return message, fresh
+}
+
+// applyDigest applies a message with the digest of a reader.
+func (n *Node) applyDigest(now time.Time, message peerlink.Message) {
+	n.applyDigestServers(*message.Digest, serving.ServerBatch{Present: message.Present, Gone: message.Removed})
+	if message.Operator != nil {
+		n.applyDigestOperator(message.From, *message.Digest, *message.Operator)
+	}
+	n.watch.recordDigest(now, message.From, *message.Digest)
+}
