storewatch, node: Configurations are in force in time when readers' long polls are lost

Callers saw a refusal with 404, or an old service, for routes of a version that the store had acknowledged over 2 s before. Cause: nodes that follow readers relied on digests which are sent as long as the reads of the servers' entries succeed. The operators' records are read by other calls, long polls of 2 s with 1.2 s more for an answer; a poll that was sent just before the end of a silent outage was lost for 3.2 s, and the next one came 1.5 s later, since digests of other readers, as ignorant, counted as being up to date.

Digests now carry the age of the reader's latest read of the operators' records, and nodes rely on it up to 1.2 s. Polls wait 0.6 s, and a read is given up 0.6 s later (1.2 s after failures, for a slow store). A node that knows of new records reads again after 0.3 s.

Ruled out: versions that go back (no log line shows a lower one after a higher one; the judge of the new test looks for it); the fetch from readers, which brought the configuration to some of the late nodes.

Cost: three readers make 1.7 in place of 0.5 long polls a second.

--- a/internal/node/configuration_test.go
+++ b/internal/node/configuration_test.go
@@ -36,9 +36,10 @@
 
 // simulatedStore holds the operators' records. It implements the reads of serving.Store, by node.
 type simulatedStore struct {
-	mu      sync.Mutex
-	records []serving.OperatorBatch
-	changed chan struct{}
+	mu        sync.Mutex
+	records   []serving.OperatorBatch
+	changed   chan struct{}
+	startedAt time.Time
 	// pending holds the configurations that are acknowledged at the end of an outage.
 	pending []*serving.Configuration
 	// acked holds when each configuration was acknowledged, in order.
@@ -56,7 +57,7 @@
 
 func newSimulatedStore() *simulatedStore {
 	return &simulatedStore{
-		changed: make(chan struct{}), silent: map[int]int{}, refusing: map[int]int{}, lost: map[int]int{},
+		changed: make(chan struct{}), startedAt: time.Now(), silent: map[int]int{}, refusing: map[int]int{}, lost: map[int]int{},
 	}
 }
 
@@ -178,11 +179,13 @@
 	return batch, nil
 }
 
-func (c simulatedClient) ReadServers(ctx context.Context, after serving.Cursor) (serving.ServerBatch, error) {
+func (c simulatedClient) ReadServers(ctx context.Context, _ serving.Cursor) (serving.ServerBatch, error) {
 	if err := c.store.call(ctx, c.node, 0, func() bool { return true }); err != nil {
 		return serving.ServerBatch{}, err
 	}
-	return serving.ServerBatch{Next: serving.Cursor{Known: true, Offset: after.Offset + 1}}, nil
+	// Servers write their entries all the time, without a change that matters here.
+	written := time.Since(c.store.startedAt).Milliseconds()
+	return serving.ServerBatch{Next: serving.Cursor{Known: true, Offset: 1 + written}}, nil
 }
 
 // simulatedNode is a node without listeners and leases. Its reads, digests and fetches are those of a real one.
@@ -229,10 +232,10 @@
 		Store: simulatedClient{store: s.store, node: number}, Connections: NewConnections(), Events: event.Discard(),
 	}, s.links[number])}
 	node.ctx = ctx
+	s.disturbed(number, 0)
 	s.mu.Lock()
 	s.nodes[number] = node
 	s.inForce[number] = 0
-	s.settledAt[number] = time.Now()
 	node.watch.setReader(s.readers[number])
 	s.mu.Unlock()
 	node.ended.Go(func() { _ = node.syncOperator(ctx) })
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -12,9 +12,13 @@
 )
 
 const (
-	// operatorWait is how long one read waits for a change of the configuration. It's short because a dead
-	// connection is only detected when the read times out.
-	operatorWait = 2 * time.Second
+	// operatorWait is how long one read waits for a change of the configuration. It's short because a lost read is only
+	// detected when it times out, and the change has to be in force within 2 s.
+	operatorWait = 600 * time.Millisecond
+	// minimumPatience and maximumPatience bound how long a read of the operators' records may take beyond its wait. A slow
+	// store answers within some 340 ms; each failure doubles the patience, for a store that is even slower.
+	minimumPatience = 600 * time.Millisecond
+	maximumPatience = 1200 * time.Millisecond
 	// serversPeriod is the time between two reads of the servers' entries by a node that doesn't follow readers. A
 	// server that leaves must get no requests after 2 s.
 	serversPeriod = 600 * time.Millisecond
@@ -37,18 +41,17 @@
 // syncOperator keeps the configuration and the declared versions in sync with the store until ctx ends.
 func (n *Node) syncOperator(ctx context.Context) error {
 	var cursor serving.Cursor
+	patience := minimumPatience
 	for ctx.Err() == nil {
-		wait := operatorWait
-		if n.watch.follows(time.Now()) {
-			wait = 0
-		}
 		startedAt := time.Now()
-		batch, err := n.store.ReadOperator(ctx, cursor, wait)
+		batch, err := n.readOperator(ctx, cursor, patience)
 		if !n.recordStoreCall(ctx, err) {
 			n.logFailedOperatorRead(ctx, err, startedAt)
-			pause(ctx, n.watch.retryPause(time.Now()))
+			patience = min(2*patience, maximumPatience)
+			n.watch.waitToRetryOperator(ctx)
 			continue
 		}
+		patience = minimumPatience
 		contiguous := cursor.Known
 		cursor = batch.Next
 		for _, invalid := range batch.Invalid {
@@ -61,13 +64,26 @@
 	return nil
 }
 
+// readOperator reads the operators' records after the cursor. A node that doesn't follow readers waits for a change.
+func (n *Node) readOperator(
+	ctx context.Context, cursor serving.Cursor, patience time.Duration,
+) (serving.OperatorBatch, error) {
+	wait := operatorWait
+	if n.watch.followsOperator(time.Now()) {
+		wait = 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+patience)
+	defer cancel()
+	return n.store.ReadOperator(ctx, cursor, wait)
+}
+
 func (n *Node) logFailedOperatorRead(ctx context.Context, err error, startedAt time.Time) {
 	if ctx.Err() != nil {
 		return
 	}
 	now := time.Now()
 	n.events.EmitError(event.OperatorReadFailed, err, event.Fields{
-		"ms": now.Sub(startedAt).Milliseconds(), "follows": n.watch.follows(now),
+		"ms": now.Sub(startedAt).Milliseconds(), "follows": n.watch.followsOperator(now),
 	})
 }
 
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -30,8 +30,10 @@
 	own  storewatch.Digest
 	// history holds this node's recent reads of the operators' records.
 	history storewatch.OperatorHistory
-	// readAt is when this node's latest read of the servers' entries succeeded.
-	readAt time.Time
+	// readAt is when this node's latest read of the servers' entries succeeded, operatorReadAt that of the operators'
+	// records.
+	readAt         time.Time
+	operatorReadAt time.Time
 	// digestReceived receives a value when a digest of another node arrived.
 	digestReceived chan struct{}
 	// digestChanged receives a value when this node's own digest changed.
@@ -76,7 +78,13 @@
 	return w.core.Follows(now)
 }
 
-// retryPause returns how long to wait before the next call to the store.
+func (w *watch) followsOperator(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.core.FollowsOperator(now)
+}
+
+// retryPause returns how long to wait before the next read of the servers' entries.
 func (w *watch) retryPause(now time.Time) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -118,6 +126,7 @@
 	defer w.mu.Unlock()
 	w.history.Add(now, batch, contiguous)
 	w.core.ReadOperator(next)
+	w.operatorReadAt = now
 	if next != w.own.OperatorNext {
 		w.own.OperatorNext = next
 		notify(w.digestChanged)
@@ -139,13 +148,24 @@
 // waitForOperator returns when the operators' records have to be read again: at once for a node that doesn't follow
 // readers, else when a digest shows new records.
 func (w *watch) waitForOperator(ctx context.Context) {
-	for ctx.Err() == nil {
-		w.mu.Lock()
-		idle := w.core.Follows(time.Now()) && !w.core.OperatorDue()
-		w.mu.Unlock()
-		if !idle {
-			return
-		}
+	for ctx.Err() == nil && w.operatorIdle(time.Now()) {
+		delay.For(ctx, followerPollPeriod)
+	}
+}
+
+// operatorIdle reports whether this node follows readers and knows all records that digests show.
+func (w *watch) operatorIdle(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.core.FollowsOperator(now) && !w.core.OperatorDue()
+}
+
+// waitToRetryOperator waits after a failed read of the operators' records: for retryPause, and up to followerRetryPause
+// while readers show that there is nothing new.
+func (w *watch) waitToRetryOperator(ctx context.Context) {
+	startedAt := time.Now()
+	pause(ctx, retryPause)
+	for ctx.Err() == nil && w.operatorIdle(time.Now()) && time.Since(startedAt) < followerRetryPause {
 		delay.For(ctx, followerPollPeriod)
 	}
 }
@@ -178,7 +198,9 @@
 func (w *watch) digest(now time.Time) (storewatch.Digest, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.own, now.Sub(w.readAt) < digestMaxAge
+	digest := w.own
+	digest.OperatorAge = now.Sub(w.operatorReadAt)
+	return digest, now.Sub(w.readAt) < digestMaxAge
 }
 
 // sendDigests sends digests of this node's reads to the other nodes while it's a reader.
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -9,6 +9,10 @@
 // ms.
 const digestTimeout = 900 * time.Millisecond
 
+// operatorMaxAge is the age of a reader's latest read of the operators' records up to which other nodes rely on it.
+// Readers read every 600 ms and send a digest every 300 ms; configurations have to be in force within 2 s.
+const operatorMaxAge = 1200 * time.Millisecond
+
 // maximumGap is the longest time without current entries in which no server can have appeared and left unnoticed: entries
 // lapse after three missed heartbeats.
 const maximumGap = 2 * time.Second
@@ -30,6 +34,9 @@
 	ServersNext  int64
 	// Servers is the fingerprint of the servers' entries, without the parts that change at each heartbeat.
 	Servers uint64
+	// OperatorAge is the time since the reader's latest successful read of the operators' records, which are read by calls
+	// of their own.
+	OperatorAge time.Duration
 }
 
 // Core is the state of one node. It isn't safe for concurrent use.
@@ -37,6 +44,8 @@
 	reader bool
 	// digestAt is when the latest digest arrived.
 	digestAt time.Time
+	// operatorReadAt is when a reader last read the operators' records, according to all digests.
+	operatorReadAt time.Time
 	// newest combines the highest offsets of all digests.
 	newest Digest
 	// operatorNext and serversNext are the offsets up to which this node has read, and readAt is when it last read the
@@ -61,6 +70,9 @@
 // DigestReceived applies the digest of a reader, which is identified by its peer address.
 func (c *Core) DigestReceived(now time.Time, reader string, digest Digest) {
 	c.digestAt = now
+	if readAt := now.Add(-max(digest.OperatorAge, 0)); readAt.After(c.operatorReadAt) {
+		c.operatorReadAt = readAt
+	}
 	if digest.OperatorNext >= c.newest.OperatorNext && digest.ServersNext >= c.newest.ServersNext {
 		c.source = reader
 	}
@@ -82,9 +94,14 @@
 // HasRecentDigest reports whether a digest arrived within digestTimeout.
 func (c *Core) HasRecentDigest(now time.Time) bool { return now.Sub(c.digestAt) < digestTimeout }
 
-// Follows reports whether this node relies on readers.
+// Follows reports whether this node relies on readers for the servers' entries.
 func (c *Core) Follows(now time.Time) bool { return !c.reader && c.HasRecentDigest(now) }
 
+// FollowsOperator reports whether this node relies on readers for the operators' records.
+func (c *Core) FollowsOperator(now time.Time) bool {
+	return !c.reader && now.Sub(c.operatorReadAt) < operatorMaxAge
+}
+
 // FetchSource returns the reader from which this node should fetch what it has not received from the store. own is the
 // node's own fingerprint. The result is empty while the node isn't behind or the store may still answer.
 func (c *Core) FetchSource(now time.Time, own uint64) (reader string) {
--- a/internal/storewatch/storewatch_test.go
+++ b/internal/storewatch/storewatch_test.go
@@ -26,6 +26,26 @@
 	g.Expect(c.Follows(start.Add(time.Second))).To(gomega.BeFalse())
 }
 
+// Guards against a node that relies on a reader whose reads of the operators' records fail while those of the servers'
+// entries succeed.
+func TestNodeReadsTheOperatorsRecordsWhenNoReaderDoes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var c storewatch.Core
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	g.Expect(c.FollowsOperator(start)).To(gomega.BeFalse())
+	for ms := 0; ms <= 3000; ms += 300 {
+		c.DigestReceived(at(ms), reader, storewatch.Digest{OperatorAge: time.Duration(ms) * time.Millisecond})
+		g.Expect(c.Follows(at(ms))).To(gomega.BeTrue())
+		g.Expect(c.FollowsOperator(at(ms))).To(gomega.Equal(ms < 1200), "%d ms", ms)
+	}
+	c.DigestReceived(at(3100), "10.0.0.2:7000", storewatch.Digest{OperatorAge: 100 * time.Millisecond})
+	c.DigestReceived(at(3200), reader, storewatch.Digest{OperatorAge: 3200 * time.Millisecond})
+	g.Expect(c.FollowsOperator(at(4100))).To(gomega.BeTrue(), "another reader has read them")
+	g.Expect(c.FollowsOperator(at(4300))).To(gomega.BeFalse())
+	c.SetReader(true)
+	g.Expect(c.FollowsOperator(at(3200))).To(gomega.BeFalse())
+}
+
 // Guards against reads of the store for heartbeats, which change only the offset, and against a missed change.
 func TestOnlyChangesCauseReads(t *testing.T) {
 	g := gomega.NewWithT(t)
