storewatch, node: Servers that leave are known in time when the only reader is cut off

Digests carry the age of the read of the entries as well, and nodes rely on it up to 1.3 s; the same bound now holds for the operators' records. After a failed read a node waits up to 1.5 s only while readers show nothing new.

--- /dev/null
+++ b/internal/node/changes_test.go
@@ -0,0 +1,124 @@
+package node
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against a configuration that is late because the long polls of readers are lost while their digests go on.
+func TestConfigurationIsInForceInTimeAfterASilentStore(t *testing.T) {
+	for _, readers := range [][]int{{0}, {0, 1, 2}} {
+		for offset := range 8 {
+			name := fmt.Sprintf("%d readers, outage of %d ms", len(readers), 2000+offset*450)
+			t.Run(name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s := newSimulation(t)
+					s.setReaders(readers...)
+					s.run(func() {
+						time.AfterFunc(1500*time.Millisecond, func() { s.store.put(2) })
+						s.storeSilent(2*time.Second + time.Duration(offset)*450*time.Millisecond)
+					})
+					s.check()
+				})
+			})
+		}
+	}
+}
+
+// Guards against followers that are late because their only reader is cut off from the store and goes on sending digests.
+func TestChangesAreKnownInTimeWhenTheReaderIsCutOff(t *testing.T) {
+	for offset := range 8 {
+		after := time.Duration(offset) * 100 * time.Millisecond
+		t.Run(after.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSimulation(t)
+				s.setReaders(0)
+				s.run(func() {
+					pass(after)
+					time.AfterFunc(10*time.Millisecond, func() {
+						s.store.put(2)
+						s.store.leave(3)
+					})
+					s.cutOff(0, 2*settledAfter)
+				})
+				s.check()
+			})
+		})
+	}
+}
+
+// step is one disruption, or a change of the configuration, and the pause until the next one.
+type step struct {
+	kind     string
+	number   int
+	some     []int
+	duration time.Duration
+	pause    time.Duration
+}
+
+func drawStep(t *rapid.T) step {
+	milliseconds := func(label string, most int) time.Duration {
+		return time.Duration(rapid.IntRange(0, most).Draw(t, label)) * time.Millisecond
+	}
+	node := rapid.IntRange(0, simulatedNodes-1)
+	return step{
+		kind: rapid.SampledFrom([]string{
+			"change", "leave", "silent", "refuse", "hang", "lose", "cut", "restart", "readers",
+		}).Draw(t, "kind"),
+		number:   node.Draw(t, "node"),
+		some:     rapid.SliceOfNDistinct(node, 1, 3, rapid.ID).Draw(t, "nodes"),
+		duration: milliseconds("duration in ms", 4000),
+		pause:    milliseconds("pause in ms", 2500),
+	}
+}
+
+// begin begins a step, which goes on in the background.
+func (s *simulation) begin(step step, version int64, running *sync.WaitGroup) {
+	switch step.kind {
+	case "change":
+		s.store.put(version)
+	case "leave":
+		s.store.leave(int(version) % simulatedServers)
+	case "silent":
+		running.Go(func() { s.storeSilent(step.duration) })
+	case "refuse":
+		running.Go(func() { s.refuseSome(step.some, s.store.refusing, step.duration) })
+	case "hang":
+		running.Go(func() { s.refuseSome(step.some, s.store.silent, step.duration) })
+	case "lose":
+		s.disturbed(allNodes, 0)
+		s.store.loseOpenConnections()
+	case "cut":
+		running.Go(func() { s.cutOff(step.number, step.duration) })
+	case "restart":
+		running.Go(func() { s.restart(step.number, step.duration) })
+	case "readers":
+		s.setReaders(step.some...)
+	}
+}
+
+// Guards against configurations that are late or go back, and against servers that are used too long after they began to
+// leave, under several disruptions at once.
+func TestChangesAreKnownInTimeUnderDisruptions(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(rapid.Custom(drawStep), 1, 12).Draw(rt, "steps")
+		synctest.Test(t, func(*testing.T) {
+			s := newSimulation(rt)
+			s.setReaders(0, 1, 2)
+			s.run(func() {
+				var running sync.WaitGroup
+				for i, step := range steps {
+					s.begin(step, int64(i+2), &running)
+					pass(step.pause)
+				}
+				running.Wait()
+			})
+			s.check()
+		})
+	})
+}
--- /dev/null
+++ b/internal/node/simulatedstore_test.go
@@ -0,0 +1,233 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"waxwingcleat.example/waxwingcleat/internal/serving"
+)
+
+const (
+	// changeDue is the platform's bound on the time from the acknowledgement of a configuration until it's in force, and of
+	// a server's leaving until it gets no requests; settledAfter is the time after a disruption from which it holds.
+	changeDue    = 2 * time.Second
+	settledAfter = 3 * time.Second
+	// storeCallTimeout is the time that the platform's client adds to the wait of a call.
+	storeCallTimeout = 1200 * time.Millisecond
+	storeLatency     = 4 * time.Millisecond
+	peerLatency      = time.Millisecond
+	simulatedNodes   = 6
+	simulatedServers = 12
+)
+
+// pass lets simulated time pass.
+func pass(duration time.Duration) { <-time.After(duration) }
+
+var errRefused = errors.New("refused")
+
+// simulatedStore holds the operators' records. It implements the reads of serving.Store, by node.
+type simulatedStore struct {
+	mu        sync.Mutex
+	records   []serving.OperatorBatch
+	changed   chan struct{}
+	startedAt time.Time
+	// pending holds the configurations that are acknowledged at the end of an outage.
+	pending []*serving.Configuration
+	// acked holds when each configuration was acknowledged, in order.
+	acked []acknowledged
+	// left holds the records by which servers begin to leave, by the server's number; pendingLeaves holds the servers whose
+	// records are acknowledged at the end of an outage.
+	left          map[int]leaveRecord
+	pendingLeaves []int
+	// silent and refusing count the running disruptions by node; -1 stands for all.
+	silent, refusing map[int]int
+	// lost counts the disruptions by which the open connections of a node became silent.
+	lost map[int]int
+}
+
+// leaveRecord is the record by which a server begins to leave.
+type leaveRecord struct {
+	at     time.Time
+	offset int64
+}
+
+type acknowledged struct {
+	version int64
+	at      time.Time
+}
+
+func newSimulatedStore() *simulatedStore {
+	return &simulatedStore{
+		changed: make(chan struct{}), startedAt: time.Now(), left: map[int]leaveRecord{},
+		silent: map[int]int{}, refusing: map[int]int{}, lost: map[int]int{},
+	}
+}
+
+const allNodes = -1
+
+// put appends a configuration, at the end of the outage if all nodes get no answers.
+func (s *simulatedStore) put(version int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	config := &serving.Configuration{Version: version}
+	if s.silent[allNodes] > 0 {
+		s.pending = append(s.pending, config)
+		return
+	}
+	s.append(config)
+}
+
+func (s *simulatedStore) append(config *serving.Configuration) {
+	s.records = append(s.records, serving.OperatorBatch{Configurations: []*serving.Configuration{config}})
+	s.acked = append(s.acked, acknowledged{config.Version, time.Now()})
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// leave records that a server begins to leave, at the end of the outage if all nodes get no answers.
+func (s *simulatedStore) leave(server int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.silent[allNodes] > 0 {
+		s.pendingLeaves = append(s.pendingLeaves, server)
+		return
+	}
+	s.appendLeave(server)
+}
+
+func (s *simulatedStore) appendLeave(server int) {
+	if _, leaves := s.left[server]; !leaves {
+		s.left[server] = leaveRecord{time.Now(), s.nextOffset()}
+	}
+}
+
+// nextOffset returns the offset of the next record in the servers' topic. Servers write there all the time, so that it rises
+// with the time as well as with each record.
+func (s *simulatedStore) nextOffset() int64 {
+	return time.Since(s.startedAt).Milliseconds()*simulatedServers + int64(len(s.left))
+}
+
+// disrupt applies a disruption of a node, or of all, for a time. A silent store also loses the calls in progress.
+func (s *simulatedStore) disrupt(counts map[int]int, node int, duration time.Duration) {
+	s.mu.Lock()
+	counts[node]++
+	s.mu.Unlock()
+	pass(duration)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	counts[node]--
+	if s.silent[allNodes] == 0 {
+		for _, config := range s.pending {
+			s.append(config)
+		}
+		for _, server := range s.pendingLeaves {
+			s.appendLeave(server)
+		}
+		s.pending, s.pendingLeaves = nil, nil
+	}
+}
+
+// loseOpenConnections makes the calls in progress of all nodes get no answer, while new ones do.
+func (s *simulatedStore) loseOpenConnections() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost[allNodes]++
+}
+
+// state returns whether calls of a node are silent or refused, and the number of losses so far.
+func (s *simulatedStore) state(node int) (silent, refused bool, losses int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent[node]+s.silent[allNodes] > 0, s.refusing[node]+s.refusing[allNodes] > 0, s.lost[allNodes]
+}
+
+// call waits for an answer to a call of a node, which ready delivers. It returns an error if the call is refused, or once
+// it has timed out.
+func (s *simulatedStore) call(ctx context.Context, node int, wait time.Duration, ready func() bool) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+storeCallTimeout)
+	defer cancel()
+	hang := func() error {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	pass(storeLatency)
+	silent, refused, losses := s.state(node)
+	waited := time.After(wait)
+	for over := false; ; {
+		nowSilent, _, lost := s.state(node)
+		switch {
+		case silent || nowSilent || lost != losses:
+			return hang()
+		case refused:
+			return errRefused
+		case over || ready():
+			return nil
+		}
+		s.mu.Lock()
+		changed := s.changed
+		s.mu.Unlock()
+		if ready() {
+			continue
+		}
+		select {
+		case <-changed:
+		case <-time.After(10 * time.Millisecond):
+		case <-waited:
+			over = true
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// simulatedClient is the store as one node sees it. Calls that the simulation doesn't need are left to the nil interface.
+type simulatedClient struct {
+	serving.Store
+	store *simulatedStore
+	node  int
+}
+
+func (c simulatedClient) ReadOperator(
+	ctx context.Context, after serving.Cursor, wait time.Duration,
+) (batch serving.OperatorBatch, err error) {
+	err = c.store.call(ctx, c.node, wait, func() bool {
+		c.store.mu.Lock()
+		defer c.store.mu.Unlock()
+		return int64(len(c.store.records)) > after.Offset
+	})
+	if err != nil {
+		return batch, err
+	}
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	for _, record := range c.store.records[after.Offset:] {
+		batch.Configurations = append(batch.Configurations, record.Configurations...)
+	}
+	batch.Next = serving.Cursor{Known: true, Offset: int64(len(c.store.records))}
+	return batch, nil
+}
+
+func (c simulatedClient) ReadServers(ctx context.Context, after serving.Cursor) (serving.ServerBatch, error) {
+	if err := c.store.call(ctx, c.node, 0, func() bool { return true }); err != nil {
+		return serving.ServerBatch{}, err
+	}
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	batch := serving.ServerBatch{Complete: !after.Known}
+	for number := range simulatedServers {
+		leave, draining := c.store.left[number]
+		if !after.Known || draining && leave.offset >= after.Offset {
+			id := serverID(number)
+			batch.Present = append(batch.Present, serving.Server{
+				ID: id, Service: "s", Address: id, Slots: 1, SoftwareVersion: "v1", Draining: draining,
+			})
+		}
+	}
+	batch.Next = serving.Cursor{Known: true, Offset: c.store.nextOffset()}
+	return batch, nil
+}
+
+func serverID(number int) string { return fmt.Sprintf("s%d", number) }
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -48,7 +48,7 @@
 		if !n.recordStoreCall(ctx, err) {
 			n.logFailedOperatorRead(ctx, err, startedAt)
 			patience = min(2*patience, maximumPatience)
-			n.watch.waitToRetryOperator(ctx)
+			waitToRetry(ctx, func() bool { return n.watch.operatorIdle(time.Now()) })
 			continue
 		}
 		patience = minimumPatience
@@ -115,7 +115,7 @@
 	for ctx.Err() == nil {
 		batch, err := n.store.ReadServers(ctx, cursor)
 		if !n.recordStoreCall(ctx, err) {
-			pause(ctx, n.watch.retryPause(time.Now()))
+			waitToRetry(ctx, func() bool { return n.watch.serversIdle(time.Now(), n.view.Fingerprint()) })
 			continue
 		}
 		cursor = batch.Next
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -72,28 +72,12 @@
 	w.core.SetReader(reader)
 }
 
-func (w *watch) follows(now time.Time) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.core.Follows(now)
-}
-
 func (w *watch) followsOperator(now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.core.FollowsOperator(now)
 }
 
-// retryPause returns how long to wait before the next read of the servers' entries.
-func (w *watch) retryPause(now time.Time) time.Duration {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.core.HasRecentDigest(now) {
-		return followerRetryPause
-	}
-	return retryPause
-}
-
 func (w *watch) fetchSource(now time.Time, fingerprint uint64) (reader string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -160,12 +144,19 @@
 	return w.core.FollowsOperator(now) && !w.core.OperatorDue()
 }
 
-// waitToRetryOperator waits after a failed read of the operators' records: for retryPause, and up to followerRetryPause
-// while readers show that there is nothing new.
-func (w *watch) waitToRetryOperator(ctx context.Context) {
+// serversIdle is operatorIdle for the servers' entries. fingerprint is that of this node's entries.
+func (w *watch) serversIdle(now time.Time, fingerprint uint64) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.core.FollowsServers(now) && !w.core.ServersDue(now, fingerprint)
+}
+
+// waitToRetry waits after a failed read: for retryPause, and up to followerRetryPause while idle reports that readers show
+// nothing new.
+func waitToRetry(ctx context.Context, idle func() bool) {
 	startedAt := time.Now()
 	pause(ctx, retryPause)
-	for ctx.Err() == nil && w.operatorIdle(time.Now()) && time.Since(startedAt) < followerRetryPause {
+	for ctx.Err() == nil && idle() && time.Since(startedAt) < followerRetryPause {
 		delay.For(ctx, followerPollPeriod)
 	}
 }
@@ -176,7 +167,7 @@
 	for ctx.Err() == nil {
 		now := time.Now()
 		w.mu.Lock()
-		follows := w.core.Follows(now)
+		follows := w.core.FollowsServers(now)
 		due := w.core.ServersDue(now, fingerprint())
 		w.mu.Unlock()
 		if follows && due || !follows && now.Sub(startedAt) >= serversPeriod {
@@ -199,7 +190,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	digest := w.own
-	digest.OperatorAge = now.Sub(w.operatorReadAt)
+	digest.OperatorAge, digest.ServersAge = now.Sub(w.operatorReadAt), now.Sub(w.readAt)
 	return digest, now.Sub(w.readAt) < digestMaxAge
 }
 
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -5,13 +5,12 @@
 
 import "time"
 
-// digestTimeout is the time without a digest after which a node reads the store itself. Readers send a digest every 300
-// ms.
+// digestTimeout is the time without a digest after which a reader counts as silent. Readers send a digest every 300 ms.
 const digestTimeout = 900 * time.Millisecond
 
-// operatorMaxAge is the age of a reader's latest read of the operators' records up to which other nodes rely on it.
-// Readers read every 600 ms and send a digest every 300 ms; configurations have to be in force within 2 s.
-const operatorMaxAge = 1200 * time.Millisecond
+// maximumReadAge is the age of a reader's latest read up to which other nodes rely on it. Readers read every 600 ms, a
+// slow store answers within some 340 ms, and digests are sent every 300 ms; changes have to be in force within 2 s.
+const maximumReadAge = 1300 * time.Millisecond
 
 // maximumGap is the longest time without current entries in which no server can have appeared and left unnoticed: entries
 // lapse after three missed heartbeats.
@@ -34,9 +33,10 @@
 	ServersNext  int64
 	// Servers is the fingerprint of the servers' entries, without the parts that change at each heartbeat.
 	Servers uint64
-	// OperatorAge is the time since the reader's latest successful read of the operators' records, which are read by calls
-	// of their own.
+	// OperatorAge and ServersAge are the times since the reader's latest successful reads of the operators' records and of
+	// the servers' entries, which are read by separate calls.
 	OperatorAge time.Duration
+	ServersAge  time.Duration
 }
 
 // Core is the state of one node. It isn't safe for concurrent use.
@@ -44,8 +44,10 @@
 	reader bool
 	// digestAt is when the latest digest arrived.
 	digestAt time.Time
-	// operatorReadAt is when a reader last read the operators' records, according to all digests.
-	operatorReadAt time.Time
+	// readersReadOperator and readersReadServers are when a reader last read the operators' records and the servers'
+	// entries, according to all digests.
+	readersReadOperator time.Time
+	readersReadServers  time.Time
 	// newest combines the highest offsets of all digests.
 	newest Digest
 	// operatorNext and serversNext are the offsets up to which this node has read, and readAt is when it last read the
@@ -70,9 +72,8 @@
 // DigestReceived applies the digest of a reader, which is identified by its peer address.
 func (c *Core) DigestReceived(now time.Time, reader string, digest Digest) {
 	c.digestAt = now
-	if readAt := now.Add(-max(digest.OperatorAge, 0)); readAt.After(c.operatorReadAt) {
-		c.operatorReadAt = readAt
-	}
+	c.readersReadOperator = later(c.readersReadOperator, now.Add(-max(digest.OperatorAge, 0)))
+	c.readersReadServers = later(c.readersReadServers, now.Add(-max(digest.ServersAge, 0)))
 	if digest.OperatorNext >= c.newest.OperatorNext && digest.ServersNext >= c.newest.ServersNext {
 		c.source = reader
 	}
@@ -82,6 +83,13 @@
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // HasRead reports whether this node has read the operators' records up to an offset.
 func (c *Core) HasRead(operator int64) bool { return c.operatorNext > 0 && c.operatorNext >= operator }
 
@@ -91,15 +99,17 @@
 // ReadServers records a read of the servers' entries up to an offset.
 func (c *Core) ReadServers(now time.Time, next int64) { c.serversNext, c.readAt = next, now }
 
-// HasRecentDigest reports whether a digest arrived within digestTimeout.
-func (c *Core) HasRecentDigest(now time.Time) bool { return now.Sub(c.digestAt) < digestTimeout }
+// readersKnowServers reports whether a reader has read the servers' entries recently.
+func (c *Core) readersKnowServers(now time.Time) bool {
+	return now.Sub(c.readersReadServers) < maximumReadAge
+}
 
-// Follows reports whether this node relies on readers for the servers' entries.
-func (c *Core) Follows(now time.Time) bool { return !c.reader && c.HasRecentDigest(now) }
+// FollowsServers reports whether this node relies on readers for the servers' entries.
+func (c *Core) FollowsServers(now time.Time) bool { return !c.reader && c.readersKnowServers(now) }
 
 // FollowsOperator reports whether this node relies on readers for the operators' records.
 func (c *Core) FollowsOperator(now time.Time) bool {
-	return !c.reader && now.Sub(c.operatorReadAt) < operatorMaxAge
+	return !c.reader && now.Sub(c.readersReadOperator) < maximumReadAge
 }
 
 // FetchSource returns the reader from which this node should fetch what it has not received from the store. own is the
@@ -129,7 +139,7 @@
 // CheckCurrent reports whether this node knows the servers' entries, from the store or from readers, and since when without
 // a gap longer than maximumGap. own is its own fingerprint. It must be called more often than maximumGap.
 func (c *Core) CheckCurrent(now time.Time, own uint64) (since time.Time, current bool) {
-	if now.Sub(c.readAt) < digestTimeout || c.HasRecentDigest(now) && !c.behindServers(own) {
+	if now.Sub(c.readAt) < digestTimeout || c.readersKnowServers(now) && !c.behindServers(own) {
 		if now.Sub(c.currentAt) > maximumGap {
 			c.currentSince = now
 		}
