--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
 	"waxwingcleat.example/waxwingcleat/internal/connset"
@@ -87,6 +88,8 @@
 	link         *peerlink.Link
 	reload       func() (Settings, error)
 	linesDropped func() int64
+	// operatorAge is the age of what this node knows of the operators' records, in milliseconds.
+	operatorAge metrics.Gauge
 
 	// callers tracks the open connections of callers.
 	callers *connset.Set
@@ -127,6 +130,7 @@
 		linesDropped: d.LinesDropped, link: link, connections: d.Connections, publishNow: make(chan struct{}, 1),
 		view: serverview.New(), usage: usage.New(link.Address()), peers: newPeers(), callers: connset.New(),
 		watch: newWatch(), startedAt: time.Now(), eventGaps: eventgap.New(),
+		operatorAge: metrics.GetOrRegisterGauge("watch.operatorAgeMs", nil),
 	}
 	n.leases = newLeases(serverlease.Options{
 		Partitions: settings.Store.Partitions, TTL: leaseTTL, TurnInterval: turnInterval, Fenced: settings.OrdersFenced,
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -185,6 +185,13 @@
 	return w.core.CheckCurrent(now, fingerprint)
 }
 
+// operatorAge returns how long ago this node, or a reader whose digests it gets, last read the operators' records.
+func (w *watch) operatorAge(now time.Time) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return min(now.Sub(w.operatorReadAt), w.core.ReadersOperatorAge(now))
+}
+
 // digest returns this node's digest, and whether its latest read is recent enough to send it.
 func (w *watch) digest(now time.Time) (storewatch.Digest, bool) {
 	w.mu.Lock()
@@ -198,6 +205,7 @@
 func (n *Node) sendDigests(ctx context.Context) error {
 	for ctx.Err() == nil {
 		delay.Until(ctx, digestPeriod, n.watch.digestChanged)
+		n.operatorAge.Update(n.watch.operatorAge(time.Now()).Milliseconds())
 		if !n.leases.isReader() {
 			continue
 		}
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -109,9 +109,12 @@
 
 // FollowsOperator reports whether this node relies on readers for the operators' records.
 func (c *Core) FollowsOperator(now time.Time) bool {
-	return !c.reader && now.Sub(c.readersReadOperator) < maximumReadAge
+	return !c.reader && c.ReadersOperatorAge(now) < maximumReadAge
 }
 
+// ReadersOperatorAge returns how long ago a reader last read the operators' records.
+func (c *Core) ReadersOperatorAge(now time.Time) time.Duration { return now.Sub(c.readersReadOperator) }
+
 // FetchSource returns the reader from which this node should fetch what it has not received from the store. own is the
 // node's own fingerprint. The result is empty while the node isn't behind or the store may still answer.
 func (c *Core) FetchSource(now time.Time, own uint64) (reader string) {
