--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -79,6 +79,7 @@
 	j.f.options.Events.EmitError(event.RequestAttempt, err, event.Fields{
 		"request": j.request.ID, "server": candidate.ID, "softwareVersion": candidate.SoftwareVersion,
 		"mayHaveRun": mayHaveRun, "send": j.sends, "ms": time.Since(j.arrived).Milliseconds(),
+		"promptParts": j.request.SharedParts,
 	})
 }
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -60,7 +60,7 @@
 		j.f.recordFailure(time.Now(), candidate.ID)
 	}
 	j.log(event.RequestAnswered, reason, err, s.fields(j.arrived),
-		event.Fields{"softwareVersion": candidate.SoftwareVersion})
+		event.Fields{"softwareVersion": candidate.SoftwareVersion, "promptParts": j.request.SharedParts})
 }
 
 // resumable reports whether a broken stream may be resumed at another server.
--- a/internal/serving/request.go
+++ b/internal/serving/request.go
@@ -15,6 +15,9 @@
 	// output.
 	PromptTokens int
 	OutputTokens int
+	// SharedParts holds the IDs of the parts of the prompt that other requests may have too: all but the last one, without
+	// repetitions.
+	SharedParts []string
 	// Timeout is the caller's timeout for the answer; zero if it gives none.
 	Timeout time.Duration
 	// LastEventID is set when the caller resumes a stream.
