forward: Give up streams whose bytes go on without the end of an event

Callers saw bytes that are no answer until their deadline, and the node read them as long: 720 MB in 5 s in a test. Cause: nothing bounded an event. (A stream that may be resumed would also hold them in memory; that is from reading, its test passed before.)

An event has 1 MB at most; a stream that goes on beyond that breaks off, as one whose server closed its connection.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -14,8 +14,13 @@
 	"waxwingcleat.example/waxwingcleat/internal/upstream"
 )
 
-// streamBuffer is the size of the read buffer of a stream.
-const streamBuffer = 4 << 10
+const (
+	// streamBuffer is the size of the read buffer of a stream.
+	streamBuffer = 4 << 10
+	// maximumEventBytes bounds one event of a stream; those of the specified workloads have some 200 bytes. Bytes that go on
+	// without the end of an event are no answer.
+	maximumEventBytes = 1 << 20
+)
 
 var idField = []byte("id:")
 
@@ -113,6 +118,7 @@
 
 var (
 	errNoServerToResume = errors.New("no server can go on with the stream")
+	errEventTooLarge    = errors.New("an event of the stream is too large")
 	errCrashing         = errors.New(ReasonCrashing)
 	errNotResumed       = errors.New("the server doesn't go on with the stream")
 )
@@ -127,6 +133,8 @@
 	lastID string
 	// partial is the received part of an incomplete event.
 	partial []byte
+	// eventBytes is the number of bytes since the latest end of an event.
+	eventBytes int
 	// delimiter is how the body of the latest answer is delimited.
 	delimiter upstream.Delimiter
 	// callerErr is the error of a write to the caller.
@@ -168,12 +176,15 @@
 // copy forwards body until it ends. It returns nil if the body is complete.
 func (s *stream) copy(body io.Reader) error {
 	s.partial = s.partial[:0]
-	s.begunAt, s.sound = time.Time{}, false
+	s.begunAt, s.sound, s.eventBytes = time.Time{}, false, 0
 	buffer := make([]byte, streamBuffer)
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
 			s.recordArrival(time.Now())
+			if !s.countEventBytes(buffer[:n]) {
+				return errEventTooLarge
+			}
 			if err := s.forward(buffer[:n]); err != nil {
 				s.callerErr = err
 				return err
@@ -188,6 +199,17 @@
 	}
 }
 
+// countEventBytes counts data that arrived and reports whether the current event is still within its bound. An event whose end
+// is split between two arrivals counts on with the next one.
+func (s *stream) countEventBytes(data []byte) bool {
+	if end := upstream.EventsEnd(data); end > 0 {
+		s.eventBytes = len(data) - end
+	} else {
+		s.eventBytes += len(data)
+	}
+	return s.eventBytes <= maximumEventBytes
+}
+
 func (s *stream) forward(data []byte) error {
 	if !s.resumable {
 		return s.write(data)
