--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -22,6 +22,8 @@
 	streamWindowBefore = 15 * time.Second
 	// limitWindowBefore is how far before a refusal the limits of servers are searched; their use is logged each 5 s.
 	limitWindowBefore = 10 * time.Second
+	// blockWindowBefore is how far before a refusal the block of a prompt part is searched.
+	blockWindowBefore = time.Hour
 	// correlationWindow is the time around a failure in which other requests are compared with it.
 	correlationWindow = time.Second
 	// minimumCorrelated is how many other requests must have failed alike for the cause to count as shared.
@@ -93,6 +95,8 @@
 		return l.noUsableServer(final)
 	case reason == forward.ReasonLimited:
 		return l.limited(final)
+	case reason == forward.ReasonCrashing:
+		return l.crashing(final)
 	case reason == forward.ReasonNotLoaded || reason == forward.ReasonOverloaded:
 		return l.notLoaded(final)
 	case reason == forward.ReasonPrefillQueueTooLong || reason == forward.ReasonAllBusy ||
@@ -215,6 +219,17 @@
 		final.number("limited"), final.number("servers"), final.number("roomInMs")), limits
 }
 
+// crashing returns under which part of its prompt servers ended, so that the request was refused.
+func (l *Log) crashing(final Line) (string, []Line) {
+	part := final.text("part")
+	blocks := l.around(final.At, blockWindowBefore, 0, func(line Line) bool {
+		return line.text("part") == part &&
+			(line.Event == event.PartBlocked.Number || line.Event == event.PartTried.Number)
+	})
+	cause := fmt.Sprintf("servers ended under requests with the prompt part %s, so that no more of them are sent", part)
+	return cause, blocks
+}
+
 // loadTargetFault returns why the server chosen to load an adapter got no order for it.
 func (l *Log) loadTargetFault(demand Line, target string) (string, []Line) {
 	disruptions := l.around(demand.At, serverWindowBefore, serverWindowAfter, func(line Line) bool {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -130,6 +130,18 @@
 	g.Expect(e.Evidence).To(gomega.HaveLen(1))
 }
 
+// Guards against a refusal that doesn't name the part of the prompt on which servers crash.
+func TestRefusalByACrashingPartNamesIt(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var l logBuilder
+	l.add(400, event.PartBlocked, `"part":"bad0","servers":["s1","s2","s3"]`)
+	l.add(500, event.PartBlocked, `"part":"other","servers":["s4"]`)
+	l.add(9000, event.RequestRefused, refusal("r1", forward.ReasonCrashing, `,"part":"bad0"`))
+	explanation := l.explain(g, "r1")
+	g.Expect(explanation.Cause).To(gomega.ContainSubstring("bad0"))
+	g.Expect(explanation.Evidence).To(gomega.HaveLen(1))
+}
+
 // Guards against a made-up cause when the log doesn't show any.
 func TestUnknownCauseIsEmpty(t *testing.T) {
 	g := gomega.NewWithT(t)
