--- a/internal/crashguard/crashguard.go
+++ b/internal/crashguard/crashguard.go
@@ -39,6 +39,8 @@
 	// maximumParts bounds the parts with a state, maximumPending the closed connections that are not yet confirmed as ends.
 	maximumParts   = 1024
 	maximumPending = 256
+	// maximumSuspects bounds the parts in the report of one end.
+	maximumSuspects = 64
 	// maximumEnds bounds the recent ends of servers.
 	maximumEnds = 256
 	// maximumBlockEnds bounds the ends that nodes pass on with a block.
@@ -266,7 +268,12 @@
 			end.explained = true
 		}
 	}
-	var worst *Suspect
+	if excess := len(report.Suspects) - maximumSuspects; excess > 0 {
+		g.evicted += excess
+		report.Suspects = report.Suspects[:maximumSuspects]
+	}
+	var worst string
+	var worstPart *part
 	for i := range report.Suspects {
 		s := &report.Suspects[i]
 		p := g.part(now, s.Part)
@@ -275,24 +282,24 @@
 			g.countEnd(now, s.Part, p, report, s.BegunAt)
 		}
 		s.Ends, s.FirstEndAt = len(p.ends), p.firstEndAt
-		if g.isProven(p) && (worst == nil || g.isWorse(s, worst)) {
-			worst = s
+		if g.isProven(p) && (worstPart == nil || p.isWorseThan(worstPart)) {
+			worst, worstPart = s.Part, p
 		}
 	}
-	if worst != nil {
-		g.begin(worst.Part, Block{
-			Part: worst.Part, At: now, TrialAt: now.Add(firstTrialAfter), LapsesAt: now.Add(unusedLifetime),
-			Ends: slices.Clone(latest(g.parts[worst.Part].seenAt)),
+	if worstPart != nil {
+		g.begin(worst, worstPart, Block{
+			Part: worst, At: now, TrialAt: now.Add(firstTrialAfter), LapsesAt: now.Add(unusedLifetime),
+			Ends: slices.Clone(latest(worstPart.seenAt)),
 		})
 	}
 }
 
-// isWorse reports whether a suspect is to be blocked rather than another one.
-func (g *Guard) isWorse(s, other *Suspect) bool {
-	if s.Depth != other.Depth {
-		return s.Depth > other.Depth
+// isWorseThan reports whether a part is to be blocked rather than another one.
+func (p *part) isWorseThan(other *part) bool {
+	if p.depth != other.depth {
+		return p.depth > other.depth
 	}
-	return len(g.parts[s.Part].seenAt) > len(g.parts[other.Part].seenAt)
+	return len(p.seenAt) > len(other.seenAt)
 }
 
 // latest returns the last maximumBlockEnds of the ends.
@@ -357,8 +364,7 @@
 }
 
 // begin blocks a part. The ends of servers under it don't count for other parts any more.
-func (g *Guard) begin(id string, block Block) {
-	p := g.parts[id]
+func (g *Guard) begin(id string, p *part, block Block) {
 	p.blocked, p.block = true, block
 	g.changes = append(g.changes, Change{Part: id, Blocked: true, Ends: block.Ends, Since: p.firstEndAt})
 	explained := func(server Incarnation) bool { return slices.Contains(block.Ends, server) }
@@ -445,7 +451,7 @@
 		return acquitted, false
 	}
 	if !p.blocked {
-		g.begin(block.Part, block)
+		g.begin(block.Part, p, block)
 		return acquitted, false
 	}
 	p.block.Level = max(p.block.Level, block.Level)
--- a/internal/crashguard/crashguard_test.go
+++ b/internal/crashguard/crashguard_test.go
@@ -230,6 +230,16 @@
 	_, parts := guard.Lost()
 	g.Expect(parts).To(gomega.BeNumerically(">", 15_000))
 	g.Expect(allowed(guard, 31_000, "p")).To(gomega.BeFalse())
+	for n := range 1000 {
+		many := make([]string, 100)
+		for i := range many {
+			many[i] = fmt.Sprintf("many-%d-%d", n, i)
+		}
+		guard.Ended(at(35_000), crashguard.Report{Server: server(n), EndedAt: at(35_000)})
+		endServer(guard, 50_000+n, 35_000, many...)
+	}
+	g.Expect(allowed(guard, 36_000, "p")).To(gomega.BeFalse())
+	guard.Lost()
 	for n := range 1000 {
 		guard.Broken(crashguard.Break{Server: server(n), Parts: []string{"q"}, BegunAt: at(40_000), At: at(40_000)})
 	}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -312,6 +312,8 @@
 	}
 	if answer.StatusCode < http.StatusInternalServerError {
 		j.f.options.View.Succeeded(candidate.ID)
+	}
+	if answer.StatusCode < http.StatusMultipleChoices {
 		j.f.options.Crashes.Answered(j.request.SharedParts)
 	}
 	j.copyHeader(answer)
--- a/internal/forward/crashes.go
+++ b/internal/forward/crashes.go
@@ -63,7 +63,8 @@
 // recordBreak records that the latest attempt got no answer, if the server closed its connection.
 func (j *job) recordBreak(err error) {
 	var timeout net.Error
-	if errors.As(err, &timeout) && timeout.Timeout() || errors.Is(err, context.Canceled) || j.ctx.Err() != nil {
+	timedOut := errors.As(err, &timeout) && timeout.Timeout() || errors.Is(err, context.Canceled) || j.ctx.Err() != nil
+	if timedOut || errors.Is(err, errEventTooLarge) {
 		return
 	}
 	j.f.options.Crashes.Broken(crashguard.Break{
--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -27,10 +27,12 @@
 	// crashMessageCopies is how often each message is sent, crashCopyInterval apart, as datagrams may be lost.
 	crashMessageCopies = 3
 	crashCopyInterval  = 80 * time.Millisecond
-	// crashEntriesPerMessage limits datagrams to a few kilobytes.
-	crashEntriesPerMessage = 8
-	// endReportsPerSecond bounds the reports that a node sends when many servers end at once.
+	// crashEntriesPerMessage keeps messages below the limit of a datagram, 64 KB.
+	crashEntriesPerMessage = 4
+	// endReportsPerSecond bounds the reports that a node sends when many servers end at once, relaysPerSecond the messages that
+	// a reader passes on to all nodes.
 	endReportsPerSecond = 20
+	relaysPerSecond     = 30
 )
 
 // crashes exchanges with other nodes which servers ended under which requests. It implements forward.CrashGuard.
@@ -42,14 +44,27 @@
 	// pending mirrors guard.Pending, so that streams needn't lock for each event.
 	pending atomic.Bool
 	// wake receives a value when a connection was closed without an answer.
-	wake chan struct{}
-	// reportsFrom is when the current second of endReportsPerSecond began, reports the number in it.
-	reportsFrom time.Time
-	reports     int
+	wake            chan struct{}
+	reports, relays rateLimit
 
 	ends, blocks, refused, unsent metrics.Counter
 }
 
+// rateLimit counts what happens in each second.
+type rateLimit struct {
+	secondAt time.Time
+	count    int
+}
+
+// allow reports whether one more may happen in the current second.
+func (l *rateLimit) allow(now time.Time, perSecond int) bool {
+	if now.Sub(l.secondAt) >= time.Second {
+		l.secondAt, l.count = now, 0
+	}
+	l.count++
+	return l.count <= perSecond
+}
+
 func newCrashes(node *Node) *crashes {
 	return &crashes{
 		node: node, guard: crashguard.New(), wake: make(chan struct{}, 1),
@@ -189,7 +204,7 @@
 	var sent []crashguard.Report
 	for _, report := range reports {
 		c.logEnd(report)
-		if c.mayReport(time.Now()) {
+		if c.allow(&c.reports, endReportsPerSecond) {
 			sent = append(sent, report)
 		} else {
 			c.unsent.Inc(1)
@@ -205,15 +220,11 @@
 	}
 }
 
-// mayReport reports whether endReportsPerSecond allows one more report.
-func (c *crashes) mayReport(now time.Time) bool {
+// allow reports whether a limit leaves room for one more message.
+func (c *crashes) allow(limit *rateLimit, perSecond int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if now.Sub(c.reportsFrom) >= time.Second {
-		c.reportsFrom, c.reports = now, 0
-	}
-	c.reports++
-	return c.reports <= endReportsPerSecond
+	return limit.allow(time.Now(), perSecond)
 }
 
 func (c *crashes) logEnd(report crashguard.Report) {
@@ -228,10 +239,15 @@
 	})
 }
 
-// listBlocks sends the blocked parts to all nodes if this node is a reader.
+// listBlocks sends the blocked parts to all nodes, see sendBlocks. Blocks that have lapsed end here on every node.
 func (c *crashes) listBlocks(now time.Time) {
+	c.sendBlocks(now, c.node.peers.alive(now)...)
+}
+
+// sendBlocks sends the blocked parts to peers if this node is a reader.
+func (c *crashes) sendBlocks(now time.Time, peers ...string) {
 	var blocks []crashguard.Block
-	c.update(func(now time.Time) { blocks = c.guard.Blocks(now) })
+	c.update(func(time.Time) { blocks = c.guard.Blocks(now) })
 	if !c.node.leases.isReader() {
 		return
 	}
@@ -240,7 +256,7 @@
 		for _, block := range chunk {
 			message.BlockedParts = append(message.BlockedParts, peerlink.NewBlockedPart(now, block))
 		}
-		c.node.link.Send(message, c.node.peers.alive(now)...)
+		c.node.link.Send(message, peers...)
 	}
 }
 
@@ -298,8 +314,13 @@
 		}
 	})
 	c.sendAcquitted(acquitted)
-	if !message.Relayed && c.node.leases.isReader() {
+	if message.Relayed || !c.node.leases.isReader() {
+		return
+	}
+	if c.allow(&c.relays, relaysPerSecond) {
 		c.relay(now, message)
+	} else {
+		c.unsent.Inc(1)
 	}
 }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -114,6 +114,7 @@
 	}
 	if n.peers.recordSeen(now, message.From, message.Zone, message.Nodes) || message.FullStatesRequested {
 		n.sendFullStates(message.From)
+		n.crashes.sendBlocks(now, message.From)
 	}
 	n.view.Publish(now, message.Published()...)
 	for _, arrival := range message.Arrived {
