crashguard, node: Answers take older ends out of the count; nodes announce blocks at once

Cause: an answer at another node counted only if it was newer than the last end, so that an older end stayed in the count, and a wrong block at one node went to all.

--- a/internal/crashguard/crashguard.go
+++ b/internal/crashguard/crashguard.go
@@ -89,6 +89,8 @@
 type Block struct {
 	Part string
 	At   time.Time
+	// FirstEndAt is when the first of the servers ended that led to the block. An answer since then ends it.
+	FirstEndAt time.Time
 	// Level is the number of trials that have ended a server.
 	Level int
 	// TrialAt is when the next trial is due, LapsesAt when the block lapses unless requests ask for the part.
@@ -106,8 +108,8 @@
 // Change is a change of the state of a part.
 type Change struct {
 	Part string
-	// Blocked is false when the block ended.
-	Blocked bool
+	// Blocked is false when the block ended. Decided is true when this node began it by itself, not because another one did.
+	Blocked, Decided bool
 	// Reason is why a block ended.
 	Reason string
 	// Ends holds the servers whose ends led to the block.
@@ -136,11 +138,10 @@
 
 // part is the state of one part.
 type part struct {
-	ends []Incarnation
-	// seenAt holds all servers that ended under requests with the part since the first of ends, also at the same time.
-	seenAt     []Incarnation
-	firstEndAt time.Time
-	lastEndAt  time.Time
+	// ends holds the ends that count since the latest answer, seenAt all of them, also those at the same time.
+	ends, seenAt []serverEnd
+	// lastEndAt is when the last end that counts was, also after the part was blocked.
+	lastEndAt time.Time
 	// depth is the largest position in prompts.
 	depth int
 	// acquittedAt is when a request with the part was answered, as far as another node or an operator said so.
@@ -281,15 +282,15 @@
 		if !end.explained || p.blocked {
 			g.countEnd(now, s.Part, p, report, s.BegunAt)
 		}
-		s.Ends, s.FirstEndAt = len(p.ends), p.firstEndAt
+		s.Ends, s.FirstEndAt = len(p.ends), p.firstEndAt()
 		if g.isProven(p) && (worstPart == nil || p.isWorseThan(worstPart)) {
 			worst, worstPart = s.Part, p
 		}
 	}
 	if worstPart != nil {
-		g.begin(worst, worstPart, Block{
-			Part: worst, At: now, TrialAt: now.Add(firstTrialAfter), LapsesAt: now.Add(unusedLifetime),
-			Ends: slices.Clone(latest(worstPart.seenAt)),
+		g.begin(worst, worstPart, true, Block{
+			Part: worst, At: now, FirstEndAt: worstPart.firstEndAt(), TrialAt: now.Add(firstTrialAfter),
+			LapsesAt: now.Add(unusedLifetime), Ends: latest(worstPart.seenAt),
 		})
 	}
 }
@@ -302,9 +303,25 @@
 	return len(p.seenAt) > len(other.seenAt)
 }
 
-// latest returns the last maximumBlockEnds of the ends.
-func latest(ends []Incarnation) []Incarnation {
-	return ends[max(len(ends)-maximumBlockEnds, 0):]
+// firstEndAt returns when the first end that counts was; zero without one.
+func (p *part) firstEndAt() (at time.Time) {
+	if len(p.ends) > 0 {
+		at = p.ends[0].at
+	}
+	return at
+}
+
+// latest returns the servers of the last maximumBlockEnds of the ends.
+func latest(ends []serverEnd) (servers []Incarnation) {
+	for _, end := range ends[max(len(ends)-maximumBlockEnds, 0):] {
+		servers = append(servers, end.server)
+	}
+	return servers
+}
+
+// isOf reports whether an end is that of a server.
+func isOf(server Incarnation) func(serverEnd) bool {
+	return func(end serverEnd) bool { return end.server == server }
 }
 
 // recordEnd returns the entry of the server in the recent ends, which it adds if needed.
@@ -328,7 +345,7 @@
 	}
 	all := 0
 	for _, end := range g.recent {
-		if !end.explained && !end.at.Before(p.firstEndAt) {
+		if !end.explained && !end.at.Before(p.firstEndAt()) {
 			all++
 		}
 	}
@@ -340,21 +357,19 @@
 	if len(p.ends) > 0 && report.EndedAt.Sub(p.lastEndAt) > suspicionLifetime && !p.blocked {
 		p.ends, p.seenAt = nil, nil
 	}
-	if slices.Contains(p.ends, report.Server) || report.EndedAt.Before(g.provenAt(id, p)) {
+	if slices.ContainsFunc(p.ends, isOf(report.Server)) || report.EndedAt.Before(g.provenAt(id, p)) {
 		return
 	}
-	if !slices.Contains(p.seenAt, report.Server) && len(p.seenAt) < maximumEnds {
-		p.seenAt = append(p.seenAt, report.Server)
+	end := serverEnd{server: report.Server, at: report.EndedAt}
+	if !slices.ContainsFunc(p.seenAt, isOf(report.Server)) && len(p.seenAt) < maximumEnds {
+		p.seenAt = append(p.seenAt, end)
 	}
 	if len(p.ends) > 0 && report.EndedAt.Sub(p.lastEndAt) < separateEnds {
 		return
 	}
-	if len(p.ends) == 0 {
-		p.firstEndAt = report.EndedAt
-	}
 	p.lastEndAt = report.EndedAt
 	if !p.blocked {
-		p.ends = append(p.ends, report.Server)
+		p.ends = append(p.ends, end)
 		return
 	}
 	if begunAt.After(p.block.At) {
@@ -364,12 +379,14 @@
 }
 
 // begin blocks a part. The ends of servers under it don't count for other parts any more.
-func (g *Guard) begin(id string, p *part, block Block) {
+func (g *Guard) begin(id string, p *part, decided bool, block Block) {
 	p.blocked, p.block = true, block
-	g.changes = append(g.changes, Change{Part: id, Blocked: true, Ends: block.Ends, Since: p.firstEndAt})
-	explained := func(server Incarnation) bool { return slices.Contains(block.Ends, server) }
+	g.changes = append(g.changes, Change{
+		Part: id, Blocked: true, Decided: decided, Ends: block.Ends, Since: block.FirstEndAt,
+	})
+	explained := func(end serverEnd) bool { return slices.Contains(block.Ends, end.server) }
 	for i := range g.recent {
-		g.recent[i].explained = g.recent[i].explained || explained(g.recent[i].server)
+		g.recent[i].explained = g.recent[i].explained || explained(g.recent[i])
 	}
 	for other, state := range g.parts {
 		// Servers ended under a part of the same depth that the blocked one doesn't explain.
@@ -436,22 +453,27 @@
 func (g *Guard) Acquitted(now time.Time, acquittal Acquittal, reason string) {
 	p := g.part(now, acquittal.Part)
 	p.acquittedAt = later(p.acquittedAt, acquittal.At)
-	if p.blocked && acquittal.At.After(p.block.At) || !p.blocked && acquittal.At.After(p.lastEndAt) {
-		g.end(acquittal.Part, p, reason)
+	if p.blocked {
+		if acquittal.At.After(p.block.FirstEndAt) {
+			g.end(acquittal.Part, p, reason)
+		}
+		return
 	}
+	before := func(end serverEnd) bool { return end.at.Before(acquittal.At) }
+	p.ends, p.seenAt = slices.DeleteFunc(p.ends, before), slices.DeleteFunc(p.seenAt, before)
 }
 
 // Merge applies the block of a part at another node. If a request was answered since then, it returns that.
 func (g *Guard) Merge(now time.Time, block Block) (acquitted Acquittal, answered bool) {
 	p := g.part(now, block.Part)
-	if proven := g.provenAt(block.Part, p); !block.At.After(proven) {
+	if proven := g.provenAt(block.Part, p); proven.After(block.FirstEndAt) {
 		return Acquittal{Part: block.Part, At: proven}, true
 	}
 	if now.After(block.LapsesAt) {
 		return acquitted, false
 	}
 	if !p.blocked {
-		g.begin(block.Part, p, block)
+		g.begin(block.Part, p, false, block)
 		return acquitted, false
 	}
 	p.block.Level = max(p.block.Level, block.Level)
--- a/internal/crashguard/days_test.go
+++ b/internal/crashguard/days_test.go
@@ -170,7 +170,10 @@
 				Server: incarnation, Parts: request.parts, BegunAt: request.begunAt, At: d.now,
 			})
 			node := request.node
-			d.after(d.between(250, 320), func() { d.deliver(node, d.guards[node].Confirm(d.now), nil) })
+			d.after(d.between(250, 320), func() {
+				d.deliver(node, d.guards[node].Confirm(d.now), nil)
+				d.announce(node)
+			})
 		}
 	}
 	d.running[server] = nil
@@ -178,28 +181,53 @@
 	d.downUntil[server] = d.now.Add(serverDownTime)
 }
 
-// deliver sends what a node reports to all others, in three copies of which each may be lost.
-func (d *day) deliver(from int, reports []crashguard.Report, acquitted []crashguard.Acquittal) {
-	if len(reports)+len(acquitted) == 0 {
-		return
+// dayReaders is the number of nodes that announce blocks also if another node's report led to them.
+const dayReaders = 3
+
+// announce sends the parts that a node has just decided to block to all others.
+func (d *day) announce(from int) {
+	for _, change := range d.guards[from].Changes() {
+		block, blocked := d.guards[from].Block(change.Part)
+		if !change.Decided || !blocked {
+			continue
+		}
+		d.toOthers(from, func(to int) {
+			if acquittal, answered := d.guards[to].Merge(d.now, block); answered {
+				d.deliver(to, nil, []crashguard.Acquittal{acquittal})
+			}
+		})
 	}
+}
+
+// toOthers calls receive for each other node, in three copies of which each may be lost.
+func (d *day) toOthers(from int, receive func(to int)) {
 	for to := range d.guards {
 		for copied := range 3 {
-			if to == from || d.random.IntN(20) == 0 {
-				continue
+			if to != from && d.random.IntN(20) > 0 {
+				d.after(time.Duration(copied)*80*time.Millisecond+d.between(1, 4), func() { receive(to) })
 			}
-			d.after(time.Duration(copied)*80*time.Millisecond+d.between(1, 4), func() {
-				for _, acquittal := range acquitted {
-					d.guards[to].Acquitted(d.now, acquittal, crashguard.ReasonAnswered)
-				}
-				for _, report := range reports {
-					d.deliver(to, nil, d.guards[to].Ended(d.now, report))
-				}
-			})
 		}
 	}
 }
 
+// deliver sends what a node reports to all others.
+func (d *day) deliver(from int, reports []crashguard.Report, acquitted []crashguard.Acquittal) {
+	if len(reports)+len(acquitted) == 0 {
+		return
+	}
+	d.toOthers(from, func(to int) {
+		for _, acquittal := range acquitted {
+			d.guards[to].Acquitted(d.now, acquittal, crashguard.ReasonAnswered)
+		}
+		for _, report := range reports {
+			d.deliver(to, nil, d.guards[to].Ended(d.now, report))
+		}
+		if to < dayReaders {
+			d.announce(to)
+		}
+	})
+}
+
 // soundParts draws the shared parts of a sound request: one of 3 first parts and one of 69 second ones.
 func (d *day) soundParts() []string {
 	second := int(float64(69) * d.random.Float64() * d.random.Float64())
--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -75,8 +75,8 @@
 	}
 }
 
-// update applies a change to the guard and logs what follows from it.
-func (c *crashes) update(apply func(now time.Time)) {
+// update applies a change to the guard and logs what follows from it. It returns the parts that this node decided to block.
+func (c *crashes) update(apply func(now time.Time)) (decided []string) {
 	now := time.Now()
 	c.mu.Lock()
 	apply(now)
@@ -86,10 +86,14 @@
 	c.mu.Unlock()
 	for _, change := range changes {
 		c.log(now, change)
+		if change.Decided {
+			decided = append(decided, change.Part)
+		}
 	}
 	if breaks+parts > 0 {
 		c.node.events.Emit(event.SuspicionsLost, event.Fields{"closedConnections": breaks, "parts": parts})
 	}
+	return decided
 }
 
 func (c *crashes) log(now time.Time, change crashguard.Change) {
@@ -144,20 +148,10 @@
 	if len(parts) == 0 {
 		return decision
 	}
-	var tried []crashguard.Block
-	c.update(func(now time.Time) {
-		decision = c.guard.Check(now, parts, c.rank)
-		if block, blocked := c.guard.Block(decision.Part); decision.Trial && blocked {
-			tried = append(tried, block)
-		}
-	})
+	c.update(func(now time.Time) { decision = c.guard.Check(now, parts, c.rank) })
 	if decision.Trial {
 		c.node.events.Emit(event.PartTried, event.Fields{"part": decision.Part, "request": request})
-		for _, block := range tried {
-			c.send(func(now time.Time) peerlink.Message {
-				return peerlink.Message{BlockedParts: []peerlink.BlockedPart{peerlink.NewBlockedPart(now, block)}}
-			})
-		}
+		c.announce(decision.Part)
 	}
 	if !decision.Allowed {
 		c.refused.Inc(1)
@@ -200,7 +194,7 @@
 
 func (c *crashes) confirm() {
 	var reports []crashguard.Report
-	c.update(func(now time.Time) { reports = c.guard.Confirm(now) })
+	decided := c.update(func(now time.Time) { reports = c.guard.Confirm(now) })
 	var sent []crashguard.Report
 	for _, report := range reports {
 		c.logEnd(report)
@@ -218,6 +212,21 @@
 			return message
 		})
 	}
+	c.announce(decided...)
+}
+
+// announce sends the blocks of parts to all nodes. Nodes decide about blocks by themselves, and may differ in what they know.
+func (c *crashes) announce(parts ...string) {
+	for _, part := range parts {
+		c.send(func(now time.Time) (message peerlink.Message) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			if block, blocked := c.guard.Block(part); blocked {
+				message.BlockedParts = append(message.BlockedParts, peerlink.NewBlockedPart(now, block))
+			}
+			return message
+		})
+	}
 }
 
 // allow reports whether a limit leaves room for one more message.
@@ -300,7 +309,7 @@
 		return
 	}
 	var acquitted []crashguard.Acquittal
-	c.update(func(time.Time) {
+	decided := c.update(func(time.Time) {
 		for _, end := range message.ServerEnds {
 			acquitted = append(acquitted, c.guard.Ended(now, end.Decode(now))...)
 		}
@@ -314,7 +323,11 @@
 		}
 	})
 	c.sendAcquitted(acquitted)
-	if message.Relayed || !c.node.leases.isReader() {
+	if !c.node.leases.isReader() {
+		return
+	}
+	c.announce(decided...)
+	if message.Relayed {
 		return
 	}
 	if c.allow(&c.relays, relaysPerSecond) {
--- a/internal/node/crashes_test.go
+++ b/internal/node/crashes_test.go
@@ -31,7 +31,7 @@
 	now := time.Now()
 	return peerlink.Message{From: "10.0.0.1:7000", Relayed: true, BlockedParts: []peerlink.BlockedPart{
 		peerlink.NewBlockedPart(now, crashguard.Block{
-			Part: part, At: now, TrialAt: now.Add(time.Minute), LapsesAt: now.Add(time.Hour),
+			Part: part, At: now, FirstEndAt: now.Add(-time.Second), TrialAt: now.Add(time.Minute), LapsesAt: now.Add(time.Hour),
 			Ends: []crashguard.Incarnation{{ServerID: "s1", Born: 7}},
 		}),
 	}}
--- a/internal/peerlink/crash.go
+++ b/internal/peerlink/crash.go
@@ -30,7 +30,9 @@
 type BlockedPart struct {
 	Part  string `json:"p"`
 	AgoMs int64  `json:"a"`
-	Level int    `json:"l,omitempty"`
+	// FirstAgoMs is how long ago the first of the servers ended that led to the block.
+	FirstAgoMs int64 `json:"f"`
+	Level      int   `json:"l,omitempty"`
 	// TrialInMs and LapsesInMs are the times until the next trial and until the block lapses.
 	TrialInMs  int64 `json:"t"`
 	LapsesInMs int64 `json:"e"`
@@ -80,7 +82,8 @@
 // NewBlockedPart encodes a block.
 func NewBlockedPart(now time.Time, block crashguard.Block) BlockedPart {
 	blocked := BlockedPart{
-		Part: block.Part, AgoMs: now.Sub(block.At).Milliseconds(), Level: block.Level,
+		Part: block.Part, AgoMs: now.Sub(block.At).Milliseconds(),
+		FirstAgoMs: now.Sub(block.FirstEndAt).Milliseconds(), Level: block.Level,
 		TrialInMs: block.TrialAt.Sub(now).Milliseconds(), LapsesInMs: block.LapsesAt.Sub(now).Milliseconds(),
 	}
 	for _, end := range block.Ends {
@@ -92,7 +95,7 @@
 // Decode returns the block that was received at a time.
 func (b BlockedPart) Decode(now time.Time) crashguard.Block {
 	block := crashguard.Block{
-		Part: b.Part, At: ago(now, b.AgoMs), Level: b.Level, TrialAt: ago(now, -b.TrialInMs),
+		Part: b.Part, At: ago(now, b.AgoMs), FirstEndAt: ago(now, b.FirstAgoMs), Level: b.Level, TrialAt: ago(now, -b.TrialInMs),
 		LapsesAt: ago(now, -b.LapsesInMs),
 	}
 	for _, end := range b.Ends {
