--- /dev/null
+++ b/internal/crashguard/blocks.go
@@ -0,0 +1,120 @@
+package crashguard
+
+import (
+	"slices"
+	"time"
+)
+
+// begin blocks a part. The ends of servers under it don't count for other parts any more.
+func (g *Guard) begin(id string, p *part, decided bool, block Block) {
+	p.blocked, p.block = true, block
+	g.changes = append(g.changes, Change{
+		Part: id, Blocked: true, Decided: decided, Ends: block.Ends, Since: block.FirstEndAt,
+	})
+	explained := func(end serverEnd) bool { return slices.Contains(block.Ends, end.server) }
+	for i := range g.recent {
+		g.recent[i].explained = g.recent[i].explained || explained(g.recent[i])
+	}
+	for other, state := range g.parts {
+		// Servers ended under a part of the same depth that the blocked one doesn't explain.
+		unexplained := state.depth >= p.depth && len(state.seenAt) > len(block.Ends)
+		if other != id && !unexplained {
+			state.ends = slices.DeleteFunc(state.ends, explained)
+			state.seenAt = slices.DeleteFunc(state.seenAt, explained)
+		}
+	}
+}
+
+func (g *Guard) end(id string, p *part, reason string) {
+	if p.blocked {
+		g.changes = append(g.changes, Change{Part: id, Reason: reason, Since: p.block.At})
+	}
+	p.blocked, p.ends, p.seenAt = false, nil, nil
+}
+
+// Acquitted applies what another node or an operator says about a part.
+func (g *Guard) Acquitted(now time.Time, acquittal Acquittal, reason string) {
+	p := g.part(now, acquittal.Part)
+	p.acquittedAt = later(p.acquittedAt, acquittal.At)
+	if p.blocked {
+		if acquittal.At.After(p.block.FirstEndAt) {
+			g.end(acquittal.Part, p, reason)
+		}
+		return
+	}
+	before := func(end serverEnd) bool { return end.at.Before(acquittal.At) }
+	p.ends, p.seenAt = slices.DeleteFunc(p.ends, before), slices.DeleteFunc(p.seenAt, before)
+}
+
+// Merge applies the block of a part at another node. If a request was answered since then, it returns that.
+func (g *Guard) Merge(now time.Time, block Block) (acquitted Acquittal, answered bool) {
+	p := g.part(now, block.Part)
+	if proven := g.provenAt(block.Part, p); proven.After(block.FirstEndAt) {
+		return Acquittal{Part: block.Part, At: proven}, true
+	}
+	if now.After(block.LapsesAt) {
+		return acquitted, false
+	}
+	if !p.blocked {
+		g.begin(block.Part, p, false, block)
+		return acquitted, false
+	}
+	p.block.Level = max(p.block.Level, block.Level)
+	p.block.TrialAt = later(p.block.TrialAt, block.TrialAt)
+	p.block.LapsesAt = later(p.block.LapsesAt, block.LapsesAt)
+	return acquitted, false
+}
+
+// Blocks returns the blocked parts, and ends those blocks that have lapsed.
+func (g *Guard) Blocks(now time.Time) (blocks []Block) {
+	for id, p := range g.parts {
+		if p.blocked && now.After(p.block.LapsesAt) {
+			g.end(id, p, ReasonUnused)
+		}
+		if p.blocked {
+			blocks = append(blocks, p.block)
+		}
+	}
+	return blocks
+}
+
+// Suspected reports whether servers ended under requests with one of the parts, so that such a request isn't sent again.
+func (g *Guard) Suspected(parts []string) bool {
+	return slices.ContainsFunc(parts, func(id string) bool {
+		p := g.parts[id]
+		return p != nil && (p.blocked || len(p.ends) >= repeatEnds)
+	})
+}
+
+// Check decides whether a request with the parts may be sent. rank returns the position of this node among those that may
+// make a trial of a part, negative if it may not.
+func (g *Guard) Check(now time.Time, parts []string, rank func(part string) int) Decision {
+	decision := Decision{Allowed: true}
+	for _, id := range parts {
+		p := g.parts[id]
+		if p == nil || !p.blocked {
+			continue
+		}
+		if now.After(p.block.LapsesAt) {
+			g.end(id, p, ReasonUnused)
+			continue
+		}
+		p.block.LapsesAt = now.Add(unusedLifetime)
+		turn := rank(id)
+		if turn >= 0 && !now.Before(p.block.TrialAt.Add(time.Duration(turn)*trialTurn)) {
+			p.block.TrialAt = now.Add(trialTimeout)
+			decision.Trial, decision.Part = true, id
+			continue
+		}
+		return Decision{Part: id, RetryAfter: max(p.block.TrialAt.Sub(now), trialTimeout)}
+	}
+	return decision
+}
+
+// Block returns the state of a blocked part.
+func (g *Guard) Block(id string) (block Block, blocked bool) {
+	if p := g.parts[id]; p != nil && p.blocked {
+		return p.block, true
+	}
+	return block, false
+}
--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/time/rate"
 
 	"waxwingcleat.example/waxwingcleat/internal/crashguard"
 	"waxwingcleat.example/waxwingcleat/internal/delay"
@@ -44,30 +45,18 @@
 	// pending mirrors guard.Pending, so that streams needn't lock for each event.
 	pending atomic.Bool
 	// wake receives a value when a connection was closed without an answer.
-	wake            chan struct{}
-	reports, relays rateLimit
+	wake chan struct{}
+	// reports and relays bound the messages that go to all nodes.
+	reports, relays *rate.Limiter
 
 	ends, blocks, refused, unsent metrics.Counter
 }
 
-// rateLimit counts what happens in each second.
-type rateLimit struct {
-	secondAt time.Time
-	count    int
-}
-
-// allow reports whether one more may happen in the current second.
-func (l *rateLimit) allow(now time.Time, perSecond int) bool {
-	if now.Sub(l.secondAt) >= time.Second {
-		l.secondAt, l.count = now, 0
-	}
-	l.count++
-	return l.count <= perSecond
-}
-
 func newCrashes(node *Node) *crashes {
 	return &crashes{
 		node: node, guard: crashguard.New(), wake: make(chan struct{}, 1),
+		reports: rate.NewLimiter(endReportsPerSecond, endReportsPerSecond),
+		relays:  rate.NewLimiter(relaysPerSecond, relaysPerSecond),
 		ends:    metrics.GetOrRegisterCounter("crashguard.ends", nil),
 		blocks:  metrics.GetOrRegisterCounter("crashguard.blocks", nil),
 		refused: metrics.GetOrRegisterCounter("crashguard.refused", nil),
@@ -198,7 +187,7 @@
 	var sent []crashguard.Report
 	for _, report := range reports {
 		c.logEnd(report)
-		if c.allow(&c.reports, endReportsPerSecond) {
+		if c.reports.Allow() {
 			sent = append(sent, report)
 		} else {
 			c.unsent.Inc(1)
@@ -229,13 +218,6 @@
 	}
 }
 
-// allow reports whether a limit leaves room for one more message.
-func (c *crashes) allow(limit *rateLimit, perSecond int) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return limit.allow(time.Now(), perSecond)
-}
-
 func (c *crashes) logEnd(report crashguard.Report) {
 	c.ends.Inc(1)
 	counts := make(map[string]int, len(report.Suspects))
@@ -330,7 +312,7 @@
 	if message.Relayed {
 		return
 	}
-	if c.allow(&c.relays, relaysPerSecond) {
+	if c.relays.Allow() {
 		c.relay(now, message)
 	} else {
 		c.unsent.Inc(1)
--- a/internal/node/crashes_test.go
+++ b/internal/node/crashes_test.go
@@ -88,13 +88,14 @@
 // Guards against a burst of messages when many servers end at once.
 func TestRateOfReportsIsBounded(t *testing.T) {
 	g := gomega.NewWithT(t)
-	var limit rateLimit
+	n := newCrashesNode(t)
 	now, allowed := time.Now(), 0
-	for n := range 1000 {
-		if limit.allow(now.Add(time.Duration(n)*time.Millisecond), endReportsPerSecond) {
+	for range 1000 {
+		if n.crashes.reports.AllowN(now, 1) {
 			allowed++
 		}
 	}
 	g.Expect(allowed).To(gomega.Equal(endReportsPerSecond))
-	g.Expect(limit.allow(now.Add(time.Second), endReportsPerSecond)).To(gomega.BeTrue())
+	g.Expect(n.crashes.reports.AllowN(now.Add(time.Second), endReportsPerSecond)).To(gomega.BeTrue())
+	g.Expect(n.crashes.reports.AllowN(now.Add(time.Second), 1)).To(gomega.BeFalse())
 }
