--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -76,11 +76,15 @@
 
 func (j *job) logFailedAttempt(candidate serverview.Candidate, mayHaveRun bool, err error) {
 	j.f.metrics.failedAttempts.Inc(1)
-	j.f.options.Events.EmitError(event.RequestAttempt, err, event.Fields{
+	fields := event.Fields{
 		"request": j.request.ID, "server": candidate.ID, "softwareVersion": candidate.SoftwareVersion,
 		"mayHaveRun": mayHaveRun, "send": j.sends, "ms": time.Since(j.arrived).Milliseconds(),
 		"promptParts": j.request.SharedParts,
-	})
+	}
+	if mayHaveRun {
+		fields["method"], fields["path"], fields["caller"] = j.r.Method, j.r.URL.Path, j.r.RemoteAddr
+	}
+	j.f.options.Events.EmitError(event.RequestAttempt, err, fields)
 }
 
 // log writes an event about the request, with the fields that explain the outcome.
