crashguard, forward, node: Keep a request that crashes servers away from them when it comes again

What callers saw: a service of four servers was refused almost whole for seconds, again and again, as one request ended all its servers each time they were back.

Cause: nodes compared the shared parts of prompts only, and a request of a plain service has none. Its ends, 46 to 100 ms apart at two servers of one attempt, would not have counted either: confirmed after 250 ms, and once if less than 200 ms apart. The class is that of the blocked parts: a request that harms whoever serves it, and evidence spread over nodes.

Change: a request has keys, by its content and by its content and caller. Two ends, one attempt after the other, block it at all nodes; a server that accepts no connection after it closed one has ended, which is known within a round trip. An attempt isn't followed by another one while two ends are unconfirmed, also after a broken answer and before a resume. Answers end a block, trials are few.

Ruled out: ends for other reasons, as no such request was ever answered.

--- a/internal/crashguard/blocks.go
+++ b/internal/crashguard/blocks.go
@@ -8,9 +8,14 @@
 // begin blocks a part. The ends of servers under it don't count for other parts any more.
 func (g *Guard) begin(id string, p *part, decided bool, block Block) {
 	p.blocked, p.block = true, block
+	g.watch(id, block.LapsesAt)
 	g.changes = append(g.changes, Change{
 		Part: id, Blocked: true, Decided: decided, Ends: block.Ends, Since: block.FirstEndAt,
 	})
+	if IsRequest(id) {
+		// Parts of the request may crash servers in other requests too, so the ends go on to count for them.
+		return
+	}
 	explained := func(end serverEnd) bool { return slices.Contains(block.Ends, end.server) }
 	for i := range g.recent {
 		g.recent[i].explained = g.recent[i].explained || explained(g.recent[i])
@@ -78,15 +83,30 @@
 	return blocks
 }
 
-// Suspected reports whether servers ended under requests with one of the parts, so that such a request isn't sent again.
-func (g *Guard) Suspected(parts []string) bool {
-	return slices.ContainsFunc(parts, func(id string) bool {
-		p := g.parts[id]
-		return p != nil && (p.blocked || len(p.ends) >= repeatEnds)
+// Suspected reports whether servers ended under requests with one of the keys, so that such a request isn't sent again. A
+// request may be sent again before its latest end is confirmed, so closed connections count for its keys as well.
+func (g *Guard) Suspected(keys []string) bool {
+	return slices.ContainsFunc(keys, func(id string) bool {
+		p, ends := g.parts[id], g.pendingEnds(id)
+		if p != nil {
+			ends += len(p.ends)
+		}
+		return ends >= repeatEnds || p != nil && p.blocked
 	})
 }
 
-// Check decides whether a request with the parts may be sent. rank returns the position of this node among those that may
+// pendingEnds returns how many servers may have ended under a request, and aren't confirmed yet.
+func (g *Guard) pendingEnds(id string) int {
+	servers := make(map[Incarnation]bool)
+	for _, b := range g.pending {
+		if !b.listens && slices.Contains(b.Requests, id) {
+			servers[b.Server] = true
+		}
+	}
+	return len(servers)
+}
+
+// Check decides whether a request with the keys may be sent. rank returns the position of this node among those that may
 // make a trial of a part, negative if it may not.
 func (g *Guard) Check(now time.Time, parts []string, rank func(part string) int) Decision {
 	decision := Decision{Allowed: true}
@@ -99,10 +119,10 @@
 			g.end(id, p, ReasonUnused)
 			continue
 		}
-		p.block.LapsesAt = now.Add(unusedLifetime)
-		turn := rank(id)
-		if turn >= 0 && !now.Before(p.block.TrialAt.Add(time.Duration(turn)*trialTurn)) {
-			p.block.TrialAt = now.Add(trialTimeout)
+		p.block.LapsesAt = now.Add(unusedLifetimeOf(id))
+		g.watch(id, p.block.LapsesAt)
+		if p.mayTry(now, id, rank(id)) {
+			p.beginTrial(now, id)
 			decision.Trial, decision.Part = true, id
 			continue
 		}
--- a/internal/crashguard/crashguard.go
+++ b/internal/crashguard/crashguard.go
@@ -1,6 +1,7 @@
-// Package crashguard finds the parts of prompts on which servers crash and keeps requests with them away from servers. It
-// compares the ends of servers at which requests with a part were waiting for the beginning of their answer with the answers
-// to requests with that part. The package does no I/O and reads no clock.
+// Package crashguard finds the parts of prompts and the single requests on which servers crash and keeps such requests away
+// from servers. It compares the ends of servers at which requests with a part were waiting for the beginning of their answer,
+// or at which a request was in progress, with the answers to requests with that part or to the repeats of that request. Both
+// have keys: the ID of a part, or a hash of the request. The package does no I/O and reads no clock.
 package crashguard
 
 import "time"
@@ -32,10 +33,11 @@
 	trialTurn = 5 * time.Second
 	// unusedLifetime is how long a block lasts after the latest request for the part.
 	unusedLifetime = 10 * time.Minute
-	// maximumParts bounds the parts with a state, maximumPending the closed connections that are not yet confirmed as ends.
+	// maximumParts bounds the parts with a state, and the requests, maximumPending the closed connections that are not yet
+	// confirmed as ends.
 	maximumParts   = 1024
 	maximumPending = 256
-	// maximumSuspects bounds the parts in the report of one end.
+	// maximumSuspects bounds the parts in the report of one end, and the requests.
 	maximumSuspects = 64
 	// maximumEnds bounds the recent ends of servers.
 	maximumEnds = 256
@@ -53,19 +55,24 @@
 	Born int64
 }
 
-// Break is an attempt whose connection was closed before the server's answer had really begun.
+// Break is an attempt whose connection was closed before its answer was complete.
 type Break struct {
 	Server Incarnation
-	// Parts holds the IDs of the shared parts of the prompt.
-	Parts       []string
+	// Address is where the server listens.
+	Address string
+	// Parts holds the IDs of the shared parts of the prompt, none if the answer had really begun.
+	Parts []string
+	// Requests holds the keys of the request, see RequestIdentity.
+	Requests    []string
 	BegunAt, At time.Time
 }
 
-// Suspect is a part of an attempt that was in progress when a server ended.
+// Suspect is a part of an attempt that was in progress when a server ended, or the request itself.
 type Suspect struct {
+	// Part is the key of the part or the request.
 	Part string
 	// Depth is the largest position of the part in the prompts of these attempts, 0 for the first part. The further a part is
-	// from the beginning, the fewer requests have it.
+	// from the beginning, the fewer requests have it. For a request it is the position in RequestIdentity.Keys.
 	Depth int
 	// BegunAt is when the latest such attempt began.
 	BegunAt time.Time
@@ -151,6 +158,8 @@
 type serverEnd struct {
 	server Incarnation
 	at     time.Time
+	// begunAt is when the latest of them began there.
+	begunAt time.Time
 	// explained is true if a blocked part was in progress there.
 	explained bool
 }
@@ -162,8 +171,12 @@
 	answeredAt map[string]time.Time
 	// recent holds the latest ends of servers, the oldest first.
 	recent  []serverEnd
-	pending []Break
+	pending []pendingBreak
 	changes []Change
+	// requests is the number of requests among parts.
+	requests int
+	// watchesUntil is the time until which a server that ended under a request counts.
+	watchesUntil time.Time
 	// dropped counts the breaks that were not recorded, evicted the parts whose state was forgotten, each for lack of space.
 	dropped, evicted int
 }
@@ -194,26 +207,44 @@
 func (g *Guard) part(now time.Time, id string) *part {
 	p := g.parts[id]
 	if p == nil {
-		if len(g.parts) >= maximumParts {
-			g.evict()
-		}
+		g.makeRoom(IsRequest(id))
 		p = &part{}
 		g.parts[id] = p
+		if IsRequest(id) {
+			g.requests++
+		}
 	}
 	p.usedAt = now
 	return p
 }
 
-// evict forgets the part that was used least recently, a blocked one only if all are.
-func (g *Guard) evict() {
+// makeRoom forgets a part or a request if there are too many of its kind.
+func (g *Guard) makeRoom(request bool) {
+	count := len(g.parts) - g.requests
+	if request {
+		count = g.requests
+	}
+	if count >= maximumParts {
+		g.evict(request)
+	}
+}
+
+// evict forgets the part or the request that was used least recently, a blocked one only if all are.
+func (g *Guard) evict(request bool) {
 	var oldest string
 	var found *part
 	for id, p := range g.parts {
+		if IsRequest(id) != request {
+			continue
+		}
 		if found == nil || found.blocked && !p.blocked || found.blocked == p.blocked && p.usedAt.Before(found.usedAt) {
 			oldest, found = id, p
 		}
 	}
 	g.end(oldest, found, ReasonEvicted)
 	delete(g.parts, oldest)
+	if request {
+		g.requests--
+	}
 	g.evicted++
 }
--- a/internal/crashguard/days_test.go
+++ b/internal/crashguard/days_test.go
@@ -109,7 +109,10 @@
 	d.after(0, next)
 }
 
-func isBad(parts []string) bool { return parts[len(parts)-1] == badPart }
+func isBad(parts []string) bool {
+	last := parts[len(parts)-1]
+	return last == badPart || crashguard.IsRequest(last)
+}
 
 // send sends a request from a random node to a random server that is up, unless the guard refuses it.
 func (d *day) send(parts []string) {
@@ -166,9 +169,13 @@
 	incarnation := crashguard.Incarnation{ServerID: fmt.Sprint(server), Born: d.born[server]}
 	for _, request := range d.running[server] {
 		if !request.answering {
-			d.guards[request.node].Broken(crashguard.Break{
-				Server: incarnation, Parts: request.parts, BegunAt: request.begunAt, At: d.now,
-			})
+			broken := crashguard.Break{Server: incarnation, BegunAt: request.begunAt, At: d.now}
+			if crashguard.IsRequest(request.parts[0]) {
+				broken.Requests = request.parts
+			} else {
+				broken.Parts = request.parts
+			}
+			d.guards[request.node].Broken(broken)
 			node := request.node
 			d.after(d.between(250, 320), func() {
 				d.deliver(node, d.guards[node].Confirm(d.now), nil)
--- a/internal/crashguard/ends.go
+++ b/internal/crashguard/ends.go
@@ -6,30 +6,46 @@
 	"time"
 )
 
-// Broken records an attempt whose connection was closed without an answer.
+// pendingBreak is a closed connection of which it's not yet known whether its server has ended.
+type pendingBreak struct {
+	Break
+	// refuses and listens are what a new connection to the server has shown; neither is true if that isn't known.
+	refuses, listens bool
+}
+
+// Broken records an attempt whose connection was closed without a complete answer.
 func (g *Guard) Broken(b Break) {
-	if len(b.Parts) == 0 {
+	if len(b.Parts)+len(b.Requests) == 0 {
 		return
 	}
 	if len(g.pending) >= maximumPending {
 		g.dropped++
 		return
 	}
-	g.pending = append(g.pending, b)
+	g.pending = append(g.pending, pendingBreak{Break: b})
+}
+
+// Dialed records whether a server accepts connections after it has closed one.
+func (g *Guard) Dialed(server Incarnation, listens bool) {
+	for i := range g.pending {
+		if b := &g.pending[i]; b.Server == server {
+			b.listens, b.refuses = listens, !listens
+		}
+	}
 }
 
 // BytesReceived records a sign of life of a server. Connections that it closed shortly before don't count as its end.
 func (g *Guard) BytesReceived(now time.Time, server Incarnation) {
-	g.pending = slices.DeleteFunc(g.pending, func(b Break) bool {
-		return b.Server == server && now.Sub(b.At) >= aliveAfter
+	g.pending = slices.DeleteFunc(g.pending, func(b pendingBreak) bool {
+		return b.Server == server && now.Sub(b.At) >= aliveAfter && !b.refuses
 	})
 }
 
 // Confirm counts the servers that have shown no sign of life since they closed a connection, and returns a report of each.
 func (g *Guard) Confirm(now time.Time) (reports []Report) {
-	var confirmed []Break
-	g.pending = slices.DeleteFunc(g.pending, func(b Break) bool {
-		due := now.Sub(b.At) >= confirmAfter
+	var confirmed []pendingBreak
+	g.pending = slices.DeleteFunc(g.pending, func(b pendingBreak) bool {
+		due := b.refuses || now.Sub(b.At) >= confirmAfter
 		if due {
 			confirmed = append(confirmed, b)
 		}
@@ -46,13 +62,32 @@
 		for depth, id := range b.Parts {
 			reports[i].add(id, depth, b.BegunAt)
 		}
+		if b.listens {
+			continue
+		}
+		for depth, id := range b.Requests {
+			reports[i].add(id, depth, b.BegunAt)
+		}
 	}
+	reports = slices.DeleteFunc(reports, func(r Report) bool { return len(r.Suspects) == 0 })
 	for i := range reports {
+		g.bound(&reports[i])
 		g.apply(now, &reports[i])
 	}
 	return reports
 }
 
+// bound drops the suspects of a report that are too many.
+func (g *Guard) bound(report *Report) {
+	counts := make(map[bool]int)
+	report.Suspects = slices.DeleteFunc(report.Suspects, func(s Suspect) bool {
+		request := IsRequest(s.Part)
+		counts[request]++
+		return counts[request] > maximumSuspects
+	})
+	g.evicted += max(counts[false]-maximumSuspects, 0) + max(counts[true]-maximumSuspects, 0)
+}
+
 // add adds a part of an attempt, or updates when the latest attempt with it began.
 func (r *Report) add(id string, depth int, begunAt time.Time) {
 	for i := range r.Suspects {
@@ -73,7 +108,7 @@
 
 // apply counts the end of a server for its suspects and notes the counts in the report. Of the parts that are then to be
 // blocked, it blocks only one: the deepest, since the fewest other requests have it, and of several the one under which most
-// servers ended. If that wasn't the cause, servers go on to end and the next part follows.
+// servers ended. If that wasn't the cause, servers go on to end and the next part follows. The same holds for requests.
 func (g *Guard) apply(now time.Time, report *Report) {
 	end := g.recordEnd(report)
 	for _, s := range report.Suspects {
@@ -81,12 +116,7 @@
 			end.explained = true
 		}
 	}
-	if excess := len(report.Suspects) - maximumSuspects; excess > 0 {
-		g.evicted += excess
-		report.Suspects = report.Suspects[:maximumSuspects]
-	}
-	var worst string
-	var worstPart *part
+	var worstPart, worstRequest worst
 	for i := range report.Suspects {
 		s := &report.Suspects[i]
 		p := g.part(now, s.Part)
@@ -95,16 +125,39 @@
 			g.countEnd(now, s.Part, p, report, s.BegunAt)
 		}
 		s.Ends, s.FirstEndAt = len(p.ends), p.firstEndAt()
-		if g.isProven(p) && (worstPart == nil || p.isWorseThan(worstPart)) {
-			worst, worstPart = s.Part, p
+		switch {
+		case !g.isProven(s.Part, p):
+		case IsRequest(s.Part):
+			worstRequest.compare(s.Part, p)
+		default:
+			worstPart.compare(s.Part, p)
 		}
 	}
-	if worstPart != nil {
-		g.begin(worst, worstPart, true, Block{
-			Part: worst, At: now, FirstEndAt: worstPart.firstEndAt(), TrialAt: now.Add(firstTrialAfter),
-			LapsesAt: now.Add(unusedLifetime), Ends: latest(worstPart.seenAt),
-		})
+	g.decide(now, worstPart)
+	g.decide(now, worstRequest)
+}
+
+// worst is the suspect that is to be blocked; part is nil if there is none.
+type worst struct {
+	key  string
+	part *part
+}
+
+func (w *worst) compare(key string, p *part) {
+	if w.part == nil || p.isWorseThan(w.part) {
+		w.key, w.part = key, p
+	}
+}
+
+// decide blocks a suspect.
+func (g *Guard) decide(now time.Time, w worst) {
+	if w.part == nil {
+		return
 	}
+	g.begin(w.key, w.part, true, Block{
+		Part: w.key, At: now, FirstEndAt: w.part.firstEndAt(), TrialAt: now.Add(firstTrialAfterOf(w.key)),
+		LapsesAt: now.Add(unusedLifetimeOf(w.key)), Ends: latest(w.part.seenAt),
+	})
 }
 
 // isWorseThan reports whether a part is to be blocked rather than another one.
@@ -150,8 +203,11 @@
 	return &g.recent[len(g.recent)-1]
 }
 
-// isProven reports whether a part that isn't blocked has to be.
-func (g *Guard) isProven(p *part) bool {
+// isProven reports whether a part or a request that isn't blocked has to be.
+func (g *Guard) isProven(id string, p *part) bool {
+	if IsRequest(id) {
+		return !p.blocked && len(p.ends) >= endsToBlockRequest
+	}
 	if p.blocked || len(p.ends) < endsToBlock {
 		return false
 	}
@@ -166,33 +222,43 @@
 
 // countEnd counts the end of a server for a part. begunAt is when the latest attempt with it began there.
 func (g *Guard) countEnd(now time.Time, id string, p *part, report *Report, begunAt time.Time) {
-	if len(p.ends) > 0 && report.EndedAt.Sub(p.lastEndAt) > suspicionLifetime && !p.blocked {
+	if len(p.ends) > 0 && report.EndedAt.Sub(p.lastEndAt) > suspicionLifetimeOf(id) && !p.blocked {
 		p.ends, p.seenAt = nil, nil
 	}
 	if slices.ContainsFunc(p.ends, isOf(report.Server)) || report.EndedAt.Before(g.provenAt(id, p)) {
 		return
 	}
-	end := serverEnd{server: report.Server, at: report.EndedAt}
+	g.watch(id, report.EndedAt.Add(suspicionLifetimeOf(id)))
+	end := serverEnd{server: report.Server, at: report.EndedAt, begunAt: begunAt}
 	if !slices.ContainsFunc(p.seenAt, isOf(report.Server)) && len(p.seenAt) < maximumEnds {
 		p.seenAt = append(p.seenAt, end)
 	}
-	if len(p.ends) > 0 && report.EndedAt.Sub(p.lastEndAt) < separateEnds {
+	if !p.isSeparate(id, end) {
 		return
 	}
-	p.lastEndAt = report.EndedAt
+	p.lastEndAt = later(p.lastEndAt, report.EndedAt)
 	if !p.blocked {
 		p.ends = append(p.ends, end)
 		return
 	}
-	if begunAt.After(p.block.At) {
+	if begunAt.After(p.block.At) && !IsRequest(id) {
 		p.block.Level++
 		p.block.TrialAt = now.Add(min(firstTrialAfter<<min(p.block.Level, 10), maximumTrialAfter))
 	}
 }
 
+// isSeparate reports whether an end counts beside those that count already.
+func (p *part) isSeparate(id string, end serverEnd) bool {
+	if !IsRequest(id) {
+		return len(p.ends) == 0 || end.at.Sub(p.lastEndAt) >= separateEnds
+	}
+	return !slices.ContainsFunc(p.ends, func(counted serverEnd) bool { return !counted.isIndependent(end) })
+}
+
 // Ended applies the report of another node. It returns the parts that a request was answered with since their first end,
 // which the other node doesn't know yet.
 func (g *Guard) Ended(now time.Time, report Report) (acquitted []Acquittal) {
+	g.bound(&report)
 	for _, s := range report.Suspects {
 		p := g.part(now, s.Part)
 		if proven := g.provenAt(s.Part, p); s.Ends >= repeatEnds && proven.After(s.FirstEndAt) {
@@ -203,14 +269,18 @@
 	return acquitted
 }
 
-// Answered records an answer to a request. It returns the parts of which other nodes have to know that.
+// Answered records an answer to a request with the keys. It returns those of which other nodes have to know that. Answers to
+// requests under which no server has ended are not remembered: there are many requests, and their ends are known at once.
 func (g *Guard) Answered(now time.Time, parts []string) (acquitted []Acquittal) {
 	for _, id := range parts {
-		g.rememberAnswer(now, id)
 		p := g.parts[id]
+		if !IsRequest(id) {
+			g.rememberAnswer(now, id)
+		}
 		if p == nil {
 			continue
 		}
+		p.acquittedAt = later(p.acquittedAt, now)
 		if p.blocked || len(p.ends) >= repeatEnds {
 			acquitted = append(acquitted, Acquittal{Part: id, At: now})
 		}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"waxwingcleat.example/waxwingcleat/internal/crashguard"
 	"waxwingcleat.example/waxwingcleat/internal/event"
 	"waxwingcleat.example/waxwingcleat/internal/forward"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
@@ -95,7 +96,7 @@
 		return l.noUsableServer(final)
 	case reason == forward.ReasonLimited:
 		return l.limited(final)
-	case reason == forward.ReasonCrashing:
+	case reason == forward.ReasonCrashing, reason == forward.ReasonCrashingRequest:
 		return l.crashing(final)
 	case reason == forward.ReasonNotLoaded || reason == forward.ReasonOverloaded:
 		return l.notLoaded(final)
@@ -227,6 +228,9 @@
 			(line.Event == event.PartBlocked.Number || line.Event == event.PartTried.Number)
 	})
 	cause := fmt.Sprintf("servers ended under requests with the prompt part %s, so that no more of them are sent", part)
+	if crashguard.IsRequest(part) {
+		cause = fmt.Sprintf("servers ended under this request (%s), so that it isn't sent again", part)
+	}
 	return cause, blocks
 }
 
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -186,8 +186,8 @@
 	}
 	j.attempts++
 	j.f.recordFailure(now, candidate.ID)
-	j.recordBreak(err)
-	if j.repeatable() && !j.f.options.Crashes.Suspected(j.request.SharedParts) && j.retryAllowed() {
+	j.recordBreak(err, j.request.SharedParts)
+	if j.repeatable() && !j.suspected() && j.retryAllowed() {
 		return false
 	}
 	j.refuseOutcomeUnknown(http.StatusBadGateway, ReasonNoAnswer)
@@ -228,6 +228,7 @@
 func (j *job) answered(candidate serverview.Candidate, answer *http.Response) (done bool) {
 	info := j.f.options.Wire.DecodeAnswer(answer)
 	j.observeLimit(candidate, answer, info)
+	j.f.options.Crashes.BytesReceived(time.Now(), j.incarnation)
 	switch {
 	case !info.BelongsTo(j.request.ID):
 		return j.handleUnusableAnswer(candidate, "the answer belongs to another request")
@@ -258,7 +259,7 @@
 	j.attempts++
 	j.f.recordFailure(time.Now(), candidate.ID)
 	j.logFailedAttempt(candidate, true, failure.New(failure.Invalid, "read answer", candidate.Address, reason))
-	if j.repeatable() && j.retryAllowed() {
+	if j.repeatable() && !j.suspected() && j.retryAllowed() {
 		return false
 	}
 	j.refuseOutcomeUnknown(http.StatusBadGateway, reason)
@@ -304,9 +305,11 @@
 		return j.attemptCancelled(candidate)
 	}
 	if err != nil {
+		var parts []string
 		if len(body) == 0 {
-			j.recordBreak(err)
+			parts = j.request.SharedParts
 		}
+		j.recordBreak(err, parts)
 		j.attempts--
 		return j.handleUnusableAnswer(candidate, "the answer broke off: "+err.Error())
 	}
@@ -314,7 +317,7 @@
 		j.f.options.View.Succeeded(candidate.ID)
 	}
 	if answer.StatusCode < http.StatusMultipleChoices {
-		j.f.options.Crashes.Answered(j.request.SharedParts)
+		j.f.options.Crashes.Answered(j.suspects())
 	}
 	j.copyHeader(answer)
 	j.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -150,9 +151,13 @@
 	softwareVersion string
 	// reservation allows the latest send.
 	reservation Reservation
-	// server is the ID of the server chosen last, incarnation its run.
+	// server is the ID of the server chosen last, address where it listens, incarnation its run.
 	server      string
+	address     string
 	incarnation crashguard.Incarnation
+	// caller is the caller's address without the port, keys those of the request once they were needed.
+	caller string
+	keys   []string
 	// reason is why the latest choice found no server.
 	reason string
 	// releaseGate frees the request's place at the gate; nil for plain services.
@@ -170,7 +175,7 @@
 
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	j := &job{f: f, w: w, r: r, arrived: time.Now(), tried: make(map[string]bool)}
+	j := &job{f: f, w: w, r: r, arrived: time.Now(), tried: make(map[string]bool), caller: callerOf(r)}
 	if f.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -198,6 +203,15 @@
 	j.serve()
 }
 
+// callerOf returns the address of the caller without its port. The platform names callers in no other way.
+func callerOf(r *http.Request) string {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
+}
+
 func (j *job) findRoute(current *activeConfig) bool {
 	route, found := current.table.Match(j.r.Host, j.r.URL.Path)
 	if !found {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"strings"
 	"sync"
 	"testing"
@@ -91,6 +92,9 @@
 	if answer != nil {
 		answer.Request = request
 	}
+	if trace := httptrace.ContextClientTrace(request.Context()); err != nil && !errors.Is(err, errUnreachable) {
+		trace.GotConn(httptrace.GotConnInfo{})
+	}
 	return answer, err
 }
 
@@ -100,6 +104,7 @@
 func (noCrashes) Check(string, []string) crashguard.Decision {
 	return crashguard.Decision{Allowed: true}
 }
+func (noCrashes) WatchesRequests() bool                           { return false }
 func (noCrashes) Suspected([]string) bool                         { return false }
 func (noCrashes) Broken(crashguard.Break)                         {}
 func (noCrashes) BytesReceived(time.Time, crashguard.Incarnation) {}
--- a/internal/forward/reasons.go
+++ b/internal/forward/reasons.go
@@ -13,6 +13,7 @@
 	ReasonNotLoaded           = modelpick.ReasonNotLoaded
 	ReasonLimited             = modelpick.ReasonLimited
 	ReasonCrashing            = "servers crash on a part of the prompt"
+	ReasonCrashingRequest     = "servers crash on this request"
 	ReasonPrefillQueueTooLong = "the servers' prompts in line would take too long"
 	ReasonNoConnection        = "no connection to a server was obtained"
 	ReasonNoAnswer            = "the server gave no answer"
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -40,7 +40,7 @@
 	s.onGap = func(gap time.Duration) { j.f.options.EventGaps.Record(j.service.Name, gap) }
 	s.onData = func(now time.Time) { j.received(now, s) }
 	err := s.copy(answer.Body)
-	j.recordEarlyEnd(s, err)
+	j.recordStreamEnd(s, err)
 	for err != nil && j.resumable(s, err) {
 		j.logFailedAttempt(candidate, true, err)
 		j.f.recordFailure(time.Now(), candidate.ID)
@@ -51,7 +51,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	j.f.options.View.Succeeded(candidate.ID)
-	j.f.options.Crashes.Answered(j.request.SharedParts)
+	j.f.options.Crashes.Answered(j.suspects())
 	j.logAnswer(candidate, answer.StatusCode, "stream complete", s.fields(j.arrived))
 	return true
 }
@@ -73,12 +73,12 @@
 // resumable reports whether a broken stream may be resumed at another server.
 func (j *job) resumable(s *stream, err error) bool {
 	return err != nil && s.callerErr == nil && j.ctx.Err() == nil && j.route.Resumable && s.lastID != "" &&
-		j.retryAllowed()
+		!j.f.options.Crashes.Suspected(j.requestKeys()) && j.retryAllowed()
 }
 
 // resume continues the stream at another server of the same software version, after the last event sent to the caller.
 func (j *job) resume(s *stream) (serverview.Candidate, error) {
-	if !j.f.options.Crashes.Check(j.request.ID, j.request.SharedParts).Allowed {
+	if !j.f.options.Crashes.Check(j.request.ID, j.suspects()).Allowed {
 		return serverview.Candidate{}, errCrashing
 	}
 	candidate, found := j.reserveResident()
@@ -100,7 +100,7 @@
 	})
 	if err != nil {
 		if written {
-			j.recordBreak(err)
+			j.recordBreak(err, j.request.SharedParts)
 		}
 		return candidate, err
 	}
@@ -112,7 +112,7 @@
 		return candidate, errNotResumed
 	}
 	err = s.copy(answer.Body)
-	j.recordEarlyEnd(s, err)
+	j.recordStreamEnd(s, err)
 	return candidate, err
 }
 
--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -28,6 +31,9 @@
 	// crashMessageCopies is how often each message is sent, crashCopyInterval apart, as datagrams may be lost.
 	crashMessageCopies = 3
 	crashCopyInterval  = 80 * time.Millisecond
+	// dialTimeout bounds the connection that is tried to a server that closed one, maximumDials how many are tried at once.
+	dialTimeout  = 200 * time.Millisecond
+	maximumDials = 32
 	// crashEntriesPerMessage keeps messages below the limit of a datagram, 64 KB.
 	crashEntriesPerMessage = 4
 	// endReportsPerSecond bounds the reports that a node sends when many servers end at once, relaysPerSecond the messages that
@@ -42,8 +48,10 @@
 	mu   sync.Mutex
 	// guard holds the state of the parts.
 	guard *crashguard.Guard
-	// pending mirrors guard.Pending, so that streams needn't lock for each event.
-	pending atomic.Bool
+	// pending mirrors guard.Pending, so that streams needn't lock for each event, and watches guard.WatchesRequests.
+	pending, watches atomic.Bool
+	// dialed holds the servers to which a connection is tried because they closed one.
+	dialed map[crashguard.Incarnation]bool
 	// wake receives a value when a connection was closed without an answer.
 	wake chan struct{}
 	// reports and relays bound the messages that go to all nodes.
@@ -54,7 +62,7 @@
 
 func newCrashes(node *Node) *crashes {
 	return &crashes{
-		node: node, guard: crashguard.New(), wake: make(chan struct{}, 1),
+		node: node, guard: crashguard.New(), wake: make(chan struct{}, 1), dialed: make(map[crashguard.Incarnation]bool),
 		reports: rate.NewLimiter(endReportsPerSecond, endReportsPerSecond),
 		relays:  rate.NewLimiter(relaysPerSecond, relaysPerSecond),
 		ends:    metrics.GetOrRegisterCounter("crashguard.ends", nil),
@@ -70,6 +78,7 @@
 	c.mu.Lock()
 	apply(now)
 	c.pending.Store(c.guard.Pending())
+	c.watches.Store(c.guard.WatchesRequests(now))
 	changes := c.guard.Changes()
 	breaks, parts := c.guard.Lost()
 	c.mu.Unlock()
@@ -103,10 +112,38 @@
 
 // Broken implements forward.CrashGuard.
 func (c *crashes) Broken(b crashguard.Break) {
-	c.update(func(time.Time) { c.guard.Broken(b) })
+	begins := false
+	c.update(func(time.Time) {
+		c.guard.Broken(b)
+		if begins = !c.dialed[b.Server] && len(c.dialed) < maximumDials; begins {
+			c.dialed[b.Server] = true
+		}
+	})
+	notify(c.wake)
+	if begins {
+		go c.dial(b)
+	}
+}
+
+// dial tries a connection to a server that closed one: if nobody listens there, it has ended.
+func (c *crashes) dial(b crashguard.Break) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	connection, err := dialer.DialContext(c.node.ctx, "tcp", b.Address)
+	if err == nil {
+		defer connection.Close()
+	}
+	c.update(func(time.Time) {
+		delete(c.dialed, b.Server)
+		if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
+			c.guard.Dialed(b.Server, err == nil)
+		}
+	})
 	notify(c.wake)
 }
 
+// WatchesRequests implements forward.CrashGuard.
+func (c *crashes) WatchesRequests() bool { return c.watches.Load() }
+
 // BytesReceived implements forward.CrashGuard.
 func (c *crashes) BytesReceived(now time.Time, server crashguard.Incarnation) {
 	if c.pending.Load() {
