--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -336,4 +336,4 @@
 }
 
 // NewConnections returns a pool of connections to backend servers.
-func NewConnections() *upstream.Pool { return upstream.NewPool(connectTimeout) }
+func NewConnections() *upstream.Pool { return upstream.NewPool(upstream.NewDial(connectTimeout)) }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -1,12 +1,14 @@
 package upstream
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
 	"time"
 
 	"waxwingcleat.example/waxwingcleat/internal/connreuse"
+	"waxwingcleat.example/waxwingcleat/internal/failure"
 )
 
 // Pool is an http.RoundTripper that reuses connections to backend servers. Servers may drop idle connections silently
@@ -15,6 +17,7 @@
 type Pool struct {
 	longIdle  *http.Transport
 	shortIdle *http.Transport
+	dial      Dial
 	// withoutBody is for requests without a body, which net/http retries when a reused connection breaks. They have
 	// connections of their own, which become idle between requests: a drop is detected there without losing a request.
 	withoutBody *http.Transport
@@ -26,16 +29,26 @@
 	onSuspicion func()
 }
 
-// NewPool returns an empty pool.
-func NewPool(connectTimeout time.Duration) *Pool {
+// NewPool returns an empty pool that opens connections with dial.
+func NewPool(dial Dial) *Pool {
 	p := &Pool{
-		longIdle: NewTransport(connectTimeout, false), shortIdle: NewTransport(connectTimeout, false),
-		withoutBody: NewTransport(connectTimeout, false), onSuspicion: func() {},
+		dial: dial, longIdle: newTransport(dial, false), shortIdle: newTransport(dial, false),
+		withoutBody: newTransport(dial, false), onSuspicion: func() {},
 	}
 	p.shortIdle.IdleConnTimeout = connreuse.IdleLimit
 	return p
 }
 
+// Accepts tries a new connection to a server and closes it. It returns nil if the server accepted it.
+func (p *Pool) Accepts(ctx context.Context, address string) error {
+	connection, err := p.dial(ctx, "tcp", address)
+	if err != nil {
+		return failure.Wrap(err, failure.Unavailable, "try connection", address)
+	}
+	defer connection.Close()
+	return nil
+}
+
 // OnIdleDropsDetected sets a function that is called when this node starts to suspect that servers drop idle
 // connections. It must be called before the first request.
 func (p *Pool) OnIdleDropsDetected(onSuspicion func()) { p.onSuspicion = onSuspicion }
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -54,7 +54,7 @@
 	g := gomega.NewWithT(t)
 	server := serveDroppingIdle(g)
 	defer server.Close()
-	pool := upstream.NewPool(time.Second)
+	pool := upstream.NewPool(upstream.NewDial(time.Second))
 	suspicions := 0
 	pool.OnIdleDropsDetected(func() { suspicions++ })
 	send := func(method, body string) error {
@@ -93,7 +93,7 @@
 	g := gomega.NewWithT(t)
 	server := serveDroppingIdle(g)
 	defer server.Close()
-	pool := upstream.NewPool(time.Second)
+	pool := upstream.NewPool(upstream.NewDial(time.Second))
 	get := func() {
 		request, err := http.NewRequest("GET", "http://"+server.Addr().String()+"/", nil)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -54,18 +54,30 @@
 	return c.Conn.Write(data)
 }
 
-// NewTransport returns a transport. If fresh is set, it opens a connection for each request. As net/http retries a
-// request only after a reused connection broke, it then never sends a request twice.
-func NewTransport(connectTimeout time.Duration, fresh bool) *http.Transport {
+// Dial opens a connection, like net.Dialer.DialContext.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NewDial returns a Dial whose connections are given up when their peer can't be reached.
+func NewDial(connectTimeout time.Duration) Dial {
 	dialer := &net.Dialer{
 		Timeout: connectTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
 	}
+	return dialer.DialContext
+}
+
+// NewTransport returns a transport. If fresh is set, it opens a connection for each request. As net/http retries a
+// request only after a reused connection broke, it then never sends a request twice.
+func NewTransport(connectTimeout time.Duration, fresh bool) *http.Transport {
+	return newTransport(NewDial(connectTimeout), fresh)
+}
+
+func newTransport(dial Dial, fresh bool) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+			conn, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
