forward, node, serverview: Hand requests over to another node when the servers can't be reached

What callers saw: nodes that were cut off from all servers refused everything, 1 of 71 requests was served there, 471 of 474 at the others.

Cause: a node had no way to a server but its own, and didn't tell a server that ended from one that only it can't reach. The class: a node that judges the site by its own links.

Change: a server is unreachable for a node from a failed connection until one is accepted; connections are tried after attempts without an answer, after 0.7 s of silence with requests in progress, and to all servers once two were lost within a second. Nodes tell each other what they can't reach. A request whose only choice is an unreachable server goes whole to a node that reaches one, of the own zone first, once, over the internal port; that node decides about it as about its own (limits, crashes, leaving servers, retries). It takes 256 at once and none while it stops, and only from addresses of nodes that it knows.

Ruled out: lack of room at the other nodes, which served 471 of 474; refusing sooner or changing readiness, which would have served nobody on open connections.

--- a/internal/event/node.go
+++ b/internal/event/node.go
@@ -10,6 +10,16 @@
 		"A request was answered by the node itself instead of a backend server.")
 	RequestAttempt = register(802, logrus.InfoLevel, "request attempt failed",
 		"An attempt at a backend server failed; the fields say whether the request may have run.")
+	ServerUnreachable = register(839, logrus.WarnLevel, "server unreachable from this node",
+		"No connection to a server could be opened; requests for it go to other servers or nodes until one is accepted.")
+	ServerReachable = register(850, logrus.InfoLevel, "server reachable again",
+		"A server that this node could not reach accepted a connection or answered.")
+	RequestHandedOver = register(851, logrus.InfoLevel, "request handed over to another node",
+		"This node can't reach the servers for a request and passed it to a node that does; the fields name both.")
+	HandoverFailed = register(852, logrus.InfoLevel, "request not handed over",
+		"Another node did not take or not answer a request that was passed to it.")
+	HandoverRefused = register(853, logrus.WarnLevel, "handed over request refused",
+		"A request that was passed to this node was not taken: from an unknown address, beyond the bound, or during a stop.")
 	ServerChosen = register(803, logrus.DebugLevel, "server chosen",
 		"A backend server was chosen for a request.")
 	AdapterWanted = register(804, logrus.InfoLevel, "adapter load requested",
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -130,6 +130,7 @@
 	answered       metrics.Counter
 	refused        metrics.Counter
 	failedAttempts metrics.Counter
+	handedOver     metrics.Counter
 	// resumed and resumesRefused count the callers' requests to resume a stream, by whether its origin was found.
 	resumed        metrics.Counter
 	resumesRefused metrics.Counter
@@ -145,6 +146,7 @@
 		answered:       metrics.GetOrRegisterCounter("forward.answered", nil),
 		refused:        metrics.GetOrRegisterCounter("forward.refused", nil),
 		failedAttempts: metrics.GetOrRegisterCounter("forward.failedAttempts", nil),
+		handedOver:     metrics.GetOrRegisterCounter("forward.handedOver", nil),
 		resumed:        metrics.GetOrRegisterCounter("forward.resumed", nil),
 		resumesRefused: metrics.GetOrRegisterCounter("forward.resumesRefused", nil),
 		latency: metrics.GetOrRegisterHistogram("forward.latencyMs", nil,
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -126,30 +126,35 @@
 	ctx context.Context, candidate serverview.Candidate, attempt serving.Attempt,
 ) (answer *http.Response, written bool, err error) {
 	trace := &upstream.RequestTrace{}
+	request := j.outgoing(candidate.Address, j.f.options.Wire.ServerHeader(j.r.Header, j.request, attempt))
+	answer, err = j.f.options.Transport.RoundTrip(request.WithContext(trace.WithTrace(ctx, j.reservation.isValid)))
+	if err != nil {
+		if !trace.Written() {
+			j.reservation.cancel()
+		}
+		return nil, trace.Written(), failure.Wrap(err, failure.Unavailable, "send request", candidate.Address)
+	}
+	upstream.VerifyEnd(answer, j.expectedType(answer.StatusCode))
+	return answer, true, nil
+}
+
+// outgoing returns the caller's request to a server or another node, with the given headers.
+func (j *job) outgoing(address string, header http.Header) *http.Request {
 	path, query, hasQuery := bytes.Cut([]byte(j.r.RequestURI), []byte("?"))
-	request := &http.Request{
+	return &http.Request{
 		Method: j.r.Method,
 		// Opaque preserves the caller's encoding of the path.
 		URL: &url.URL{
-			Scheme: "http", Host: candidate.Address, Opaque: string(path), RawQuery: string(query), ForceQuery: hasQuery,
+			Scheme: "http", Host: address, Opaque: string(path), RawQuery: string(query), ForceQuery: hasQuery,
 		},
 		Host:       j.r.Host,
-		Header:     j.f.options.Wire.ServerHeader(j.r.Header, j.request, attempt),
+		Header:     header,
 		Proto:      "HTTP/1.1",
 		ProtoMajor: 1, ProtoMinor: 1,
 		// net/http can't rewind this body, so it never retries the request on its own.
 		Body:          io.NopCloser(bytes.NewReader(j.body)),
 		ContentLength: int64(len(j.body)),
 	}
-	answer, err = j.f.options.Transport.RoundTrip(request.WithContext(trace.WithTrace(ctx, j.reservation.isValid)))
-	if err != nil {
-		if !trace.Written() {
-			j.reservation.cancel()
-		}
-		return nil, trace.Written(), failure.Wrap(err, failure.Unavailable, "send request", candidate.Address)
-	}
-	upstream.VerifyEnd(answer, j.expectedType(answer.StatusCode))
-	return answer, true, nil
 }
 
 // expectedType returns the media type of an answer that has no Content-Type, or "" if it can be any.
@@ -177,14 +182,18 @@
 		return false
 	}
 	if !written {
-		j.f.options.View.Unreachable(now, candidate.ID)
+		j.connectionFailed(now, candidate.ID)
 		if j.sends >= maximumSends {
+			if servers, _ := unreachable(j.f.options.View.Candidates(now, j.service.Name, j.request.Adapter)); j.handOver(servers) {
+				return true
+			}
 			j.refuseUnserved(ReasonNoConnection)
 			return true
 		}
 		return false
 	}
 	j.attempts++
+	j.f.options.View.Doubt(candidate.ID)
 	j.f.recordFailure(now, candidate.ID)
 	j.recordBreak(err, j.request.SharedParts)
 	if j.repeatable() && !j.suspected() && j.retryAllowed() {
@@ -194,9 +203,17 @@
 	return true
 }
 
+// connectionFailed records that no connection to a server was obtained.
+func (j *job) connectionFailed(now time.Time, server string) {
+	if j.f.options.View.Unreachable(now, server) {
+		j.f.options.Events.Emit(event.ServerUnreachable, event.Fields{"server": server})
+	}
+}
+
 // attemptCancelled ends a request whose deadline passed or whose caller disconnected while a server was processing it.
 func (j *job) attemptCancelled(candidate serverview.Candidate) bool {
 	if time.Since(j.sentAt) > suspectAfter {
+		j.f.options.View.Doubt(candidate.ID)
 		j.f.recordFailure(time.Now(), candidate.ID)
 	}
 	if j.r.Context().Err() != nil {
@@ -228,7 +245,9 @@
 func (j *job) answered(candidate serverview.Candidate, answer *http.Response) (done bool) {
 	info := j.f.options.Wire.DecodeAnswer(answer)
 	j.observeLimit(candidate, answer, info)
-	j.f.options.Crashes.BytesReceived(time.Now(), j.incarnation)
+	now := time.Now()
+	j.f.options.Crashes.BytesReceived(now, j.incarnation)
+	j.f.options.View.Reached(now, candidate.ID)
 	switch {
 	case !info.BelongsTo(j.request.ID):
 		return j.handleUnusableAnswer(candidate, "the answer belongs to another request")
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -58,8 +58,11 @@
 	Origins   Origins
 	Limits    Limits
 	Crashes   CrashGuard
-	Zone      string
-	Events    *event.Log
+	Peers     Peers
+	// PeerTransport sends requests to other nodes.
+	PeerTransport http.RoundTripper
+	Zone          string
+	Events        *event.Log
 	// RetryBudget is the site-wide bound on retries; its Nodes field is overridden by the result of Nodes.
 	RetryBudget retrybudget.Options
 	Nodes       func() int
@@ -96,6 +99,8 @@
 	options  Options
 	current  atomic.Pointer[activeConfig]
 	draining atomic.Bool
+	// taken is the number of requests of other nodes in progress.
+	taken atomic.Int64
 
 	mu      sync.Mutex
 	budgets map[string]*retrybudget.Budget
@@ -158,6 +163,9 @@
 	// caller is the caller's address without the port, keys those of the request once they were needed.
 	caller string
 	keys   []string
+	// fromPeer is true when another node passed the request on, peerRemaining the time that was left then; 0 for no bound.
+	fromPeer      bool
+	peerRemaining time.Duration
 	// reason is why the latest choice found no server.
 	reason string
 	// releaseGate frees the request's place at the gate; nil for plain services.
@@ -175,10 +183,21 @@
 
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	j := &job{f: f, w: w, r: r, arrived: time.Now(), tried: make(map[string]bool), caller: callerOf(r)}
 	if f.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	r.Header.Del(headerPeerCaller)
+	r.Header.Del(headerPeerRemaining)
+	f.newJob(w, r).handle()
+}
+
+func (f *Forwarder) newJob(w http.ResponseWriter, r *http.Request) *job {
+	return &job{f: f, w: w, r: r, arrived: time.Now(), tried: make(map[string]bool), caller: callerOf(r)}
+}
+
+// handle answers the request.
+func (j *job) handle() {
+	f, r := j.f, j.r
 	var err error
 	j.request, err = f.options.Wire.DecodeRequest(r)
 	current := f.current.Load()
@@ -196,7 +215,9 @@
 	ctx, cancel := j.withDeadline()
 	defer cancel()
 	j.ctx = ctx
-	f.withBudget(j.service.Name, func(b *retrybudget.Budget) { b.Request(j.arrived) })
+	if !j.fromPeer {
+		f.withBudget(j.service.Name, func(b *retrybudget.Budget) { b.Request(j.arrived) })
+	}
 	if j.resumesStream() && !j.findOrigin(current.config) {
 		return
 	}
@@ -260,6 +281,9 @@
 	if j.request.Timeout > 0 && (bound <= 0 || j.request.Timeout < bound) {
 		bound = j.request.Timeout
 	}
+	if j.peerRemaining > 0 && (bound <= 0 || j.peerRemaining < bound) {
+		bound = j.peerRemaining
+	}
 	if bound <= 0 {
 		return context.WithCancel(j.r.Context())
 	}
@@ -323,6 +347,11 @@
 func (j *job) choosePlain() (serverview.Candidate, int, bool) {
 	candidates := j.f.options.View.Candidates(time.Now(), j.service.Name, serving.Adapter{})
 	candidate, found := modelpick.Plain(candidates, j.query(0), newRandom())
+	if found && candidate.Unreachable {
+		if servers, _ := unreachable(candidates); j.handOver(servers) {
+			return candidate, 0, false
+		}
+	}
 	switch {
 	case !found:
 		j.refuseUnserved(modelpick.ReasonNoServer)
@@ -368,6 +397,10 @@
 		candidates := j.f.options.View.Candidates(now, j.service.Name, j.request.Adapter)
 		query := j.query(minVersion)
 		chosen, found, reason := modelpick.Resident(candidates, query, newRandom())
+		servers, none := unreachable(candidates)
+		if (found && chosen.Unreachable || !found && none) && j.handOver(servers) {
+			return chosen, 0, false
+		}
 		if found {
 			j.requestCopy(now, candidates, query, chosen)
 			return chosen, j.expectedVersion(chosen, declared, minVersion), true
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -36,6 +36,8 @@
 	return caller.Clone()
 }
 
+func (wire) PeerHeader(caller http.Header) http.Header { return caller.Clone() }
+
 func (wire) DecodeAnswer(answer *http.Response) serving.AnswerInfo {
 	notRun := answer.StatusCode == http.StatusServiceUnavailable || answer.StatusCode == http.StatusTooManyRequests
 	return serving.AnswerInfo{NotRun: notRun, HasDigest: true}
@@ -81,6 +83,8 @@
 	sent []string
 	// answer answers a request to a server.
 	answer func(server string) (*http.Response, error)
+	// received, if set, sees each request to a server.
+	received func(r *http.Request)
 }
 
 // RoundTrip implements http.RoundTripper.
@@ -88,16 +92,24 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.sent = append(f.sent, request.URL.Host)
+	if f.received != nil {
+		f.received(request)
+	}
 	answer, err := f.answer(request.URL.Host)
 	if answer != nil {
 		answer.Request = request
 	}
-	if trace := httptrace.ContextClientTrace(request.Context()); err != nil && !errors.Is(err, errUnreachable) {
-		trace.GotConn(httptrace.GotConnInfo{})
+	if err != nil && !errors.Is(err, errUnreachable) {
+		traceWritten(request)
 	}
 	return answer, err
 }
 
+// traceWritten reports to the sender that a request was written.
+func traceWritten(request *http.Request) {
+	httptrace.ContextClientTrace(request.Context()).GotConn(httptrace.GotConnInfo{})
+}
+
 // noCrashes is a guard that allows everything.
 type noCrashes struct{}
 
--- /dev/null
+++ b/internal/forward/handover_test.go
@@ -0,0 +1,237 @@
+package forward_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"waxwingcleat.example/waxwingcleat/internal/event"
+	"waxwingcleat.example/waxwingcleat/internal/eventgap"
+	"waxwingcleat.example/waxwingcleat/internal/forward"
+	"waxwingcleat.example/waxwingcleat/internal/retrybudget"
+	"waxwingcleat.example/waxwingcleat/internal/serving"
+	"waxwingcleat.example/waxwingcleat/internal/usage"
+)
+
+// fakePeers chooses its nodes in order.
+type fakePeers struct {
+	nodes    []string
+	asked    int
+	notTaken []string
+}
+
+func (p *fakePeers) Choose(_ []string, tried map[string]bool) string {
+	p.asked++
+	for _, node := range p.nodes {
+		if !tried[node] {
+			return node
+		}
+	}
+	return ""
+}
+
+func (p *fakePeers) NotTaken(peer string) { p.notTaken = append(p.notTaken, peer) }
+
+// cutOff makes all servers of a fixture unreachable and gives it other nodes.
+func (f *fixture) cutOff(peers *fakePeers, transport http.RoundTripper, servers ...string) {
+	config := f.forwarder.Config()
+	f.forwarder = forward.New(forward.Options{
+		Wire: wire{}, View: f.view, Usage: usage.New("n"), Transport: f, EventGaps: eventgap.New(), Limits: f.limits,
+		Crashes: noCrashes{}, Peers: peers, PeerTransport: transport, Events: event.Discard(), Nodes: func() int { return 1 },
+		RetryBudget: retrybudget.Options{Ratio: 1, Slack: 100, Window: 10 * time.Second},
+	})
+	f.forwarder.SetConfig(config)
+	f.answer = func(string) (*http.Response, error) { return nil, errUnreachable }
+	for _, id := range servers {
+		f.view.Unreachable(time.Now(), id)
+	}
+}
+
+// servePeers starts the forwarder of a fixture as another node.
+func (f *fixture) servePeers(t *testing.T) (address string) {
+	server := httptest.NewServer(http.HandlerFunc(f.forwarder.ServePeer))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// Guards against a request that changes on its way over another node, or tells servers about it.
+func TestHandedOverRequestReachesTheServerUnchanged(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var got *http.Request
+	var body []byte
+	other := newFixture(serving.NonIdempotent, "a")
+	other.received = func(r *http.Request) {
+		got = r
+		body, _ = io.ReadAll(r.Body)
+	}
+	f, peers := newFixture(serving.NonIdempotent, "a"), &fakePeers{nodes: []string{other.servePeers(t)}}
+	f.cutOff(peers, http.DefaultTransport, "a")
+	recorder := httptest.NewRecorder()
+	request := httptest.NewRequest(http.MethodPost, "/x//y%2Fz?q=%20", strings.NewReader("the body"))
+	request.Header.Set("Id", "r1")
+	request.Header.Set("Waxwing-Caller", "forged")
+	f.forwarder.ServeHTTP(recorder, request)
+	g.Expect(recorder.Code).To(gomega.Equal(http.StatusOK))
+	g.Expect(recorder.Body.String()).To(gomega.Equal("body"))
+	g.Expect(f.sent).To(gomega.BeEmpty())
+	g.Expect(other.sent).To(gomega.Equal([]string{"a"}))
+	g.Expect(got.Method + " " + got.Host + " " + got.URL.Opaque + "?" + got.URL.RawQuery).
+		To(gomega.Equal("POST example.com /x//y%2Fz?q=%20"))
+	g.Expect(string(body)).To(gomega.Equal("the body"))
+	g.Expect(got.Header.Get("Id")).To(gomega.Equal("r1"))
+	g.Expect(got.Header).NotTo(gomega.HaveKey("Waxwing-Caller"))
+	g.Expect(got.Header).NotTo(gomega.HaveKey("Waxwing-Remaining-Ms"))
+	deadline, bounded := got.Context().Deadline()
+	g.Expect(bounded).To(gomega.BeTrue())
+	g.Expect(time.Until(deadline)).To(gomega.BeNumerically("<=", 2*time.Second))
+}
+
+// Guards against a longer deadline at the other node than at the one that the caller asked, and against another caller.
+func TestHandoverCarriesDeadlineAndCaller(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f, peers := newFixture(serving.NonIdempotent, "a"), &fakePeers{nodes: []string{"peer"}}
+	var header http.Header
+	f.cutOff(peers, roundTrip(func(r *http.Request) (*http.Response, error) {
+		header = r.Header
+		return answerWith(http.StatusOK, "body"), nil
+	}), "a")
+	f.call()
+	g.Expect(header.Get("Waxwing-Caller")).To(gomega.Equal("192.0.2.1"))
+	g.Expect(header.Get("Waxwing-Remaining-Ms")).To(gomega.MatchRegexp(`^(1\d{3}|2000)$`))
+
+	other, request := newFixture(serving.NonIdempotent, "a"), httptest.NewRequest(http.MethodPost, "/x", http.NoBody)
+	var deadline time.Time
+	other.received = func(r *http.Request) { deadline, _ = r.Context().Deadline() }
+	request.Header.Set("Waxwing-Caller", "192.0.2.1")
+	request.Header.Set("Waxwing-Remaining-Ms", "300")
+	other.forwarder.ServePeer(httptest.NewRecorder(), request)
+	g.Expect(time.Until(deadline)).To(gomega.BeNumerically("<=", 300*time.Millisecond))
+}
+
+type roundTrip func(r *http.Request) (*http.Response, error)
+
+func (f roundTrip) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+// Guards against a request that goes from node to node.
+func TestHandedOverRequestIsNotHandedOverAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f, peers := newFixture(serving.Idempotent, "a"), &fakePeers{nodes: []string{"peer"}}
+	f.cutOff(peers, roundTrip(nil), "a")
+	recorder, request := httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/x", http.NoBody)
+	request.Header.Set("Waxwing-Caller", "192.0.2.1")
+	f.forwarder.ServePeer(recorder, request)
+	g.Expect(recorder.Code).To(gomega.Equal(http.StatusServiceUnavailable))
+	g.Expect(peers.asked).To(gomega.BeZero())
+}
+
+// Guards against a request that is lost because one node doesn't take it, and against more than two nodes for one request.
+func TestHandoverGoesOnToANodeThatTakesIt(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for taking, want := range map[string]int{"p1": 200, "p2": 200, "p3": 503} {
+		f, peers := newFixture(serving.NonIdempotent, "a"), &fakePeers{nodes: []string{"p1", "p2", "p3"}}
+		f.cutOff(peers, roundTrip(func(r *http.Request) (*http.Response, error) {
+			if r.URL.Host == taking {
+				return answerWith(http.StatusOK, "body"), nil
+			}
+			if r.URL.Host == "p1" {
+				return nil, errUnreachable
+			}
+			refused := answerWith(http.StatusServiceUnavailable, "")
+			refused.Header.Set("Waxwing-Not-Taken", "1")
+			return refused, nil
+		}), "a")
+		recorder := f.call()
+		g.Expect(recorder.Code).To(gomega.Equal(want), taking)
+		g.Expect(recorder.Header().Get("Waxwing-Not-Taken")).To(gomega.BeEmpty())
+	}
+}
+
+// Guards against a request that ran at the other node and is said not to have run, or sent again.
+func TestUnansweredHandoverMayHaveRun(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f, peers := newFixture(serving.NonIdempotent, "a"), &fakePeers{nodes: []string{"p1", "p2"}}
+	f.cutOff(peers, roundTrip(func(r *http.Request) (*http.Response, error) {
+		traceWritten(r)
+		return nil, io.EOF
+	}), "a")
+	g.Expect(f.call().Code).To(gomega.Equal(http.StatusBadGateway))
+	g.Expect(peers.asked).To(gomega.Equal(1))
+	g.Expect(f.sent).To(gomega.BeEmpty())
+}
+
+// Guards against an answer that breaks off at the other node and looks complete to the caller.
+func TestBrokenAnswerOfAnotherNodeBreaksTheCallersOff(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f, peers := newFixture(serving.NonIdempotent, "a"), &fakePeers{nodes: []string{"p1"}}
+	f.cutOff(peers, roundTrip(func(*http.Request) (*http.Response, error) {
+		broken := answerWith(http.StatusOK, "")
+		broken.ContentLength = -1
+		broken.Body = io.NopCloser(io.MultiReader(strings.NewReader("half"), failingReader{}))
+		return broken, nil
+	}), "a")
+	g.Expect(func() { f.call() }).To(gomega.PanicWith(gomega.MatchError(http.ErrAbortHandler)))
+}
+
+// Guards against work that goes on at the other node after the caller has left.
+func TestHandoverEndsWithTheCaller(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f, peers := newFixture(serving.NonIdempotent, "a"), &fakePeers{nodes: []string{"p1"}}
+	ctx, leave := context.WithCancel(t.Context())
+	f.cutOff(peers, roundTrip(func(r *http.Request) (*http.Response, error) {
+		traceWritten(r)
+		leave()
+		<-r.Context().Done()
+		return nil, errors.Join(r.Context().Err())
+	}), "a")
+	request := httptest.NewRequest(http.MethodPost, "/x", http.NoBody).WithContext(ctx)
+	g.Expect(func() { f.forwarder.ServeHTTP(httptest.NewRecorder(), request) }).
+		To(gomega.PanicWith(gomega.MatchError(http.ErrAbortHandler)))
+}
+
+// Guards against a node that takes requests of others while it stops, or knows no configuration.
+func TestStoppingNodeTakesNoRequestsOfOthers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFixture(serving.NonIdempotent, "a")
+	f.forwarder.Drain()
+	for _, forwarder := range []*forward.Forwarder{f.forwarder, forward.New(forward.Options{Events: event.Discard()})} {
+		recorder, request := httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/x", http.NoBody)
+		request.Header.Set("Waxwing-Caller", "192.0.2.1")
+		forwarder.ServePeer(recorder, request)
+		g.Expect(recorder.Code).To(gomega.Equal(http.StatusServiceUnavailable))
+		g.Expect(recorder.Header().Get("Waxwing-Not-Taken")).To(gomega.Equal("1"))
+		g.Expect(forwarder.Taken()).To(gomega.BeZero())
+	}
+}
+
+// Guards against a node that takes so many requests of others that its own callers suffer.
+func TestRequestsOfOthersAreBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFixture(serving.NonIdempotent, "a")
+	running, finish := make(chan struct{}, 1000), make(chan struct{})
+	f.answer = func(string) (*http.Response, error) { return answerWith(http.StatusOK, "body"), nil }
+	f.limits.acquire = func(string, time.Duration) (forward.Reservation, time.Duration, bool) {
+		running <- struct{}{}
+		<-finish
+		return forward.Reservation{}, 0, true
+	}
+	serve := func() *httptest.ResponseRecorder {
+		recorder, request := httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/x", http.NoBody)
+		request.Header.Set("Waxwing-Caller", "192.0.2.1")
+		f.forwarder.ServePeer(recorder, request)
+		return recorder
+	}
+	for range 256 {
+		go serve()
+		<-running
+	}
+	g.Expect(serve().Header().Get("Waxwing-Not-Taken")).To(gomega.Equal("1"))
+	close(finish)
+	g.Eventually(f.forwarder.Taken).Should(gomega.BeZero())
+}
--- a/internal/forward/reasons.go
+++ b/internal/forward/reasons.go
@@ -17,6 +17,7 @@
 	ReasonPrefillQueueTooLong = "the servers' prompts in line would take too long"
 	ReasonNoConnection        = "no connection to a server was obtained"
 	ReasonNoAnswer            = "the server gave no answer"
+	ReasonNoPeerAnswer        = "the other node gave no answer"
 	ReasonBrokeOff            = "stream broke off"
 	ReasonUnknownOrigin       = "the software version that began the stream is unknown"
 	ReasonOriginUnreachable   = "the route doesn't lead to the service that began the stream"
--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -127,11 +126,9 @@
 
 // dial tries a connection to a server that closed one: if nobody listens there, it has ended.
 func (c *crashes) dial(b crashguard.Break) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	connection, err := dialer.DialContext(c.node.ctx, "tcp", b.Address)
-	if err == nil {
-		defer connection.Close()
-	}
+	ctx, cancel := context.WithTimeout(c.node.ctx, dialTimeout)
+	defer cancel()
+	err := c.node.connections.Accepts(ctx, b.Address)
 	c.update(func(time.Time) {
 		delete(c.dialed, b.Server)
 		if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -84,6 +84,7 @@
 	sightings    *sightings
 	limits       *limits
 	crashes      *crashes
+	reach        *reach
 	watch        *watch
 	peers        *peers
 	link         *peerlink.Link
@@ -143,10 +144,12 @@
 	n.sightings = newSightings(n)
 	n.limits = newLimits(n)
 	n.crashes = newCrashes(n)
+	n.reach = newReach(n)
 	n.connections.OnIdleDropsDetected(func() { n.events.Emit(event.IdleConnectionsReset, nil) })
 	n.forwarder = forward.New(forward.Options{
 		Wire: d.Wire, View: n.view, Usage: n.usage, Transport: d.Connections, Gate: n.admission, EventGaps: n.eventGaps,
-		Origins: n.origins, Limits: n.limits, Crashes: n.crashes, Zone: settings.Node.Zone, Events: d.Events,
+		Origins: n.origins, Limits: n.limits, Crashes: n.crashes, Peers: n.reach,
+		PeerTransport: upstream.NewTransport(connectTimeout, false), Zone: settings.Node.Zone, Events: d.Events,
 		RetryBudget: retrybudget.Options{
 			Ratio: settings.RetryBudget.Ratio, Slack: settings.RetryBudget.Slack, Window: settings.RetryBudget.Window.Std(),
 		},
@@ -210,11 +213,13 @@
 	group.Go(func() error { return n.sightings.run(n.ctx) })
 	group.Go(func() error { return n.limits.run(n.ctx) })
 	group.Go(func() error { return n.crashes.run(n.ctx) })
+	group.Go(func() error { return n.reach.run(n.ctx) })
 	group.Go(func() error { return n.publishStates(n.ctx) })
 	group.Go(func() error { return n.sendDigests(n.ctx) })
 	group.Go(func() error { return n.fetchFromPeers(n.ctx) })
 	group.Go(func() error {
-		return process.ServeListener(n.ctx, l.peers, n.peerSnapshotHandler(), auxiliaryShutdownTimeout)
+		peers := process.ResetOnAbort(n.servePeer(n.peerSnapshotHandler()))
+		return process.ServeListener(n.ctx, l.peers, peers, auxiliaryShutdownTimeout)
 	})
 	group.Go(func() error { return n.reportDropped(n.ctx) })
 	group.Go(func() error {
@@ -277,6 +282,9 @@
 			"reason": "requests were in progress at the end of the shutdown", "open": open,
 		})
 	}
+	for n.forwarder.Taken() > 0 && time.Now().Before(deadline) {
+		delay.For(n.ctx, idleCloseInterval)
+	}
 	n.leaveGroup()
 	if err := callers.Close(); err != nil {
 		n.events.EmitError(event.ProcessFailed, err, nil)
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -141,6 +141,7 @@
 	n.origins.handleMessage(now, message)
 	n.limits.handleMessage(now, message)
 	n.crashes.handleMessage(now, message)
+	n.reach.noteUnreachable(now, message)
 	for _, entry := range message.Usage {
 		if holder := n.holders.get(entry.ServerID); holder != nil {
 			holder.recordUsage(now, entry.Decode(message.From))
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -102,6 +102,8 @@
 	// OriginQuery asks what the receiver knows about a stream, OriginAnswer answers such a query.
 	OriginQuery  *OriginQuery  `json:"oq,omitempty"`
 	OriginAnswer *OriginAnswer `json:"oa,omitempty"`
+	// UnreachableServers lists servers to which the sender can't open connections; it is repeated while there are any.
+	UnreachableServers []string `json:"us,omitempty"`
 	// LimitNotices say what servers named in their answers about their limits.
 	LimitNotices []LimitNotice `json:"ln,omitempty"`
 	// LimitRequest asks for the leave to send a request to a server with a limit, LimitReturn gives it back unused.
--- a/internal/serverview/candidates.go
+++ b/internal/serverview/candidates.go
@@ -21,6 +21,8 @@
 	// Ejected is true while the server should not get requests: after consecutive failures, while all its streams are
 	// stalled, or while its holder cannot reach it.
 	Ejected bool
+	// Unreachable is true when this node can't open connections to the server; it is then ejected as well.
+	Unreachable bool
 	// FailureRate is the moving average of failed requests among those of this node to the server, from 0 to 1.
 	FailureRate float64
 	// InFlight is the number of requests that this node has in progress on the server.
@@ -79,7 +81,8 @@
 	c := Candidate{
 		ID: s.entry.ID, Address: s.entry.Address, Zone: s.entry.Zone, SoftwareVersion: s.entry.SoftwareVersion,
 		Born: s.entry.Born, Slots: s.entry.Slots, Leaving: s.leaving,
-		Ejected:     now.Before(s.ejectedUntil) || s.stalled(now) || holderCannotReach,
+		Ejected:     now.Before(s.ejectedUntil) || s.stalled(now) || holderCannotReach || !s.reach.lostAt.IsZero(),
+		Unreachable: !s.reach.lostAt.IsZero(),
 		FailureRate: s.failureRate, InFlight: s.inFlight, Age: now.Sub(s.publishedAt),
 		HolderAlive: now.Sub(s.publishedAt) < holderSilentAfter && s.published.Ready, SlotQueue: s.published.Slots,
 	}
@@ -123,6 +126,9 @@
 	if srv.inFlight == 0 && !srv.lastByteAt.IsZero() {
 		srv.lastByteAt = now
 	}
+	if srv.inFlight == 0 {
+		srv.reach.waitsSince = now
+	}
 	srv.inFlight++
 	srv.lastRequestAt = now
 	srv.sentSince++
@@ -156,12 +162,18 @@
 	return ejected
 }
 
-// Unreachable records that no connection to a server was obtained, which ejects it immediately.
-func (v *View) Unreachable(now time.Time, id string) {
+// Unreachable records that no connection to a server was obtained, which ejects it until one is accepted. It returns true if
+// the server was reachable before.
+func (v *View) Unreachable(now time.Time, id string) (lost bool) {
 	v.update(id, func(srv *server) {
 		srv.failures = max(srv.failures+1, ejectThreshold)
 		srv.eject(now)
+		srv.reach.doubted = false
+		if lost = srv.reach.lostAt.IsZero(); lost {
+			srv.reach.lostAt = now
+		}
 	})
+	return lost
 }
 
 // eject ejects the server for twice as long as the last time, up to maximumEjectTime.
--- /dev/null
+++ b/internal/serverview/reach.go
@@ -0,0 +1,97 @@
+package serverview
+
+import "time"
+
+const (
+	// unreachableProbePeriod is the time between two connections that are tried to a server that this node can't reach.
+	unreachableProbePeriod = 300 * time.Millisecond
+	// doubtProbePeriod is the least time between two such connections when an attempt ended without an answer.
+	doubtProbePeriod = 100 * time.Millisecond
+	// silentAfter is the time without any data of a server, while requests are in progress there, from which a connection is
+	// tried once each silentProbePeriod. Sound servers are silent for a second at times, but accept connections then.
+	silentAfter       = 700 * time.Millisecond
+	silentProbePeriod = time.Second
+	// linkLosses is the number of servers lost within linkLossWindow from which connections to all others are tried: it is
+	// probably this node's own link that is down.
+	linkLosses     = 2
+	linkLossWindow = time.Second
+)
+
+// reach is whether this node can open connections to a server.
+type reach struct {
+	// lostAt is when a connection could not be opened; zero while the server is reachable.
+	lostAt time.Time
+	// aliveAt is when the server last answered or accepted a connection, waitsSince when requests began to be in progress.
+	aliveAt, waitsSince time.Time
+	// doubted is true when an attempt ended without an answer and no connection was tried since.
+	doubted  bool
+	probedAt time.Time
+}
+
+// Probe is a server to which a connection is to be tried.
+type Probe struct{ ID, Address string }
+
+// Doubt records that an attempt that was written to a server got no answer.
+func (v *View) Doubt(id string) {
+	v.update(id, func(srv *server) { srv.reach.doubted = true })
+}
+
+// Reached records that a server answered or accepted a connection. It returns true if it was unreachable before.
+func (v *View) Reached(now time.Time, id string) (returned bool) {
+	v.update(id, func(srv *server) {
+		returned = !srv.reach.lostAt.IsZero()
+		srv.reach.lostAt, srv.reach.aliveAt, srv.reach.doubted = time.Time{}, now, false
+		if returned {
+			srv.failures, srv.ejectTime, srv.ejectedUntil = 0, 0, time.Time{}
+			v.notify()
+		}
+	})
+	return returned
+}
+
+// UnreachableServers returns the IDs of the servers in use that this node can't reach.
+func (v *View) UnreachableServers(now time.Time) (ids []string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for id, srv := range v.servers {
+		if !srv.reach.lostAt.IsZero() && !v.removed(srv, now) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// ProbesDue returns the servers to which a connection is to be tried now, and notes that.
+func (v *View) ProbesDue(now time.Time) (due []Probe) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	losses := 0
+	for _, srv := range v.servers {
+		if !srv.reach.lostAt.IsZero() && now.Sub(srv.reach.lostAt) < linkLossWindow && !v.removed(srv, now) {
+			losses++
+		}
+	}
+	for id, srv := range v.servers {
+		if !v.removed(srv, now) && srv.probeDue(now, losses >= linkLosses) {
+			srv.reach.probedAt = now
+			due = append(due, Probe{ID: id, Address: srv.entry.Address})
+		}
+	}
+	return due
+}
+
+// probeDue reports whether a connection to the server is to be tried.
+func (s *server) probeDue(now time.Time, linkSuspected bool) bool {
+	r, sinceProbe := &s.reach, now.Sub(s.reach.probedAt)
+	silence := min(now.Sub(r.aliveAt), now.Sub(r.waitsSince), now.Sub(s.lastByteAt))
+	switch {
+	case !r.lostAt.IsZero():
+		return sinceProbe >= unreachableProbePeriod
+	case r.doubted:
+		return sinceProbe >= doubtProbePeriod
+	case linkSuspected:
+		return sinceProbe >= silentProbePeriod
+	default:
+		return s.inFlight > 0 && silence >= silentAfter && sinceProbe >= silentProbePeriod
+	}
+}
--- /dev/null
+++ b/internal/serverview/reach_test.go
@@ -0,0 +1,83 @@
+package serverview_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"waxwingcleat.example/waxwingcleat/internal/serverview"
+	"waxwingcleat.example/waxwingcleat/internal/serving"
+)
+
+func after(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func viewOf(servers int) *serverview.View {
+	v := serverview.New()
+	for n := range servers {
+		v.PutEntry(start, entry(fmt.Sprint("s", n)))
+	}
+	return v
+}
+
+func probed(v *serverview.View, ms int) (ids []string) {
+	for _, probe := range v.ProbesDue(after(ms)) {
+		ids = append(ids, probe.ID)
+	}
+	return ids
+}
+
+// Guards against connections that are tried on a calm day: servers answer, or there are no requests.
+func TestSoundServersAreNotProbed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	v := viewOf(3)
+	for ms := 0; ms < 5000; ms += 100 {
+		end := v.Begin(after(ms), "s0")
+		v.Reached(after(ms+50), "s0")
+		end()
+		g.Expect(probed(v, ms+60)).To(gomega.BeEmpty())
+	}
+}
+
+// Guards against an unreachable server that is used again before a connection was accepted, or not at once after it.
+func TestServerIsUnreachableUntilItAcceptsAConnection(t *testing.T) {
+	g := gomega.NewWithT(t)
+	v := viewOf(2)
+	g.Expect(v.Unreachable(after(0), "s0")).To(gomega.BeTrue())
+	g.Expect(v.Unreachable(after(10), "s0")).To(gomega.BeFalse(), "known already")
+	g.Expect(v.UnreachableServers(after(60_000))).To(gomega.ConsistOf("s0"))
+	c := v.Candidates(after(60_000), "models", serving.Adapter{})[0]
+	g.Expect(c.Unreachable && c.Ejected).To(gomega.BeTrue())
+	g.Expect(probed(v, 60_000)).To(gomega.ConsistOf("s0"))
+	g.Expect(probed(v, 60_100)).To(gomega.BeEmpty())
+	g.Expect(probed(v, 60_300)).To(gomega.ConsistOf("s0"))
+	g.Expect(v.Reached(after(60_301), "s0")).To(gomega.BeTrue())
+	c = v.Candidates(after(60_301), "models", serving.Adapter{})[0]
+	g.Expect(c.Unreachable || c.Ejected).To(gomega.BeFalse())
+	g.Expect(probed(v, 61_000)).To(gomega.BeEmpty())
+}
+
+// Guards against a link that hangs and is noticed only when requests time out.
+func TestSilentServersAreProbed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	v := viewOf(2)
+	defer v.Begin(after(0), "s0")()
+	g.Expect(probed(v, 600)).To(gomega.BeEmpty())
+	g.Expect(probed(v, 700)).To(gomega.ConsistOf("s0"))
+	g.Expect(probed(v, 1500)).To(gomega.BeEmpty(), "once a second")
+	g.Expect(probed(v, 1700)).To(gomega.ConsistOf("s0"))
+	v.Doubt("s1")
+	g.Expect(probed(v, 1701)).To(gomega.ConsistOf("s1"))
+}
+
+// Guards against a node that finds out one failed request after the other that its own link is down.
+func TestAllServersAreProbedWhenTheLinkIsSuspected(t *testing.T) {
+	g := gomega.NewWithT(t)
+	v := viewOf(5)
+	v.Unreachable(after(0), "s0")
+	g.Expect(probed(v, 1)).To(gomega.ConsistOf("s0"))
+	v.Unreachable(after(5), "s1")
+	g.Expect(probed(v, 6)).To(gomega.ConsistOf("s1", "s2", "s3", "s4"))
+	g.Expect(probed(v, 310)).To(gomega.ConsistOf("s0", "s1"), "only those that are unreachable")
+}
--- a/internal/serverview/serverview.go
+++ b/internal/serverview/serverview.go
@@ -67,6 +67,8 @@
 	ejectedUntil time.Time
 	ejectTime    time.Duration
 
+	reach reach
+
 	limit requestlimit.Belief
 	// noRoomUntil is when the limit probably leaves room for a request of this node; it's meaningless without a limit.
 	noRoomUntil time.Time
