serverview, node: Few connections are tried to other servers while the node's own link is suspected

Two crashed servers made every node try all servers within a second, 65 x 86 connections on a large site. Two for each lost server are enough: where all are lost, 60 servers are known as such within half a second of simulated time. A node that didn't take a request isn't chosen for a second.

Callers can't set the headers between nodes (test added: the wire could be cut unnoticed).

--- a/internal/forward/handover_test.go
+++ b/internal/forward/handover_test.go
@@ -77,6 +77,7 @@
 	request := httptest.NewRequest(http.MethodPost, "/x//y%2Fz?q=%20", strings.NewReader("the body"))
 	request.Header.Set("Id", "r1")
 	request.Header.Set("Waxwing-Caller", "forged")
+	request.Header.Set("Waxwing-Remaining-Ms", "1")
 	f.forwarder.ServeHTTP(recorder, request)
 	g.Expect(recorder.Code).To(gomega.Equal(http.StatusOK))
 	g.Expect(recorder.Body.String()).To(gomega.Equal("body"))
@@ -93,6 +94,20 @@
 	g.Expect(time.Until(deadline)).To(gomega.BeNumerically("<=", 2*time.Second))
 }
 
+// Guards against callers that set the headers between nodes and have servers see them.
+func TestCallersCannotSetHeadersBetweenNodes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFixture(serving.NonIdempotent, "a")
+	var header http.Header
+	f.received = func(r *http.Request) { header = r.Header }
+	request := httptest.NewRequest(http.MethodPost, "/x", http.NoBody)
+	request.Header.Set("Waxwing-Caller", "forged")
+	request.Header.Set("Waxwing-Remaining-Ms", "1")
+	f.forwarder.ServeHTTP(httptest.NewRecorder(), request)
+	g.Expect(header).NotTo(gomega.HaveKey("Waxwing-Caller"))
+	g.Expect(header).NotTo(gomega.HaveKey("Waxwing-Remaining-Ms"))
+}
+
 // Guards against a longer deadline at the other node than at the one that the caller asked, and against another caller.
 func TestHandoverCarriesDeadlineAndCaller(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/internal/node/reach.go
+++ b/internal/node/reach.go
@@ -32,8 +32,9 @@
 	unreachableLifetime = time.Second
 	// maximumUnreachable bounds the servers in such a message.
 	maximumUnreachable = 128
-	// notTakenPause is how long a node isn't chosen after it hasn't taken a request.
-	notTakenPause = 200 * time.Millisecond
+	// notTakenPause is how long a node isn't chosen after it hasn't taken a request or couldn't be reached. The time of a
+	// failed connection to it is then a small share.
+	notTakenPause = time.Second
 )
 
 // reach finds out which servers this node and the others can reach, and chooses nodes that take requests. It implements
--- a/internal/serverview/reach.go
+++ b/internal/serverview/reach.go
@@ -11,10 +11,12 @@
 	// tried once each silentProbePeriod. Sound servers are silent for a second at times, but accept connections then.
 	silentAfter       = 700 * time.Millisecond
 	silentProbePeriod = time.Second
-	// linkLosses is the number of servers lost within linkLossWindow from which connections to all others are tried: it is
-	// probably this node's own link that is down.
-	linkLosses     = 2
-	linkLossWindow = time.Second
+	// linkLosses is the number of servers lost within linkLossWindow from which connections to others are tried: it may be
+	// this node's own link that is down. linkProbesPerLoss bounds these within the window, so that many nodes don't try all
+	// servers because two have crashed; where all are lost their number grows quickly.
+	linkLosses        = 2
+	linkLossWindow    = time.Second
+	linkProbesPerLoss = 2
 )
 
 // reach is whether this node can open connections to a server.
@@ -26,6 +28,8 @@
 	// doubted is true when an attempt ended without an answer and no connection was tried since.
 	doubted  bool
 	probedAt time.Time
+	// linkProbedAt is when a connection was last tried only because other servers were lost.
+	linkProbedAt time.Time
 }
 
 // Probe is a server to which a connection is to be tried.
@@ -65,23 +69,48 @@
 func (v *View) ProbesDue(now time.Time) (due []Probe) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	losses := 0
+	linkProbes := v.linkProbes(now)
+	for id, srv := range v.servers {
+		if v.removed(srv, now) {
+			continue
+		}
+		if !srv.probeDue(now) {
+			if linkProbes <= 0 || !srv.linkProbeDue(now) {
+				continue
+			}
+			linkProbes--
+			srv.reach.linkProbedAt = now
+		}
+		srv.reach.probedAt = now
+		due = append(due, Probe{ID: id, Address: srv.entry.Address})
+	}
+	return due
+}
+
+// linkProbes returns how many connections may be tried now because this node's link may be down.
+func (v *View) linkProbes(now time.Time) int {
+	losses, tried := 0, 0
 	for _, srv := range v.servers {
+		if now.Sub(srv.reach.linkProbedAt) < linkLossWindow {
+			tried++
+		}
 		if !srv.reach.lostAt.IsZero() && now.Sub(srv.reach.lostAt) < linkLossWindow && !v.removed(srv, now) {
 			losses++
 		}
 	}
-	for id, srv := range v.servers {
-		if !v.removed(srv, now) && srv.probeDue(now, losses >= linkLosses) {
-			srv.reach.probedAt = now
-			due = append(due, Probe{ID: id, Address: srv.entry.Address})
-		}
+	if losses < linkLosses {
+		return 0
 	}
-	return due
+	return linkProbesPerLoss*losses - tried
+}
+
+// linkProbeDue reports whether a connection may be tried to a server that gave no reason for it.
+func (s *server) linkProbeDue(now time.Time) bool {
+	return s.reach.lostAt.IsZero() && now.Sub(s.reach.probedAt) >= silentProbePeriod
 }
 
-// probeDue reports whether a connection to the server is to be tried.
-func (s *server) probeDue(now time.Time, linkSuspected bool) bool {
+// probeDue reports whether a connection to the server is to be tried because of what happened there.
+func (s *server) probeDue(now time.Time) bool {
 	r, sinceProbe := &s.reach, now.Sub(s.reach.probedAt)
 	silence := min(now.Sub(r.aliveAt), now.Sub(r.waitsSince), now.Sub(s.lastByteAt))
 	switch {
@@ -89,8 +118,6 @@
 		return sinceProbe >= unreachableProbePeriod
 	case r.doubted:
 		return sinceProbe >= doubtProbePeriod
-	case linkSuspected:
-		return sinceProbe >= silentProbePeriod
 	default:
 		return s.inFlight > 0 && silence >= silentAfter && sinceProbe >= silentProbePeriod
 	}
--- a/internal/serverview/reach_test.go
+++ b/internal/serverview/reach_test.go
@@ -81,3 +81,31 @@
 	g.Expect(probed(v, 6)).To(gomega.ConsistOf("s1", "s2", "s3", "s4"))
 	g.Expect(probed(v, 310)).To(gomega.ConsistOf("s0", "s1"), "only those that are unreachable")
 }
+
+// Guards against all nodes of a large site that try all servers because two have crashed.
+func TestLinkProbesAreFewUnlessTheyFail(t *testing.T) {
+	g := gomega.NewWithT(t)
+	v := viewOf(60)
+	v.Unreachable(after(0), "s0")
+	v.Unreachable(after(5), "s1")
+	probes := 0
+	for ms := 10; ms < 2000; ms += 50 {
+		for _, id := range probed(v, ms) {
+			if id != "s0" && id != "s1" {
+				probes++
+				v.Reached(after(ms+1), id)
+			}
+		}
+	}
+	g.Expect(probes).To(gomega.Equal(4))
+
+	v = viewOf(60)
+	v.Unreachable(after(0), "s0")
+	v.Unreachable(after(5), "s1")
+	for ms := 10; ms < 510; ms += 50 {
+		for _, id := range probed(v, ms) {
+			v.Unreachable(after(ms+1), id)
+		}
+	}
+	g.Expect(v.UnreachableServers(after(510))).To(gomega.HaveLen(60))
+}
