--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -82,7 +82,7 @@
 		"promptParts": j.request.SharedParts,
 	}
 	if mayHaveRun {
-		fields["method"], fields["path"], fields["caller"] = j.r.Method, j.r.URL.Path, j.r.RemoteAddr
+		fields["method"], fields["path"], fields["caller"] = j.r.Method, j.r.URL.Path, j.caller
 	}
 	j.f.options.Events.EmitError(event.RequestAttempt, err, fields)
 }
--- a/internal/node/crashes_test.go
+++ b/internal/node/crashes_test.go
@@ -104,7 +104,7 @@
 		nodes = append(nodes, n)
 	}
 	if reads {
-		nodes[0].leases.core.Joined(0, 0, serving.Membership{Generation: 1, Partitions: []int{0}})
+		nodes[0].becomeReader()
 	}
 	for _, n := range nodes {
 		for _, other := range nodes {
@@ -116,6 +116,13 @@
 	return nodes
 }
 
+// becomeReader gives the node a partition that makes it a reader.
+func (n *Node) becomeReader() {
+	n.leases.mu.Lock()
+	defer n.leases.mu.Unlock()
+	n.leases.core.Joined(0, 0, serving.Membership{Generation: 1, Partitions: []int{0}})
+}
+
 // closedAddress returns an address at which nobody listens.
 func closedAddress(t *testing.T) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -208,7 +215,7 @@
 func TestStartedNodeGetsTheBlocksAtOnce(t *testing.T) {
 	g := gomega.NewWithT(t)
 	reader, started := newCrashesNode(t), newCrashesNode(t)
-	reader.leases.core.Joined(0, 0, serving.Membership{Generation: 1, Partitions: []int{0}})
+	reader.becomeReader()
 	go func() { _ = started.link.Run(t.Context(), started.handleMessage) }()
 	reader.handleMessage(time.Now(), blockedPart("request:a"))
 	reader.handleMessage(time.Now(), peerlink.Message{From: started.link.Address()})
@@ -225,6 +232,8 @@
 	n.endUnder(listener.Addr().String(), "s", "request:a")
 	g.Eventually(n.crashes.pending.Load, 5*time.Second).Should(gomega.BeFalse())
 	g.Expect(n.crashes.ended("request:a")).To(gomega.BeZero())
+	n.crashes.mu.Lock()
+	defer n.crashes.mu.Unlock()
 	g.Expect(n.crashes.dialed).To(gomega.BeEmpty())
 }
 
