--- a/internal/forward/handover_test.go
+++ b/internal/forward/handover_test.go
@@ -250,3 +250,55 @@
 	close(finish)
 	g.Eventually(f.forwarder.Taken).Should(gomega.BeZero())
 }
+
+// Guards against a node that doesn't learn from its requests which servers it reaches.
+func TestRequestsShowWhichServersAreReached(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFixture(serving.NonIdempotent, "a")
+	f.cutOff(&fakePeers{}, roundTrip(nil))
+	f.call()
+	g.Expect(f.view.UnreachableServers(time.Now())).To(gomega.ConsistOf("a"), "no connection")
+	f.answer = func(string) (*http.Response, error) { return answerWith(http.StatusOK, "body"), nil }
+	g.Expect(f.call().Code).To(gomega.Equal(http.StatusOK))
+	g.Expect(f.view.UnreachableServers(time.Now())).To(gomega.BeEmpty(), "an answer")
+	f.answer = closed
+	f.call()
+	g.Expect(f.view.ProbesDue(time.Now())).To(gomega.HaveLen(1), "no answer")
+}
+
+// Guards against a refusal after three failed connections while another node reaches the servers.
+func TestRequestIsHandedOverAfterFailedConnections(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFixture(serving.NonIdempotent, "a", "b", "c", "d")
+	f.cutOff(&fakePeers{nodes: []string{"p1"}}, roundTrip(func(*http.Request) (*http.Response, error) {
+		return answerWith(http.StatusOK, "body"), nil
+	}))
+	g.Expect(f.call().Code).To(gomega.Equal(http.StatusOK))
+	g.Expect(f.sent).To(gomega.HaveLen(3))
+}
+
+// Guards against "not run" of another node for a request that may have run at a server before.
+func TestRefusalOfAnotherNodeIsNoPromiseForAnEarlierAttempt(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFixture(serving.Idempotent, "a", "b")
+	f.cutOff(&fakePeers{nodes: []string{"p1"}}, roundTrip(func(*http.Request) (*http.Response, error) {
+		return answerWith(http.StatusServiceUnavailable, ""), nil
+	}), "b")
+	f.answer = closed
+	g.Expect(f.call().Code).To(gomega.Equal(http.StatusBadGateway))
+	g.Expect(f.sent).To(gomega.Equal([]string{"a"}))
+}
+
+// Guards against requests for models that wait or are refused while another node reaches the servers.
+func TestModelRequestsAreHandedOver(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFixture(serving.NonIdempotent, "a")
+	config := *f.forwarder.Config()
+	config.Version, config.Services = 2, map[string]serving.Service{service: {Name: service, Engine: &serving.Engine{}}}
+	f.forwarder.SetConfig(&config)
+	f.cutOff(&fakePeers{nodes: []string{"p1"}}, roundTrip(func(*http.Request) (*http.Response, error) {
+		return answerWith(http.StatusOK, "body"), nil
+	}), "a")
+	g.Expect(f.call().Code).To(gomega.Equal(http.StatusOK))
+	g.Expect(f.sent).To(gomega.BeEmpty())
+}
