serverview, node: Bound the connections that are tried to lost servers

Suspected: in a cut between zones each of 71 nodes loses some 40 servers and tried each one every 0.3 s, 9,000 connections a second over the site, and listed them to all peers 3.3 times a second. Now eight a second a node, all at once when one server is back, and two lists a second.

--- a/internal/node/reach.go
+++ b/internal/node/reach.go
@@ -23,13 +23,13 @@
 	// probeCheckPeriod is the time between two checks for servers to which a connection is to be tried.
 	probeCheckPeriod = 250 * time.Millisecond
 	// lostProbeCheckPeriod is probeCheckPeriod while servers are unreachable.
-	lostProbeCheckPeriod = 50 * time.Millisecond
+	lostProbeCheckPeriod = 100 * time.Millisecond
 	// maximumProbes bounds the connections that are tried at once.
 	maximumProbes = 64
 	// unreachablePeriod is the time between two messages that list the servers which this node can't reach.
-	unreachablePeriod = 300 * time.Millisecond
+	unreachablePeriod = 500 * time.Millisecond
 	// unreachableLifetime is how long such a message is valid.
-	unreachableLifetime = time.Second
+	unreachableLifetime = 1600 * time.Millisecond
 	// maximumUnreachable bounds the servers in such a message.
 	maximumUnreachable = 128
 	// notTakenPause is how long a node isn't chosen after it hasn't taken a request or couldn't be reached. The time of a
--- a/internal/serverview/reach.go
+++ b/internal/serverview/reach.go
@@ -3,8 +3,11 @@
 import "time"
 
 const (
-	// unreachableProbePeriod is the time between two connections that are tried to a server that this node can't reach.
+	// unreachableProbePeriod is the least time between two connections that are tried to a server that this node can't reach,
+	// unreachableProbePause that time for each such server. It bounds the connections that many nodes of a zone try while the
+	// zone is cut off from the servers of the others. Once one server is reached again, the others are tried at once.
 	unreachableProbePeriod = 300 * time.Millisecond
+	unreachableProbePause  = 125 * time.Millisecond
 	// doubtProbePeriod is the least time between two such connections when an attempt ended without an answer.
 	doubtProbePeriod = 100 * time.Millisecond
 	// silentAfter is the time without any data of a server, while requests are in progress there, from which a connection is
@@ -46,6 +49,7 @@
 		returned = !srv.reach.lostAt.IsZero()
 		srv.reach.lostAt, srv.reach.aliveAt, srv.reach.doubted = time.Time{}, now, false
 		if returned {
+			v.reachedAt = now
 			srv.failures, srv.ejectTime, srv.ejectedUntil = 0, 0, time.Time{}
 			v.notify()
 		}
@@ -69,12 +73,12 @@
 func (v *View) ProbesDue(now time.Time) (due []Probe) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	linkProbes := v.linkProbes(now)
+	linkProbes, period := v.linkProbes(now), v.unreachableProbePeriod(now)
 	for id, srv := range v.servers {
 		if v.removed(srv, now) {
 			continue
 		}
-		if !srv.probeDue(now) {
+		if !srv.probeDue(now, period, v.reachedAt) {
 			if linkProbes <= 0 || !srv.linkProbeDue(now) {
 				continue
 			}
@@ -87,6 +91,17 @@
 	return due
 }
 
+// unreachableProbePeriod returns the time between two connections that are tried to one unreachable server.
+func (v *View) unreachableProbePeriod(now time.Time) time.Duration {
+	lost := 0
+	for _, srv := range v.servers {
+		if !srv.reach.lostAt.IsZero() && !v.removed(srv, now) {
+			lost++
+		}
+	}
+	return max(unreachableProbePeriod, time.Duration(lost)*unreachableProbePause)
+}
+
 // linkProbes returns how many connections may be tried now because this node's link may be down.
 func (v *View) linkProbes(now time.Time) int {
 	losses, tried := 0, 0
@@ -109,13 +124,14 @@
 	return s.reach.lostAt.IsZero() && now.Sub(s.reach.probedAt) >= silentProbePeriod
 }
 
-// probeDue reports whether a connection to the server is to be tried because of what happened there.
-func (s *server) probeDue(now time.Time) bool {
+// probeDue reports whether a connection to the server is to be tried because of what happened there. An unreachable one is
+// tried once in a period, and after another one was reached again.
+func (s *server) probeDue(now time.Time, period time.Duration, reachedAt time.Time) bool {
 	r, sinceProbe := &s.reach, now.Sub(s.reach.probedAt)
 	silence := min(now.Sub(r.aliveAt), now.Sub(r.waitsSince), now.Sub(s.lastByteAt))
 	switch {
 	case !r.lostAt.IsZero():
-		return sinceProbe >= unreachableProbePeriod
+		return sinceProbe >= period || reachedAt.After(r.probedAt) && sinceProbe >= unreachableProbePeriod
 	case r.doubted:
 		return sinceProbe >= doubtProbePeriod
 	default:
--- a/internal/serverview/reach_test.go
+++ b/internal/serverview/reach_test.go
@@ -109,3 +109,25 @@
 	}
 	g.Expect(v.UnreachableServers(after(510))).To(gomega.HaveLen(60))
 }
+
+// Guards against a site whose nodes try all lost servers all the time, and against servers that stay lost after a cut.
+func TestLostServersAreProbedSeldomUntilOneIsBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	v := viewOf(40)
+	for n := range 40 {
+		v.Unreachable(after(0), fmt.Sprint("s", n))
+	}
+	probes := 0
+	for ms := 5000; ms < 15_000; ms += 100 {
+		probes += len(v.ProbesDue(after(ms)))
+	}
+	g.Expect(probes).To(gomega.BeNumerically("<=", 10*8+40))
+	for ms := 15_000; ms < 20_000; ms += 100 {
+		if due := v.ProbesDue(after(ms)); len(due) > 0 {
+			v.Reached(after(ms+1), due[0].ID)
+			g.Expect(len(v.ProbesDue(after(ms + 101)))).To(gomega.BeNumerically(">=", 30))
+			return
+		}
+	}
+	t.Error("no server was probed")
+}
--- a/internal/serverview/serverview.go
+++ b/internal/serverview/serverview.go
@@ -78,6 +78,8 @@
 type View struct {
 	mu      sync.Mutex
 	servers map[string]*server
+	// reachedAt is when an unreachable server was last reached again.
+	reachedAt time.Time
 	// storeFailedAt is when the store was last unreachable.
 	storeFailedAt time.Time
 	changed       chan struct{}
