--- a/internal/serverview/reach.go
+++ b/internal/serverview/reach.go
@@ -8,6 +8,8 @@
 	// zone is cut off from the servers of the others. Once one server is reached again, the others are tried at once.
 	unreachableProbePeriod = 300 * time.Millisecond
 	unreachableProbePause  = 125 * time.Millisecond
+	// unreachableProbesAtOnce spreads these connections over time while no server is reached again.
+	unreachableProbesAtOnce = 4
 	// doubtProbePeriod is the least time between two such connections when an attempt ended without an answer.
 	doubtProbePeriod = 100 * time.Millisecond
 	// silentAfter is the time without any data of a server, while requests are in progress there, from which a connection is
@@ -73,7 +75,7 @@
 func (v *View) ProbesDue(now time.Time) (due []Probe) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	linkProbes, period := v.linkProbes(now), v.unreachableProbePeriod(now)
+	linkProbes, period, lostProbes := v.linkProbes(now), v.unreachableProbePeriod(now), 0
 	for id, srv := range v.servers {
 		if v.removed(srv, now) {
 			continue
@@ -85,6 +87,11 @@
 			linkProbes--
 			srv.reach.linkProbedAt = now
 		}
+		if !srv.reach.lostAt.IsZero() && !v.reachedAt.After(srv.reach.probedAt) {
+			if lostProbes++; lostProbes > unreachableProbesAtOnce {
+				continue
+			}
+		}
 		srv.reach.probedAt = now
 		due = append(due, Probe{ID: id, Address: srv.entry.Address})
 	}
