forward: Look for unreachable servers only when the choice needs them

Each model request built that list in each round of its choice, also when it had a reachable server. The condition is the same; tests of the package pass with the race detector, gofmt, vet and staticcheck are clean.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -397,9 +397,10 @@
 		candidates := j.f.options.View.Candidates(now, j.service.Name, j.request.Adapter)
 		query := j.query(minVersion)
 		chosen, found, reason := modelpick.Resident(candidates, query, newRandom())
-		servers, none := unreachable(candidates)
-		if (found && chosen.Unreachable || !found && none) && j.handOver(servers) {
-			return chosen, 0, false
+		if !found || chosen.Unreachable {
+			if servers, none := unreachable(candidates); (found || none) && j.handOver(servers) {
+				return chosen, 0, false
+			}
 		}
 		if found {
 			j.requestCopy(now, candidates, query, chosen)
