crashguard: The entry of a later incarnation proves the end of the one before

Cause, from the nodes' logs and the times of the crashes: a server that is back at once answers under the same ID before nodes have read its new entry. Its 421 counted as a sign of life of the incarnation that had ended, so the end was dismissed.

A 421 is no sign of life any more, and closed connections that were dismissed are kept for 5 s: an entry with a later start under the same ID or at the same address confirms them.

--- a/internal/crashguard/crashguard.go
+++ b/internal/crashguard/crashguard.go
@@ -21,6 +21,9 @@
 	confirmAfter = 250 * time.Millisecond
 	// aliveAfter excludes bytes that were already received when the server ended and are read only later.
 	aliveAfter = 60 * time.Millisecond
+	// registrationDelay is the time after a closed connection in which the entry of a later incarnation proves the server's
+	// end. Servers are back after some seconds, and nodes read new entries within a second.
+	registrationDelay = 5 * time.Second
 	// suspicionLifetime is how long ends count without another one.
 	suspicionLifetime = 30 * time.Second
 	// firstTrialAfter is the time from the block until one request is let through. It doubles with each trial that ends a
@@ -172,7 +175,9 @@
 	// recent holds the latest ends of servers, the oldest first.
 	recent  []serverEnd
 	pending []pendingBreak
-	changes []Change
+	// dismissed holds closed connections after which their servers have shown signs of life, the oldest first.
+	dismissed []pendingBreak
+	changes   []Change
 	// requests is the number of requests among parts.
 	requests int
 	// watchesUntil is the time until which a server that ended under a request counts.
--- a/internal/crashguard/crashguard_test.go
+++ b/internal/crashguard/crashguard_test.go
@@ -60,6 +60,59 @@
 	g.Expect(guard.Suspected([]string{"other", "bad"})).To(gomega.BeTrue())
 }
 
+// Guards against an end that doesn't count because the next incarnation answers at the same address before its entry is known.
+func TestEntryOfTheNextIncarnationProvesAnEnd(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for name, next := range map[string]crashguard.Incarnation{
+		"same ID": {ServerID: "s0", Born: 2}, "same address": {ServerID: "other", Born: 2},
+	} {
+		guard := crashguard.New()
+		guard.Broken(crashguard.Break{
+			Server: server(0), Address: "a:1", Parts: []string{"bad"}, Requests: []string{"request:a"}, BegunAt: at(0), At: at(100),
+		})
+		guard.Dialed(server(0), true)
+		guard.BytesReceived(at(200), server(0))
+		g.Expect(guard.Confirm(at(400))).To(gomega.BeEmpty(), name)
+		guard.Registered(at(500), next, "a:1")
+		reports := guard.Confirm(at(501))
+		g.Expect(reports).To(gomega.HaveLen(1), name)
+		g.Expect(reports[0].EndedAt).To(gomega.Equal(at(100)), name)
+		g.Expect(reports[0].Suspects).To(gomega.HaveLen(2), name)
+		guard.Registered(at(600), next, "a:1")
+		g.Expect(guard.Confirm(at(900))).To(gomega.BeEmpty(), name)
+	}
+}
+
+// Guards against a request whose servers' address goes on accepting connections while they are down.
+func TestRequestEndsServersBehindAnAddressThatAccepts(t *testing.T) {
+	g := gomega.NewWithT(t)
+	guard := crashguard.New()
+	for n := range 2 {
+		closedAt := n * 1000
+		guard.Broken(crashguard.Break{
+			Server: server(n), Address: "a:1", Requests: []string{"request:a"}, BegunAt: at(closedAt - 10), At: at(closedAt),
+		})
+		guard.Dialed(server(n), true)
+		g.Expect(guard.Confirm(at(closedAt + 300))).To(gomega.BeEmpty())
+		guard.Registered(at(closedAt+900), crashguard.Incarnation{ServerID: "next", Born: int64(n) + 2}, "a:1")
+		guard.Confirm(at(closedAt + 901))
+	}
+	g.Expect(guard.Ends("request:a")).To(gomega.Equal(2))
+	g.Expect(allowed(guard, 2000, "request:a")).To(gomega.BeFalse())
+}
+
+// Guards against ends that are made up of the entries of other servers, of the same incarnation or of one long after.
+func TestOtherEntriesProveNoEnd(t *testing.T) {
+	g := gomega.NewWithT(t)
+	guard := crashguard.New()
+	guard.Broken(crashguard.Break{Server: server(0), Address: "a:1", Parts: []string{"p"}, BegunAt: at(0), At: at(100)})
+	guard.BytesReceived(at(200), server(0))
+	guard.Registered(at(300), server(0), "a:1")
+	guard.Registered(at(300), crashguard.Incarnation{ServerID: "s1", Born: 2}, "a:2")
+	guard.Registered(at(5200), crashguard.Incarnation{ServerID: "s0", Born: 2}, "a:1")
+	g.Expect(guard.Confirm(at(5300))).To(gomega.BeEmpty())
+}
+
 // Guards against a block because several servers ended at once for a reason of their own.
 func TestEndsAtTheSameTimeCountOnce(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/internal/crashguard/ends.go
+++ b/internal/crashguard/ends.go
@@ -9,8 +9,13 @@
 // pendingBreak is a closed connection of which it's not yet known whether its server has ended.
 type pendingBreak struct {
 	Break
-	// refuses and listens are what a new connection to the server has shown; neither is true if that isn't known.
-	refuses, listens bool
+	// listens is true if the server's address accepted a new connection, ended if it's certain that the server has ended.
+	listens, ended bool
+}
+
+// isFollowedBy reports whether an incarnation runs in the place of the one that closed the connection.
+func (b *pendingBreak) isFollowedBy(next Incarnation, address string) bool {
+	return next.Born > b.Server.Born && (next.ServerID == b.Server.ServerID || address == b.Address)
 }
 
 // Broken records an attempt whose connection was closed without a complete answer.
@@ -28,24 +33,59 @@
 // Dialed records whether a server accepts connections after it has closed one.
 func (g *Guard) Dialed(server Incarnation, listens bool) {
 	for i := range g.pending {
-		if b := &g.pending[i]; b.Server == server {
-			b.listens, b.refuses = listens, !listens
+		if b := &g.pending[i]; b.Server == server && !b.ended {
+			b.listens, b.ended = listens, !listens
+		}
+	}
+}
+
+// Registered records that an incarnation has registered at an address, which proves that those before it have ended. A sign of
+// life after a closed connection may have come from it rather than from them.
+func (g *Guard) Registered(now time.Time, server Incarnation, address string) {
+	g.forgetDismissed(now)
+	g.dismissed = slices.DeleteFunc(g.dismissed, func(b pendingBreak) bool {
+		followed := b.isFollowedBy(server, address)
+		if followed {
+			g.pending = append(g.pending, b)
+		}
+		return followed
+	})
+	for i := range g.pending {
+		if b := &g.pending[i]; b.isFollowedBy(server, address) {
+			b.listens, b.ended = false, true
 		}
 	}
 }
 
+// dismiss keeps closed connections whose servers seem to go on, in case later incarnations have taken their place.
+func (g *Guard) dismiss(now time.Time, breaks ...pendingBreak) {
+	g.forgetDismissed(now)
+	g.dismissed = append(g.dismissed, breaks...)
+	g.dismissed = g.dismissed[max(len(g.dismissed)-maximumPending, 0):]
+}
+
+func (g *Guard) forgetDismissed(now time.Time) {
+	g.dismissed = slices.DeleteFunc(g.dismissed, func(b pendingBreak) bool { return now.Sub(b.At) > registrationDelay })
+}
+
 // BytesReceived records a sign of life of a server. Connections that it closed shortly before don't count as its end.
 func (g *Guard) BytesReceived(now time.Time, server Incarnation) {
+	var dismissed []pendingBreak
 	g.pending = slices.DeleteFunc(g.pending, func(b pendingBreak) bool {
-		return b.Server == server && now.Sub(b.At) >= aliveAfter && !b.refuses
+		alive := b.Server == server && now.Sub(b.At) >= aliveAfter && !b.ended
+		if alive {
+			dismissed = append(dismissed, b)
+		}
+		return alive
 	})
+	g.dismiss(now, dismissed...)
 }
 
 // Confirm counts the servers that have shown no sign of life since they closed a connection, and returns a report of each.
 func (g *Guard) Confirm(now time.Time) (reports []Report) {
 	var confirmed []pendingBreak
 	g.pending = slices.DeleteFunc(g.pending, func(b pendingBreak) bool {
-		due := b.refuses || now.Sub(b.At) >= confirmAfter
+		due := b.ended || now.Sub(b.At) >= confirmAfter
 		if due {
 			confirmed = append(confirmed, b)
 		}
@@ -63,6 +103,8 @@
 			reports[i].add(id, depth, b.BegunAt)
 		}
 		if b.listens {
+			b.Parts = nil
+			g.dismiss(now, b)
 			continue
 		}
 		for depth, id := range b.Requests {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -246,7 +246,10 @@
 	info := j.f.options.Wire.DecodeAnswer(answer)
 	j.observeLimit(candidate, answer, info)
 	now := time.Now()
-	j.f.options.Crashes.BytesReceived(now, j.incarnation)
+	if answer.StatusCode != http.StatusMisdirectedRequest {
+		// A server that has started again is empty, and refuses the requests that were meant for the incarnation before.
+		j.f.options.Crashes.BytesReceived(now, j.incarnation)
+	}
 	j.f.options.View.Reached(now, candidate.ID)
 	switch {
 	case !info.BelongsTo(j.request.ID):
--- a/internal/forward/crashes_test.go
+++ b/internal/forward/crashes_test.go
@@ -94,6 +94,17 @@
 	g.Expect(c.alive).To(gomega.Equal(1))
 }
 
+// Guards against a server that has started again empty, whose refusals count as signs of life of the incarnation before.
+func TestRefusalOfAnotherIncarnationIsNoSignOfLife(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f, c := newFixture(serving.Idempotent, "a"), newGuard()
+	f.withGuard(c, serving.Idempotent, false)
+	f.answer = func(string) (*http.Response, error) { return answerWith(http.StatusMisdirectedRequest, ""), nil }
+	f.call()
+	g.Expect(f.sent).NotTo(gomega.BeEmpty())
+	g.Expect(c.alive).To(gomega.BeZero())
+}
+
 // Guards against answers of servers that failed which prove a request sound.
 func TestFailureOfAServerProvesNothing(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -19,6 +19,7 @@
 	"waxwingcleat.example/waxwingcleat/internal/event"
 	"waxwingcleat.example/waxwingcleat/internal/peerlink"
 	"waxwingcleat.example/waxwingcleat/internal/rendezvous"
+	"waxwingcleat.example/waxwingcleat/internal/serving"
 )
 
 const (
@@ -138,6 +139,14 @@
 	notify(c.wake)
 }
 
+// registered records the entry of a server, which may be that of a new incarnation.
+func (c *crashes) registered(server serving.Server) {
+	c.update(func(now time.Time) {
+		c.guard.Registered(now, crashguard.Incarnation{ServerID: server.ID, Born: server.Born}, server.Address)
+	})
+	notify(c.wake)
+}
+
 // WatchesRequests implements forward.CrashGuard.
 func (c *crashes) WatchesRequests() bool { return c.watches.Load() }
 
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -188,6 +188,7 @@
 		present[server.ID] = true
 		if n.view.PutEntry(now, server) {
 			notify(n.sightings.changed)
+			n.crashes.registered(server)
 			n.events.Emit(event.ServerEntryChanged, event.Fields{
 				"server": server.ID, "service": server.Service, "address": server.Address, "zone": server.Zone,
 				"softwareVersion": server.SoftwareVersion, "draining": server.Draining,
