--- /dev/null
+++ b/internal/peerlink/counts.go
@@ -0,0 +1,51 @@
+package peerlink
+
+import (
+	"github.com/rcrowley/go-metrics"
+)
+
+// Kinds of messages in the metrics. A message with several contents counts as the first of them that it has.
+const (
+	kindStates      = "states"
+	kindDigest      = "digest"
+	kindUsage       = "usage"
+	kindAdmission   = "admission"
+	kindOrigins     = "origins"
+	kindUnreachable = "unreachable"
+	kindLimits      = "limits"
+	kindEnds        = "ends"
+	kindArrivals    = "arrivals"
+	kindKeepAlive   = "keepalive"
+)
+
+// kind returns what the message is mainly about.
+func (m *Message) kind() string {
+	switch {
+	case len(m.States) > 0:
+		return kindStates
+	case m.Digest != nil:
+		return kindDigest
+	case len(m.Usage) > 0:
+		return kindUsage
+	case m.AdmissionRequest != nil, m.AdmissionRelease != nil, len(m.Granted)+len(m.Queued) > 0:
+		return kindAdmission
+	case m.OriginQuery != nil, m.OriginAnswer != nil, len(m.Origins) > 0:
+		return kindOrigins
+	case len(m.UnreachableServers) > 0:
+		return kindUnreachable
+	case m.LimitRequest != nil, m.LimitReturn != nil, len(m.LimitNotices)+len(m.LimitAnswers) > 0:
+		return kindLimits
+	case len(m.ServerEnds)+len(m.BlockedParts)+len(m.AcquittedParts) > 0:
+		return kindEnds
+	case len(m.Arrived) > 0:
+		return kindArrivals
+	}
+	return kindKeepAlive
+}
+
+// count adds datagrams of one kind and their bytes to the metrics "peerlink.<direction>.<kind>" and
+// "peerlink.<direction>Bytes".
+func count(direction, kind string, datagrams, bytes int) {
+	metrics.GetOrRegisterCounter("peerlink."+direction+"."+kind, nil).Inc(int64(datagrams))
+	metrics.GetOrRegisterCounter("peerlink."+direction+"Bytes", nil).Inc(int64(datagrams * bytes))
+}
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -276,6 +276,7 @@
 		l.events.EmitError(event.PeerMessageFailed, err, nil)
 		return
 	}
+	count("sent", message.kind(), len(peers), len(data))
 	for _, peer := range peers {
 		l.write(data, peer)
 	}
@@ -311,6 +312,7 @@
 			l.events.EmitError(event.PeerMessageFailed, err, nil)
 			continue
 		}
+		count("received", message.kind(), 1, n)
 		handle(time.Now(), message)
 	}
 }
