node, serverlease: Only as many nodes join the group as there are partitions; fewer messages on large sites

Ruled out: reads of the operators' records at rest (45 in 5 s, readers only).

Change: candidacy for the group (as many members as partitions, others follow); readers' digests carry the owners; empty messages at most once a second to each of many peers; batches of publications grow with the nodes up to 250 ms; entries in a digest are bounded by the number of receivers; at least 0.4 s between two reads of entries that digests cause.

--- a/internal/node/leases.go
+++ b/internal/node/leases.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"waxwingcleat.example/waxwingcleat/internal/delay"
 	"waxwingcleat.example/waxwingcleat/internal/event"
+	"waxwingcleat.example/waxwingcleat/internal/peerlink"
 	"waxwingcleat.example/waxwingcleat/internal/serverlease"
 )
 
@@ -21,8 +23,19 @@
 	minimumJoinPause = 20 * time.Millisecond
 	// turnInterval is the platform's bound on the time between orders of two holders that take turns.
 	turnInterval = 3 * time.Second
-	// ownersLifetime is the age at which the owners are read again even if the group hasn't changed.
+	// ownersLifetime is the age at which a reader reads the owners again even if the group hasn't changed.
 	ownersLifetime = 15 * time.Second
+	// ownersConfirmation is how long a node relies on the owners that it knows after a reader has confirmed them.
+	ownersConfirmation = 2 * time.Second
+	// ownersRetryPause is the least time between two reads of the owners by a node that isn't a reader.
+	ownersRetryPause = time.Second
+	// firstJoinSpread bounds the time from a node's start until it considers to join, so that the nodes of a large site that
+	// start together don't all find a group without members.
+	firstJoinSpread = time.Second
+	// ownersNoticeInterval is the number of digests of a reader of which one carries the owners, ownersNoticeRepeats how long
+	// after a change each does.
+	ownersNoticeInterval = 10
+	ownersNoticeRepeats  = 1500 * time.Millisecond
 	// readerPartitions is the number of partitions, from 0, whose owners read the store for all nodes. With three of
 	// them, two readers may fail.
 	readerPartitions = 3
@@ -39,12 +52,22 @@
 	ownersGeneration int64
 	// generation is that of the latest successful join.
 	generation int64
+	// ownersChangedAt is when the owners were last found to have changed, ownersConfirmedAt when they were last read, or
+	// confirmed by a reader.
+	ownersChangedAt   time.Time
+	ownersConfirmedAt time.Time
+	// candidacy decides whether this node is a member of the group.
+	candidacy  *serverlease.Candidacy
+	partitions int
 	// rejoin receives a value when a server refused this node's fencing token.
 	rejoin chan struct{}
 }
 
 func newLeases(options serverlease.Options) *leases {
-	return &leases{core: serverlease.New(options), owners: make(map[int]string), rejoin: make(chan struct{}, 1)}
+	return &leases{
+		core: serverlease.New(options), owners: make(map[int]string), rejoin: make(chan struct{}, 1),
+		candidacy: serverlease.NewCandidacy(options.Partitions), partitions: options.Partitions,
+	}
 }
 
 func (l *leases) holds(serverID string) (fence int64, holds bool) {
@@ -109,6 +132,13 @@
 	l.owners = owners
 }
 
+// isMember reports whether this node takes part in the group.
+func (l *leases) isMember() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.candidacy.Member()
+}
+
 // readers returns the peer addresses of the nodes that read the store for all.
 func (l *leases) readers() []string {
 	l.mu.Lock()
@@ -134,40 +164,41 @@
 	return false
 }
 
-// ownersDue reports whether the owners have to be read again. Each change of the group is a reason, as a new holder
-// publishes only to nodes from which it has received messages.
+// ownersDue reports whether this node has to read the owners: a reader after each change of the group, as a new holder
+// publishes only to nodes from which it has received messages; another node if no reader confirms what it knows.
 func (l *leases) ownersDue(now time.Time) bool {
+	reader := l.isReader()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.ownersGeneration != l.generation || now.Sub(l.ownersReadAt) > ownersLifetime
+	if reader {
+		return l.ownersGeneration != l.generation || now.Sub(l.ownersReadAt) > ownersLifetime
+	}
+	return now.Sub(l.ownersConfirmedAt) > ownersConfirmation && now.Sub(l.ownersReadAt) > ownersRetryPause
 }
 
-// renewLeases joins the group periodically until ctx ends, which renews the leases.
+// group returns what this node knows of the group, and whether that is recent enough to rely on.
+func (l *leases) group(now time.Time, nodes int) (group serverlease.Group, current bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	members := make(map[string]bool)
+	for _, owner := range l.owners {
+		members[owner] = true
+	}
+	group = serverlease.Group{Owners: len(members), Complete: len(l.owners) >= l.partitions, Nodes: nodes}
+	return group, now.Sub(l.ownersConfirmedAt) <= ownersConfirmation
+}
+
+// renewLeases considers whether to join the group and, as a member, joins it periodically until ctx ends, which renews the
+// leases.
 func (n *Node) renewLeases(ctx context.Context) error {
-	l := n.leases
+	delay.For(ctx, time.Duration(rand.Float64()*float64(firstJoinSpread)))
 	for ctx.Err() == nil {
-		l.mu.Lock()
-		generation := l.core.Generation()
-		l.mu.Unlock()
-		sent := bootTime()
-		membership, err := n.store.Join(ctx, n.link.Address(), generation, leaseTTL)
-		ok := n.recordStoreCall(ctx, err)
-		l.mu.Lock()
-		var gained, lost []int
-		if ok {
-			gained, lost = l.core.Joined(sent, bootTime(), membership)
-			l.generation = membership.Generation
-		} else {
-			l.core.JoinFailed()
-		}
-		l.mu.Unlock()
-		n.logLeases(gained, lost, membership.Generation)
-		n.watch.setReader(l.isReader())
-		n.holders.reconcile()
-		if ok && l.ownersDue(time.Now()) {
-			n.readOwners(ctx)
+		if !n.takesPart(ctx) {
+			pause(ctx, joinPeriod)
+			continue
 		}
-		if len(lost) > 0 {
+		lost, ok := n.join(ctx)
+		if ok && n.leaveIfSurplus(ctx) || lost > 0 {
 			// The next join, sent at once, releases the lost partitions to their new owners.
 			continue
 		}
@@ -176,6 +207,68 @@
 	return nil
 }
 
+// takesPart reports whether this node is a member of the group, or becomes one now.
+func (n *Node) takesPart(ctx context.Context) bool {
+	l := n.leases
+	if l.isMember() {
+		return true
+	}
+	if l.ownersDue(time.Now()) {
+		n.readOwners(ctx)
+	}
+	group, current := l.group(time.Now(), n.peers.count())
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if current {
+		l.candidacy.Consider(group, rand.Float64())
+	}
+	return l.candidacy.Member()
+}
+
+// join renews the leases. It returns the number of partitions that this node has lost.
+func (n *Node) join(ctx context.Context) (lostPartitions int, ok bool) {
+	l := n.leases
+	l.mu.Lock()
+	generation := l.core.Generation()
+	l.mu.Unlock()
+	sent := bootTime()
+	membership, err := n.store.Join(ctx, n.link.Address(), generation, leaseTTL)
+	ok = n.recordStoreCall(ctx, err)
+	l.mu.Lock()
+	var gained, lost []int
+	if ok {
+		gained, lost = l.core.Joined(sent, bootTime(), membership)
+		l.generation = membership.Generation
+	} else {
+		l.core.JoinFailed()
+	}
+	l.mu.Unlock()
+	n.logLeases(gained, lost, membership.Generation)
+	n.watch.setReader(l.isReader())
+	n.holders.reconcile()
+	if ok && l.ownersDue(time.Now()) {
+		n.readOwners(ctx)
+	}
+	return len(lost), ok
+}
+
+// leaveIfSurplus leaves the group if it has enough members without this node, and reports that.
+func (n *Node) leaveIfSurplus(ctx context.Context) (left bool) {
+	l := n.leases
+	group, current := l.group(time.Now(), n.peers.count())
+	l.mu.Lock()
+	surplus := l.candidacy.Joined(bootTime(), l.core.PartitionCount(), group) && current
+	l.mu.Unlock()
+	if !surplus || !n.recordStoreCall(ctx, n.store.Leave(ctx, n.link.Address())) {
+		return false
+	}
+	l.mu.Lock()
+	l.candidacy.Left()
+	l.mu.Unlock()
+	n.events.Emit(event.GroupLeft, event.Fields{"owners": group.Owners, "nodes": group.Nodes})
+	return true
+}
+
 func (n *Node) waitForJoin(ctx context.Context, ok bool) {
 	period := joinPeriod
 	if !ok {
@@ -199,12 +292,49 @@
 	l := n.leases
 	l.mu.Lock()
 	generation := l.generation
+	l.ownersReadAt = time.Now()
 	l.mu.Unlock()
 	owners, err := n.store.Owners(ctx)
 	if !n.recordStoreCall(ctx, err) {
 		return
 	}
+	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.owners, l.ownersReadAt, l.ownersGeneration = owners, time.Now(), generation
+	l.replaceOwners(now, generation, owners)
+	l.ownersReadAt = now
+}
+
+// replaceOwners replaces the owners by those that were read, by this node or by a reader. The caller holds l.mu.
+func (l *leases) replaceOwners(now time.Time, generation int64, owners map[int]string) {
+	if !maps.Equal(owners, l.owners) {
+		l.ownersChangedAt = now
+	}
+	l.owners, l.ownersGeneration, l.ownersConfirmedAt = owners, generation, now
+}
+
+// ownersNotice returns what a reader tells the other nodes about the owners with its n-th digest: their generation, and now
+// and then, or after a change, the owners.
+func (l *leases) ownersNotice(now time.Time, n int) *peerlink.OwnersNotice {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	notice := &peerlink.OwnersNotice{Generation: l.ownersGeneration}
+	if n%ownersNoticeInterval == 0 || now.Sub(l.ownersChangedAt) < ownersNoticeRepeats {
+		notice.Owners = maps.Clone(l.owners)
+	}
+	return notice
+}
+
+// applyOwnersNotice applies what a reader says about the owners. Readers that are behind others are ignored until what this
+// node knows isn't confirmed any more.
+func (l *leases) applyOwnersNotice(now time.Time, notice peerlink.OwnersNotice) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	unconfirmed := now.Sub(l.ownersConfirmedAt) > ownersConfirmation
+	switch {
+	case len(notice.Owners) > 0 && (notice.Generation >= l.ownersGeneration || unconfirmed):
+		l.replaceOwners(now, notice.Generation, notice.Owners)
+	case notice.Generation == l.ownersGeneration:
+		l.ownersConfirmedAt = now
+	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -285,7 +285,9 @@
 	for n.forwarder.Taken() > 0 && time.Now().Before(deadline) {
 		delay.For(n.ctx, idleCloseInterval)
 	}
-	n.leaveGroup()
+	if n.leases.isMember() {
+		n.leaveGroup()
+	}
 	if err := callers.Close(); err != nil {
 		n.events.EmitError(event.ProcessFailed, err, nil)
 	}
--- a/internal/node/outbox.go
+++ b/internal/node/outbox.go
@@ -50,6 +50,7 @@
 
 func (o *outbox) send() {
 	for peer, message := range o.messages {
+		o.node.peers.noteSent(o.now, peer)
 		o.node.link.Send(*message, peer)
 	}
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -18,6 +18,12 @@
 	demandPeriod = 100 * time.Millisecond
 	// urgentBatchDelay delays urgent demand, so that requests that arrive together share a message.
 	urgentBatchDelay = 2 * time.Millisecond
+	// keepAlivePause is the time between two messages without content to a peer, for each such peer; the messages of a node to
+	// all peers are then spread at that pause. maximumKeepAlive allows three attempts within subscriberLifetime.
+	keepAlivePause   = 60 * time.Millisecond
+	maximumKeepAlive = time.Second
+	// keepAliveSlack keeps a message that is due a little later from waiting another usagePeriod.
+	keepAliveSlack = 100 * time.Millisecond
 	// subscriberLifetime is how long after its latest message a node counts as alive and gets publications.
 	subscriberLifetime = 3 * time.Second
 	// fullStatePeriod is how long a node requests full states after its start. Holders may still count its address as
@@ -32,6 +38,8 @@
 	mu sync.Mutex
 	// byAddress holds the peers that have sent a message.
 	byAddress map[string]peer
+	// sentAt holds when this node last sent usage, or a message without content, to a peer.
+	sentAt map[string]time.Time
 	// reportedNodes is the largest number of live nodes in recent messages of peers, as of reportedAt.
 	reportedNodes int
 	reportedAt    time.Time
@@ -42,7 +50,34 @@
 	zone     string
 }
 
-func newPeers() *peers { return &peers{byAddress: make(map[string]peer)} }
+func newPeers() *peers {
+	return &peers{byAddress: make(map[string]peer), sentAt: make(map[string]time.Time)}
+}
+
+// noteSent records a message to a peer that shows it that this node is alive.
+func (p *peers) noteSent(now time.Time, address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sentAt[address] = now
+}
+
+// keepAliveDue returns those of the given peers to which this node has sent nothing for so long that they need a message.
+func (p *peers) keepAliveDue(now time.Time, addresses map[string]bool) (due []string) {
+	period := min(max(time.Duration(len(addresses))*keepAlivePause, usagePeriod), maximumKeepAlive)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address := range p.sentAt {
+		if !addresses[address] {
+			delete(p.sentAt, address)
+		}
+	}
+	for address := range addresses {
+		if now.Sub(p.sentAt[address]) >= period-keepAliveSlack {
+			due = append(due, address)
+		}
+	}
+	return due
+}
 
 // recordSeen records a message of a peer with its availability zone and the number of nodes. It returns true when the
 // peer was not alive before.
@@ -187,16 +222,22 @@
 func (n *Node) sendUsageOnce(now time.Time) {
 	collected := n.usage.Collect(now)
 	out := n.newOutbox(now)
+	subscribed := make(map[string]bool)
 	for _, server := range n.view.Entries(now) {
 		if usage, used := collected[server.ID]; used {
 			out.addUsage(server.ID, usage)
-		} else if n.holders.get(server.ID) == nil {
-			// A message without usage still renews the subscription to the holder's publications.
-			out.messageTo(n.holderOf(now, server.ID))
+		}
+		if n.holders.get(server.ID) == nil {
+			subscribed[n.holderOf(now, server.ID)] = true
 		}
 	}
 	for _, reader := range n.leases.readers() {
-		out.messageTo(reader)
+		subscribed[reader] = true
+	}
+	delete(subscribed, "")
+	// A message without usage still renews the subscription to what holders and readers publish.
+	for _, peer := range n.peers.keepAliveDue(now, subscribed) {
+		out.messageTo(peer)
 	}
 	out.send()
 }
--- a/internal/node/publications.go
+++ b/internal/node/publications.go
@@ -17,6 +17,9 @@
 	// batchPeriod is the time during which the changes of all servers of a holder are collected into one message.
 	// Nodes whose requests wait for an adapter are notified of its arrival at once.
 	batchPeriod = 100 * time.Millisecond
+	// batchPeriodPerPeer lengthens it on large sites, up to maximumBatchPeriod: all nodes receive the messages of all holders.
+	batchPeriodPerPeer = 1250 * time.Microsecond
+	maximumBatchPeriod = 250 * time.Millisecond
 	// fullPeriod is the time between two publications that list all adapters.
 	fullPeriod = 3 * time.Second
 	// waitStep is the least change of an estimated wait that causes a publication.
@@ -161,10 +164,13 @@
 
 // publishStates sends the states of this node's servers to the other nodes until ctx ends.
 func (n *Node) publishStates(ctx context.Context) error {
+	period := batchPeriod
 	for ctx.Err() == nil {
-		delay.Until(ctx, batchPeriod, n.publishNow)
+		delay.Until(ctx, period, n.publishNow)
 		now := time.Now()
-		n.sendStates(now, n.holders.due(now), n.peers.alive(now)...)
+		peers := n.peers.alive(now)
+		n.sendStates(now, n.holders.due(now), peers...)
+		period = min(max(time.Duration(len(peers))*batchPeriodPerPeer, batchPeriod), maximumBatchPeriod)
 	}
 	return nil
 }
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -19,6 +19,9 @@
 	// digestEntryLimit bounds the entries in a digest, of some 200 B each. After larger changes the followers read the
 	// store themselves.
 	digestEntryLimit = 40
+	// digestEntriesAtOnce bounds the entries in the digests to all nodes, some 400 KB, so that they don't fill a link of
+	// 20 Mbit/s, which would delay or lose all digests.
+	digestEntriesAtOnce = 2000
 	// followerPollPeriod is the time between two checks by a follower for changes in the digests that it received.
 	followerPollPeriod = 100 * time.Millisecond
 )
@@ -203,7 +206,7 @@
 
 // sendDigests sends digests of this node's reads to the other nodes while it's a reader.
 func (n *Node) sendDigests(ctx context.Context) error {
-	for ctx.Err() == nil {
+	for sent := 0; ctx.Err() == nil; sent++ {
 		delay.Until(ctx, digestPeriod, n.watch.digestChanged)
 		n.operatorAge.Update(n.watch.operatorAge(time.Now()).Milliseconds())
 		if !n.leases.isReader() {
@@ -211,6 +214,7 @@
 		}
 		now := time.Now()
 		if message, fresh := n.digestMessage(now); fresh {
+			message.Owners = n.leases.ownersNotice(now, sent)
 			n.link.Send(message, n.peers.alive(now)...)
 		}
 	}
@@ -222,7 +226,7 @@
 	digest, fresh := n.watch.digest(now)
 	message.Digest = &digest
 	present, removed := n.view.ChangedSince(now.Add(-storewatch.ChangeRetention))
-	if len(present)+len(removed) <= digestEntryLimit {
+	if len(present)+len(removed) <= digestEntries(len(n.peers.alive(now))) {
 		message.Present, message.Removed = present, removed
 	}
 	if changes := n.watch.recentOperatorChanges(now); len(changes.Versions) > 0 {
@@ -231,11 +235,17 @@
 	return message, fresh
 }
 
+// digestEntries returns the largest number of entries in a digest to so many nodes.
+func digestEntries(nodes int) int { return min(digestEntryLimit, digestEntriesAtOnce/max(nodes, 1)) }
+
 // applyDigest applies a message with the digest of a reader.
 func (n *Node) applyDigest(now time.Time, message peerlink.Message) {
 	n.applyDigestServers(*message.Digest, serving.ServerBatch{Present: message.Present, Gone: message.Removed})
 	if message.Operator != nil {
 		n.applyDigestOperator(message.From, *message.Digest, *message.Operator)
 	}
+	if message.Owners != nil {
+		n.leases.applyOwnersNotice(now, *message.Owners)
+	}
 	n.watch.recordDigest(now, message.From, *message.Digest)
 }
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -90,6 +90,8 @@
 	Removed []string `json:"go,omitempty"`
 	// Operator holds the adapter versions that operators declared shortly before the digest.
 	Operator *storewatch.OperatorChanges `json:"op,omitempty"`
+	// Owners says which nodes hold the leases, as the sender, a reader, has read it.
+	Owners *OwnersNotice `json:"ow,omitempty"`
 	// AdmissionRequest requests admission of a prompt to a server whose lease the receiver holds.
 	AdmissionRequest *AdmissionRequest `json:"ask,omitempty"`
 	// Granted and Queued answer admission requests by their IDs.
@@ -118,6 +120,14 @@
 	Relayed        bool            `json:"rl,omitempty"`
 }
 
+// OwnersNotice tells which nodes hold the leases of the model servers.
+type OwnersNotice struct {
+	// Generation is that of the group for which the owners were read.
+	Generation int64 `json:"g"`
+	// Owners maps each partition to the peer address of its owner. It's left out while it's unchanged.
+	Owners map[int]string `json:"o,omitempty"`
+}
+
 // AdmissionRequest requests the admission of a prompt to a server.
 type AdmissionRequest struct {
 	ServerID string `json:"s"`
--- a/internal/serverlease/serverlease.go
+++ b/internal/serverlease/serverlease.go
@@ -139,6 +139,9 @@
 // HasPartition reports whether the store's latest answer assigned the partition to this node.
 func (c *Core) HasPartition(partition int) bool { return c.tenures[partition] != nil }
 
+// PartitionCount returns the number of partitions that the store's latest answer assigned to this node.
+func (c *Core) PartitionCount() int { return len(c.tenures) }
+
 // Partition returns the partition of a server.
 func (c *Core) Partition(serverID string) int {
 	return int(xxhash.Sum64String(serverID) % uint64(c.options.Partitions))
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -17,7 +17,7 @@
 const maximumGap = 2 * time.Second
 
 // minimumReadInterval is the minimum time between two reads of the servers' entries that are caused by digests.
-const minimumReadInterval = 150 * time.Millisecond
+const minimumReadInterval = 400 * time.Millisecond
 
 // fetchDelay is how long a node that is behind a reader waits for the store before it fetches the data from the reader.
 // The store answers within some 340 ms even when it is slow, and leaving servers have to be known within 2 s.
