node: A restarted member of the group joins at once, members read the owners themselves

Now a node that is listed as an owner, or doesn't know the number of nodes while an owner is missing, joins at once; only a group without members makes a node wait, up to 0.6 s.

--- a/internal/node/leases.go
+++ b/internal/node/leases.go
@@ -29,9 +29,9 @@
 	ownersConfirmation = 2 * time.Second
 	// ownersRetryPause is the least time between two reads of the owners by a node that isn't a reader.
 	ownersRetryPause = time.Second
-	// firstJoinSpread bounds the time from a node's start until it considers to join, so that the nodes of a large site that
-	// start together don't all find a group without members.
-	firstJoinSpread = time.Second
+	// firstJoinSpread bounds the time that a node which finds a group without members waits, so that the nodes of a large site
+	// that start together don't all join.
+	firstJoinSpread = 600 * time.Millisecond
 	// ownersNoticeInterval is the number of digests of a reader of which one carries the owners, ownersNoticeRepeats how long
 	// after a change each does.
 	ownersNoticeInterval = 10
@@ -164,34 +164,40 @@
 	return false
 }
 
-// ownersDue reports whether this node has to read the owners: a reader after each change of the group, as a new holder
+// ownersDue reports whether this node has to read the owners: a member after each change of the group, as a new holder
 // publishes only to nodes from which it has received messages; another node if no reader confirms what it knows.
 func (l *leases) ownersDue(now time.Time) bool {
-	reader := l.isReader()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if reader {
+	if l.candidacy.Member() {
 		return l.ownersGeneration != l.generation || now.Sub(l.ownersReadAt) > ownersLifetime
 	}
 	return now.Sub(l.ownersConfirmedAt) > ownersConfirmation && now.Sub(l.ownersReadAt) > ownersRetryPause
 }
 
-// group returns what this node knows of the group, and whether that is recent enough to rely on.
-func (l *leases) group(now time.Time, nodes int) (group serverlease.Group, current bool) {
+// group returns what the node with the address self on a site of so many nodes knows of the group, and whether that is recent
+// enough to rely on.
+func (l *leases) group(now time.Time, self string, nodes int) (group serverlease.Group, current bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	members := make(map[string]bool)
 	for _, owner := range l.owners {
 		members[owner] = true
 	}
-	group = serverlease.Group{Owners: len(members), Complete: len(l.owners) >= l.partitions, Nodes: nodes}
+	group = serverlease.Group{
+		Owners: len(members), Complete: len(l.owners) >= l.partitions, Listed: members[self], Nodes: nodes,
+	}
 	return group, now.Sub(l.ownersConfirmedAt) <= ownersConfirmation
 }
 
 // renewLeases considers whether to join the group and, as a member, joins it periodically until ctx ends, which renews the
 // leases.
 func (n *Node) renewLeases(ctx context.Context) error {
-	delay.For(ctx, time.Duration(rand.Float64()*float64(firstJoinSpread)))
+	n.readOwners(ctx)
+	if group, current := n.group(); current && group.Owners == 0 {
+		delay.For(ctx, time.Duration(rand.Float64()*float64(firstJoinSpread)))
+		n.readOwners(ctx)
+	}
 	for ctx.Err() == nil {
 		if !n.takesPart(ctx) {
 			pause(ctx, joinPeriod)
@@ -207,6 +213,11 @@
 	return nil
 }
 
+// group returns what this node knows of the group, and whether that is recent enough to rely on.
+func (n *Node) group() (group serverlease.Group, current bool) {
+	return n.leases.group(time.Now(), n.link.Address(), n.peers.observed())
+}
+
 // takesPart reports whether this node is a member of the group, or becomes one now.
 func (n *Node) takesPart(ctx context.Context) bool {
 	l := n.leases
@@ -216,7 +227,7 @@
 	if l.ownersDue(time.Now()) {
 		n.readOwners(ctx)
 	}
-	group, current := l.group(time.Now(), n.peers.count())
+	group, current := n.group()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if current {
@@ -255,7 +266,7 @@
 // leaveIfSurplus leaves the group if it has enough members without this node, and reports that.
 func (n *Node) leaveIfSurplus(ctx context.Context) (left bool) {
 	l := n.leases
-	group, current := l.group(time.Now(), n.peers.count())
+	group, current := n.group()
 	l.mu.Lock()
 	surplus := l.candidacy.Joined(bootTime(), l.core.PartitionCount(), group) && current
 	l.mu.Unlock()
--- /dev/null
+++ b/internal/node/leases_test.go
@@ -0,0 +1,79 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"waxwingcleat.example/waxwingcleat/internal/peerlink"
+	"waxwingcleat.example/waxwingcleat/internal/serverlease"
+)
+
+func testLeases() *leases { return newLeases(serverlease.Options{Partitions: 2, TTL: leaseTTL}) }
+
+// Guards against owners that a reader which is behind brings back, and against owners that nobody confirms any more.
+func TestOwnersFollowTheReadersThatAreAhead(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l, now := testLeases(), time.Now()
+	l.applyOwnersNotice(now, peerlink.OwnersNotice{Generation: 5, Owners: map[int]string{0: "a", 1: "b"}})
+	l.applyOwnersNotice(now, peerlink.OwnersNotice{Generation: 4, Owners: map[int]string{0: "old", 1: "old"}})
+	g.Expect(l.copyOwners()).To(gomega.Equal(map[int]string{0: "a", 1: "b"}))
+	l.applyOwnersNotice(now.Add(time.Second), peerlink.OwnersNotice{Generation: 5})
+	_, current := l.group(now.Add(2500*time.Millisecond), "a", 9)
+	g.Expect(current).To(gomega.BeTrue(), "a notice without owners confirms them")
+	l.applyOwnersNotice(now.Add(3*time.Second), peerlink.OwnersNotice{Generation: 6})
+	_, current = l.group(now.Add(3500*time.Millisecond), "a", 9)
+	g.Expect(current).To(gomega.BeFalse())
+	g.Expect(l.ownersDue(now.Add(3500 * time.Millisecond))).To(gomega.BeTrue())
+	// The store may come back from a copy with an older generation.
+	l.applyOwnersNotice(now.Add(4*time.Second), peerlink.OwnersNotice{Generation: 3, Owners: map[int]string{0: "c"}})
+	g.Expect(l.copyOwners()).To(gomega.Equal(map[int]string{0: "c"}))
+}
+
+// Guards against a restarted holder that doesn't join because all partitions, its own included, have owners.
+func TestNodeFindsItselfAmongTheOwners(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l, now := testLeases(), time.Now()
+	l.applyOwnersNotice(now, peerlink.OwnersNotice{Generation: 5, Owners: map[int]string{0: "a", 1: "b"}})
+	group, _ := l.group(now, "a", 9)
+	g.Expect(group).To(gomega.Equal(serverlease.Group{Owners: 2, Complete: true, Listed: true, Nodes: 9}))
+	group, _ = l.group(now, "c", 9)
+	g.Expect(group.Listed).To(gomega.BeFalse())
+}
+
+// Guards against nodes that lose a change of the owners because only the first digest after it carries them.
+func TestReadersRepeatOwnersAfterAChange(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l, now := testLeases(), time.Now()
+	l.replaceOwners(now, 5, map[int]string{0: "a"})
+	g.Expect(l.ownersNotice(now.Add(time.Second), 3).Owners).NotTo(gomega.BeEmpty())
+	g.Expect(l.ownersNotice(now.Add(2*time.Second), 3)).To(gomega.Equal(&peerlink.OwnersNotice{Generation: 5}))
+	g.Expect(l.ownersNotice(now.Add(2*time.Second), 2*ownersNoticeInterval).Owners).NotTo(gomega.BeEmpty())
+}
+
+// Guards against peers that forget this node because messages without content are spread too far, and against one to each of
+// many peers twice a second.
+func TestMessagesWithoutContentAreSpreadOnLargeSites(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, c := range []struct{ peers, most int }{{peers: 8, most: 8 * 11}, {peers: 19, most: 19 * 6}} {
+		p, now := newPeers(), time.Now()
+		addresses := make(map[string]bool)
+		for n := range c.peers {
+			addresses[string(rune('a'+n))] = true
+		}
+		sent, lastSent := 0, make(map[string]time.Time)
+		for tick := range 11 {
+			at := now.Add(time.Duration(tick) * usagePeriod)
+			for _, address := range p.keepAliveDue(at, addresses) {
+				p.noteSent(at, address)
+				lastSent[address] = at
+				sent++
+			}
+			for address := range addresses {
+				g.Expect(at.Sub(lastSent[address])).To(gomega.BeNumerically("<=", subscriberLifetime/3))
+			}
+		}
+		g.Expect(sent).To(gomega.BeNumerically("<=", c.most))
+	}
+}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -72,7 +72,7 @@
 		}
 	}
 	for address := range addresses {
-		if now.Sub(p.sentAt[address]) >= period-keepAliveSlack {
+		if period <= usagePeriod || now.Sub(p.sentAt[address]) >= period-keepAliveSlack {
 			due = append(due, address)
 		}
 	}
@@ -135,11 +135,23 @@
 func (p *peers) count() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	known := max(p.reportedNodes, len(p.byAddress)+1)
-	if known <= 1 {
-		return assumedNodes
+	if known := p.known(); known > 1 {
+		return known
 	}
-	return known
+	return assumedNodes
+}
+
+// known returns the number of nodes that this node has heard of, including itself. The caller holds p.mu.
+func (p *peers) known() int { return max(p.reportedNodes, len(p.byAddress)+1) }
+
+// observed returns the number of nodes of the site; 0 until the first peer is known.
+func (p *peers) observed() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if known := p.known(); known > 1 {
+		return known
+	}
+	return 0
 }
 
 // handleMessage processes a message of a peer.
--- a/internal/serverlease/candidacy.go
+++ b/internal/serverlease/candidacy.go
@@ -26,12 +26,19 @@
 	Owners int
 	// Complete is true if each partition has an owner.
 	Complete bool
-	// Nodes is the number of nodes of the site, including those that aren't members.
+	// Listed is true if this node is one of the owners, as it is after a restart.
+	Listed bool
+	// Nodes is the number of nodes of the site, including those that aren't members; 0 while it's unknown.
 	Nodes int
 }
 
 // missing returns how many further nodes should hold partitions.
-func (g Group) missing(partitions int) int { return min(partitions, g.Nodes) - g.Owners }
+func (g Group) missing(partitions int) int {
+	if g.Nodes > 0 {
+		partitions = min(partitions, g.Nodes)
+	}
+	return partitions - g.Owners
+}
 
 // Member reports whether this node takes part.
 func (c *Candidacy) Member() bool { return c.member }
@@ -39,9 +46,9 @@
 // Consider makes this node a member if the group needs it. Each node that isn't a member decides by itself, so it joins with
 // the probability that makes as many join as are missing. random is uniform from 0 to 1.
 func (c *Candidacy) Consider(group Group, random float64) {
-	missing := group.missing(c.partitions)
 	others := max(group.Nodes-group.Owners, 1)
-	c.member = c.member || !group.Complete || random*float64(others) < float64(missing)
+	chosen := random*float64(others) < float64(group.missing(c.partitions))
+	c.member = c.member || !group.Complete || group.Listed || chosen
 	c.idleSince = -1
 }
 
--- a/internal/serverlease/candidacy_test.go
+++ b/internal/serverlease/candidacy_test.go
@@ -40,6 +40,19 @@
 	}
 }
 
+// Guards against a partition that waits for the end of its lease although its owner has only been restarted, and against a
+// restarted node that stays away because it doesn't know yet how many others there are.
+func TestRestartedNodeJoinsAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, group := range []serverlease.Group{
+		{Owners: 16, Complete: true, Listed: true, Nodes: 195}, {Owners: 15, Complete: true, Nodes: 0},
+	} {
+		c := serverlease.NewCandidacy(16)
+		c.Consider(group, 0.999)
+		g.Expect(c.Member()).To(gomega.BeTrue(), "%+v", group)
+	}
+}
+
 // Guards against members that leave although they are needed, and against members without partitions that join forever.
 func TestOnlyMembersThatAreNotNeededLeave(t *testing.T) {
 	g := gomega.NewWithT(t)
