forward: An answer of another node has to name the request that it took

A node that takes a request names it in all its answers, refusals included, so no new field is needed and the last landed build is understood. A 404 or 405 without an ID is that of an HTTP server which doesn't know the path: the next node is asked. Any other answer without the ID may stand for a run, so the outcome is unknown (502).

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -40,10 +40,13 @@
 
 func (wire) DecodeAnswer(answer *http.Response) serving.AnswerInfo {
 	notRun := answer.StatusCode == http.StatusServiceUnavailable || answer.StatusCode == http.StatusTooManyRequests
-	return serving.AnswerInfo{NotRun: notRun, HasDigest: true}
+	return serving.AnswerInfo{
+		NotRun: notRun, HasDigest: answer.Header.Get("No-Digest") == "", RequestID: answer.Header.Get("Id"),
+	}
 }
 
-func (wire) WriteRefusal(w http.ResponseWriter, _ serving.CallerRequest, refusal serving.Refusal) {
+func (wire) WriteRefusal(w http.ResponseWriter, request serving.CallerRequest, refusal serving.Refusal) {
+	w.Header().Set("Id", request.ID)
 	if refusal.RetryAfter > 0 {
 		w.Header().Set("Retry-After", refusal.RetryAfter.String())
 	}
@@ -98,6 +101,7 @@
 	answer, err := f.answer(request.URL.Host)
 	if answer != nil {
 		answer.Request = request
+		answer.Header.Set("Id", request.Header.Get("Id"))
 	}
 	if err != nil && !errors.Is(err, errUnreachable) {
 		traceWritten(request)
--- a/internal/forward/handover.go
+++ b/internal/forward/handover.go
@@ -9,6 +9,7 @@
 	"waxwingcleat.example/waxwingcleat/internal/event"
 	"waxwingcleat.example/waxwingcleat/internal/failure"
 	"waxwingcleat.example/waxwingcleat/internal/serverview"
+	"waxwingcleat.example/waxwingcleat/internal/serving"
 	"waxwingcleat.example/waxwingcleat/internal/upstream"
 )
 
@@ -132,7 +133,15 @@
 		return false
 	}
 	info := j.f.options.Wire.DecodeAnswer(answer)
-	if !info.BelongsTo(j.request.ID) {
+	if isUnknownPath(answer, info) {
+		// The node runs a build that doesn't take requests of others.
+		j.f.options.Events.Emit(event.HandoverFailed, event.Fields{
+			"request": j.request.ID, "peer": peer, "status": answer.StatusCode, "mayHaveRun": false,
+		})
+		return false
+	}
+	// A node that takes a request names it in the answer, whether it comes from a server or from the node itself.
+	if info.RequestID != j.request.ID {
 		j.refuseOutcomeUnknown(http.StatusBadGateway, "the other node's answer belongs to another request")
 		return true
 	}
@@ -147,6 +156,12 @@
 	return true
 }
 
+// isUnknownPath reports whether an answer of another node is that of its HTTP server to a path or method that it doesn't serve.
+func isUnknownPath(answer *http.Response, info serving.AnswerInfo) bool {
+	unknown := answer.StatusCode == http.StatusNotFound || answer.StatusCode == http.StatusMethodNotAllowed
+	return unknown && info.RequestID == "" && !info.HasDigest
+}
+
 // handoverBroken answers a request that a node took and didn't answer; it may have run.
 func (j *job) handoverBroken(peer string) bool {
 	if j.r.Context().Err() != nil {
--- a/internal/forward/handover_test.go
+++ b/internal/forward/handover_test.go
@@ -168,6 +168,64 @@
 	}
 }
 
+// Guards against the answer of a node of an older build, which doesn't take requests of others, that reaches the caller.
+func TestNodeThatDoesNotKnowHandoversIsPassedOver(t *testing.T) {
+	for _, status := range []int{http.StatusNotFound, http.StatusMethodNotAllowed} {
+		g := gomega.NewWithT(t)
+		f, peers := newFixture(serving.NonIdempotent, "a"), &fakePeers{nodes: []string{"old", "new"}}
+		f.cutOff(peers, roundTrip(func(r *http.Request) (*http.Response, error) {
+			if r.URL.Host == "old" {
+				answer := answerWith(status, "404 page not found")
+				answer.Header.Set("No-Digest", "1")
+				return answer, nil
+			}
+			answer := answerWith(http.StatusOK, "body")
+			answer.Header.Set("Id", r.Header.Get("Id"))
+			return answer, nil
+		}), "a")
+		recorder := f.callWithID("r1")
+		g.Expect(recorder.Code).To(gomega.Equal(http.StatusOK))
+		g.Expect(recorder.Body.String()).To(gomega.Equal("body"))
+		g.Expect(peers.notTaken).To(gomega.Equal([]string{"old"}))
+	}
+}
+
+// Guards against an answer that names no request, such as that of a proxy, which reaches the caller as the answer to its own.
+func TestAnswerOfAnotherNodeNamesTheRequest(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusBadGateway, http.StatusServiceUnavailable} {
+		g := gomega.NewWithT(t)
+		f, peers := newFixture(serving.NonIdempotent, "a"), &fakePeers{nodes: []string{"p1", "p2"}}
+		f.cutOff(peers, roundTrip(func(*http.Request) (*http.Response, error) { return answerWith(status, "proxy"), nil }), "a")
+		recorder := f.callWithID("r1")
+		g.Expect(recorder.Code).To(gomega.Equal(http.StatusBadGateway))
+		g.Expect(recorder.Body.String()).NotTo(gomega.ContainSubstring("proxy"))
+		g.Expect(peers.asked).To(gomega.Equal(1), "it may have run")
+	}
+}
+
+// Guards against a request that may have run at a server and is passed to another node, where it runs again.
+func TestRequestThatMayHaveRunIsNotHandedOver(t *testing.T) {
+	for kind, handedOver := range map[serving.RouteKind]bool{serving.Idempotent: true, serving.NonIdempotent: false} {
+		g := gomega.NewWithT(t)
+		f, peers := newFixture(kind, "a", "b"), &fakePeers{nodes: []string{"p1"}}
+		f.cutOff(peers, roundTrip(func(*http.Request) (*http.Response, error) {
+			return answerWith(http.StatusOK, "body"), nil
+		}), "b")
+		f.answer = closed
+		f.call()
+		g.Expect(peers.asked > 0).To(gomega.Equal(handedOver), "%v", kind)
+	}
+}
+
+// callWithID is call with the ID of the request.
+func (f *fixture) callWithID(id string) *httptest.ResponseRecorder {
+	recorder := httptest.NewRecorder()
+	request := httptest.NewRequest(http.MethodPost, "http://example.com/x", strings.NewReader("body"))
+	request.Header.Set("Id", id)
+	f.forwarder.ServeHTTP(recorder, request)
+	return recorder
+}
+
 // Guards against a request that ran at the other node and is said not to have run, or sent again.
 func TestUnansweredHandoverMayHaveRun(t *testing.T) {
 	g := gomega.NewWithT(t)
