--- a/internal/node/leases.go
+++ b/internal/node/leases.go
@@ -23,11 +23,11 @@
 	minimumJoinPause = 20 * time.Millisecond
 	// turnInterval is the platform's bound on the time between orders of two holders that take turns.
 	turnInterval = 3 * time.Second
-	// ownersLifetime is the age at which a reader reads the owners again even if the group hasn't changed.
+	// ownersLifetime is the age at which a member reads the owners again even if the group hasn't changed.
 	ownersLifetime = 15 * time.Second
 	// ownersConfirmation is how long a node relies on the owners that it knows after a reader has confirmed them.
 	ownersConfirmation = 2 * time.Second
-	// ownersRetryPause is the least time between two reads of the owners by a node that isn't a reader.
+	// ownersRetryPause is the least time between two reads of the owners by a node that isn't a member.
 	ownersRetryPause = time.Second
 	// firstJoinSpread bounds the time that a node which finds a group without members waits, so that the nodes of a large site
 	// that start together don't all join.
--- a/internal/peerlink/counts.go
+++ b/internal/peerlink/counts.go
@@ -1,8 +1,6 @@
 package peerlink
 
-import (
-	"github.com/rcrowley/go-metrics"
-)
+import "github.com/rcrowley/go-metrics"
 
 // Kinds of messages in the metrics. A message with several contents counts as the first of them that it has.
 const (
