--- a/internal/node/leases_test.go
+++ b/internal/node/leases_test.go
@@ -77,3 +77,16 @@
 		g.Expect(sent).To(gomega.BeNumerically("<=", c.most))
 	}
 }
+
+// Guards against messages of holders and readers that grow with the nodes until they fill the links of small VMs, and against
+// sites of a few nodes that pay for the large ones.
+func TestMessagesToAllNodesArePacedByTheirNumber(t *testing.T) {
+	g := gomega.NewWithT(t)
+	g.Expect(batchPeriodFor(8)).To(gomega.Equal(batchPeriod))
+	g.Expect(digestEntries(8)).To(gomega.Equal(digestEntryLimit))
+	const holders, nodes = 16, 390
+	const linkBytesPerSecond, entryBytes = 20e6 / 8, 200
+	g.Expect(holders / batchPeriodFor(nodes).Seconds()).To(gomega.BeNumerically("<=", 64))
+	digestBytes := float64(digestEntries(nodes) * nodes * entryBytes)
+	g.Expect(digestBytes / digestPeriod.Seconds()).To(gomega.BeNumerically("<=", linkBytesPerSecond))
+}
--- a/internal/node/publications.go
+++ b/internal/node/publications.go
@@ -162,6 +162,11 @@
 	return states
 }
 
+// batchPeriodFor returns the batch period of a holder that publishes to so many nodes.
+func batchPeriodFor(peers int) time.Duration {
+	return min(max(time.Duration(peers)*batchPeriodPerPeer, batchPeriod), maximumBatchPeriod)
+}
+
 // publishStates sends the states of this node's servers to the other nodes until ctx ends.
 func (n *Node) publishStates(ctx context.Context) error {
 	period := batchPeriod
@@ -170,7 +175,7 @@
 		now := time.Now()
 		peers := n.peers.alive(now)
 		n.sendStates(now, n.holders.due(now), peers...)
-		period = min(max(time.Duration(len(peers))*batchPeriodPerPeer, batchPeriod), maximumBatchPeriod)
+		period = batchPeriodFor(len(peers))
 	}
 	return nil
 }
--- a/internal/peerlink/peerlink_test.go
+++ b/internal/peerlink/peerlink_test.go
@@ -1,13 +1,16 @@
 package peerlink_test
 
 import (
+	"context"
 	"encoding/json"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
 	"pgregory.net/rapid"
 
+	"waxwingcleat.example/waxwingcleat/internal/event"
 	"waxwingcleat.example/waxwingcleat/internal/peerlink"
 	"waxwingcleat.example/waxwingcleat/internal/serverview"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
@@ -55,3 +58,34 @@
 		g.Expect(received.Arrived[0].AdapterVersion()).To(gomega.Equal(serving.AdapterVersion{Adapter: sent.Hot, Version: 3}))
 	})
 }
+
+// Guards against messages that are counted as another kind, or not at all, so that the cost of a large site can't be explained.
+func TestMessagesAreCountedByKind(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ctx, stop := context.WithCancel(t.Context())
+	a, err := peerlink.Listen("127.0.0.1:0", "z", event.Discard())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	received := make(chan peerlink.Message, 1)
+	ended := make(chan error, 1)
+	// No other test binds ports of this address.
+	b, err := peerlink.Listen("127.0.2.7:20191", "z", event.Discard())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	go func() { ended <- b.Run(ctx, func(_ time.Time, m peerlink.Message) { received <- m }) }()
+	count := func(name string) int64 { return metrics.GetOrRegisterCounter("peerlink."+name, nil).Count() }
+	for kind, message := range map[string]peerlink.Message{
+		"keepalive": {Nodes: 3}, "ends": {BlockedParts: []peerlink.BlockedPart{{}}}, "usage": {Usage: []peerlink.ServerUsage{{}}},
+		"admission": {Granted: []uint64{1}}, "origins": {OriginQuery: &peerlink.OriginQuery{}},
+		"unreachable": {UnreachableServers: []string{"s"}}, "limits": {LimitRequest: &peerlink.LimitRequest{}},
+		"arrivals": {Arrived: []peerlink.Arrival{{}}},
+	} {
+		sent, got, bytes := count("sent."+kind), count("received."+kind), count("sentBytes")
+		a.Send(message, b.Address(), b.Address())
+		<-received
+		<-received
+		g.Expect(count("sent."+kind)-sent).To(gomega.BeEquivalentTo(2), kind)
+		g.Expect(count("received."+kind)-got).To(gomega.BeEquivalentTo(2), kind)
+		g.Expect(count("sentBytes") - bytes).To(gomega.BeNumerically(">", 2*10))
+	}
+	stop()
+	g.Expect(<-ended).NotTo(gomega.HaveOccurred())
+}
