node: Nodes of a site that starts join the group at once

Cause, from the nodes' logs: a node that found a group without members paused for up to 0.6 s before it joined, so that partitions were still dealt anew while it took requests, and it knew no holder of the server with room. The pause gained little: nearly all of 195 nodes joined all the same.

--- a/internal/node/leases.go
+++ b/internal/node/leases.go
@@ -29,9 +29,6 @@
 	ownersConfirmation = 2 * time.Second
 	// ownersRetryPause is the least time between two reads of the owners by a node that isn't a member.
 	ownersRetryPause = time.Second
-	// firstJoinSpread bounds the time that a node which finds a group without members waits, so that the nodes of a large site
-	// that start together don't all join.
-	firstJoinSpread = 600 * time.Millisecond
 	// ownersNoticeInterval is the number of digests of a reader of which one carries the owners, ownersNoticeRepeats how long
 	// after a change each does.
 	ownersNoticeInterval = 10
@@ -193,11 +190,6 @@
 // renewLeases considers whether to join the group and, as a member, joins it periodically until ctx ends, which renews the
 // leases.
 func (n *Node) renewLeases(ctx context.Context) error {
-	n.readOwners(ctx)
-	if group, current := n.group(); current && group.Owners == 0 {
-		delay.For(ctx, time.Duration(rand.Float64()*float64(firstJoinSpread)))
-		n.readOwners(ctx)
-	}
 	for ctx.Err() == nil {
 		if !n.takesPart(ctx) {
 			pause(ctx, joinPeriod)
