node, forward, crashguard, serverview, peerlink: One copy of what the last changes wrote twice

- forward: a node that doesn't take a request and one that doesn't know the path share one branch; the headers between nodes are removed in one function, and no longer once more where they can't be set.
- crashguard: the times that differ between parts and requests are one value in place of three functions with the same condition.
- serverview: lost servers are found in one loop in place of three.
- node: count and observed share the number of nodes; the size of a digest uses the count of live nodes in place of a second list of them; entries wake the confirmation of ends only while connections wait for it.
- peerlink: counters are looked up once, not by name for each datagram.

--- a/internal/crashguard/blocks.go
+++ b/internal/crashguard/blocks.go
@@ -119,7 +119,7 @@
 			g.end(id, p, ReasonUnused)
 			continue
 		}
-		p.block.LapsesAt = now.Add(unusedLifetimeOf(id))
+		p.block.LapsesAt = now.Add(lifetimesOf(id).unused)
 		g.watch(id, p.block.LapsesAt)
 		if p.mayTry(now, id, rank(id)) {
 			p.beginTrial(now, id)
--- a/internal/crashguard/ends.go
+++ b/internal/crashguard/ends.go
@@ -197,8 +197,8 @@
 		return
 	}
 	g.begin(w.key, w.part, true, Block{
-		Part: w.key, At: now, FirstEndAt: w.part.firstEndAt(), TrialAt: now.Add(firstTrialAfterOf(w.key)),
-		LapsesAt: now.Add(unusedLifetimeOf(w.key)), Ends: latest(w.part.seenAt),
+		Part: w.key, At: now, FirstEndAt: w.part.firstEndAt(), TrialAt: now.Add(lifetimesOf(w.key).firstTrialAfter),
+		LapsesAt: now.Add(lifetimesOf(w.key).unused), Ends: latest(w.part.seenAt),
 	})
 }
 
@@ -264,13 +264,13 @@
 
 // countEnd counts the end of a server for a part. begunAt is when the latest attempt with it began there.
 func (g *Guard) countEnd(now time.Time, id string, p *part, report *Report, begunAt time.Time) {
-	if len(p.ends) > 0 && report.EndedAt.Sub(p.lastEndAt) > suspicionLifetimeOf(id) && !p.blocked {
+	if len(p.ends) > 0 && report.EndedAt.Sub(p.lastEndAt) > lifetimesOf(id).suspicion && !p.blocked {
 		p.ends, p.seenAt = nil, nil
 	}
 	if slices.ContainsFunc(p.ends, isOf(report.Server)) || report.EndedAt.Before(g.provenAt(id, p)) {
 		return
 	}
-	g.watch(id, report.EndedAt.Add(suspicionLifetimeOf(id)))
+	g.watch(id, report.EndedAt.Add(lifetimesOf(id).suspicion))
 	end := serverEnd{server: report.Server, at: report.EndedAt, begunAt: begunAt}
 	if !slices.ContainsFunc(p.seenAt, isOf(report.Server)) && len(p.seenAt) < maximumEnds {
 		p.seenAt = append(p.seenAt, end)
--- a/internal/crashguard/requests.go
+++ b/internal/crashguard/requests.go
@@ -81,28 +81,28 @@
 	}
 }
 
-// suspicionLifetimeOf returns how long ends count under a key without another one.
-func suspicionLifetimeOf(key string) time.Duration {
-	if IsRequest(key) {
-		return requestSuspicionLifetime
-	}
-	return suspicionLifetime
+// lifetimes are the times that differ between parts and requests.
+type lifetimes struct {
+	// suspicion is how long ends count without another one, unused how long a block lasts after its latest use.
+	suspicion, unused time.Duration
+	// firstTrialAfter is the time from the block until its first trial.
+	firstTrialAfter time.Duration
 }
 
-// unusedLifetimeOf returns how long a block of a key lasts after its latest use.
-func unusedLifetimeOf(key string) time.Duration {
-	if IsRequest(key) {
-		return unusedRequestLifetime
+var (
+	partLifetimes = lifetimes{suspicion: suspicionLifetime, unused: unusedLifetime, firstTrialAfter: firstTrialAfter}
+
+	requestLifetimes = lifetimes{
+		suspicion: requestSuspicionLifetime, unused: unusedRequestLifetime, firstTrialAfter: firstRequestTrialAfter,
 	}
-	return unusedLifetime
-}
+)
 
-// firstTrialAfterOf returns the time from the block of a key until its first trial.
-func firstTrialAfterOf(key string) time.Duration {
+// lifetimesOf returns the times that hold for a key.
+func lifetimesOf(key string) lifetimes {
 	if IsRequest(key) {
-		return firstRequestTrialAfter
+		return requestLifetimes
 	}
-	return firstTrialAfter
+	return partLifetimes
 }
 
 // beginTrial notes that a request is let through. Trials of a single request count when they begin, so that their number
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -186,8 +186,7 @@
 	if f.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	r.Header.Del(headerPeerCaller)
-	r.Header.Del(headerPeerRemaining)
+	removePeerHeaders(r.Header)
 	f.newJob(w, r).handle()
 }
 
--- a/internal/forward/handover.go
+++ b/internal/forward/handover.go
@@ -63,11 +63,16 @@
 	if remaining, err := strconv.ParseInt(r.Header.Get(headerPeerRemaining), 10, 64); err == nil {
 		j.peerRemaining = time.Duration(max(remaining, 1)) * time.Millisecond
 	}
-	r.Header.Del(headerPeerCaller)
-	r.Header.Del(headerPeerRemaining)
+	removePeerHeaders(r.Header)
 	j.handle()
 }
 
+// removePeerHeaders removes the headers between nodes, which callers can't set and servers don't get.
+func removePeerHeaders(header http.Header) {
+	header.Del(headerPeerCaller)
+	header.Del(headerPeerRemaining)
+}
+
 // Taken returns the number of requests of other nodes in progress.
 func (f *Forwarder) Taken() int64 { return f.taken.Load() }
 
@@ -110,7 +115,6 @@
 func (j *job) handOverTo(peer string) (done bool) {
 	header := j.f.options.Wire.PeerHeader(j.r.Header)
 	header.Set(headerPeerCaller, j.caller)
-	header.Del(headerPeerRemaining)
 	if remaining := j.remaining(); remaining > 0 {
 		header.Set(headerPeerRemaining, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
 	}
@@ -126,15 +130,9 @@
 		return j.handoverBroken(peer)
 	}
 	defer answer.Body.Close()
-	if answer.Header.Get(headerNotTaken) != "" {
-		j.f.options.Events.Emit(event.HandoverFailed, event.Fields{
-			"request": j.request.ID, "peer": peer, "status": answer.StatusCode, "mayHaveRun": false,
-		})
-		return false
-	}
 	info := j.f.options.Wire.DecodeAnswer(answer)
-	if isUnknownPath(answer, info) {
-		// The node runs a build that doesn't take requests of others.
+	// A node of a build that doesn't take requests of others answers that it doesn't know the path.
+	if answer.Header.Get(headerNotTaken) != "" || isUnknownPath(answer, info) {
 		j.f.options.Events.Emit(event.HandoverFailed, event.Fields{
 			"request": j.request.ID, "peer": peer, "status": answer.StatusCode, "mayHaveRun": false,
 		})
--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -144,7 +144,9 @@
 	c.update(func(now time.Time) {
 		c.guard.Registered(now, crashguard.Incarnation{ServerID: server.ID, Born: server.Born}, server.Address)
 	})
-	notify(c.wake)
+	if c.pending.Load() {
+		notify(c.wake)
+	}
 }
 
 // WatchesRequests implements forward.CrashGuard.
--- a/internal/node/leases.go
+++ b/internal/node/leases.go
@@ -316,13 +316,13 @@
 	l.owners, l.ownersGeneration, l.ownersConfirmedAt = owners, generation, now
 }
 
-// ownersNotice returns what a reader tells the other nodes about the owners with its n-th digest: their generation, and now
-// and then, or after a change, the owners.
-func (l *leases) ownersNotice(now time.Time, n int) *peerlink.OwnersNotice {
+// ownersNotice returns what a reader tells the other nodes about the owners in a round of digests: their generation,
+// and now and then, or after a change, the owners.
+func (l *leases) ownersNotice(now time.Time, round int) *peerlink.OwnersNotice {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	notice := &peerlink.OwnersNotice{Generation: l.ownersGeneration}
-	if n%ownersNoticeInterval == 0 || now.Sub(l.ownersChangedAt) < ownersNoticeRepeats {
+	if round%ownersNoticeInterval == 0 || now.Sub(l.ownersChangedAt) < ownersNoticeRepeats {
 		notice.Owners = maps.Clone(l.owners)
 	}
 	return notice
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -72,6 +72,7 @@
 		}
 	}
 	for address := range addresses {
+		// With few peers each regular round reaches all of them, also those that have just got urgent usage.
 		if period <= usagePeriod || now.Sub(p.sentAt[address]) >= period-keepAliveSlack {
 			due = append(due, address)
 		}
@@ -133,22 +134,17 @@
 
 // count returns the number of nodes that share the bounds of a site, such as the retry budget.
 func (p *peers) count() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if known := p.known(); known > 1 {
-		return known
+	if observed := p.observed(); observed > 0 {
+		return observed
 	}
 	return assumedNodes
 }
 
-// known returns the number of nodes that this node has heard of, including itself. The caller holds p.mu.
-func (p *peers) known() int { return max(p.reportedNodes, len(p.byAddress)+1) }
-
 // observed returns the number of nodes of the site; 0 until the first peer is known.
 func (p *peers) observed() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if known := p.known(); known > 1 {
+	if known := max(p.reportedNodes, len(p.byAddress)+1); known > 1 {
 		return known
 	}
 	return 0
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -206,7 +206,7 @@
 
 // sendDigests sends digests of this node's reads to the other nodes while it's a reader.
 func (n *Node) sendDigests(ctx context.Context) error {
-	for sent := 0; ctx.Err() == nil; sent++ {
+	for round := 0; ctx.Err() == nil; round++ {
 		delay.Until(ctx, digestPeriod, n.watch.digestChanged)
 		n.operatorAge.Update(n.watch.operatorAge(time.Now()).Milliseconds())
 		if !n.leases.isReader() {
@@ -214,7 +214,7 @@
 		}
 		now := time.Now()
 		if message, fresh := n.digestMessage(now); fresh {
-			message.Owners = n.leases.ownersNotice(now, sent)
+			message.Owners = n.leases.ownersNotice(now, round)
 			n.link.Send(message, n.peers.alive(now)...)
 		}
 	}
@@ -226,7 +226,7 @@
 	digest, fresh := n.watch.digest(now)
 	message.Digest = &digest
 	present, removed := n.view.ChangedSince(now.Add(-storewatch.ChangeRetention))
-	if len(present)+len(removed) <= digestEntries(len(n.peers.alive(now))) {
+	if len(present)+len(removed) <= digestEntries(n.peers.aliveNodes(now)-1) {
 		message.Present, message.Removed = present, removed
 	}
 	if changes := n.watch.recentOperatorChanges(now); len(changes.Versions) > 0 {
--- a/internal/peerlink/counts.go
+++ b/internal/peerlink/counts.go
@@ -41,9 +41,28 @@
 	return kindKeepAlive
 }
 
-// count adds datagrams of one kind and their bytes to the metrics "peerlink.<direction>.<kind>" and
-// "peerlink.<direction>Bytes".
-func count(direction, kind string, datagrams, bytes int) {
-	metrics.GetOrRegisterCounter("peerlink."+direction+"."+kind, nil).Inc(int64(datagrams))
-	metrics.GetOrRegisterCounter("peerlink."+direction+"Bytes", nil).Inc(int64(datagrams * bytes))
+// traffic counts the datagrams of each kind and the bytes of all in one direction.
+type traffic struct {
+	byKind map[string]metrics.Counter
+	bytes  metrics.Counter
+}
+
+// newTraffic returns the counters "peerlink.<direction>.<kind>" and "peerlink.<direction>Bytes".
+func newTraffic(direction string) traffic {
+	t := traffic{
+		byKind: make(map[string]metrics.Counter), bytes: metrics.GetOrRegisterCounter("peerlink."+direction+"Bytes", nil),
+	}
+	for _, kind := range []string{
+		kindStates, kindDigest, kindUsage, kindAdmission, kindOrigins, kindUnreachable, kindLimits, kindEnds, kindArrivals,
+		kindKeepAlive,
+	} {
+		t.byKind[kind] = metrics.GetOrRegisterCounter("peerlink."+direction+"."+kind, nil)
+	}
+	return t
+}
+
+// add counts datagrams with the same message, of so many bytes each.
+func (t traffic) add(message *Message, datagrams, bytes int) {
+	t.byKind[message.kind()].Inc(int64(datagrams))
+	t.bytes.Inc(int64(datagrams * bytes))
 }
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -259,6 +259,8 @@
 	address string
 	zone    string
 	events  *event.Log
+	// sent and received count the messages.
+	sent, received traffic
 }
 
 // Listen opens the link on address, ip:port, which also identifies this node to its peers. zone is the node's
@@ -272,7 +274,9 @@
 	if err != nil {
 		return nil, failure.Wrap(err, failure.Unavailable, "listen on peer address", address)
 	}
-	return &Link{conn: conn, address: address, zone: zone, events: events}, nil
+	return &Link{
+		conn: conn, address: address, zone: zone, events: events, sent: newTraffic("sent"), received: newTraffic("received"),
+	}, nil
 }
 
 // Address returns the peer address of this node, which identifies it to its peers.
@@ -286,7 +290,7 @@
 		l.events.EmitError(event.PeerMessageFailed, err, nil)
 		return
 	}
-	count("sent", message.kind(), len(peers), len(data))
+	l.sent.add(&message, len(peers), len(data))
 	for _, peer := range peers {
 		l.write(data, peer)
 	}
@@ -322,7 +326,7 @@
 			l.events.EmitError(event.PeerMessageFailed, err, nil)
 			continue
 		}
-		count("received", message.kind(), 1, n)
+		l.received.add(&message, 1, n)
 		handle(time.Now(), message)
 	}
 }
--- a/internal/serverview/candidates.go
+++ b/internal/serverview/candidates.go
@@ -81,8 +81,8 @@
 	c := Candidate{
 		ID: s.entry.ID, Address: s.entry.Address, Zone: s.entry.Zone, SoftwareVersion: s.entry.SoftwareVersion,
 		Born: s.entry.Born, Slots: s.entry.Slots, Leaving: s.leaving,
-		Ejected:     now.Before(s.ejectedUntil) || s.stalled(now) || holderCannotReach || !s.reach.lostAt.IsZero(),
-		Unreachable: !s.reach.lostAt.IsZero(),
+		Ejected:     now.Before(s.ejectedUntil) || s.stalled(now) || holderCannotReach || s.reach.isLost(),
+		Unreachable: s.reach.isLost(),
 		FailureRate: s.failureRate, InFlight: s.inFlight, Age: now.Sub(s.publishedAt),
 		HolderAlive: now.Sub(s.publishedAt) < holderSilentAfter && s.published.Ready, SlotQueue: s.published.Slots,
 	}
@@ -169,7 +169,7 @@
 		srv.failures = max(srv.failures+1, ejectThreshold)
 		srv.eject(now)
 		srv.reach.doubted = false
-		if lost = srv.reach.lostAt.IsZero(); lost {
+		if lost = !srv.reach.isLost(); lost {
 			srv.reach.lostAt = now
 		}
 	})
--- a/internal/serverview/reach.go
+++ b/internal/serverview/reach.go
@@ -37,6 +37,9 @@
 	linkProbedAt time.Time
 }
 
+// isLost reports whether this node can't open connections to the server.
+func (r *reach) isLost() bool { return !r.lostAt.IsZero() }
+
 // Probe is a server to which a connection is to be tried.
 type Probe struct{ ID, Address string }
 
@@ -48,7 +51,7 @@
 // Reached records that a server answered or accepted a connection. It returns true if it was unreachable before.
 func (v *View) Reached(now time.Time, id string) (returned bool) {
 	v.update(id, func(srv *server) {
-		returned = !srv.reach.lostAt.IsZero()
+		returned = srv.reach.isLost()
 		srv.reach.lostAt, srv.reach.aliveAt, srv.reach.doubted = time.Time{}, now, false
 		if returned {
 			v.reachedAt = now
@@ -63,14 +66,22 @@
 func (v *View) UnreachableServers(now time.Time) (ids []string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	for id, srv := range v.servers {
-		if !srv.reach.lostAt.IsZero() && !v.removed(srv, now) {
-			ids = append(ids, id)
-		}
+	for _, srv := range v.lostServers(now) {
+		ids = append(ids, srv.entry.ID)
 	}
 	return ids
 }
 
+// lostServers returns the servers in use that this node can't reach. The caller holds v.mu.
+func (v *View) lostServers(now time.Time) (lost []*server) {
+	for _, srv := range v.servers {
+		if srv.reach.isLost() && !v.removed(srv, now) {
+			lost = append(lost, srv)
+		}
+	}
+	return lost
+}
+
 // ProbesDue returns the servers to which a connection is to be tried now, and notes that.
 func (v *View) ProbesDue(now time.Time) (due []Probe) {
 	v.mu.Lock()
@@ -87,7 +98,7 @@
 			linkProbes--
 			srv.reach.linkProbedAt = now
 		}
-		if !srv.reach.lostAt.IsZero() && !v.reachedAt.After(srv.reach.probedAt) {
+		if srv.reach.isLost() && !v.reachedAt.After(srv.reach.probedAt) {
 			if lostProbes++; lostProbes > unreachableProbesAtOnce {
 				continue
 			}
@@ -100,13 +111,7 @@
 
 // unreachableProbePeriod returns the time between two connections that are tried to one unreachable server.
 func (v *View) unreachableProbePeriod(now time.Time) time.Duration {
-	lost := 0
-	for _, srv := range v.servers {
-		if !srv.reach.lostAt.IsZero() && !v.removed(srv, now) {
-			lost++
-		}
-	}
-	return max(unreachableProbePeriod, time.Duration(lost)*unreachableProbePause)
+	return max(unreachableProbePeriod, time.Duration(len(v.lostServers(now)))*unreachableProbePause)
 }
 
 // linkProbes returns how many connections may be tried now because this node's link may be down.
@@ -116,7 +121,9 @@
 		if now.Sub(srv.reach.linkProbedAt) < linkLossWindow {
 			tried++
 		}
-		if !srv.reach.lostAt.IsZero() && now.Sub(srv.reach.lostAt) < linkLossWindow && !v.removed(srv, now) {
+	}
+	for _, srv := range v.lostServers(now) {
+		if now.Sub(srv.reach.lostAt) < linkLossWindow {
 			losses++
 		}
 	}
@@ -128,7 +135,7 @@
 
 // linkProbeDue reports whether a connection may be tried to a server that gave no reason for it.
 func (s *server) linkProbeDue(now time.Time) bool {
-	return s.reach.lostAt.IsZero() && now.Sub(s.reach.probedAt) >= silentProbePeriod
+	return !s.reach.isLost() && now.Sub(s.reach.probedAt) >= silentProbePeriod
 }
 
 // probeDue reports whether a connection to the server is to be tried because of what happened there. An unreachable one is
@@ -137,7 +144,7 @@
 	r, sinceProbe := &s.reach, now.Sub(s.reach.probedAt)
 	silence := min(now.Sub(r.aliveAt), now.Sub(r.waitsSince), now.Sub(s.lastByteAt))
 	switch {
-	case !r.lostAt.IsZero():
+	case r.isLost():
 		return sinceProbe >= period || reachedAt.After(r.probedAt) && sinceProbe >= unreachableProbePeriod
 	case r.doubted:
 		return sinceProbe >= doubtProbePeriod
