--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -156,9 +156,14 @@
 	}
 }
 
-func (f *fixture) call() *httptest.ResponseRecorder {
+func (f *fixture) call() *httptest.ResponseRecorder { return f.callWithID("") }
+
+// callWithID sends a request with an ID.
+func (f *fixture) callWithID(id string) *httptest.ResponseRecorder {
 	recorder := httptest.NewRecorder()
-	f.forwarder.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, "http://example.com/x", strings.NewReader("body")))
+	request := httptest.NewRequest(http.MethodPost, "http://example.com/x", strings.NewReader("body"))
+	request.Header.Set("Id", id)
+	f.forwarder.ServeHTTP(recorder, request)
 	return recorder
 }
 
--- a/internal/forward/handover_test.go
+++ b/internal/forward/handover_test.go
@@ -217,15 +217,6 @@
 	}
 }
 
-// callWithID is call with the ID of the request.
-func (f *fixture) callWithID(id string) *httptest.ResponseRecorder {
-	recorder := httptest.NewRecorder()
-	request := httptest.NewRequest(http.MethodPost, "http://example.com/x", strings.NewReader("body"))
-	request.Header.Set("Id", id)
-	f.forwarder.ServeHTTP(recorder, request)
-	return recorder
-}
-
 // Guards against a request that ran at the other node and is said not to have run, or sent again.
 func TestUnansweredHandoverMayHaveRun(t *testing.T) {
 	g := gomega.NewWithT(t)
