process: A connection without a request doesn't fail a shutdown

A stopping process would have logged a failure and exited with an error.

Cause: net/http's Shutdown waits up to 5 s for connections on which no request has come yet, as transports of peers open them, and the auxiliary listeners allow 0.2 s.

ServeListener now uses connset, as the callers' listener does: it closes connections without a request, and none on which one has begun.

--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -20,6 +20,7 @@
 	"github.com/spf13/cobra"
 	"golang.org/x/sync/errgroup"
 
+	"waxwingcleat.example/waxwingcleat/internal/connset"
 	"waxwingcleat.example/waxwingcleat/internal/event"
 	"waxwingcleat.example/waxwingcleat/internal/settings"
 )
@@ -187,10 +188,18 @@
 
 // ServeListener is like Serve, but uses an open listener.
 func ServeListener(ctx context.Context, listener net.Listener, handler http.Handler, shutdown time.Duration) error {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	connections := connset.New()
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: connections.NoteState,
+	}
+	// net/http waits for connections on which no request has come yet, and may close others just as one comes.
+	server.RegisterOnShutdown(func() {
+		connections.Drain()
+		connections.CloseIdle()
+	})
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() error {
-		err := server.Serve(listener)
+		err := server.Serve(connections.Listener(listener))
 		if errors.Is(err, http.ErrServerClosed) {
 			return nil
 		}
