serving, node: Types and settings of customers, keys and quotas

Cause: operators declare customers with API keys, priorities and quotas, and the code has no types for them. Change: types in serving, settings for the revocation of keys and the bound of quotas, the rank of a request in one place. Nothing uses them yet; deployments without these settings get no new fields.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -108,7 +108,7 @@
 func (j *job) awaitGate(candidate serverview.Candidate) (release func(read bool), ok bool) {
 	timeout := min(max(j.loadWait()-time.Since(j.arrived), minimumGateWait), maximumGateWait)
 	releaseGrant, ok := j.f.options.Gate.Await(
-		j.ctx, candidate.ID, j.request.PromptTokens, j.route.Priority, timeout)
+		j.ctx, candidate.ID, j.request.PromptTokens, j.rank(), timeout)
 	var once sync.Once
 	return func(read bool) { once.Do(func() { releaseGrant(read) }) }, ok
 }
@@ -118,7 +118,7 @@
 	if j.service.Engine == nil {
 		return -1
 	}
-	return j.route.Priority
+	return j.rank()
 }
 
 // send writes the request to a server and returns the header of its answer. written is false when no byte was written.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -138,12 +138,14 @@
 
 // job is one request in progress.
 type job struct {
-	f        *Forwarder
-	w        http.ResponseWriter
-	r        *http.Request
-	ctx      context.Context
-	request  serving.CallerRequest
-	route    *serving.Route
+	f       *Forwarder
+	w       http.ResponseWriter
+	r       *http.Request
+	ctx     context.Context
+	request serving.CallerRequest
+	route   *serving.Route
+	// customer is the customer whose request it is; nil without one.
+	customer *serving.Customer
 	service  serving.Service
 	body     []byte
 	arrived  time.Time
@@ -361,10 +363,18 @@
 	return candidate, 0, found
 }
 
+// rank returns the rank of the request, 0 the most urgent: its customer's if that has one, else its route's.
+func (j *job) rank() int {
+	if j.customer != nil && j.customer.Priority != nil {
+		return *j.customer.Priority
+	}
+	return j.route.Priority
+}
+
 func (j *job) query(minVersion int) modelpick.Query {
 	return modelpick.Query{
 		Adapter: j.request.Adapter, MinVersion: minVersion, SoftwareVersion: j.softwareVersion,
-		Zone: j.f.options.Zone, Tried: j.tried, Priority: j.route.Priority, MaxInFlight: j.maxInFlight(),
+		Zone: j.f.options.Zone, Tried: j.tried, Priority: j.rank(), MaxInFlight: j.maxInFlight(),
 	}
 }
 
--- a/internal/forward/limits.go
+++ b/internal/forward/limits.go
@@ -67,7 +67,7 @@
 // acquire reserves the sending of the request to a server. Without a reservation the server isn't chosen until it
 // probably has room.
 func (j *job) acquire(candidate serverview.Candidate, patience time.Duration) bool {
-	reservation, roomIn, ok := j.f.options.Limits.Acquire(j.ctx, candidate, j.route.Priority, patience)
+	reservation, roomIn, ok := j.f.options.Limits.Acquire(j.ctx, candidate, j.rank(), patience)
 	j.reservation = reservation
 	if !ok {
 		j.f.options.View.NoRoom(candidate.ID, time.Now().Add(max(roomIn, minimumRoomWait)))
--- a/internal/forward/loaddemand.go
+++ b/internal/forward/loaddemand.go
@@ -18,7 +18,7 @@
 	}
 	d.end()
 	d.server = server
-	d.stop = j.f.options.Usage.BeginWait(server, j.request.Adapter, j.route.Priority, until)
+	d.stop = j.f.options.Usage.BeginWait(server, j.request.Adapter, j.rank(), until)
 	j.f.options.Events.Emit(event.AdapterWanted, event.Fields{
 		"request": j.request.ID, "adapter": j.request.Adapter.String(), "server": server, "reason": j.reason,
 	})
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -25,8 +25,12 @@
 	// RetryBudget bounds the retries of all nodes of the site together.
 	RetryBudget RetryBudgetSettings `json:"retryBudget"`
 	// OrdersFenced is true when model servers refuse orders with an old fencing token.
-	OrdersFenced bool   `json:"ordersFenced"`
-	LogLevel     string `json:"logLevel"`
+	OrdersFenced bool `json:"ordersFenced"`
+	// Keys bounds how long a revoked API key may be accepted.
+	Keys KeySettings `json:"keys"`
+	// Quota bounds how far customers' quotas may be exceeded.
+	Quota    QuotaSettings `json:"quota"`
+	LogLevel string        `json:"logLevel"`
 	// ShutdownTimeout bounds a graceful shutdown.
 	ShutdownTimeout settings.Duration `json:"shutdownTimeout"`
 	// MemoryMB is the VM's memory that this process may use.
@@ -48,6 +52,22 @@
 	Window settings.Duration `json:"window"`
 }
 
+// KeySettings bound how long a revoked API key may be accepted.
+type KeySettings struct {
+	// Strict makes a node accept keys only while it can prove that its configuration is recent.
+	Strict bool `json:"strict"`
+	// Revocation is the time from the store's acceptance of a configuration without a key until the key is accepted by no node.
+	Revocation settings.Duration `json:"revocation"`
+}
+
+// QuotaSettings bound the use of a customer in each Window to its quota for that time, with the burst, times 1 + Over, plus
+// Slack units.
+type QuotaSettings struct {
+	Window settings.Duration `json:"window"`
+	Over   float64           `json:"over"`
+	Slack  float64           `json:"slack"`
+}
+
 const (
 	maximumPartitions = 1024
 	maximumMemoryMB   = 1 << 20
@@ -59,6 +79,8 @@
 		LogLevel:        logrus.InfoLevel.String(),
 		ShutdownTimeout: settings.Duration(8 * time.Second),
 		RetryBudget:     RetryBudgetSettings{Ratio: 0.1, Window: settings.Duration(10 * time.Second)},
+		Keys:            KeySettings{Strict: true, Revocation: settings.Duration(5 * time.Second)},
+		Quota:           QuotaSettings{Window: settings.Duration(8 * time.Second), Over: 0.1},
 	}
 }
 
@@ -76,6 +98,9 @@
 	c.Require(ratio >= 0 && ratio <= 1, "retryBudget.ratio", ratio, "a number from 0 to 1")
 	c.Require(s.RetryBudget.Slack >= 0, "retryBudget.slack", s.RetryBudget.Slack, "a number of 0 or more")
 	c.DurationBetween("retryBudget.window", s.RetryBudget.Window, time.Second, time.Hour)
+	c.Require(!s.Keys.Strict || s.Keys.Revocation.Std() >= time.Second, "keys.revocation", s.Keys.Revocation.Std(),
+		"a duration of 1s or more")
+	c.Require(s.Quota.Over >= 0 && s.Quota.Slack >= 0, "quota", s.Quota, "numbers of 0 or more")
 	c.DurationBetween("shutdownTimeout", s.ShutdownTimeout, time.Second, time.Hour)
 	c.Between("memoryMB", s.MemoryMB, 1, maximumMemoryMB)
 	_, err := logrus.ParseLevel(s.LogLevel)
--- a/internal/serving/config.go
+++ b/internal/serving/config.go
@@ -54,6 +54,8 @@
 	Priority int
 	// Resumable allows a broken stream to be resumed at another server after the last event.
 	Resumable bool
+	// Anonymous admits requests without an API key although the configuration has customers.
+	Anonymous bool
 	Services  []WeightedService
 }
 
@@ -103,6 +105,8 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Customers holds the customers whose API keys are admitted. Without any, requests need no key.
+	Customers []Customer
 }
 
 // ShortestPause returns the smallest MaxPause among the routes to a service, or fallback if none of them sets one.
--- a/internal/serving/request.go
+++ b/internal/serving/request.go
@@ -15,6 +15,8 @@
 	// output.
 	PromptTokens int
 	OutputTokens int
+	// TokensNamed is true when the caller gives these figures.
+	TokensNamed bool
 	// SharedParts holds the IDs of the parts of the prompt that other requests may have too: all but the last one, without
 	// repetitions.
 	SharedParts []string
@@ -25,6 +27,8 @@
 	// Resumes is the ID of the caller's attempt that brought the first event of the stream; empty if the caller doesn't
 	// resume one or doesn't say so.
 	Resumes string
+	// Credential is what the caller presents as its API key.
+	Credential Credential
 }
 
 // Attempt holds the parameters of one send of a request to a server.
@@ -39,6 +43,10 @@
 	AdapterVersion int
 	// LastEventID makes the server resume the stream after that event; empty leaves the caller's value.
 	LastEventID string
+	// Customer is the name of the request's customer; empty without one.
+	Customer string
+	// Authenticated is true when the configuration has customers; the server must then not get the caller's credential.
+	Authenticated bool
 }
 
 // AnswerInfo is the information about a request in the headers of a server's answer.
