forward, platform, customers: Requests belong to the customer of their API key

Cause: the configuration may name customers with API keys. Requests with unknown keys ran, and a caller's claim to be a customer reached servers.

Another node looks it up and doesn't take the request if it doesn't know it. A cursor of the store says whether records follow.

A configuration whose customers can't be read at all requires keys and accepts none, as it would otherwise open the deployment to everybody.

--- a/internal/event/node.go
+++ b/internal/event/node.go
@@ -34,6 +34,8 @@
 		"The node serves a new version of the configuration.")
 	ConfigRefused = register(811, logrus.WarnLevel, "configuration rejected",
 		"An entry of the configuration could not be read; the last valid version stays active.")
+	CustomerInvalid = register(860, logrus.WarnLevel, "customer's declaration invalid",
+		"A field of a customer can't be used and is ignored, or a key that two customers have; the rest is in force.")
 	ServerEntryChanged = register(812, logrus.InfoLevel, "server entry changed",
 		"A backend server appeared, changed its state, or is leaving.")
 	ServerEntryInvalid = register(813, logrus.WarnLevel, "server entry invalid",
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -96,6 +96,9 @@
 	if j.route != nil {
 		fields["route"] = j.route.Name
 	}
+	if j.customer != nil {
+		fields["customer"] = j.customer.Name
+	}
 	if !j.request.Adapter.IsZero() {
 		fields["adapter"] = j.request.Adapter.String()
 		fields["promptTokens"] = j.request.PromptTokens
@@ -136,6 +139,8 @@
 	resumesRefused metrics.Counter
 	// latency is the time until the answer was completely forwarded, in milliseconds.
 	latency metrics.Histogram
+	// keysRefused counts the requests that were refused because of their keys, by reason.
+	keysRefused map[string]metrics.Counter
 }
 
 // latencySample is the size of the histogram's sample of recent values.
@@ -143,6 +148,7 @@
 
 func newMetricSet() metricSet {
 	return metricSet{
+		keysRefused:    newKeyCounters(),
 		answered:       metrics.GetOrRegisterCounter("forward.answered", nil),
 		refused:        metrics.GetOrRegisterCounter("forward.refused", nil),
 		failedAttempts: metrics.GetOrRegisterCounter("forward.failedAttempts", nil),
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -71,6 +71,7 @@
 	defer cancel()
 	answer, written, err := j.send(ctx, candidate, serving.Attempt{
 		ServerID: candidate.ID, Remaining: j.remaining(), Priority: j.priority(), AdapterVersion: version,
+		Customer: j.customerName(), Authenticated: j.authenticated,
 	})
 	if err != nil {
 		return j.sendFailed(now, candidate, written, err)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"waxwingcleat.example/waxwingcleat/internal/crashguard"
+	"waxwingcleat.example/waxwingcleat/internal/customers"
 	"waxwingcleat.example/waxwingcleat/internal/event"
 	"waxwingcleat.example/waxwingcleat/internal/eventgap"
 	"waxwingcleat.example/waxwingcleat/internal/modelpick"
@@ -59,6 +60,8 @@
 	Limits    Limits
 	Crashes   CrashGuard
 	Peers     Peers
+	// Keys is nil when API keys are checked by the configuration in force alone.
+	Keys Keys
 	// PeerTransport sends requests to other nodes.
 	PeerTransport http.RoundTripper
 	Zone          string
@@ -88,10 +91,11 @@
 	Find(ctx context.Context, request, service string, maximumAge time.Duration) streamorigin.Answer
 }
 
-// activeConfig is a configuration with its route table.
+// activeConfig is a configuration with its route table and its customers.
 type activeConfig struct {
-	config *serving.Configuration
-	table  *routetable.Table
+	config    *serving.Configuration
+	table     *routetable.Table
+	customers *customers.Directory
 }
 
 // Forwarder is the http.Handler for callers' requests.
@@ -114,12 +118,15 @@
 
 // SetConfig activates a configuration and returns true, unless one of the same or a newer version is active.
 func (f *Forwarder) SetConfig(config *serving.Configuration) bool {
+	directory, problems := customers.New(config)
+	next := &activeConfig{config: config, table: routetable.New(config), customers: directory}
 	for {
 		last := f.current.Load()
 		if last != nil && last.config.Version >= config.Version {
 			return false
 		}
-		if f.current.CompareAndSwap(last, &activeConfig{config: config, table: routetable.New(config)}) {
+		if f.current.CompareAndSwap(last, next) {
+			f.logCustomerProblems(config.Version, problems)
 			return true
 		}
 	}
@@ -146,12 +153,16 @@
 	route   *serving.Route
 	// customer is the customer whose request it is; nil without one.
 	customer *serving.Customer
-	service  serving.Service
-	body     []byte
-	arrived  time.Time
-	deadline time.Time
-	tried    map[string]bool
-	sends    int
+	// authenticated is true when the configuration has customers, so that the key ends at this node.
+	authenticated bool
+	// peerCustomer is the name of the customer according to the node that passed the request on.
+	peerCustomer string
+	service      serving.Service
+	body         []byte
+	arrived      time.Time
+	deadline     time.Time
+	tried        map[string]bool
+	sends        int
 	// attempts counts the sends after which the request may have run.
 	attempts int
 	// softwareVersion is the version at which the stream began; empty before its first event, and for other requests.
@@ -201,6 +212,7 @@
 	f, r := j.f, j.r
 	var err error
 	j.request, err = f.options.Wire.DecodeRequest(r)
+	keyStatus := f.keyStatus()
 	current := f.current.Load()
 	if current == nil {
 		j.refuse(http.StatusServiceUnavailable, ReasonNoConfig, configRetryAfter)
@@ -210,7 +222,7 @@
 		j.refuse(http.StatusBadRequest, err.Error(), 0)
 		return
 	}
-	if !j.findRoute(current) || !j.readBody(current) {
+	if !j.findRoute(current) || !j.admit(current, keyStatus) || !j.readBody(current) {
 		return
 	}
 	ctx, cancel := j.withDeadline()
@@ -275,9 +287,9 @@
 	panic(http.ErrAbortHandler)
 }
 
-// withDeadline returns the context of the request, which ends at the caller's deadline or the route's timeout,
-// whichever comes first.
-func (j *job) withDeadline() (context.Context, context.CancelFunc) {
+// timeout returns the time that the request has from its arrival: until the caller's deadline or the route's timeout,
+// whichever comes first; 0 without either.
+func (j *job) timeout() time.Duration {
 	bound := j.route.Timeout
 	if j.request.Timeout > 0 && (bound <= 0 || j.request.Timeout < bound) {
 		bound = j.request.Timeout
@@ -285,6 +297,12 @@
 	if j.peerRemaining > 0 && (bound <= 0 || j.peerRemaining < bound) {
 		bound = j.peerRemaining
 	}
+	return max(bound, 0)
+}
+
+// withDeadline returns the context of the request, which ends after its timeout.
+func (j *job) withDeadline() (context.Context, context.CancelFunc) {
+	bound := j.timeout()
 	if bound <= 0 {
 		return context.WithCancel(j.r.Context())
 	}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -29,14 +29,32 @@
 type wire struct{}
 
 func (wire) DecodeRequest(r *http.Request) (serving.CallerRequest, error) {
-	return serving.CallerRequest{ID: r.Header.Get("Id"), LastEventID: r.Header.Get("Last-Event-Id")}, nil
+	request := serving.CallerRequest{ID: r.Header.Get("Id"), LastEventID: r.Header.Get("Last-Event-Id")}
+	switch key := r.Header.Get("Key"); key {
+	case "":
+	case "malformed":
+		request.Credential.State = serving.CredentialMalformed
+	default:
+		request.Credential = serving.Credential{State: serving.CredentialPresent, Digest: serving.DigestKey(key)}
+	}
+	return request, nil
 }
 
-func (wire) ServerHeader(caller http.Header, _ serving.CallerRequest, _ serving.Attempt) http.Header {
-	return caller.Clone()
+func (wire) ServerHeader(caller http.Header, _ serving.CallerRequest, attempt serving.Attempt) http.Header {
+	header := wire{}.PeerHeader(caller, attempt.Authenticated)
+	if attempt.Customer != "" {
+		header.Set("Customer", attempt.Customer)
+	}
+	return header
 }
 
-func (wire) PeerHeader(caller http.Header) http.Header { return caller.Clone() }
+func (wire) PeerHeader(caller http.Header, authenticated bool) http.Header {
+	header := caller.Clone()
+	if authenticated {
+		header.Del("Key")
+	}
+	return header
+}
 
 func (wire) DecodeAnswer(answer *http.Response) serving.AnswerInfo {
 	notRun := answer.StatusCode == http.StatusServiceUnavailable || answer.StatusCode == http.StatusTooManyRequests
--- a/internal/forward/handover.go
+++ b/internal/forward/handover.go
@@ -19,6 +19,8 @@
 	headerPeerCaller = "Waxwing-Caller"
 	// headerPeerRemaining is the time until the deadline, in milliseconds; it is missing without one.
 	headerPeerRemaining = "Waxwing-Remaining-Ms"
+	// headerPeerCustomer is the name of the request's customer; it is missing without one.
+	headerPeerCustomer = "Waxwing-Customer"
 	// headerNotTaken marks the answer of a node that didn't take the request, which thus has not run.
 	headerNotTaken = "Waxwing-Not-Taken"
 )
@@ -59,7 +61,7 @@
 		return
 	}
 	j := f.newJob(w, r)
-	j.fromPeer, j.caller = true, r.Header.Get(headerPeerCaller)
+	j.fromPeer, j.caller, j.peerCustomer = true, r.Header.Get(headerPeerCaller), r.Header.Get(headerPeerCustomer)
 	if remaining, err := strconv.ParseInt(r.Header.Get(headerPeerRemaining), 10, 64); err == nil {
 		j.peerRemaining = time.Duration(max(remaining, 1)) * time.Millisecond
 	}
@@ -71,6 +73,7 @@
 func removePeerHeaders(header http.Header) {
 	header.Del(headerPeerCaller)
 	header.Del(headerPeerRemaining)
+	header.Del(headerPeerCustomer)
 }
 
 // Taken returns the number of requests of other nodes in progress.
@@ -113,8 +116,11 @@
 
 // handOverTo passes the request to a node. It returns false if the node didn't take it.
 func (j *job) handOverTo(peer string) (done bool) {
-	header := j.f.options.Wire.PeerHeader(j.r.Header)
+	header := j.f.options.Wire.PeerHeader(j.r.Header, j.authenticated)
 	header.Set(headerPeerCaller, j.caller)
+	if j.customer != nil {
+		header.Set(headerPeerCustomer, j.customer.Name)
+	}
 	if remaining := j.remaining(); remaining > 0 {
 		header.Set(headerPeerRemaining, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -97,6 +97,7 @@
 	defer cancel()
 	answer, written, err := j.send(ctx, candidate, serving.Attempt{
 		ServerID: candidate.ID, Remaining: j.remaining(), Priority: j.priority(), LastEventID: s.lastID,
+		Customer: j.customerName(), Authenticated: j.authenticated,
 	})
 	if err != nil {
 		if written {
--- a/internal/serving/config.go
+++ b/internal/serving/config.go
@@ -107,6 +107,10 @@
 	Limits   Limits
 	// Customers holds the customers whose API keys are admitted. Without any, requests need no key.
 	Customers []Customer
+	// CustomersDeclared is true when the operators declare customers, even if none of them can be used.
+	CustomersDeclared bool
+	// CustomerProblems holds the fields of customers that were ignored, at the node that decoded the configuration.
+	CustomerProblems []CustomerProblem `json:"-"`
 }
 
 // ShortestPause returns the smallest MaxPause among the routes to a service, or fallback if none of them sets one.
--- a/internal/serving/customer.go
+++ b/internal/serving/customer.go
@@ -1,6 +1,10 @@
 package serving
 
-import "crypto/sha256"
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+)
 
 // KeyDigest is the SHA-256 digest of an API key. Keys themselves are not kept.
 type KeyDigest [sha256.Size]byte
@@ -8,6 +12,20 @@
 // DigestKey returns the digest of an API key.
 func DigestKey(key string) KeyDigest { return sha256.Sum256([]byte(key)) }
 
+// MarshalText implements encoding.TextMarshaler for configurations that are passed between nodes.
+func (d KeyDigest) MarshalText() ([]byte, error) { return []byte(hex.EncodeToString(d[:])), nil }
+
+var errDigestLength = errors.New("a key's digest has another length")
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *KeyDigest) UnmarshalText(text []byte) error {
+	if len(text) != hex.EncodedLen(len(d)) {
+		return errDigestLength
+	}
+	_, err := hex.Decode(d[:], text)
+	return err
+}
+
 // CredentialState tells what a request presents as its API key.
 type CredentialState uint8
 
@@ -37,6 +55,15 @@
 	Quota    Quota
 }
 
+// CustomerProblem is a field of a customer's declaration that can't be used and was ignored.
+type CustomerProblem struct {
+	// Customer is the customer's name, empty if it has none. Other is a second customer that the problem concerns.
+	Customer string
+	Other    string
+	// Reason names the field and what is wrong with it. It never contains a key.
+	Reason string
+}
+
 // QuotaUnit is what a quota counts.
 type QuotaUnit uint8
 
--- a/internal/serving/request.go
+++ b/internal/serving/request.go
@@ -94,8 +94,9 @@
 	DecodeRequest(r *http.Request) (CallerRequest, error)
 	// ServerHeader returns the headers of one attempt, derived from the caller's.
 	ServerHeader(caller http.Header, request CallerRequest, attempt Attempt) http.Header
-	// PeerHeader returns the caller's headers for a request that is passed to another node of the site.
-	PeerHeader(caller http.Header) http.Header
+	// PeerHeader returns the caller's headers for a request that is passed to another node of the site. authenticated is
+	// that of Attempt.
+	PeerHeader(caller http.Header, authenticated bool) http.Header
 	// DecodeAnswer reads the headers of a server's answer.
 	DecodeAnswer(answer *http.Response) AnswerInfo
 	// WriteRefusal answers the caller with a refusal.
--- a/internal/serving/store.go
+++ b/internal/serving/store.go
@@ -9,6 +9,8 @@
 type Cursor struct {
 	Known  bool
 	Offset int64
+	// More is true when the stream had further records after this position at the time of the read.
+	More bool
 }
 
 // OperatorBatch holds the operators' declarations since a cursor.
