node, forward: Plain services before many nodes get their slots from a dispatcher

The owner of the partition of a service's name is its dispatcher. A node asks it for a slot for each send, and gives the slot back at the end. It chooses by itself, as before, where the live nodes don't exceed the slots, for 0.3 s after the dispatcher left a request unanswered for 40 ms, and where the dispatcher knows no server that the request can use. Which sends are allowed is decided as before: a dispatcher's answer only names the server.

--- a/internal/event/node.go
+++ b/internal/event/node.go
@@ -88,6 +88,16 @@
 		"One request with a blocked part in its prompt is sent, to see whether servers still end on it.")
 	SuspicionsLost = register(838, logrus.WarnLevel, "suspicions lost",
 		"More servers ended, or more parts were suspected, than are recorded; some were dropped.")
+	SlotDispatcherBegun = register(870, logrus.InfoLevel, "slot dispatcher begun",
+		"The node now assigns the slots of a plain service to the requests of all nodes.")
+	SlotDispatcherEnded = register(871, logrus.InfoLevel, "slot dispatcher ended",
+		"The node no longer assigns the slots of a plain service; the fields show why and what was in progress.")
+	SlotDispatcherSilent = register(872, logrus.InfoLevel, "slot dispatcher silent",
+		"The node that assigns the slots of a plain service didn't answer; for now, this node chooses servers by itself.")
+	SlotsUsed = register(873, logrus.InfoLevel, "slots used",
+		"How the node that assigns a service's slots used them: requests assigned, queued and refused, and its servers.")
+	SlotsExpired = register(874, logrus.InfoLevel, "slots expired",
+		"Slots were not given back by the deadlines of their requests, and are free again.")
 	SettingsReloaded = register(840, logrus.InfoLevel, "settings reloaded",
 		"The settings file was reloaded; the fields say what changed and what needs a restart.")
 	SettingsNotReloaded = register(841, logrus.ErrorLevel, "settings not reloaded",
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -70,7 +70,7 @@
 	more = append(more, event.Fields{
 		"status": status, "zone": candidate.Zone, "softwareVersion": candidate.SoftwareVersion,
 		"load": candidate.Load, "ageMs": candidate.Age.Milliseconds(),
-	})
+	}, j.slotFields)
 	j.log(event.RequestAnswered, outcome, nil, more...)
 }
 
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -44,6 +44,7 @@
 // attempt sends the request to a server. It returns true once the caller has its final answer.
 func (j *job) attempt(candidate serverview.Candidate, version int) (done bool) {
 	j.setServer(candidate)
+	defer j.releaseSlot()
 	if reserved, done := j.reserve(candidate); !reserved {
 		return done
 	}
@@ -76,6 +77,7 @@
 		return j.sendFailed(now, candidate, written, err)
 	}
 	defer answer.Body.Close()
+	j.slot.answeredAt = time.Now()
 	return j.answered(candidate, answer)
 }
 
@@ -291,6 +293,7 @@
 // notRun handles an answer which states that the server didn't run the request.
 func (j *job) notRun(candidate serverview.Candidate, answer *http.Response, info serving.AnswerInfo) (done bool) {
 	reason := "the server refused the request with status " + strconv.Itoa(answer.StatusCode)
+	j.slot.noteNotRun(answer.StatusCode)
 	j.logFailedAttempt(candidate, false, failure.New(failure.Refused, "read answer", candidate.Address, reason))
 	if answer.StatusCode == http.StatusBadRequest {
 		j.refuse(http.StatusBadRequest, reason, 0)
@@ -316,6 +319,9 @@
 // another server if the connection breaks.
 func (j *job) forwardBuffered(candidate serverview.Candidate, answer *http.Response) (done bool) {
 	body, err := readBuffered(answer)
+	if err == nil {
+		j.releaseSlot()
+	}
 	if errors.Is(err, errTooLarge) {
 		j.copyHeader(answer)
 		j.w.WriteHeader(answer.StatusCode)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -57,8 +57,10 @@
 	EventGaps *eventgap.Observer
 	Origins   Origins
 	Limits    Limits
-	Crashes   CrashGuard
-	Peers     Peers
+	// Slots assigns the slots of plain services' servers; nil means that this node chooses by itself.
+	Slots   Slots
+	Crashes CrashGuard
+	Peers   Peers
 	// PeerTransport sends requests to other nodes.
 	PeerTransport http.RoundTripper
 	Zone          string
@@ -158,6 +160,10 @@
 	softwareVersion string
 	// reservation allows the latest send.
 	reservation Reservation
+	// slot is the slot for the next or the latest send to a plain service.
+	slot heldSlot
+	// slotFields describe how the latest slot was obtained, for the log.
+	slotFields event.Fields
 	// server is the ID of the server chosen last, address where it listens, incarnation its run.
 	server      string
 	address     string
@@ -347,9 +353,13 @@
 
 func (j *job) choosePlain() (serverview.Candidate, int, bool) {
 	candidates := j.f.options.View.Candidates(time.Now(), j.service.Name, serving.Adapter{})
+	if assigned, decided, ok := j.awaitSlot(&candidates); decided {
+		return assigned, 0, ok
+	}
 	candidate, found := modelpick.Plain(candidates, j.query(0), newRandom())
 	if found && candidate.Unreachable {
 		if servers, _ := unreachable(candidates); j.handOver(servers) {
+			j.releaseSlot()
 			return candidate, 0, false
 		}
 	}
@@ -360,6 +370,7 @@
 		j.refuseLimited(candidates, candidate.RoomIn)
 		found = false
 	}
+	j.chooseSlot(candidate, found)
 	return candidate, 0, found
 }
 
--- a/internal/modelpick/modelpick.go
+++ b/internal/modelpick/modelpick.go
@@ -89,10 +89,9 @@
 
 // Plain chooses a server of a plain service. Ejected servers are chosen only when no other one has room.
 func Plain(candidates []serverview.Candidate, query Query, random *rand.Rand) (serverview.Candidate, bool) {
-	usable := filter(candidates, query.usable)
-	roomy := preferHealthy(filter(usable, hasRoom))
+	roomy := PlainChoices(candidates, query)
 	if len(roomy) == 0 {
-		return SoonestRoom(preferHealthy(usable))
+		return SoonestRoom(preferHealthy(filter(candidates, query.usable)))
 	}
 	return lowest(roomy, func(c serverview.Candidate) float64 {
 		score := float64(c.InFlight)/float64(max(c.Slots, 1)) + failureCost*c.FailureRate
@@ -100,6 +99,12 @@
 	})
 }
 
+// PlainChoices returns the servers of a plain service that can get the request now. Ejected servers are among them only
+// when no other one has room.
+func PlainChoices(candidates []serverview.Candidate, query Query) []serverview.Candidate {
+	return preferHealthy(filter(filter(candidates, query.usable), hasRoom))
+}
+
 // hasRoom reports whether the limit of a server probably leaves room for a request now.
 func hasRoom(c serverview.Candidate) bool { return !c.Limited || c.RoomIn <= 0 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -83,6 +83,7 @@
 	origins      *origins
 	sightings    *sightings
 	limits       *limits
+	slots        *slots
 	crashes      *crashes
 	reach        *reach
 	watch        *watch
@@ -143,12 +144,13 @@
 	n.origins = newOrigins(n)
 	n.sightings = newSightings(n)
 	n.limits = newLimits(n)
+	n.slots = newSlots(n)
 	n.crashes = newCrashes(n)
 	n.reach = newReach(n)
 	n.connections.OnIdleDropsDetected(func() { n.events.Emit(event.IdleConnectionsReset, nil) })
 	n.forwarder = forward.New(forward.Options{
 		Wire: d.Wire, View: n.view, Usage: n.usage, Transport: d.Connections, Gate: n.admission, EventGaps: n.eventGaps,
-		Origins: n.origins, Limits: n.limits, Crashes: n.crashes, Peers: n.reach,
+		Origins: n.origins, Limits: n.limits, Slots: n.slots, Crashes: n.crashes, Peers: n.reach,
 		PeerTransport: upstream.NewTransport(connectTimeout, false), Zone: settings.Node.Zone, Events: d.Events,
 		RetryBudget: retrybudget.Options{
 			Ratio: settings.RetryBudget.Ratio, Slack: settings.RetryBudget.Slack, Window: settings.RetryBudget.Window.Std(),
@@ -212,6 +214,7 @@
 	group.Go(func() error { return n.origins.send(n.ctx) })
 	group.Go(func() error { return n.sightings.run(n.ctx) })
 	group.Go(func() error { return n.limits.run(n.ctx) })
+	group.Go(func() error { return n.slots.run(n.ctx) })
 	group.Go(func() error { return n.crashes.run(n.ctx) })
 	group.Go(func() error { return n.reach.run(n.ctx) })
 	group.Go(func() error { return n.publishStates(n.ctx) })
--- /dev/null
+++ b/internal/node/slotcall.go
@@ -0,0 +1,97 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"waxwingcleat.example/waxwingcleat/internal/forward"
+	"waxwingcleat.example/waxwingcleat/internal/peerlink"
+	"waxwingcleat.example/waxwingcleat/internal/slotdispatch"
+)
+
+const (
+	// slotSilence is how long a dispatcher may leave a request unanswered before the node chooses by itself.
+	slotSilence = 40 * time.Millisecond
+	// slotResendInterval is the time between two messages of a request without an answer.
+	slotResendInterval = 15 * time.Millisecond
+	// queuedSlotInterval is slotResendInterval for a request that the dispatcher has queued.
+	queuedSlotInterval = 60 * time.Millisecond
+	// unreadSlotAnswers bounds the answers to one request that wait to be read; dispatchers repeat them.
+	unreadSlotAnswers = 4
+)
+
+// slotOutcome is the result of a request for a slot.
+type slotOutcome uint8
+
+const (
+	// slotAlone means that the node chooses by itself.
+	slotAlone slotOutcome = iota
+	slotAssigned
+	slotRefused
+	// slotAbandoned means that the request's context has ended.
+	slotAbandoned
+)
+
+// slotCall is one request to the dispatcher of a service.
+type slotCall struct {
+	slots      *slots
+	id         uint64
+	use        *slotUse
+	request    forward.SlotRequest
+	answers    <-chan slotAnswer
+	dispatcher string
+	begun      time.Time
+}
+
+// await sends the request until it's answered.
+func (c *slotCall) await(ctx context.Context) (slotAnswer, slotOutcome) {
+	c.dispatcher = c.slots.dispatcherOf(c.begun, c.request.Service)
+	if c.dispatcher == "" {
+		return slotAnswer{}, slotAlone
+	}
+	resend := time.NewTimer(slotResendInterval)
+	defer resend.Stop()
+	heardAt, interval, silence := c.begun, slotResendInterval, slotSilence
+	c.send()
+	for {
+		select {
+		case answer := <-c.answers:
+			switch {
+			case answer.Server != "":
+				return answer, slotAssigned
+			case answer.Unusable:
+				return answer, slotAlone
+			case !answer.Queued:
+				return answer, slotRefused
+			}
+			heardAt, interval, silence = time.Now(), queuedSlotInterval, queuedSlotInterval+slotSilence
+			resend.Reset(interval)
+		case <-resend.C:
+			waited := time.Since(heardAt)
+			if waited >= silence {
+				c.slots.noteSilence(c.request.Service, c.dispatcher, waited)
+				return slotAnswer{}, slotAlone
+			}
+			c.send()
+			resend.Reset(min(interval, silence-time.Since(heardAt)))
+		case <-ctx.Done():
+			return slotAnswer{}, slotAbandoned
+		}
+	}
+}
+
+// send sends the request with the times that remain, and what else the dispatcher has to know.
+func (c *slotCall) send() {
+	now := time.Now()
+	request := slotdispatch.Request{
+		ID: c.id, Priority: c.request.Priority, Customer: c.request.Customer, Excluded: c.request.Excluded,
+		Patience: max(c.request.Patience-now.Sub(c.begun), 0), Lifetime: untilDeadline(now, c.use.deadline),
+	}
+	s := c.slots
+	s.mu.Lock()
+	c.use.dispatcher = c.dispatcher
+	message := s.message(now, slotPeer{c.dispatcher, c.request.Service})
+	s.mu.Unlock()
+	message.Ask = peerlink.NewSlotAsk(request)
+	s.send(message, c.dispatcher)
+}
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -118,6 +118,8 @@
 	BlockedParts   []BlockedPart   `json:"bp,omitempty"`
 	AcquittedParts []AcquittedPart `json:"ap,omitempty"`
 	Relayed        bool            `json:"rl,omitempty"`
+	// Slots is about the slots of a plain service.
+	Slots *SlotMessage `json:"sl,omitempty"`
 }
 
 // OwnersNotice tells which nodes hold the leases of the model servers.
--- a/internal/peerlink/peerlink_test.go
+++ b/internal/peerlink/peerlink_test.go
@@ -76,7 +76,7 @@
 		"keepalive": {Nodes: 3}, "ends": {BlockedParts: []peerlink.BlockedPart{{}}}, "usage": {Usage: []peerlink.ServerUsage{{}}},
 		"admission": {Granted: []uint64{1}}, "origins": {OriginQuery: &peerlink.OriginQuery{}},
 		"unreachable": {UnreachableServers: []string{"s"}}, "limits": {LimitRequest: &peerlink.LimitRequest{}},
-		"arrivals": {Arrived: []peerlink.Arrival{{}}},
+		"arrivals": {Arrived: []peerlink.Arrival{{}}}, "slots": {Slots: &peerlink.SlotMessage{}},
 	} {
 		sent, got, bytes := count("sent."+kind), count("received."+kind), count("sentBytes")
 		a.Send(message, b.Address(), b.Address())
--- a/internal/slotdispatch/site_test.go
+++ b/internal/slotdispatch/site_test.go
@@ -379,8 +379,7 @@
 			finish(true)
 			return
 		}
-		var serve func()
-		serve = func() {
+		serve := func() {
 			server.running++
 			work := time.Duration((0.7 + 0.6*s.random.Float64()) * float64(s.work))
 			if server.number == 0 && s.now >= s.slowFrom && s.now < s.slowUntil {
--- a/internal/slotdispatch/slotdispatch.go
+++ b/internal/slotdispatch/slotdispatch.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -339,6 +340,11 @@
 	Hold     time.Duration
 }
 
+// String returns the state as in the log.
+func (s ServerState) String() string {
+	return fmt.Sprintf("%d of %d, %d ms", s.Used, s.Capacity, s.Hold.Milliseconds())
+}
+
 // States returns the state of each server, ordered by ID.
 func (d *Dispatcher) States(now time.Time) []ServerState {
 	states := make([]ServerState, 0, len(d.present))
