--- a/internal/node/slotcall.go
+++ b/internal/node/slotcall.go
@@ -51,7 +51,7 @@
 	}
 	resend := time.NewTimer(slotResendInterval)
 	defer resend.Stop()
-	heardAt, interval, silence := c.begun, slotResendInterval, slotSilence
+	heardAt, interval, silence := c.begun, slotResendInterval, c.slots.silence
 	c.send()
 	for {
 		select {
@@ -64,7 +64,7 @@
 			case !answer.Queued:
 				return answer, slotRefused
 			}
-			heardAt, interval, silence = time.Now(), queuedSlotInterval, queuedSlotInterval+slotSilence
+			heardAt, interval, silence = time.Now(), queuedSlotInterval, queuedSlotInterval+c.slots.silence
 			resend.Reset(interval)
 		case <-resend.C:
 			waited := time.Since(heardAt)
--- a/internal/node/slots.go
+++ b/internal/node/slots.go
@@ -32,6 +32,8 @@
 type slots struct {
 	node    *Node
 	pending *pending[slotAnswer]
+	// silence is slotSilence, except in tests.
+	silence time.Duration
 
 	mu sync.Mutex
 	// dispatchers holds those that this node runs, by service.
@@ -85,7 +87,7 @@
 func newSlots(node *Node) *slots {
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("slots."+name, nil) }
 	return &slots{
-		node: node, pending: newPending[slotAnswer](), dispatchers: make(map[string]*slotDispatcher),
+		node: node, pending: newPending[slotAnswer](), silence: slotSilence, dispatchers: make(map[string]*slotDispatcher),
 		// Instances differ from those of the process before at the same address.
 		lastInstance: time.Now().UnixMilli(),
 		uses:         make(map[uint64]*slotUse), confirmed: make(map[string]dispatcherID),
