node: Slots in use stay with the dispatcher that counts them

The end of a request at a previous dispatcher was sent together with all slots in use, as that one isn't the dispatcher that answered last. Their ends then went there, and the current dispatcher kept them until their deadlines.

--- a/internal/node/slotcall.go
+++ b/internal/node/slotcall.go
@@ -90,7 +90,9 @@
 	s := c.slots
 	s.mu.Lock()
 	c.use.dispatcher = c.dispatcher
-	message := s.message(now, slotPeer{c.dispatcher, c.request.Service})
+	peer := slotPeer{c.dispatcher, c.request.Service}
+	message := s.takeUnsent(peer)
+	s.addUses(now, peer, message)
 	s.mu.Unlock()
 	message.Ask = peerlink.NewSlotAsk(request)
 	s.send(message, c.dispatcher)
--- a/internal/node/slots.go
+++ b/internal/node/slots.go
@@ -206,21 +206,29 @@
 		s.mu.Unlock()
 		return
 	}
-	message := s.message(time.Now(), peer)
+	message := s.takeUnsent(peer)
+	if s.confirmed[peer.service].address == peer.address {
+		s.addUses(time.Now(), peer, message)
+	}
 	s.mu.Unlock()
 	if len(message.Ends)+len(message.Uses) > 0 {
 		s.send(message, peer.address)
 	}
 }
 
-// message returns the next message to a dispatcher: what is scheduled for it, and the uses of which it may not know. A
-// dispatcher that has not answered yet gets all of them. The caller holds s.mu.
-func (s *slots) message(now time.Time, peer slotPeer) *peerlink.SlotMessage {
+// takeUnsent returns what is scheduled for a dispatcher. The caller holds s.mu.
+func (s *slots) takeUnsent(peer slotPeer) *peerlink.SlotMessage {
 	message := s.unsent[peer]
 	delete(s.unsent, peer)
 	if message == nil {
 		message = &peerlink.SlotMessage{Service: peer.service}
 	}
+	return message
+}
+
+// addUses adds the uses of which the current dispatcher may not know to a message to it. One that has not answered yet gets
+// all of them. Their ends go to this dispatcher from then on, so a previous one must not get them. The caller holds s.mu.
+func (s *slots) addUses(now time.Time, peer slotPeer, message *peerlink.SlotMessage) {
 	isNew := s.confirmed[peer.service].address != peer.address
 	for id, use := range s.uses {
 		known := use.reported && !isNew
@@ -232,7 +240,6 @@
 			ID: id, Server: use.server, LifetimeMs: untilDeadline(now, use.deadline).Milliseconds(),
 		})
 	}
-	return message
 }
 
 // untilDeadline returns the time until a deadline, or 0 without one.
--- a/internal/node/slots_test.go
+++ b/internal/node/slots_test.go
@@ -72,6 +72,13 @@
 	})
 }
 
+// unsentMessages returns the number of messages to dispatchers that wait for the end of their batch.
+func (n *Node) unsentMessages() int {
+	n.slots.mu.Lock()
+	defer n.slots.mu.Unlock()
+	return len(n.slots.unsent)
+}
+
 // slotsInUse returns the slots in use and the queued requests as a dispatcher counts them.
 func (n *Node) slotsInUse() (used, waiting int) {
 	n.slots.mu.Lock()
@@ -253,7 +260,6 @@
 	alone, _, ok := nodes[2].acquire(t.Context(), time.Second, time.Minute)
 	g.Expect(ok).To(gomega.BeTrue())
 	g.Expect(alone.Server).To(gomega.BeEmpty())
-	alone.End(0, false)
 	g.Expect(nodes[2].silentDispatchers()).To(gomega.BeEmpty())
 	g.Expect(nodes[0].dispatches()).To(gomega.BeFalse())
 
@@ -261,6 +267,9 @@
 	slot, _, _ := nodes[2].acquire(t.Context(), time.Second, time.Minute)
 	g.Expect(slot.Server).NotTo(gomega.BeEmpty())
 	g.Expect(nodes[1].used()).To(gomega.Equal(4))
+	// What the last dispatcher is still told doesn't make it the one that gets the other slots back.
+	alone.End(0, false)
+	g.Eventually(nodes[2].unsentMessages).Should(gomega.BeZero())
 	for _, slot := range append(slots, slot) {
 		slot.End(0, false)
 	}
