--- a/internal/slotdispatch/site_test.go
+++ b/internal/slotdispatch/site_test.go
@@ -48,6 +48,8 @@
 	loss                float64
 	duration            time.Duration
 	serverQueue         int
+	// burst is the factor of the rate in a burst of 300 ms every 2 s; the mean rate is perSecond.
+	burst float64
 	// silent bounds a time in which the dispatcher receives nothing, replaced is when a new one takes its place.
 	silentFrom, silentUntil time.Duration
 	replacedAt              time.Duration
@@ -83,6 +85,32 @@
 	return l
 }
 
+// ofNodes returns the load before another number of nodes.
+func (l load) ofNodes(nodes int) load {
+	l.name += fmt.Sprintf(", %d nodes", nodes)
+	l.nodes = nodes
+	return l
+}
+
+// inBursts returns the load with a rate that is three times the mean for 300 ms every 2 s.
+func (l load) inBursts() load {
+	l.name += " in bursts"
+	l.burst = 3
+	return l
+}
+
+// rate returns the rate of arrivals at a time.
+func (l load) rate(now time.Duration) float64 {
+	const period, length = 2 * time.Second, 300 * time.Millisecond
+	switch {
+	case l.burst == 0:
+		return l.perSecond
+	case now%period < length:
+		return l.burst * l.perSecond
+	}
+	return l.perSecond * (period.Seconds() - l.burst*length.Seconds()) / (period - length).Seconds()
+}
+
 type timed struct {
 	at  time.Duration
 	seq int
@@ -116,7 +144,8 @@
 	zone        int
 	inFlight    map[string]int
 	silentUntil time.Duration
-	failureRate map[string]float64
+	// rejectedAt holds when a server last rejected a request of the node.
+	rejectedAt map[string]time.Duration
 }
 
 // site plays the nodes and servers of a load. Without a dispatcher the nodes choose by modelpick.Plain.
@@ -130,6 +159,8 @@
 	servers    []*siteServer
 	dispatcher *slotdispatch.Dispatcher
 	dispatched bool
+	// bestOfTwo makes the nodes choose the better of two random servers instead, and avoid those that rejected a request.
+	bestOfTwo bool
 	// answers holds the requests that wait for the dispatcher, by ID.
 	answers map[uint64]func(slotdispatch.Answer)
 	inUse   map[uint64]slotdispatch.Use
@@ -158,7 +189,7 @@
 	}
 	for i := range l.nodes {
 		s.nodes = append(s.nodes, &siteNode{
-			name: "n" + strconv.Itoa(i), zone: i % l.zones, inFlight: make(map[string]int), failureRate: make(map[string]float64),
+			name: "n" + strconv.Itoa(i), zone: i % l.zones, inFlight: make(map[string]int), rejectedAt: make(map[string]time.Duration),
 			silentUntil: -1,
 		})
 	}
@@ -201,7 +232,7 @@
 	arrive = func() {
 		s.requests++
 		s.begin(s.nodes[s.random.IntN(len(s.nodes))])
-		s.after(time.Duration(s.random.ExpFloat64()/s.perSecond*float64(time.Second)), arrive)
+		s.after(time.Duration(s.random.ExpFloat64()/s.rate(s.now)*float64(time.Second)), arrive)
 	}
 	s.after(0, arrive)
 	if s.replacedAt > 0 {
@@ -339,6 +370,10 @@
 	for _, id := range r.excluded {
 		tried[id] = true
 	}
+	if s.bestOfTwo {
+		s.chooseOfTwo(r, candidates, tried)
+		return
+	}
 	chosen, found := modelpick.Plain(candidates, modelpick.Query{Zone: zoneName(r.node.zone), Tried: tried}, s.random)
 	if !found {
 		s.refused++
@@ -347,6 +382,26 @@
 	s.send(r, chosen.ID)
 }
 
+// rejectionMemory is how long a node that chooses the better of two servers avoids one that has rejected a request.
+const rejectionMemory = 100 * time.Millisecond
+
+func (s *site) chooseOfTwo(r *request, candidates []serverview.Candidate, tried map[string]bool) {
+	usable := slices.DeleteFunc(candidates, func(c serverview.Candidate) bool { return tried[c.ID] })
+	if len(usable) == 0 {
+		s.refused++
+		return
+	}
+	avoided := func(c serverview.Candidate) bool {
+		at, found := r.node.rejectedAt[c.ID]
+		return found && s.now-at < rejectionMemory
+	}
+	first, second := usable[s.random.IntN(len(usable))], usable[s.random.IntN(len(usable))]
+	if avoided(first) && !avoided(second) || avoided(first) == avoided(second) && second.InFlight < first.InFlight {
+		first = second
+	}
+	s.send(r, first.ID)
+}
+
 func (s *site) send(r *request, id string) {
 	number, _ := strconv.Atoi(id[1:])
 	server, node := s.servers[number], r.node
@@ -363,8 +418,10 @@
 			}
 			switch {
 			case !full:
+				delete(node.rejectedAt, id)
 				s.latencies = append(s.latencies, s.now-r.arrived)
 			case r.sends < maximumSends:
+				node.rejectedAt[id] = s.now
 				r.excluded = append(r.excluded, id)
 				s.choose(r)
 			default:
@@ -438,11 +495,16 @@
 func TestServersTurnAwayAtMostOneInAHundred(t *testing.T) {
 	for _, l := range []load{
 		deploymentA(), deploymentP(), deploymentA().withSpell(), deploymentP().withSpell(),
+		deploymentA().inBursts(), deploymentP().inBursts(), deploymentA().inBursts().withSpell(),
 		deploymentA().atShare(0.8), deploymentP().atShare(0.8), deploymentA().atShare(0.8).withSpell(),
+		deploymentA().atShare(0.8).ofNodes(195), deploymentA().atShare(0.8).ofNodes(390),
 	} {
 		t.Run(l.name, func(t *testing.T) {
 			t.Parallel()
 			newSite(l, 1, false).run().report(t, "alone")
+			bestOfTwo := newSite(l, 1, false)
+			bestOfTwo.bestOfTwo = true
+			bestOfTwo.run().report(t, "best of 2")
 			for seed := range uint64(3) {
 				s := newSite(l, seed, true).run()
 				s.report(t, "dispatched")
@@ -459,6 +521,7 @@
 func TestServersWithShortQueuesRejectAtMostOneInAHundred(t *testing.T) {
 	for _, l := range []load{deploymentA().atShare(0.8), deploymentP().atShare(0.8), deploymentA().atShare(0.8).withSpell()} {
 		for queue := range defaultServerQueue {
+			l := l
 			l.serverQueue = queue
 			t.Run(fmt.Sprintf("%s, queue of %d", l.name, queue), func(t *testing.T) {
 				t.Parallel()
