slotdispatch: The pause before another excess request doubles with rejections

The test with short queues at the servers ran all its cases with a queue of one. With none and a slow server at 0.8 of the slots, 1.16% of the arrivals were rejected, as each server was tried again every 3 s.

--- a/internal/slotdispatch/slotdispatch.go
+++ b/internal/slotdispatch/slotdispatch.go
@@ -31,9 +31,11 @@
 	// slowFactor is how much longer a server's requests last than those of the fastest one when nodes of its zone no
 	// longer prefer it.
 	slowFactor = 1.5
-	// excessRecovery is how long after a rejection a server that gets fewer excess requests gets one more again. How many
-	// requests a server queues isn't known, and at this interval finding out costs next to no rejections.
-	excessRecovery = 3 * time.Second
+	// minimumExcessRecovery is how long after a rejection a server that gets fewer excess requests gets one more again. How
+	// many requests a server queues isn't known. The time doubles with each rejection, up to maximumExcessRecovery, so that
+	// finding out costs next to no rejections.
+	minimumExcessRecovery = 3 * time.Second
+	maximumExcessRecovery = time.Minute
 	// minimumFullPeriod and maximumFullPeriod bound the time for which a server that rejected a request gets no other one.
 	minimumFullPeriod = 5 * time.Millisecond
 	maximumFullPeriod = 100 * time.Millisecond
@@ -145,9 +147,10 @@
 	work       time.Duration
 	observedAt time.Time
 	// withheld is the number of excess requests that the server doesn't get since it rejected some, withheldChangedAt the
-	// time of the latest change.
+	// time of the latest change, and recovery the time until it gets one of them again.
 	withheld          int
 	withheldChangedAt time.Time
+	recovery          time.Duration
 	// fullUntil is when a server that rejected a request may get requests again.
 	fullUntil time.Time
 }
@@ -554,15 +557,21 @@
 	if now.Sub(s.withheldChangedAt) > s.hold && s.capacity() > s.Slots {
 		s.withheld++
 		s.withheldChangedAt = now
+		s.recovery = min(max(2*s.recovery, minimumExcessRecovery), maximumExcessRecovery)
 	}
 }
 
 // recover lets a server have one more excess request when it has long rejected none.
 func (s *server) recover(now time.Time) {
-	if s.withheld > 0 && now.Sub(s.withheldChangedAt) > excessRecovery {
-		s.withheld--
-		s.withheldChangedAt = now
+	if s.recovery == 0 || now.Sub(s.withheldChangedAt) <= s.recovery {
+		return
+	}
+	if s.withheld == 0 {
+		s.recovery = 0
+		return
 	}
+	s.withheld--
+	s.withheldChangedAt = now
 }
 
 // capacity returns how many requests may be assigned to the server at once: its slots, and as many more as are on their
