keyproof, node: API keys are accepted only while the configuration is proven recent

Change: keyproof decides until when keys are accepted. A proof is the node's own read of the operators' records, counted from its call, or a reader's answer to a challenge, counted from the challenge less the age of the reader's own proof, once this node has applied what the reader had. Proofs are valid for 0.9 of keys.revocation by CLOCK_BOOTTIME; without one the node answers 503, and 503 instead of 401 if the proof is older than 1.5 s. A request that would get such a 503 waits up to 0.2 s for a challenge of its own, as readers' proofs are 0.6 to 1.2 s old between two long polls. A node that no reader answers for 2 s reads the store itself. Positions carry the version in force besides the offset, since offsets begin anew when the log is replaced.

--- a/internal/customers/customers.go
+++ b/internal/customers/customers.go
@@ -14,7 +14,7 @@
 // belongs to none of them.
 func New(config *serving.Configuration) (*Directory, []serving.CustomerProblem) {
 	d := &Directory{
-		required: config.CustomersDeclared || len(config.Customers) > 0,
+		required: config.HasCustomers(),
 		byKey:    make(map[serving.KeyDigest]*serving.Customer), byName: make(map[string]*serving.Customer),
 	}
 	problems := config.CustomerProblems[:len(config.CustomerProblems):len(config.CustomerProblems)]
--- a/internal/event/node.go
+++ b/internal/event/node.go
@@ -36,6 +36,10 @@
 		"An entry of the configuration could not be read; the last valid version stays active.")
 	CustomerInvalid = register(860, logrus.WarnLevel, "customer's declaration invalid",
 		"A field of a customer can't be used and is ignored, or a key that two customers have; the rest is in force.")
+	KeysUnproven = register(861, logrus.WarnLevel, "API keys not accepted",
+		"The node can't prove that its configuration is recent, and refuses requests with API keys until it can.")
+	KeysProven = register(862, logrus.InfoLevel, "API keys accepted",
+		"The node can prove again, or for the first time, that its configuration is recent.")
 	ServerEntryChanged = register(812, logrus.InfoLevel, "server entry changed",
 		"A backend server appeared, changed its state, or is leaving.")
 	ServerEntryInvalid = register(813, logrus.WarnLevel, "server entry invalid",
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -85,6 +85,7 @@
 	limits       *limits
 	crashes      *crashes
 	reach        *reach
+	keys         *keys
 	watch        *watch
 	peers        *peers
 	link         *peerlink.Link
@@ -145,10 +146,12 @@
 	n.limits = newLimits(n)
 	n.crashes = newCrashes(n)
 	n.reach = newReach(n)
+	n.keys = newKeys(n)
+	n.watch.proofDue = n.keys.readDue
 	n.connections.OnIdleDropsDetected(func() { n.events.Emit(event.IdleConnectionsReset, nil) })
 	n.forwarder = forward.New(forward.Options{
 		Wire: d.Wire, View: n.view, Usage: n.usage, Transport: d.Connections, Gate: n.admission, EventGaps: n.eventGaps,
-		Origins: n.origins, Limits: n.limits, Crashes: n.crashes, Peers: n.reach,
+		Origins: n.origins, Limits: n.limits, Crashes: n.crashes, Peers: n.reach, Keys: n.keys.forwarderKeys(),
 		PeerTransport: upstream.NewTransport(connectTimeout, false), Zone: settings.Node.Zone, Events: d.Events,
 		RetryBudget: retrybudget.Options{
 			Ratio: settings.RetryBudget.Ratio, Slack: settings.RetryBudget.Slack, Window: settings.RetryBudget.Window.Std(),
@@ -214,6 +217,7 @@
 	group.Go(func() error { return n.limits.run(n.ctx) })
 	group.Go(func() error { return n.crashes.run(n.ctx) })
 	group.Go(func() error { return n.reach.run(n.ctx) })
+	group.Go(func() error { return n.keys.run(n.ctx) })
 	group.Go(func() error { return n.publishStates(n.ctx) })
 	group.Go(func() error { return n.sendDigests(n.ctx) })
 	group.Go(func() error { return n.fetchFromPeers(n.ctx) })
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -185,6 +185,7 @@
 	n.limits.handleMessage(now, message)
 	n.crashes.handleMessage(now, message)
 	n.reach.noteUnreachable(now, message)
+	n.keys.handleMessage(message)
 	for _, entry := range message.Usage {
 		if holder := n.holders.get(entry.ServerID); holder != nil {
 			holder.recordUsage(now, entry.Decode(message.From))
--- a/internal/node/peersnapshot.go
+++ b/internal/node/peersnapshot.go
@@ -130,6 +130,7 @@
 	n.leases.setOwners(snapshot.Owners)
 	n.reconcilePending.Store(true)
 	n.watch.advance(snapshot.Digest)
+	n.keys.applied(snapshot.Digest.OperatorNext)
 }
 
 // peerSnapshotHandler returns the handler for requests of peers.
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -43,7 +43,7 @@
 	var cursor serving.Cursor
 	patience := minimumPatience
 	for ctx.Err() == nil {
-		startedAt := time.Now()
+		startedAt, sentAt := time.Now(), bootTime()
 		batch, err := n.readOperator(ctx, cursor, patience)
 		if !n.recordStoreCall(ctx, err) {
 			n.logFailedOperatorRead(ctx, err, startedAt)
@@ -58,6 +58,7 @@
 			n.events.EmitError(event.ConfigRefused, invalid, nil)
 		}
 		n.applyOperator(sourceStore, batch)
+		n.keys.readOperator(sentAt, batch.Next)
 		n.watch.recordOperatorRead(time.Now(), batch, contiguous)
 		n.watch.waitForOperator(ctx)
 	}
@@ -168,6 +169,7 @@
 	}
 	n.applyOperator(reader, serving.OperatorBatch{Versions: changes.Versions})
 	n.watch.advance(storewatch.Digest{OperatorNext: digest.OperatorNext})
+	n.keys.applied(digest.OperatorNext)
 }
 
 // applyPeerServers replaces the entries by those that a peer read up to an offset of the store's log, if that's later
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -37,6 +37,8 @@
 	// records.
 	readAt         time.Time
 	operatorReadAt time.Time
+	// proofDue, if set, reports whether the operators' records have to be read although readers show nothing new.
+	proofDue func() bool
 	// digestReceived receives a value when a digest of another node arrived.
 	digestReceived chan struct{}
 	// digestChanged receives a value when this node's own digest changed.
@@ -144,7 +146,7 @@
 func (w *watch) operatorIdle(now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.core.FollowsOperator(now) && !w.core.OperatorDue()
+	return w.core.FollowsOperator(now) && !w.core.OperatorDue() && (w.proofDue == nil || !w.proofDue())
 }
 
 // serversIdle is operatorIdle for the servers' entries. fingerprint is that of this node's entries.
--- a/internal/peerlink/counts.go
+++ b/internal/peerlink/counts.go
@@ -13,6 +13,7 @@
 	kindLimits      = "limits"
 	kindEnds        = "ends"
 	kindArrivals    = "arrivals"
+	kindKeys        = "keys"
 	kindKeepAlive   = "keepalive"
 )
 
@@ -37,6 +38,8 @@
 		return kindEnds
 	case len(m.Arrived) > 0:
 		return kindArrivals
+	case m.KeyChallenge != nil, m.KeyAnswer != nil:
+		return kindKeys
 	}
 	return kindKeepAlive
 }
@@ -54,7 +57,7 @@
 	}
 	for _, kind := range []string{
 		kindStates, kindDigest, kindUsage, kindAdmission, kindOrigins, kindUnreachable, kindLimits, kindEnds, kindArrivals,
-		kindKeepAlive,
+		kindKeys, kindKeepAlive,
 	} {
 		t.byKind[kind] = metrics.GetOrRegisterCounter("peerlink."+direction+"."+kind, nil)
 	}
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -118,6 +118,9 @@
 	BlockedParts   []BlockedPart   `json:"bp,omitempty"`
 	AcquittedParts []AcquittedPart `json:"ap,omitempty"`
 	Relayed        bool            `json:"rl,omitempty"`
+	// KeyChallenge asks how recent the receiver's configuration is, KeyAnswer answers such a question.
+	KeyChallenge *KeyChallenge `json:"kc,omitempty"`
+	KeyAnswer    *KeyAnswer    `json:"ka,omitempty"`
 }
 
 // OwnersNotice tells which nodes hold the leases of the model servers.
--- a/internal/serving/config.go
+++ b/internal/serving/config.go
@@ -113,6 +113,9 @@
 	CustomerProblems []CustomerProblem `json:"-"`
 }
 
+// HasCustomers reports whether requests need an API key, except on anonymous routes.
+func (c *Configuration) HasCustomers() bool { return c.CustomersDeclared || len(c.Customers) > 0 }
+
 // ShortestPause returns the smallest MaxPause among the routes to a service, or fallback if none of them sets one.
 func (c *Configuration) ShortestPause(service string, fallback time.Duration) time.Duration {
 	shortest := time.Duration(0)
