--- a/internal/keyproof/revocation_test.go
+++ b/internal/keyproof/revocation_test.go
@@ -32,7 +32,6 @@
 	nodes  [modelNodes]*modelNode
 	// pending holds what arrives at nodes.
 	pending []arrival
-	nonces  uint64
 	// accepted counts the steps in which a node accepted keys.
 	accepted int
 }
