--- a/internal/peerlink/counts.go
+++ b/internal/peerlink/counts.go
@@ -14,6 +14,7 @@
 	kindEnds        = "ends"
 	kindArrivals    = "arrivals"
 	kindSlots       = "slots"
+	kindKeys        = "keys"
 	kindKeepAlive   = "keepalive"
 )
 
@@ -40,6 +41,8 @@
 		return kindArrivals
 	case m.Slots != nil:
 		return kindSlots
+	case m.KeyChallenge != nil, m.KeyAnswer != nil:
+		return kindKeys
 	}
 	return kindKeepAlive
 }
@@ -57,7 +60,7 @@
 	}
 	for _, kind := range []string{
 		kindStates, kindDigest, kindUsage, kindAdmission, kindOrigins, kindUnreachable, kindLimits, kindEnds, kindArrivals,
-		kindSlots, kindKeepAlive,
+		kindSlots, kindKeys, kindKeepAlive,
 	} {
 		t.byKind[kind] = metrics.GetOrRegisterCounter("peerlink."+direction+"."+kind, nil)
 	}
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -120,6 +120,9 @@
 	Relayed        bool            `json:"rl,omitempty"`
 	// Slots is about the slots of a plain service.
 	Slots *SlotMessage `json:"sl,omitempty"`
+	// KeyChallenge asks how recent the receiver's configuration is, KeyAnswer answers such a question.
+	KeyChallenge *KeyChallenge `json:"kc,omitempty"`
+	KeyAnswer    *KeyAnswer    `json:"ka,omitempty"`
 }
 
 // OwnersNotice tells which nodes hold the leases of the model servers.
