node, platform, streamorigin: Origins of streams and proofs of versions in the store

Cause: origins were only in the memory of nodes, so that no stream went on after all nodes had ended with two versions in service. A node also took the absence or the age of sightings for the proof that no other version had served, and nodes confirmed each other in that.

A node reads the topic before it answers "unknown". Readers record which versions have served, for how long that is known, and up to which entry of the servers; a node that starts joins this to its own view by the entries in between. Without that, "only version" is concluded only for the time of the own view.

--- a/internal/event/node.go
+++ b/internal/event/node.go
@@ -30,6 +30,10 @@
 		"Servers reset idle connections when a request was sent; for now, only briefly idle ones are reused.")
 	OriginResolved = register(807, logrus.InfoLevel, "stream origin resolved",
 		"A caller resumes a stream; the fields show the software version that began it and how it is known.")
+	OriginsExchanged = register(808, logrus.DebugLevel, "stream origins exchanged",
+		"Origins of streams were recorded in the store, or read from it.")
+	OriginsFailed = register(809, logrus.WarnLevel, "stream origins not exchanged",
+		"Origins of streams could not be recorded in the store, or not be read; the call is repeated.")
 	ConfigInForce = register(810, logrus.InfoLevel, "configuration activated",
 		"The node serves a new version of the configuration.")
 	ConfigRefused = register(811, logrus.WarnLevel, "configuration rejected",
@@ -46,6 +50,8 @@
 		"The platform's store answers again.")
 	SightingsFailed = register(817, logrus.WarnLevel, "software versions not exchanged",
 		"The software versions in use could not be recorded in the store, or those recorded could not be read.")
+	VersionsProven = register(819, logrus.InfoLevel, "software versions proven",
+		"The node has read which software versions served before its own view began; the fields show for how long it knows all.")
 	OperatorReadFailed = register(818, logrus.WarnLevel, "operators' records not read",
 		"A read of the configuration and the adapter versions failed; the fields show how long it took and what follows.")
 	LeaseGained = register(820, logrus.InfoLevel, "server leases acquired",
--- a/internal/node/leases.go
+++ b/internal/node/leases.go
@@ -151,14 +151,20 @@
 
 // isReader reports whether this node holds a partition that makes it read the store for all.
 func (l *leases) isReader() bool {
+	_, reader := l.readerPartition()
+	return reader
+}
+
+// readerPartition returns the first partition that makes this node read the store for all, and whether there is one.
+func (l *leases) readerPartition() (partition int, found bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for partition := range readerPartitions {
 		if l.core.HasPartition(partition) {
-			return true
+			return partition, true
 		}
 	}
-	return false
+	return 0, false
 }
 
 // ownersDue reports whether this node has to read the owners: a member after each change of the group, as a new holder
--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -34,6 +34,8 @@
 	// unsent holds the origins that have not been sent to their keepers yet.
 	unsent  []streamorigin.Origin
 	queries *pending[originReply]
+	// log keeps origins in the store.
+	log *originLog
 	// recorded receives a value when an origin was added to unsent.
 	recorded chan struct{}
 }
@@ -46,7 +48,7 @@
 
 func newOrigins(node *Node) *origins {
 	return &origins{
-		node: node, registry: streamorigin.NewRegistry(), queries: newPending[originReply](),
+		node: node, registry: streamorigin.NewRegistry(), queries: newPending[originReply](), log: newOriginLog(node),
 		recorded: make(chan struct{}, 1),
 	}
 }
@@ -86,17 +88,79 @@
 	holders, _ := o.nodes(now)
 	byKeeper := make(map[string][]peerlink.OriginRecord)
 	for _, origin := range unsent {
-		for _, keeper := range streamorigin.Keepers(origin.Request, o.node.settings.Node.Zone, holders) {
+		keepers := streamorigin.Keepers(origin.Request, o.node.settings.Node.Zone, holders)
+		writer := o.writer(origin.Request)
+		if writer == o.node.link.Address() {
+			o.log.add(now, origin)
+		} else if !slices.Contains(keepers, writer) {
+			keepers = append(keepers, writer)
+		}
+		for _, keeper := range keepers {
 			byKeeper[keeper] = append(byKeeper[keeper], peerlink.NewOriginRecord(now, origin))
 		}
 	}
-	for keeper, records := range byKeeper {
+	o.sendRecords(byKeeper)
+}
+
+// sendToWriters appends the origins that this node writes to the store, and sends the others to the nodes that do. Holders
+// change, so that a node that is to write an origin need not have been one of its keepers when the stream began.
+func (o *origins) sendToWriters(now time.Time, live []streamorigin.Origin) {
+	byWriter := make(map[string][]peerlink.OriginRecord)
+	for _, origin := range live {
+		writer := o.writer(origin.Request)
+		if writer == o.node.link.Address() {
+			o.log.append(origin)
+			continue
+		}
+		byWriter[writer] = append(byWriter[writer], peerlink.NewOriginRecord(now, origin))
+	}
+	o.sendRecords(byWriter)
+}
+
+func (o *origins) sendRecords(byReceiver map[string][]peerlink.OriginRecord) {
+	for receiver, records := range byReceiver {
 		for chunk := range slices.Chunk(records, originsPerMessage) {
-			o.node.link.Send(peerlink.Message{Origins: chunk}, keeper)
+			o.node.link.Send(peerlink.Message{Origins: chunk}, receiver)
 		}
 	}
 }
 
+// writer returns the address of the holder that writes the origin of a request's stream to the store. A node that knows no
+// holder writes itself.
+func (o *origins) writer(request string) string {
+	var holders []streamorigin.Node
+	addresses := make(map[string]bool)
+	for _, owner := range o.node.leases.copyOwners() {
+		if !addresses[owner] {
+			addresses[owner] = true
+			holders = append(holders, streamorigin.Node{Address: owner})
+		}
+	}
+	if len(holders) == 0 {
+		return o.node.link.Address()
+	}
+	return streamorigin.Writer(request, holders)
+}
+
+// writes reports whether this node writes the origin of a request's stream to the store.
+func (o *origins) writes(request string) bool {
+	return o.writer(request) == o.node.link.Address()
+}
+
+// live returns the origins of a service's streams that may still be resumed.
+func (o *origins) live(now time.Time, service string) []streamorigin.Origin {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.registry.Live(now, service)
+}
+
+// keep records an origin that this node keeps for others.
+func (o *origins) keep(now time.Time, origin streamorigin.Origin) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.registry.Record(now, origin)
+}
+
 // nodes returns the other nodes that hold leases, and all other nodes that are known to be alive. Without known holders,
 // all count as holders.
 func (o *origins) nodes(now time.Time) (holders, alive []streamorigin.Node) {
@@ -134,7 +198,14 @@
 	}
 	holders, alive := o.nodes(now)
 	query := peerlink.OriginQuery{Request: request, Service: service, MaximumAgeMs: maximumAge.Milliseconds()}
-	return o.ask(ctx, query, streamorigin.Targets(request, holders, alive), answer)
+	answer = o.ask(ctx, query, streamorigin.Targets(request, holders, alive), answer)
+	if answer.Known() || request == "" {
+		return answer
+	}
+	if err := o.log.readNew(ctx); err != nil {
+		return answer
+	}
+	return answer.Combine(o.known(time.Now(), request, service, maximumAge))
 }
 
 // ask sends a query until it has found a record, all targets have answered, or the timeout is over. It returns the most
@@ -194,11 +265,13 @@
 // handleMessage processes what a peer's message says or asks about origins.
 func (o *origins) handleMessage(now time.Time, message peerlink.Message) {
 	if len(message.Origins) > 0 {
-		o.mu.Lock()
 		for _, record := range message.Origins {
-			o.registry.Record(now, record.Decode(now))
+			origin := record.Decode(now)
+			o.keep(now, origin)
+			if o.writes(origin.Request) {
+				o.log.add(now, origin)
+			}
 		}
-		o.mu.Unlock()
 	}
 	if query := message.OriginQuery; query != nil {
 		answer := o.known(now, query.Request, query.Service, time.Duration(query.MaximumAgeMs)*time.Millisecond)
--- a/internal/node/sightings.go
+++ b/internal/node/sightings.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,6 +19,13 @@
 	sightingRefresh = 30 * time.Second
 	// sightingMargin covers the deviation of the nodes' clocks and the delay of a record.
 	sightingMargin = 15 * time.Second
+	// coveragePeriod is the time between two records of the coverage by the owner of the first partition. A node that starts
+	// needs the servers' entries since the latest one, and large sites keep 20 s of them.
+	coveragePeriod = 5 * time.Second
+	// spareCoveragePeriod is coveragePeriod for the other readers, whose records count while the store refuses the first.
+	spareCoveragePeriod = 15 * time.Second
+	// maximumCoverage bounds the time for which versions are remembered; streams are far shorter.
+	maximumCoverage = time.Hour
 )
 
 // sightings records the software versions in use in the store, and reads which versions served before this node's view
@@ -27,30 +36,44 @@
 	// changed receives a value when the servers' entries have changed or were read completely.
 	changed chan struct{}
 	mu      sync.Mutex
-	// readAt is when this node began to read the recorded sightings last.
-	readAt time.Time
+	// proof is the time for which this node knows all versions.
+	proof versionProof
 	// recordedAt holds when this node recorded each version.
-	recordedAt map[serviceVersion]time.Time
+	recordedAt map[serving.ServiceVersion]time.Time
+	// coverageAt is when this node last recorded its coverage.
+	coverageAt time.Time
 }
 
-type serviceVersion struct{ service, softwareVersion string }
+// versionProof states that a node knows all software versions that have served since a time. It joins the coverage that a
+// reader has recorded to the node's own view, by all entries of servers in between. The absence of sightings proves nothing,
+// as the store may have refused them.
+type versionProof struct {
+	// viewSince is when the node's own view began, for which the proof was made.
+	viewSince time.Time
+	since     time.Time
+}
 
 func newSightings(node *Node) *sightings {
-	return &sightings{node: node, changed: make(chan struct{}, 1), recordedAt: make(map[serviceVersion]time.Time)}
+	return &sightings{node: node, changed: make(chan struct{}, 1), recordedAt: make(map[serving.ServiceVersion]time.Time)}
 }
 
 // areComplete reports whether this node knows all software versions that have served since a time: from its view of the
-// servers, or from the sightings of other nodes for the time before the last gap in the view.
+// servers, or from a proof for the time before the last gap in the view.
 func (s *sightings) areComplete(now, since time.Time) bool {
 	viewSince, current := s.node.watch.checkCurrent(now, s.node.view.Fingerprint())
-	return current && (!viewSince.After(since) || s.haveBeenRead(viewSince))
+	if !current {
+		return false
+	}
+	proven, found := s.provenSince(viewSince)
+	return !viewSince.After(since) || found && !proven.After(since)
 }
 
-// haveBeenRead reports whether the recorded sightings have been read since a time.
-func (s *sightings) haveBeenRead(since time.Time) bool {
+// provenSince returns since when this node knows all versions, and whether it has read what is recorded of the time before
+// its view began.
+func (s *sightings) provenSince(viewSince time.Time) (since time.Time, found bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.readAt.IsZero() && !s.readAt.Before(since)
+	return s.proof.since, !viewSince.IsZero() && s.proof.viewSince.Equal(viewSince)
 }
 
 // run reads and records sightings until ctx ends.
@@ -58,23 +81,23 @@
 	for ctx.Err() == nil {
 		delay.Until(ctx, sightingsPeriod, s.changed)
 		now := time.Now()
-		since, current := s.node.watch.checkCurrent(now, s.node.view.Fingerprint())
+		viewSince, current := s.node.watch.checkCurrent(now, s.node.view.Fingerprint())
 		if !current {
 			continue
 		}
-		if !s.haveBeenRead(since) {
-			s.read(ctx, now)
+		if _, found := s.provenSince(viewSince); !found {
+			s.read(ctx, now, viewSince)
 		}
 		if s.node.leases.isReader() {
-			s.record(ctx, now)
+			s.record(ctx, now, viewSince)
 		}
 	}
 	return nil
 }
 
-// read adds the recorded sightings to this node's view.
-func (s *sightings) read(ctx context.Context, now time.Time) {
-	recorded, err := s.node.store.ReadSightings(ctx)
+// read adds the recorded sightings to this node's view, and looks for a proof of the time before it.
+func (s *sightings) read(ctx context.Context, now, viewSince time.Time) {
+	recorded, coverages, err := s.node.store.ReadSightings(ctx)
 	if err != nil {
 		s.logFailure(ctx, err)
 		return
@@ -84,25 +107,97 @@
 		age := time.Since(sighting.At) - sightingRefresh - sightingMargin
 		s.node.view.NoteVersion(sighting.Service, sighting.SoftwareVersion, now.Add(-max(age, 0)))
 	}
+	since, err := s.prove(ctx, now, viewSince, coverages)
+	if err != nil {
+		s.logFailure(ctx, err)
+		return
+	}
+	s.node.events.Emit(event.VersionsProven, event.Fields{
+		"provenMs": now.Sub(since).Milliseconds(), "viewMs": now.Sub(viewSince).Milliseconds(), "coverages": len(coverages),
+	})
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.readAt = now
+	s.proof = versionProof{viewSince: viewSince, since: since}
 }
 
-// record records the versions in use that this node has not recorded within sightingRefresh.
-func (s *sightings) record(ctx context.Context, now time.Time) {
+// prove returns since when this node knows all versions. It takes the longest coverage after which all entries of servers are
+// still retained. Without any, the entries since the first one of all show the versions of the whole past.
+func (s *sightings) prove(
+	ctx context.Context, now, viewSince time.Time, coverages []serving.VersionCoverage,
+) (since time.Time, err error) {
+	for _, coverage := range longestFirst(coverages) {
+		versions, complete, err := s.node.store.ReadServerVersions(ctx, coverage.Offset)
+		if err != nil {
+			return since, err
+		}
+		if !complete {
+			continue
+		}
+		for _, seen := range coverage.Seen {
+			s.node.view.NoteVersion(seen.Service, seen.SoftwareVersion, now.Add(-seen.Age))
+		}
+		for _, version := range versions {
+			s.node.view.NoteVersion(version.Service, version.SoftwareVersion, now)
+		}
+		if since := now.Add(-coverage.Covered); since.Before(viewSince) {
+			return since, nil
+		}
+	}
+	return viewSince, nil
+}
+
+// longestFirst returns the coverages with the longest first. The last one begins at the first entry of all, and covers the
+// whole time before it.
+func longestFirst(coverages []serving.VersionCoverage) []serving.VersionCoverage {
+	sorted := slices.SortedStableFunc(slices.Values(coverages), func(a, b serving.VersionCoverage) int {
+		return cmp.Compare(b.Covered, a.Covered)
+	})
+	return append(sorted, serving.VersionCoverage{Covered: maximumCoverage})
+}
+
+// record records the versions in use that this node has not recorded within sightingRefresh, and its coverage if that's due.
+func (s *sightings) record(ctx context.Context, now, viewSince time.Time) {
+	// The offset is taken before the versions, so that these include all entries before it.
+	offset := s.node.watch.serversOffset()
 	due := s.due(now)
-	if len(due) == 0 {
+	coverage := s.coverage(now, viewSince, offset, len(due) > 0)
+	if len(due) == 0 && coverage == nil {
 		return
 	}
-	if err := s.node.store.RecordSightings(ctx, due); err != nil {
+	if err := s.node.store.RecordSightings(ctx, due, coverage); err != nil {
 		s.logFailure(ctx, err)
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, sighting := range due {
-		s.recordedAt[serviceVersion{sighting.Service, sighting.SoftwareVersion}] = now
+		s.recordedAt[serving.ServiceVersion{Service: sighting.Service, SoftwareVersion: sighting.SoftwareVersion}] = now
+	}
+	if coverage != nil {
+		s.coverageAt = now
+	}
+}
+
+// coverage returns the coverage to record, or nil if none is due or this node hasn't read the one before it. changed is true
+// if a version is to be recorded.
+func (s *sightings) coverage(now, viewSince time.Time, offset int64, changed bool) *serving.VersionCoverage {
+	since, found := s.provenSince(viewSince)
+	partition, holds := s.node.leases.readerPartition()
+	if !found || !holds {
+		return nil
+	}
+	period := coveragePeriod
+	if partition > 0 {
+		period = spareCoveragePeriod
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !changed && now.Sub(s.coverageAt) < period {
+		return nil
+	}
+	return &serving.VersionCoverage{
+		Partition: partition, Covered: min(now.Sub(since), maximumCoverage), Offset: offset,
+		Seen: s.node.view.VersionAges(now, maximumCoverage),
 	}
 }
 
@@ -118,7 +213,7 @@
 	defer s.mu.Unlock()
 	for service, versions := range s.node.view.Versions() {
 		for _, version := range versions {
-			recordedAt, recorded := s.recordedAt[serviceVersion{service, version}]
+			recordedAt, recorded := s.recordedAt[serving.ServiceVersion{Service: service, SoftwareVersion: version}]
 			if !recorded || now.Sub(recordedAt) >= sightingRefresh {
 				due = append(due, serving.VersionSighting{Service: service, SoftwareVersion: version, At: now})
 			}
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -188,6 +188,13 @@
 	return w.core.CheckCurrent(now, fingerprint)
 }
 
+// serversOffset returns the position in the servers' entries up to which this node has read the store.
+func (w *watch) serversOffset() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.own.ServersNext
+}
+
 // operatorAge returns how long ago this node, or a reader whose digests it gets, last read the operators' records.
 func (w *watch) operatorAge(now time.Time) time.Duration {
 	w.mu.Lock()
@@ -208,6 +215,8 @@
 func (n *Node) sendDigests(ctx context.Context) error {
 	for round := 0; ctx.Err() == nil; round++ {
 		delay.Until(ctx, digestPeriod, n.watch.digestChanged)
+		// Calls to the store may keep other callers from checking often enough.
+		n.watch.checkCurrent(time.Now(), n.view.Fingerprint())
 		n.operatorAge.Update(n.watch.operatorAge(time.Now()).Milliseconds())
 		if !n.leases.isReader() {
 			continue
--- a/internal/serverview/versions.go
+++ b/internal/serverview/versions.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"waxwingcleat.example/waxwingcleat/internal/serving"
 )
 
 // versionHistory holds when servers that the view has dropped, or that other processes have observed, were last present,
@@ -50,6 +52,37 @@
 	return byService
 }
 
+// VersionAges returns all software versions that served within the given time, and how long ago at the latest, as far as this
+// view knows.
+func (v *View) VersionAges(now time.Time, within time.Duration) (ages []serving.VersionAge) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	byVersion := make(map[serving.ServiceVersion]time.Duration)
+	note := func(service, softwareVersion string, at time.Time) {
+		key := serving.ServiceVersion{Service: service, SoftwareVersion: softwareVersion}
+		age := max(now.Sub(at), 0)
+		if known, found := byVersion[key]; age <= within && (!found || age < known) {
+			byVersion[key] = age
+		}
+	}
+	for service, versions := range v.versions {
+		for version, at := range versions {
+			note(service, version, at)
+		}
+	}
+	for _, srv := range v.servers {
+		at := srv.removedAt
+		if at.IsZero() {
+			at = now
+		}
+		note(srv.entry.Service, srv.entry.SoftwareVersion, at)
+	}
+	for version, age := range byVersion {
+		ages = append(ages, serving.VersionAge{ServiceVersion: version, Age: age})
+	}
+	return ages
+}
+
 // VersionsSince returns the software versions of the servers of a service that were present at some moment since a time,
 // as far as this view knows.
 func (v *View) VersionsSince(service string, since time.Time) (softwareVersions []string) {
--- a/internal/serving/store.go
+++ b/internal/serving/store.go
@@ -40,6 +40,36 @@
 	At              time.Time
 }
 
+// ServiceVersion is a software version of a service's servers.
+type ServiceVersion struct{ Service, SoftwareVersion string }
+
+// VersionAge is a software version, and how long ago servers of it served at the latest.
+type VersionAge struct {
+	ServiceVersion
+	Age time.Duration
+}
+
+// VersionCoverage states which software versions have served for a time: those of Seen and no others. It holds durations
+// instead of times, as the clocks of nodes differ and may be moved. Both only become longer after it was recorded.
+type VersionCoverage struct {
+	// Partition is the partition of leases whose owner has observed this.
+	Partition int
+	// Covered is the time before the record for which the statement holds.
+	Covered time.Duration
+	// Offset is the position in the servers' entries up to which it holds.
+	Offset int64
+	Seen   []VersionAge
+}
+
+// StreamOrigin is where a stream began.
+type StreamOrigin struct {
+	Request         string
+	Service         string
+	SoftwareVersion string
+	// Remaining is how long the stream could still be resumed when the record was written.
+	Remaining time.Duration
+}
+
 // Membership is the store's answer to a join of the group whose members divide the servers among themselves.
 type Membership struct {
 	// Generation increases with each change of the group.
@@ -54,10 +84,18 @@
 	ReadOperator(ctx context.Context, after Cursor, wait time.Duration) (OperatorBatch, error)
 	// ReadServers returns the changes after the cursor, without waiting.
 	ReadServers(ctx context.Context, after Cursor) (ServerBatch, error)
-	// ReadSightings returns the latest sighting of each software version that nodes have recorded.
-	ReadSightings(ctx context.Context) ([]VersionSighting, error)
-	// RecordSightings records sightings for nodes that start later.
-	RecordSightings(ctx context.Context, sightings []VersionSighting) error
+	// ReadSightings returns the latest sighting of each software version that nodes have recorded, and the latest coverage by
+	// each partition.
+	ReadSightings(ctx context.Context) ([]VersionSighting, []VersionCoverage, error)
+	// RecordSightings records sightings, and a coverage unless it's nil, for nodes that start later.
+	RecordSightings(ctx context.Context, sightings []VersionSighting, coverage *VersionCoverage) error
+	// ReadServerVersions returns all versions in the servers' entries since an offset, including those of entries that have
+	// been removed. complete is false if not all of them are retained.
+	ReadServerVersions(ctx context.Context, from int64) (versions []ServiceVersion, complete bool, err error)
+	// AppendOrigins records origins and deletes those of expired requests, in one call.
+	AppendOrigins(ctx context.Context, origins []StreamOrigin, expired []string) error
+	// ReadOrigins returns the origins that were recorded since a cursor.
+	ReadOrigins(ctx context.Context, after Cursor) (origins []StreamOrigin, next Cursor, err error)
 	// Join makes member a member of the group, or renews its membership. The generation is the last one received, or 0.
 	Join(ctx context.Context, member string, generation int64, ttl time.Duration) (Membership, error)
 	// Leave ends the membership.
--- a/internal/streamorigin/streamorigin.go
+++ b/internal/streamorigin/streamorigin.go
@@ -77,6 +77,16 @@
 	return origin, found && now.Before(origin.Until)
 }
 
+// Live returns the origins of a service's streams that may still be resumed, the oldest first.
+func (r *Registry) Live(now time.Time, service string) (origins []Origin) {
+	for _, request := range r.order {
+		if origin := r.byRequest[request]; origin.Service == service && now.Before(origin.Until) {
+			origins = append(origins, origin)
+		}
+	}
+	return origins
+}
+
 // Basis is how a node knows the origin of a stream. Higher values are more reliable.
 type Basis uint8
 
@@ -136,6 +146,8 @@
 	keepersInZone = 2
 	// keepersOverall are reached by the nodes of all zones, also when one of them has just stopped.
 	keepersOverall = 3
+	// MaximumWriters bounds the nodes that write origins to the store, as the store bounds the calls of all nodes together.
+	MaximumWriters = 5
 	// maximumTargets bounds the nodes that are asked for one origin.
 	maximumTargets = 16
 )
@@ -155,6 +167,13 @@
 	return keepers
 }
 
+// Writer returns the address of the holder that writes the origin of a request's stream to the store. At most MaximumWriters
+// of the holders write. There must be at least one.
+func Writer(request string, holders []Node) string {
+	writers := ranked("", holders)
+	return ranked(request, writers[:min(len(writers), MaximumWriters)])[0].Address
+}
+
 // Targets returns the addresses of the nodes to ask for the origin of a request's stream. They are more than the keepers,
 // since holders change, and since the node at which the stream began may be any.
 func Targets(request string, holders, others []Node) (targets []string) {
