--- a/internal/node/originlog.go
+++ b/internal/node/originlog.go
@@ -108,8 +108,9 @@
 	return nil
 }
 
-// addOfChangedServices appends all origins of services in which a second version has just appeared, and reads those that
-// earlier nodes have left in the store, so that they are deleted in time.
+// addOfChangedServices appends all origins of services in which a second version has just appeared. It reads those that
+// earlier nodes have left in the store, so that they are deleted in time, and so that the first resume after a start doesn't
+// wait for them.
 func (l *originLog) addOfChangedServices(ctx context.Context, now time.Time) {
 	for service := range l.node.view.Versions() {
 		several := len(l.node.view.VersionsSince(service, now.Add(-versionChangeWindow))) > 1
@@ -121,10 +122,8 @@
 			continue
 		}
 		l.node.origins.sendToWriters(now, l.node.origins.live(now, service))
-		if l.node.leases.isReader() {
-			// A failure is logged, and the next node that needs an origin reads again.
-			_ = l.readNew(ctx)
-		}
+		// A failure is logged, and the next resume reads again.
+		_ = l.readNew(ctx)
 	}
 }
 
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -37,6 +37,9 @@
 	// records.
 	readAt         time.Time
 	operatorReadAt time.Time
+	// checkedAt is when checkCurrent was last called, checkedBootTime the reading of bootTime then.
+	checkedAt       time.Time
+	checkedBootTime time.Duration
 	// digestReceived receives a value when a digest of another node arrived.
 	digestReceived chan struct{}
 	// digestChanged receives a value when this node's own digest changed.
@@ -185,6 +188,11 @@
 func (w *watch) checkCurrent(now time.Time, fingerprint uint64) (since time.Time, current bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	boot := bootTime()
+	if boot-w.checkedBootTime-now.Sub(w.checkedAt) > storewatch.MaximumGap {
+		w.core.Suspended()
+	}
+	w.checkedAt, w.checkedBootTime = now, boot
 	return w.core.CheckCurrent(now, fingerprint)
 }
 
--- a/internal/serverview/versions_test.go
+++ b/internal/serverview/versions_test.go
@@ -41,3 +41,21 @@
 		})
 	}
 }
+
+// Guards against a version that is missing in what a reader records, and against ages from the wrong one of two sources.
+func TestVersionAgesNameAllVersionsOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+	v := serverview.New()
+	v.PutEntry(now, serving.Server{ID: "present", Service: "s", SoftwareVersion: "v1"})
+	v.PutEntry(now, serving.Server{ID: "left", Service: "s", SoftwareVersion: "v2"})
+	v.RemoveEntry(now.Add(30*time.Second), "left")
+	v.NoteVersion("s", "v2", now)
+	v.NoteVersion("s", "v3", now.Add(20*time.Second))
+	v.NoteVersion("s", "v4", now.Add(-time.Hour))
+	age := func(version string, age time.Duration) serving.VersionAge {
+		return serving.VersionAge{ServiceVersion: serving.ServiceVersion{Service: "s", SoftwareVersion: version}, Age: age}
+	}
+	g.Expect(v.VersionAges(now.Add(time.Minute), time.Minute)).To(gomega.ConsistOf(
+		age("v1", 0), age("v2", 30*time.Second), age("v3", 40*time.Second)))
+}
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -12,9 +12,9 @@
 // slow store answers within some 340 ms, and digests are sent every 300 ms; changes have to be in force within 2 s.
 const maximumReadAge = 1300 * time.Millisecond
 
-// maximumGap is the longest time without current entries in which no server can have appeared and left unnoticed: entries
+// MaximumGap is the longest time without current entries in which no server can have appeared and left unnoticed: entries
 // lapse after three missed heartbeats.
-const maximumGap = 2 * time.Second
+const MaximumGap = 2 * time.Second
 
 // minimumReadInterval is the minimum time between two reads of the servers' entries that are caused by digests.
 const minimumReadInterval = 400 * time.Millisecond
@@ -140,17 +140,21 @@
 }
 
 // CheckCurrent reports whether this node knows the servers' entries, from the store or from readers, and since when without
-// a gap longer than maximumGap. own is its own fingerprint. It must be called more often than maximumGap.
+// a gap longer than MaximumGap. own is its own fingerprint. It must be called more often than MaximumGap.
 func (c *Core) CheckCurrent(now time.Time, own uint64) (since time.Time, current bool) {
 	if now.Sub(c.readAt) < digestTimeout || c.readersKnowServers(now) && !c.behindServers(own) {
-		if now.Sub(c.currentAt) > maximumGap {
+		if now.Sub(c.currentAt) > MaximumGap {
 			c.currentSince = now
 		}
 		c.currentAt = now
 	}
-	return c.currentSince, now.Sub(c.currentAt) <= maximumGap
+	return c.currentSince, now.Sub(c.currentAt) <= MaximumGap
 }
 
+// Suspended ends the time for which the entries are known without a gap. The clock of CheckCurrent stands still while the VM
+// is suspended, so that it doesn't show the gap.
+func (c *Core) Suspended() { c.currentAt = time.Time{} }
+
 func (c *Core) behindServers(own uint64) bool {
 	return c.newest.ServersNext > c.serversNext && c.newest.Servers != own
 }
--- a/internal/storewatch/storewatch_test.go
+++ b/internal/storewatch/storewatch_test.go
@@ -118,3 +118,18 @@
 	expect(13000, 7, never)
 	expect(13100, 8, 13100)
 }
+
+// Guards against a node that takes its view for complete since before the VM was suspended, while its clock stood still.
+func TestViewIsNotCurrentSinceBeforeASuspension(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var c storewatch.Core
+	c.ReadServers(start, 1)
+	_, current := c.CheckCurrent(start, 0)
+	g.Expect(current).To(gomega.BeTrue())
+	c.Suspended()
+	resumed := start.Add(100 * time.Millisecond)
+	c.ReadServers(resumed, 1)
+	since, current := c.CheckCurrent(resumed, 0)
+	g.Expect(current).To(gomega.BeTrue())
+	g.Expect(since).To(gomega.Equal(resumed))
+}
--- a/internal/streamorigin/streamorigin_test.go
+++ b/internal/streamorigin/streamorigin_test.go
@@ -132,3 +132,40 @@
 		}
 	})
 }
+
+// Guards against more writers than the store's bound on calls allows, and against nodes that choose different writers.
+func TestWritersAreFewAndTheSameEverywhere(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		holders := drawNodes(t)
+		reversed := slices.Clone(holders)
+		slices.Reverse(reversed)
+		writers := map[string]bool{}
+		for i := range 100 {
+			writer := streamorigin.Writer(fmt.Sprint(i), holders)
+			if writer != streamorigin.Writer(fmt.Sprint(i), reversed) {
+				t.Fatal("the writer depends on the order of the holders")
+			}
+			writers[writer] = true
+		}
+		if len(writers) > streamorigin.MaximumWriters {
+			t.Fatalf("%d writers", len(writers))
+		}
+	})
+}
+
+// Guards against streams of another service, or that have ended, among those that are written to the store.
+func TestLiveOriginsAreThoseOfTheServiceThatMayBeResumed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := streamorigin.NewRegistry()
+	for request, origin := range map[string]streamorigin.Origin{
+		"live":  {Service: "s", Until: start.Add(2 * time.Second)},
+		"ended": {Service: "s", Until: start.Add(time.Second)},
+		"other": {Service: "t", Until: start.Add(2 * time.Second)},
+	} {
+		origin.Request = request
+		r.Record(start, origin)
+	}
+	live := r.Live(start.Add(time.Second), "s")
+	g.Expect(live).To(gomega.HaveLen(1))
+	g.Expect(live[0].Request).To(gomega.Equal("live"))
+}
