--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -91,7 +91,7 @@
 	case reason == forward.ReasonNoConfig:
 		return "the node had no configuration yet", l.storeEvents(final)
 	case reason == forward.ReasonUnknownOrigin:
-		return "no reachable node knew at which software version the stream began", l.restarts(final)
+		return "neither a reachable node nor the store knew at which software version the stream began", l.restarts(final)
 	case reason == forward.ReasonNoServer:
 		return l.noUsableServer(final)
 	case reason == forward.ReasonLimited:
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -56,7 +56,7 @@
 	l.add(1000, event.OriginResolved, `"request":"r1","reason":"unknown"`)
 	l.add(1001, event.RequestRefused, refusal("r1", forward.ReasonUnknownOrigin, ""))
 	e := l.explain(g, "r1")
-	g.Expect(e.Cause).To(gomega.Equal("no reachable node knew at which software version the stream began"))
+	g.Expect(e.Cause).To(gomega.Equal("neither a reachable node nor the store knew at which software version the stream began"))
 	g.Expect(e.Evidence).To(gomega.HaveLen(1))
 }
 
