--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -39,6 +39,9 @@
 	operatorReadAt time.Time
 	// proofDue, if set, reports whether the operators' records have to be read although readers show nothing new.
 	proofDue func() bool
+	// checkedAt is when checkCurrent was last called, checkedBootTime the reading of bootTime then.
+	checkedAt       time.Time
+	checkedBootTime time.Duration
 	// digestReceived receives a value when a digest of another node arrived.
 	digestReceived chan struct{}
 	// digestChanged receives a value when this node's own digest changed.
@@ -187,9 +190,21 @@
 func (w *watch) checkCurrent(now time.Time, fingerprint uint64) (since time.Time, current bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	boot := bootTime()
+	if boot-w.checkedBootTime-now.Sub(w.checkedAt) > storewatch.MaximumGap {
+		w.core.Suspended()
+	}
+	w.checkedAt, w.checkedBootTime = now, boot
 	return w.core.CheckCurrent(now, fingerprint)
 }
 
+// serversOffset returns the position in the servers' entries up to which this node has read the store.
+func (w *watch) serversOffset() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.own.ServersNext
+}
+
 // operatorAge returns how long ago this node, or a reader whose digests it gets, last read the operators' records.
 func (w *watch) operatorAge(now time.Time) time.Duration {
 	w.mu.Lock()
@@ -210,6 +225,8 @@
 func (n *Node) sendDigests(ctx context.Context) error {
 	for round := 0; ctx.Err() == nil; round++ {
 		delay.Until(ctx, digestPeriod, n.watch.digestChanged)
+		// Calls to the store may keep other callers from checking often enough.
+		n.watch.checkCurrent(time.Now(), n.view.Fingerprint())
 		n.operatorAge.Update(n.watch.operatorAge(time.Now()).Milliseconds())
 		if !n.leases.isReader() {
 			continue
