--- a/internal/peerlink/counts.go
+++ b/internal/peerlink/counts.go
@@ -11,6 +11,7 @@
 	kindOrigins     = "origins"
 	kindUnreachable = "unreachable"
 	kindLimits      = "limits"
+	kindQuotas      = "quotas"
 	kindEnds        = "ends"
 	kindArrivals    = "arrivals"
 	kindKeepAlive   = "keepalive"
@@ -33,6 +34,8 @@
 		return kindUnreachable
 	case m.LimitRequest != nil, m.LimitReturn != nil, len(m.LimitNotices)+len(m.LimitAnswers) > 0:
 		return kindLimits
+	case len(m.QuotaAsks)+len(m.QuotaReturns)+len(m.QuotaAnswers) > 0:
+		return kindQuotas
 	case len(m.ServerEnds)+len(m.BlockedParts)+len(m.AcquittedParts) > 0:
 		return kindEnds
 	case len(m.Arrived) > 0:
@@ -53,8 +56,8 @@
 		byKind: make(map[string]metrics.Counter), bytes: metrics.GetOrRegisterCounter("peerlink."+direction+"Bytes", nil),
 	}
 	for _, kind := range []string{
-		kindStates, kindDigest, kindUsage, kindAdmission, kindOrigins, kindUnreachable, kindLimits, kindEnds, kindArrivals,
-		kindKeepAlive,
+		kindStates, kindDigest, kindUsage, kindAdmission, kindOrigins, kindUnreachable, kindLimits, kindQuotas, kindEnds,
+		kindArrivals, kindKeepAlive,
 	} {
 		t.byKind[kind] = metrics.GetOrRegisterCounter("peerlink."+direction+"."+kind, nil)
 	}
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -112,6 +112,11 @@
 	LimitRequest *LimitRequest `json:"lq,omitempty"`
 	LimitReturn  *LimitReturn  `json:"lr,omitempty"`
 	LimitAnswers []LimitAnswer `json:"la,omitempty"`
+	// QuotaAsks request credit of customers that the receiver coordinates, QuotaReturns give it back, QuotaAnswers answer
+	// requests of the receiver.
+	QuotaAsks    []QuotaAsk    `json:"ca,omitempty"`
+	QuotaReturns []QuotaReturn `json:"cr,omitempty"`
+	QuotaAnswers []QuotaAnswer `json:"cg,omitempty"`
 	// ServerEnds, BlockedParts and AcquittedParts keep requests that crash servers away from them. Relayed is true when a
 	// reader passes on what another node has sent to it.
 	ServerEnds     []ServerEnd     `json:"se,omitempty"`
