--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -20,9 +21,11 @@
 	releaseIntervals   = 4
 	// demandTime is the time constant of the estimate of a node's demand.
 	demandTime = time.Second
+	// callTime bounds the cost of one call to what the quota allows in that time.
+	callTime = 50 * time.Millisecond
 	// shareSlots divide shareWindow.
 	shareSlots = 16
-	// resolution of amounts in messages.
+	// resolution is that of amounts in messages, as parts of a unit.
 	resolution = 100
 )
 
@@ -82,13 +85,21 @@
 	expires time.Duration
 }
 
+// waiting is a request that waits for credit.
 type waiting struct {
 	Request
+	id    uint64
+	until time.Duration
+}
+
+// call asks a coordinator for the credit of several requests of one customer.
+type call struct {
 	ask         Ask
+	coordinator string
+	requests    []*waiting
 	sentAt      time.Duration
 	resendAt    time.Duration
 	until       time.Duration
-	answered    bool
 	queued      bool
 	silentAfter time.Duration
 }
@@ -114,15 +125,17 @@
 	blockedUntil      time.Duration
 	blockedPriority   int
 	tight             bool
-	fallback          float64
-	fallbackAt        time.Duration
+	// pending holds the requests that wait for the end of a call for others.
+	pending    []*waiting
+	fallback   float64
+	fallbackAt time.Duration
 }
 
 // Client keeps one node's use of all customers within the credit that coordinators grant.
 type Client struct {
 	bound    Bound
 	accounts map[string]*account
-	waiting  map[uint64]*waiting
+	calls    map[uint64]*call
 	lastID   uint64
 	// silentUntil holds the coordinators that didn't answer lately.
 	silentUntil map[string]time.Duration
@@ -134,7 +147,7 @@
 // same address.
 func NewClient(bound Bound, firstID uint64) *Client {
 	return &Client{
-		bound: bound, lastID: firstID, accounts: make(map[string]*account), waiting: make(map[uint64]*waiting),
+		bound: bound, lastID: firstID, accounts: make(map[string]*account), calls: make(map[uint64]*call),
 		silentUntil: make(map[string]time.Duration),
 	}
 }
@@ -154,17 +167,56 @@
 	if r.Coordinator == "" || now < c.silentUntil[r.Coordinator] {
 		return id, c.unreachable(now, a, id, r), true
 	}
-	w := &waiting{Request: r, sentAt: now, resendAt: now + resendInterval, until: now + r.Patience}
-	w.silentAfter = now + silenceTimeout
-	w.ask = Ask{
-		Customer: r.Customer, ID: id, Cost: r.Cost, Ahead: c.expected(now, a, r.Customer), Left: floor(a.left(now)),
-		Share: floor(a.share(now)), Continued: ceil(a.continued), Priority: r.Priority, Patience: r.Patience,
+	w := &waiting{Request: r, id: id, until: now + r.Patience}
+	a.pending = append(a.pending, w)
+	if !c.covers(r) {
+		c.callPending(now, a)
 	}
-	c.waiting[id] = w
-	c.send(w)
 	return id, Decision{}, false
 }
 
+// covers reports whether a call of the same customer is on its way that isn't less urgent. Other requests wait for its end, so
+// that a node under load doesn't send a message for each of them.
+func (c *Client) covers(r Request) bool {
+	for _, l := range c.calls {
+		if l.ask.Customer == r.Customer && l.ask.Priority <= r.Priority {
+			return true
+		}
+	}
+	return false
+}
+
+// callPending asks for the credit of the pending requests, the most urgent ones first. The credit of one call is bounded, as it
+// is granted at once.
+func (c *Client) callPending(now time.Duration, a *account) {
+	slices.SortStableFunc(a.pending, func(a, b *waiting) int { return a.Priority - b.Priority })
+	if len(a.pending) == 0 {
+		return
+	}
+	first := a.pending[0]
+	c.lastID++
+	l := &call{
+		coordinator: first.Coordinator, sentAt: now, resendAt: now + resendInterval, silentAfter: now + silenceTimeout,
+		until: first.until,
+		ask: Ask{
+			Customer: first.Customer, ID: c.lastID, Ahead: c.expected(now, a, first.Customer), Left: floor(a.left(now)),
+			Share: floor(a.share(now)), Continued: ceil(a.continued), Priority: first.Priority,
+		},
+	}
+	for len(a.pending) > 0 {
+		w := a.pending[0]
+		if len(l.requests) > 0 && l.ask.Cost+w.Cost > callTime.Seconds()*a.quota.PerSecond {
+			break
+		}
+		l.requests, a.pending = append(l.requests, w), a.pending[1:]
+		l.ask.Cost += w.Cost
+		l.until = max(l.until, w.until)
+	}
+	l.ask.Patience = max(l.until-now, 0)
+	c.calls[l.ask.ID] = l
+	c.send(l)
+}
+
 func (c *Client) account(now time.Duration, r Request) *account {
 	a := c.accounts[r.Customer]
 	if a == nil {
@@ -175,15 +227,15 @@
 	return a
 }
 
-func (c *Client) send(w *waiting) {
-	ask := w.ask
-	c.outbox = append(c.outbox, Message{To: w.Coordinator, Ask: &ask})
+func (c *Client) send(l *call) {
+	ask := l.ask
+	c.outbox = append(c.outbox, Message{To: l.coordinator, Ask: &ask})
 }
 
 // expected returns the credit to ask for in advance, unless an earlier request already does.
 func (c *Client) expected(now time.Duration, a *account, customer string) float64 {
-	for _, w := range c.waiting {
-		if w.Customer == customer && w.ask.Ahead > 0 {
+	for _, l := range c.calls {
+		if l.ask.Customer == customer && l.ask.Ahead > 0 {
 			return 0
 		}
 	}
@@ -193,29 +245,58 @@
 // Answer handles an answer of a coordinator.
 func (c *Client) Answer(now time.Duration, from string, answer Answer) {
 	delete(c.silentUntil, from)
-	w := c.waiting[answer.ID]
-	if w == nil || w.Coordinator != from {
+	l := c.calls[answer.ID]
+	if l == nil || l.coordinator != from {
 		return
 	}
-	a := c.account(now, w.Request)
+	a := c.account(now, l.requests[0].Request)
 	a.tight = answer.Tight
 	switch {
 	case answer.Granted > 0:
-		delete(c.waiting, answer.ID)
-		a.answered(now, w)
-		a.grant(now, lot{answer.ID, answer.Granted, w.sentAt + creditLifetime})
-		if charge, ok := a.useOf(now, w.Cost, answer.ID); ok {
-			c.decide(Decision{ID: answer.ID, OK: true, Charge: charge})
-			return
+		delete(c.calls, answer.ID)
+		a.answered(now, l)
+		a.grant(now, lot{answer.ID, answer.Granted, l.sentAt + creditLifetime})
+		c.serve(now, a, append(l.requests, a.take(nil)...))
+		if !c.covers(l.requests[0].Request) {
+			c.callPending(now, a)
 		}
-		c.decide(Decision{ID: answer.ID, RetryAfter: c.retryAfter(w)})
 	case answer.Queued:
-		w.queued, w.silentAfter, w.resendAt = true, now+silenceTimeout, now+resendInterval
+		// The grant is repeated only if it's late, as most arrive within the patience.
+		l.queued, l.silentAfter, l.resendAt = true, l.until+2*silenceTimeout, now+silenceTimeout
 	default:
-		delete(c.waiting, answer.ID)
-		a.answered(now, w)
-		a.block(now, answer.RoomIn, w.Priority)
-		c.decide(Decision{ID: answer.ID, RetryAfter: answer.RoomIn})
+		delete(c.calls, answer.ID)
+		a.answered(now, l)
+		a.block(now, answer.RoomIn, l.ask.Priority)
+		refused := append(l.requests, a.take(func(w *waiting) bool { return w.Priority >= l.ask.Priority })...)
+		for _, w := range refused {
+			c.decide(Decision{ID: w.id, RetryAfter: answer.RoomIn})
+		}
+	}
+}
+
+// take removes the pending requests that match.
+func (a *account) take(match func(*waiting) bool) (taken []*waiting) {
+	a.pending = slices.DeleteFunc(a.pending, func(w *waiting) bool {
+		if match == nil || match(w) {
+			taken = append(taken, w)
+			return true
+		}
+		return false
+	})
+	return taken
+}
+
+// serve charges requests to the credit at hand; those that it doesn't cover wait for the next call.
+func (c *Client) serve(now time.Duration, a *account, requests []*waiting) {
+	for _, w := range requests {
+		switch charge, ok := a.use(now, w.Cost); {
+		case ok:
+			c.decide(Decision{ID: w.id, OK: true, Charge: charge})
+		case now >= w.until:
+			c.decide(Decision{ID: w.id, RetryAfter: max(w.Patience, silenceTimeout)})
+		default:
+			a.pending = append(a.pending, w)
+		}
 	}
 }
 
@@ -227,28 +308,27 @@
 
 func (c *Client) decide(d Decision) { c.decided = append(c.decided, d) }
 
-// retryAfter is the time for requests that waited in vain without an estimate.
-func (c *Client) retryAfter(w *waiting) time.Duration { return max(w.Patience, silenceTimeout) }
-
 // Tick repeats and ends requests, and returns and releases what isn't used.
 func (c *Client) Tick(now time.Duration) {
-	for id, w := range c.waiting {
-		switch {
-		case now >= w.silentAfter:
-			delete(c.waiting, id)
-			c.silentUntil[w.Coordinator] = now + silencePeriod
-			c.giveUp(w)
-			a := c.account(now, w.Request)
-			d := c.unreachable(now, a, id, w.Request)
-			d.Silent = w.Coordinator
-			c.decide(d)
-		case w.queued && now >= w.until+resendInterval:
-			delete(c.waiting, id)
-			c.giveUp(w)
-			c.decide(Decision{ID: id, RetryAfter: c.retryAfter(w)})
-		case now >= w.resendAt:
-			w.resendAt = now + resendInterval
-			c.send(w)
+	for _, id := range slices.Sorted(maps.Keys(c.calls)) {
+		switch l := c.calls[id]; {
+		case now >= l.silentAfter:
+			c.noteSilence(now, l)
+		case now >= l.resendAt:
+			l.resendAt = now + resendInterval
+			if l.queued {
+				l.resendAt = now + silenceTimeout
+			}
+			c.send(l)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.accounts)) {
+		a := c.accounts[name]
+		for _, w := range a.take(func(w *waiting) bool { return now >= w.until }) {
+			c.decide(Decision{ID: w.id, RetryAfter: max(w.Patience, silenceTimeout)})
+		}
+		if len(a.pending) > 0 && !c.covers(a.pending[0].Request) {
+			c.callPending(now, a)
 		}
 	}
 	for name, a := range c.accounts {
@@ -261,19 +341,18 @@
 	}
 }
 
-// giveUp ends a request at the coordinator, granted or not.
-func (c *Client) giveUp(w *waiting) {
-	amount := w.ask.Cost + w.ask.Ahead
+// noteSilence ends a call that got no answer. Its requests are decided without the coordinator.
+func (c *Client) noteSilence(now time.Duration, l *call) {
+	delete(c.calls, l.ask.ID)
+	c.silentUntil[l.coordinator] = now + silencePeriod
 	c.outbox = append(c.outbox, Message{
-		To: w.Coordinator, Return: &Return{Customer: w.Customer, ID: w.ask.ID, Amount: amount},
+		To: l.coordinator, Return: &Return{Customer: l.ask.Customer, ID: l.ask.ID, Amount: l.ask.Cost + l.ask.Ahead},
 	})
-}
-
-// Abandon ends a request whose caller no longer waits.
-func (c *Client) Abandon(id uint64) {
-	if w := c.waiting[id]; w != nil {
-		delete(c.waiting, id)
-		c.giveUp(w)
+	a := c.account(now, l.requests[0].Request)
+	for _, w := range append(l.requests, a.take(nil)...) {
+		d := c.unreachable(now, a, w.id, w.Request)
+		d.Silent = l.coordinator
+		c.decide(d)
 	}
 }
 
@@ -312,8 +391,8 @@
 }
 
 func (c *Client) waits(customer string) bool {
-	for _, w := range c.waiting {
-		if w.Customer == customer {
+	for _, l := range c.calls {
+		if l.ask.Customer == customer {
 			return true
 		}
 	}
@@ -441,9 +520,9 @@
 }
 
 // answered starts a new period of the continuing share. The coordinator has charged what the request said was continued.
-func (a *account) answered(now time.Duration, w *waiting) {
-	a.answeredAt, a.known, a.shareUntil = now, true, w.sentAt+shareLifetime
-	a.credit, a.continued = 0, max(a.continued-w.ask.Continued, 0)
+func (a *account) answered(now time.Duration, l *call) {
+	a.answeredAt, a.known, a.shareUntil = now, true, l.sentAt+shareLifetime
+	a.credit, a.continued = 0, max(a.continued-l.ask.Continued, 0)
 }
 
 const slotLength = shareWindow / shareSlots
@@ -469,9 +548,20 @@
 	return max(min(sum*window/(window+a.quota.Burst)/shareWindow.Seconds(), a.quota.PerSecond), 0)
 }
 
-// floor and ceil round amounts for messages.
-func floor(x float64) float64 { return math.Floor(x*resolution) / resolution }
-func ceil(x float64) float64  { return math.Ceil(x*resolution) / resolution }
+// floor and ceil round amounts for messages: large ones to whole units, as digits cost bytes.
+func floor(x float64) float64 {
+	if x >= resolution {
+		return math.Floor(x)
+	}
+	return math.Floor(x*resolution) / resolution
+}
+
+func ceil(x float64) float64 {
+	if x >= resolution {
+		return math.Ceil(x)
+	}
+	return math.Ceil(x*resolution) / resolution
+}
 
 // Take returns the messages to send and the decisions since the last call.
 func (c *Client) Take() (messages []Message, decisions []Decision) {
@@ -481,19 +571,25 @@
 }
 
 // Busy reports whether Tick has to be called within a few milliseconds.
-func (c *Client) Busy() bool { return len(c.waiting) > 0 }
+func (c *Client) Busy() bool { return len(c.calls) > 0 }
 
 // Keep forgets the customers that have no quota any more.
 func (c *Client) Keep(limited func(customer string) bool) {
-	for name := range c.accounts {
-		if !limited(name) {
-			delete(c.accounts, name)
+	admit := func(requests []*waiting) {
+		for _, w := range requests {
+			c.decide(Decision{ID: w.id, OK: true, Charge: Charge{Source: FromShare}})
 		}
 	}
-	for id, w := range c.waiting {
-		if !limited(w.Customer) {
-			delete(c.waiting, id)
-			c.decide(Decision{ID: id, OK: true, Charge: Charge{Source: FromShare}})
+	for id, l := range c.calls {
+		if !limited(l.ask.Customer) {
+			delete(c.calls, id)
+			admit(l.requests)
+		}
+	}
+	for name, a := range c.accounts {
+		if !limited(name) {
+			delete(c.accounts, name)
+			admit(a.pending)
 		}
 	}
 }
--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -177,9 +177,12 @@
 	}
 	c.queue = append(c.queue, queued{k, ask.Cost, ask.Priority, now + ask.Patience})
 	slices.SortStableFunc(c.queue, func(a, b queued) int { return a.priority - b.priority })
-	return Answer{ID: ask.ID, Queued: true, Tight: true}
+	return Answer{ID: ask.ID, Queued: true, Tight: true, Soon: wait < soon}
 }
 
+// soon is the expected wait below which a request isn't told that it's queued; the node repeats it later than that.
+const soon = 20 * time.Millisecond
+
 // heard applies what a node says about itself.
 func (c *Coordinator) heard(now time.Duration, node string, ask Ask) {
 	m := c.members[node]
@@ -224,7 +227,7 @@
 
 func (c *Coordinator) grant(now time.Duration, q queued, wanted float64) Answer {
 	c.tokens -= q.cost
-	ahead := c.ahead(now, wanted)
+	ahead := c.ahead(now, q.cost, wanted)
 	c.tokens -= ahead
 	tight := c.tight(now)
 	c.granted[q.key] = grant{at: now, amount: q.cost + ahead, tight: tight}
@@ -245,8 +248,8 @@
 	return c.inherits(now) || c.available(now) < tightShare*c.quota.Burst
 }
 
-// ahead returns how much is granted in advance to one node.
-func (c *Coordinator) ahead(now time.Duration, wanted float64) float64 {
+// ahead returns how much is granted in advance to a node whose request costs so much.
+func (c *Coordinator) ahead(now time.Duration, cost, wanted float64) float64 {
 	if len(c.queue) > 0 {
 		return 0
 	}
@@ -255,6 +258,9 @@
 	if c.tight(now) {
 		// Near the limit credit must not lie idle at nodes that don't need it.
 		spare /= float64(4 * max(len(c.members), 1))
+		if spare < cost {
+			return 0
+		}
 	}
 	return math.Floor(max(min(wanted, room, spare), 0))
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -85,6 +85,9 @@
 	Granted float64
 	// Queued is true when the request waits for its credit.
 	Queued bool
+	// Soon is true when the credit will probably be granted before the node repeats the request, so that this answer needn't be
+	// sent.
+	Soon bool
 	// RoomIn is the time after which there is probably credit, for a request that is neither granted nor queued.
 	RoomIn time.Duration
 	// Tight is true near the limit. Nodes then return unused credit at once, and shares that they don't need.
