node, forward: Requests are charged to their customers' quotas

The core wasn't connected. A request is charged before it waits for a server, and again before it is sent if the charge is older than 0.5 s; it's given back if the request was not written, if the server said that it has not run it, or if another node takes it. Over the quota the answer is 429 with Retry-After. The owner of a name's partition coordinates; unlike for servers' limits, a lapsed lease doesn't count even where servers check fencing tokens.

--- a/internal/event/node.go
+++ b/internal/event/node.go
@@ -70,6 +70,12 @@
 		"An answer names a limit that can't be used; the last known one stays in force.")
 	LimitUsage = register(829, logrus.InfoLevel, "server limit used",
 		"How the node that coordinates a server's limit used it: requests granted and refused, and its own calls.")
+	QuotaCoordinated = register(870, logrus.InfoLevel, "customer's quota coordinated",
+		"The node coordinates a customer's quota; the fields say how long others may still use what a previous node granted.")
+	QuotaUsage = register(871, logrus.InfoLevel, "customer's quota used",
+		"How the node that coordinates a customer's quota used it: units granted, requests refused, and the state of its bucket.")
+	QuotaCoordinatorSilent = register(872, logrus.InfoLevel, "quota coordinator silent",
+		"The node that coordinates a customer's quota didn't answer; for now, this node admits requests within its own share.")
 	PeerMessageFailed = register(830, logrus.DebugLevel, "peer message failed",
 		"A message from or to another node was lost or could not be read.")
 	PeerStateFetched = register(831, logrus.InfoLevel, "state fetched from peer",
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -47,7 +47,7 @@
 			retryAfter = min(retryAfter, time.Duration(retryAfterShare*float64(j.remaining())))
 		}
 	}
-	notRun := status == http.StatusServiceUnavailable
+	notRun := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
 	j.writeRefusal(serving.Refusal{Status: status, NotRun: notRun, RetryAfter: retryAfter, Reason: reason})
 }
 
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -63,6 +63,10 @@
 		j.reservation.cancel()
 		return true
 	}
+	if !j.chargeQuota() {
+		j.reservation.cancel()
+		return true
+	}
 	now := time.Now()
 	defer j.f.options.View.Begin(now, candidate.ID)()
 	j.sends++
@@ -126,12 +130,16 @@
 	ctx context.Context, candidate serverview.Candidate, attempt serving.Attempt,
 ) (answer *http.Response, written bool, err error) {
 	trace := &upstream.RequestTrace{}
+	permit := j.permit()
 	request := j.outgoing(candidate.Address, j.f.options.Wire.ServerHeader(j.r.Header, j.request, attempt))
-	answer, err = j.f.options.Transport.RoundTrip(request.WithContext(trace.WithTrace(ctx, j.reservation.isValid)))
+	answer, err = j.f.options.Transport.RoundTrip(request.WithContext(trace.WithTrace(ctx, permit)))
 	if err != nil {
 		if !trace.Written() {
+			j.sendLapsed = !permit()
 			j.reservation.cancel()
+			j.giveBackQuota()
 		}
+		j.charge = charge{}
 		return nil, trace.Written(), failure.Wrap(err, failure.Unavailable, "send request", candidate.Address)
 	}
 	upstream.VerifyEnd(answer, j.expectedType(answer.StatusCode))
@@ -172,7 +180,7 @@
 		return j.attemptCancelled(candidate)
 	}
 	j.logFailedAttempt(candidate, written, err)
-	if !written && !j.reservation.isValid() {
+	if !written && j.sendLapsed {
 		// The connection took longer than the reservation lasts, or the process was suspended; the server isn't to blame.
 		delete(j.tried, candidate.ID)
 		if j.sends >= maximumSends {
@@ -245,6 +253,7 @@
 func (j *job) answered(candidate serverview.Candidate, answer *http.Response) (done bool) {
 	info := j.f.options.Wire.DecodeAnswer(answer)
 	j.observeLimit(candidate, answer, info)
+	j.settleQuota(info)
 	now := time.Now()
 	if answer.StatusCode != http.StatusMisdirectedRequest {
 		// A server that has started again is empty, and refuses the requests that were meant for the incarnation before.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -57,8 +57,12 @@
 	EventGaps *eventgap.Observer
 	Origins   Origins
 	Limits    Limits
-	Crashes   CrashGuard
-	Peers     Peers
+	// Quotas keeps customers within their quotas; nil admits all requests.
+	Quotas Quotas
+	// BootTime reads a clock that goes on while the VM is suspended; nil stands for one that doesn't.
+	BootTime func() time.Duration
+	Crashes  CrashGuard
+	Peers    Peers
 	// PeerTransport sends requests to other nodes.
 	PeerTransport http.RoundTripper
 	Zone          string
@@ -158,6 +162,10 @@
 	softwareVersion string
 	// reservation allows the latest send.
 	reservation Reservation
+	// charge is what the next send, or the latest one, has used of the customer's quota.
+	charge charge
+	// sendLapsed is true when the latest send wasn't written because its reservation or its charge had lapsed.
+	sendLapsed bool
 	// server is the ID of the server chosen last, address where it listens, incarnation its run.
 	server      string
 	address     string
@@ -222,6 +230,10 @@
 	if j.resumesStream() && !j.findOrigin(current.config) {
 		return
 	}
+	defer j.giveBackQuota()
+	if !j.chargeQuota() {
+		return
+	}
 	j.serve()
 }
 
--- a/internal/forward/handover.go
+++ b/internal/forward/handover.go
@@ -113,6 +113,8 @@
 
 // handOverTo passes the request to a node. It returns false if the node didn't take it.
 func (j *job) handOverTo(peer string) (done bool) {
+	// The node that sends the request to a server charges the quota.
+	j.giveBackQuota()
 	header := j.f.options.Wire.PeerHeader(j.r.Header)
 	header.Set(headerPeerCaller, j.caller)
 	if remaining := j.remaining(); remaining > 0 {
--- a/internal/forward/reasons.go
+++ b/internal/forward/reasons.go
@@ -12,6 +12,7 @@
 	ReasonOverloaded          = "no server can load the adapter in time"
 	ReasonNotLoaded           = modelpick.ReasonNotLoaded
 	ReasonLimited             = modelpick.ReasonLimited
+	ReasonQuota               = "the customer's quota is used up"
 	ReasonCrashing            = "servers crash on a part of the prompt"
 	ReasonCrashingRequest     = "servers crash on this request"
 	ReasonPrefillQueueTooLong = "the servers' prompts in line would take too long"
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -85,6 +85,10 @@
 	if !found {
 		return candidate, errNoServerToResume
 	}
+	if !j.chargeResumption() {
+		j.reservation.cancel()
+		return candidate, errQuota
+	}
 	now := time.Now()
 	j.sends++
 	j.attempts++
@@ -108,6 +112,7 @@
 	s.delimiter = upstream.DelimiterOf(answer)
 	info := j.f.options.Wire.DecodeAnswer(answer)
 	j.observeLimit(candidate, answer, info)
+	j.settleQuota(info)
 	if answer.StatusCode != http.StatusOK || !info.HasDigest || !info.BelongsTo(j.request.ID) {
 		return candidate, errNotResumed
 	}
@@ -120,6 +125,7 @@
 	errNoServerToResume = errors.New("no server can go on with the stream")
 	errEventTooLarge    = errors.New("an event of the stream is too large")
 	errCrashing         = errors.New(ReasonCrashing)
+	errQuota            = errors.New(ReasonQuota)
 	errNotResumed       = errors.New("the server doesn't go on with the stream")
 )
 
--- a/internal/node/leases.go
+++ b/internal/node/leases.go
@@ -73,6 +73,21 @@
 	return l.core.Holds(bootTime(), serverID)
 }
 
+// owns returns the fencing token of this node for a name and the name's partition, and whether this node may act as its owner.
+func (l *leases) owns(name string) (fence int64, partition int, owns bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	fence, owns = l.core.Owns(bootTime(), name)
+	return fence, l.core.Partition(name), owns
+}
+
+// heldPartition returns the fencing token of this node for a partition, and whether the store's latest answer assigned it.
+func (l *leases) heldPartition(partition int) (fence int64, held bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.core.Tenure(partition)
+}
+
 // orderDelay returns how long this node must not send orders to a server whose lease it holds.
 func (l *leases) orderDelay(serverID string) time.Duration {
 	l.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -83,6 +83,7 @@
 	origins      *origins
 	sightings    *sightings
 	limits       *limits
+	quotas       *quotas
 	crashes      *crashes
 	reach        *reach
 	watch        *watch
@@ -143,6 +144,7 @@
 	n.origins = newOrigins(n)
 	n.sightings = newSightings(n)
 	n.limits = newLimits(n)
+	n.quotas = newQuotas(n)
 	n.crashes = newCrashes(n)
 	n.reach = newReach(n)
 	n.connections.OnIdleDropsDetected(func() { n.events.Emit(event.IdleConnectionsReset, nil) })
@@ -153,7 +155,7 @@
 		RetryBudget: retrybudget.Options{
 			Ratio: settings.RetryBudget.Ratio, Slack: settings.RetryBudget.Slack, Window: settings.RetryBudget.Window.Std(),
 		},
-		Nodes: n.peers.count,
+		Nodes: n.peers.count, Quotas: n.quotas, BootTime: bootTime,
 	})
 	return n
 }
@@ -212,6 +214,7 @@
 	group.Go(func() error { return n.origins.send(n.ctx) })
 	group.Go(func() error { return n.sightings.run(n.ctx) })
 	group.Go(func() error { return n.limits.run(n.ctx) })
+	group.Go(func() error { return n.quotas.run(n.ctx) })
 	group.Go(func() error { return n.crashes.run(n.ctx) })
 	group.Go(func() error { return n.reach.run(n.ctx) })
 	group.Go(func() error { return n.publishStates(n.ctx) })
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -183,6 +183,7 @@
 	}
 	n.origins.handleMessage(now, message)
 	n.limits.handleMessage(now, message)
+	n.quotas.handleMessage(message)
 	n.crashes.handleMessage(now, message)
 	n.reach.noteUnreachable(now, message)
 	for _, entry := range message.Usage {
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -44,8 +44,9 @@
 
 // Decision is the outcome of a request.
 type Decision struct {
-	ID uint64
-	OK bool
+	ID       uint64
+	Customer string
+	OK       bool
 	// Charge is what the request was charged to, for GiveBack.
 	Charge Charge
 	// RetryAfter is when there will be credit, for a request that was refused.
@@ -158,6 +159,9 @@
 	a.observe(now, r.Cost)
 	c.lastID++
 	id = c.lastID
+	if r.Cost <= 0 {
+		return id, Decision{ID: id, OK: true, Charge: Charge{Source: FromShare}}, true
+	}
 	if charge, ok := a.use(now, r.Cost); ok {
 		return id, Decision{ID: id, OK: true, Charge: charge}, true
 	}
@@ -274,6 +278,19 @@
 	}
 }
 
+// Abandon gives up a request whose caller no longer waits, unless it's part of a call. Credit that the call gets for it stays
+// at this node.
+func (c *Client) Abandon(customer string, id uint64) {
+	if a := c.accounts[customer]; a != nil {
+		a.take(func(w *waiting) bool { return w.id == id })
+	}
+	for _, l := range c.calls {
+		if len(l.requests) > 1 {
+			l.requests = slices.DeleteFunc(l.requests, func(w *waiting) bool { return w.id == id })
+		}
+	}
+}
+
 // take removes the pending requests that match.
 func (a *account) take(match func(*waiting) bool) (taken []*waiting) {
 	a.pending = slices.DeleteFunc(a.pending, func(w *waiting) bool {
@@ -291,7 +308,7 @@
 	for _, w := range requests {
 		switch charge, ok := a.use(now, w.Cost); {
 		case ok:
-			c.decide(Decision{ID: w.id, OK: true, Charge: charge})
+			c.decide(Decision{ID: w.id, Customer: w.Customer, OK: true, Charge: charge})
 		case now >= w.until:
 			c.decide(Decision{ID: w.id, RetryAfter: max(w.Patience, silenceTimeout)})
 		default:
@@ -351,7 +368,7 @@
 	a := c.account(now, l.requests[0].Request)
 	for _, w := range append(l.requests, a.take(nil)...) {
 		d := c.unreachable(now, a, w.id, w.Request)
-		d.Silent = l.coordinator
+		d.Customer, d.Silent = w.Customer, l.coordinator
 		c.decide(d)
 	}
 }
@@ -577,7 +594,7 @@
 func (c *Client) Keep(limited func(customer string) bool) {
 	admit := func(requests []*waiting) {
 		for _, w := range requests {
-			c.decide(Decision{ID: w.id, OK: true, Charge: Charge{Source: FromShare}})
+			c.decide(Decision{ID: w.id, Customer: w.Customer, OK: true, Charge: Charge{Source: FromShare}})
 		}
 	}
 	for id, l := range c.calls {
--- a/internal/serverlease/serverlease.go
+++ b/internal/serverlease/serverlease.go
@@ -139,6 +139,15 @@
 // HasPartition reports whether the store's latest answer assigned the partition to this node.
 func (c *Core) HasPartition(partition int) bool { return c.tenures[partition] != nil }
 
+// Tenure returns the fencing token of this node for a partition, and whether the store's latest answer assigned it.
+func (c *Core) Tenure(partition int) (fence int64, held bool) {
+	t := c.tenures[partition]
+	if t == nil {
+		return 0, false
+	}
+	return t.fence, true
+}
+
 // PartitionCount returns the number of partitions that the store's latest answer assigned to this node.
 func (c *Core) PartitionCount() int { return len(c.tenures) }
 
@@ -159,6 +168,16 @@
 	return t.fence, c.options.Fenced && c.storeUnavailable
 }
 
+// Owns returns the fencing token of this node for a name, and whether its lease is valid without the help of servers that check
+// the token.
+func (c *Core) Owns(now time.Duration, name string) (fence int64, owns bool) {
+	t := c.tenures[c.Partition(name)]
+	if t == nil || t.refused {
+		return 0, false
+	}
+	return t.fence, now-c.joinedAt < c.validity()
+}
+
 // MayOrder reports whether this node may send orders to a server now: its lease is valid, and a join has confirmed it
 // after the last moment at which an earlier holder could send orders.
 func (c *Core) MayOrder(now time.Duration, serverID string) bool {
