--- a/internal/quota/simulation_test.go
+++ b/internal/quota/simulation_test.go
@@ -67,6 +67,8 @@
 type use struct {
 	at   time.Duration
 	cost float64
+	// node is where the request arrived.
+	node int
 }
 
 func sum(uses []use, from, to time.Duration) float64 {
@@ -473,7 +475,7 @@
 	}
 	load.demand += cost
 	arrived := s.now
-	load.due = append(load.due, use{arrived, cost})
+	load.due = append(load.due, use{arrived, cost, n.id})
 	var epoch = n.epoch
 	finish := func(d quota.Decision) {
 		if !d.OK {
@@ -492,10 +494,10 @@
 			if s.random.Float64() < s.notRun {
 				n.client.GiveBack(s.now, load.name, charge)
 				s.flush(n)
-				load.due = append(load.due, use{arrived, -cost})
+				load.due = append(load.due, use{arrived, -cost, n.id})
 				return
 			}
-			load.served = append(load.served, use{s.now, cost})
+			load.served = append(load.served, use{s.now, cost, n.id})
 		})
 	}
 	id, d, decided := n.client.Acquire(s.now, quota.Request{
