--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -61,9 +61,13 @@
 	// Keys is nil when API keys are checked by the configuration in force alone.
 	Keys Keys
 	// Slots assigns the slots of plain services' servers; nil means that this node chooses by itself.
-	Slots   Slots
-	Crashes CrashGuard
-	Peers   Peers
+	Slots Slots
+	// Quotas keeps customers within their quotas; nil admits all requests.
+	Quotas Quotas
+	// BootTime reads a clock that goes on while the VM is suspended; nil stands for one that doesn't.
+	BootTime func() time.Duration
+	Crashes  CrashGuard
+	Peers    Peers
 	// PeerTransport sends requests to other nodes.
 	PeerTransport http.RoundTripper
 	Zone          string
@@ -175,6 +179,10 @@
 	slot heldSlot
 	// slotFields describe how the latest slot was obtained, for the log.
 	slotFields event.Fields
+	// charge is what the next send, or the latest one, has used of the customer's quota.
+	charge charge
+	// sendLapsed is true when the latest send wasn't written because its reservation or its charge had lapsed.
+	sendLapsed bool
 	// server is the ID of the server chosen last, address where it listens, incarnation its run.
 	server      string
 	address     string
@@ -240,6 +248,10 @@
 	if j.resumesStream() && !j.findOrigin(current.config) {
 		return
 	}
+	defer j.giveBackQuota()
+	if !j.chargeQuota() {
+		return
+	}
 	j.serve()
 }
 
--- a/internal/forward/reasons.go
+++ b/internal/forward/reasons.go
@@ -13,6 +13,7 @@
 	ReasonNotLoaded           = modelpick.ReasonNotLoaded
 	ReasonLimited             = modelpick.ReasonLimited
 	ReasonSlotsInUse          = "all slots of the servers are in use"
+	ReasonQuota               = "the customer's quota is used up"
 	ReasonCrashing            = "servers crash on a part of the prompt"
 	ReasonCrashingRequest     = "servers crash on this request"
 	ReasonPrefillQueueTooLong = "the servers' prompts in line would take too long"
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -84,6 +84,7 @@
 	sightings    *sightings
 	limits       *limits
 	slots        *slots
+	quotas       *quotas
 	crashes      *crashes
 	reach        *reach
 	keys         *keys
@@ -146,6 +147,7 @@
 	n.sightings = newSightings(n)
 	n.limits = newLimits(n)
 	n.slots = newSlots(n)
+	n.quotas = newQuotas(n)
 	n.crashes = newCrashes(n)
 	n.reach = newReach(n)
 	n.keys = newKeys(n)
@@ -159,7 +161,7 @@
 		RetryBudget: retrybudget.Options{
 			Ratio: settings.RetryBudget.Ratio, Slack: settings.RetryBudget.Slack, Window: settings.RetryBudget.Window.Std(),
 		},
-		Nodes: n.peers.count,
+		Nodes: n.peers.count, Quotas: n.quotas, BootTime: bootTime,
 	})
 	return n
 }
@@ -220,6 +222,7 @@
 	group.Go(func() error { return n.sightings.run(n.ctx) })
 	group.Go(func() error { return n.limits.run(n.ctx) })
 	group.Go(func() error { return n.slots.run(n.ctx) })
+	group.Go(func() error { return n.quotas.run(n.ctx) })
 	group.Go(func() error { return n.crashes.run(n.ctx) })
 	group.Go(func() error { return n.reach.run(n.ctx) })
 	group.Go(func() error { return n.keys.run(n.ctx) })
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -184,6 +184,7 @@
 	n.origins.handleMessage(now, message)
 	n.limits.handleMessage(now, message)
 	n.slots.handleMessage(now, message)
+	n.quotas.handleMessage(message)
 	n.crashes.handleMessage(now, message)
 	n.reach.noteUnreachable(now, message)
 	n.keys.handleMessage(message)
