modelpick: Many nodes draw a server instead of all choosing the least loaded one

Cause: a node's view of a server is 100 to 600 ms old, and the random part of the score was 0.02.

Change: from 24 live nodes on, the server is drawn. The weights are such that the requests that all nodes send within the age of the view and the next second level the servers' scores. Holders publish for this the rate of arrivals, the age of the server's report and the prompts for which they were asked since; nodes of older builds ignore the fields, and publications without them give weights by free capacity. Of three draws the server wins that got the fewest requests of this node since its latest publication. Sites of 6 and 9 nodes choose as before.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -70,10 +70,21 @@
 	more = append(more, event.Fields{
 		"status": status, "zone": candidate.Zone, "softwareVersion": candidate.SoftwareVersion,
 		"load": candidate.Load, "ageMs": candidate.Age.Milliseconds(),
-	})
+	}, j.choiceFields(candidate))
 	j.log(event.RequestAnswered, outcome, nil, more...)
 }
 
+// choiceFields returns the inputs of the choice of a model server.
+func (j *job) choiceFields(chosen serverview.Candidate) event.Fields {
+	if j.service.Engine == nil {
+		return nil
+	}
+	return event.Fields{
+		"spread": j.query(0).Spreads(), "reported": chosen.Reported, "reportAgeMs": chosen.LoadAge.Milliseconds(),
+		"askedSince": chosen.Asked, "arrivalsPerS": chosen.Arrivals, "slots": chosen.Slots,
+	}
+}
+
 func (j *job) logFailedAttempt(candidate serverview.Candidate, mayHaveRun bool, err error) {
 	j.f.metrics.failedAttempts.Inc(1)
 	fields := event.Fields{
@@ -131,6 +142,8 @@
 	refused        metrics.Counter
 	failedAttempts metrics.Counter
 	handedOver     metrics.Counter
+	// spread and leastLoaded count the choices of model servers by how they were made.
+	spread, leastLoaded metrics.Counter
 	// resumed and resumesRefused count the callers' requests to resume a stream, by whether its origin was found.
 	resumed        metrics.Counter
 	resumesRefused metrics.Counter
@@ -147,9 +160,19 @@
 		refused:        metrics.GetOrRegisterCounter("forward.refused", nil),
 		failedAttempts: metrics.GetOrRegisterCounter("forward.failedAttempts", nil),
 		handedOver:     metrics.GetOrRegisterCounter("forward.handedOver", nil),
+		spread:         metrics.GetOrRegisterCounter("forward.choice.spread", nil),
+		leastLoaded:    metrics.GetOrRegisterCounter("forward.choice.leastLoaded", nil),
 		resumed:        metrics.GetOrRegisterCounter("forward.resumed", nil),
 		resumesRefused: metrics.GetOrRegisterCounter("forward.resumesRefused", nil),
 		latency: metrics.GetOrRegisterHistogram("forward.latencyMs", nil,
 			metrics.NewExpDecaySample(latencySample, 0.015)),
 	}
 }
+
+// choice returns the counter for the way in which a model server is chosen.
+func (m metricSet) choice(query modelpick.Query) metrics.Counter {
+	if query.Spreads() {
+		return m.spread
+	}
+	return m.leastLoaded
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -375,6 +375,7 @@
 	return modelpick.Query{
 		Adapter: j.request.Adapter, MinVersion: minVersion, SoftwareVersion: j.softwareVersion,
 		Zone: j.f.options.Zone, Tried: j.tried, Priority: j.rank(), MaxInFlight: j.maxInFlight(),
+		Nodes: j.f.options.Nodes(),
 	}
 }
 
@@ -412,6 +413,7 @@
 			}
 		}
 		if found {
+			j.f.metrics.choice(query).Inc(1)
 			j.requestCopy(now, candidates, query, chosen)
 			return chosen, j.expectedVersion(chosen, declared, minVersion), true
 		}
--- a/internal/modelpick/modelpick.go
+++ b/internal/modelpick/modelpick.go
@@ -60,6 +60,8 @@
 	Priority int
 	// MaxInFlight bounds this node's requests to one server; 0 means no bound.
 	MaxInFlight int
+	// Nodes is the number of live nodes that choose among the servers; 0 when it isn't known.
+	Nodes int
 }
 
 // usable reports whether the request may be sent to a server, regardless of the adapters there.
@@ -123,16 +125,24 @@
 		return chosen, false, ReasonAllBusy
 	}
 	roomy := filter(holding, func(c serverview.Candidate) bool { return isFree(c) && hasRoom(c) })
-	chosen, found = lowest(preferHealthy(roomy), func(c serverview.Candidate) float64 {
-		score := load(c) + failureCost*c.FailureRate + float64(c.Backlog)/float64(fullBacklog)
-		return score + query.distance(c, otherZoneCost) + tieSpread*random.Float64()
-	})
+	if query.Spreads() {
+		chosen, found = spread(preferHealthy(roomy), query, random)
+	} else {
+		chosen, found = lowest(preferHealthy(roomy), func(c serverview.Candidate) float64 {
+			return query.residentScore(c, load(c)) + tieSpread*random.Float64()
+		})
+	}
 	if !found {
 		return chosen, false, ReasonLimited
 	}
 	return chosen, true, ""
 }
 
+// residentScore returns the score of a model server at a load, in shares of its slots.
+func (q Query) residentScore(c serverview.Candidate, load float64) float64 {
+	return load + failureCost*c.FailureRate + float64(c.Backlog)/float64(fullBacklog) + q.distance(c, otherZoneCost)
+}
+
 // holders returns the usable servers that hold the adapter.
 func holders(candidates []serverview.Candidate, query Query) []serverview.Candidate {
 	return filter(candidates, func(c serverview.Candidate) bool {
--- /dev/null
+++ b/internal/modelpick/spread.go
@@ -0,0 +1,107 @@
+package modelpick
+
+import (
+	"math"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"waxwingcleat.example/waxwingcleat/internal/serverview"
+)
+
+const (
+	// spreadNodes is the number of live nodes from which the choice is drawn at random. Below it each node sees a good
+	// part of the requests itself, and the least loaded server is the better choice. It is above the number that a node
+	// assumes until it knows its peers.
+	spreadNodes = 24
+	// spreadHorizon is the time in which differences in load are to be levelled. With 0 s the server that has the least
+	// load gets so many prompts at once that they wait for each other; with 4 s differences last.
+	spreadHorizon = time.Second
+	// spreadDraws is the number of draws, of which the server wins that got the fewest requests of this node since its
+	// latest publication. The requests of one node often come in clumps.
+	spreadDraws = 3
+	// minimumSpread is the least share of the slots that is to be levelled, so that the draw stays random on sites
+	// without requests, and unknownSpread the share for servers whose holder doesn't publish the rate of arrivals.
+	minimumSpread = 0.02
+	unknownSpread = 0.2
+)
+
+// Spreads reports whether so many nodes choose that each sees only a small part of the requests, and the choice is drawn.
+func (q Query) Spreads() bool { return q.Nodes >= spreadNodes }
+
+// spread draws a server at random. The weights are such that the requests which all nodes send between the publications
+// and the end of the horizon level the servers' scores: each server gets what it is below the common level. How many
+// requests these are is known from the published rates; the other nodes draw in the same way.
+func spread(candidates []serverview.Candidate, query Query, random *rand.Rand) (serverview.Candidate, bool) {
+	if len(candidates) == 0 {
+		return serverview.Candidate{}, false
+	}
+	scores, requests := make([]float64, len(candidates)), 0.0
+	for i, c := range candidates {
+		scores[i] = query.residentScore(c, remaining(c)/slots(c))
+		requests += expectedArrivals(c)
+	}
+	level := fillLevel(candidates, scores, requests)
+	best := draw(candidates, scores, level, requests, random)
+	for range spreadDraws - 1 {
+		if c := draw(candidates, scores, level, requests, random); c.SentSince < best.SentSince {
+			best = c
+		}
+	}
+	return best, true
+}
+
+// draw returns a candidate at random, weighted by the number of requests that bring it to the level.
+func draw(
+	candidates []serverview.Candidate, scores []float64, level, requests float64, random *rand.Rand,
+) serverview.Candidate {
+	left := requests * random.Float64()
+	for i, c := range candidates {
+		if left -= math.Max(level-scores[i], 0) * slots(c); left < 0 {
+			return c
+		}
+	}
+	// Only rounding leads here.
+	best, _ := lowest(candidates, func(c serverview.Candidate) float64 { return load(c) })
+	return best
+}
+
+// expectedArrivals estimates the requests to a server that aren't in its published state, up to the end of the horizon.
+func expectedArrivals(c serverview.Candidate) float64 {
+	if c.Arrivals <= 0 {
+		return unknownSpread * slots(c)
+	}
+	return math.Max(c.Arrivals*(c.Age+spreadHorizon).Seconds(), minimumSpread*slots(c))
+}
+
+// remaining estimates how many of the requests that are known for a server still run at the end of the horizon. A server
+// ends about as many requests as it gets, each of them with the same probability.
+func remaining(c serverview.Candidate) float64 {
+	if c.Reported == 0 {
+		return float64(c.Asked)
+	}
+	reported := float64(c.Reported)
+	ending := c.Arrivals * (c.LoadAge + spreadHorizon).Seconds()
+	return reported*math.Exp(-ending/reported) + float64(c.Asked)
+}
+
+// fillLevel returns the score up to which the given number of requests fills the servers with the lowest scores.
+func fillLevel(candidates []serverview.Candidate, scores []float64, requests float64) (level float64) {
+	order := make([]int, len(candidates))
+	for i := range order {
+		order[i] = i
+	}
+	sort.Slice(order, func(a, b int) bool { return scores[order[a]] < scores[order[b]] })
+	capacity, used := 0.0, 0.0
+	for n, i := range order {
+		capacity += slots(candidates[i])
+		used += slots(candidates[i]) * scores[i]
+		level = (requests + used) / capacity
+		if n+1 < len(order) && level <= scores[order[n+1]] {
+			break
+		}
+	}
+	return level
+}
+
+func slots(c serverview.Candidate) float64 { return float64(max(c.Slots, 1)) }
--- a/internal/node/holders.go
+++ b/internal/node/holders.go
@@ -40,9 +40,13 @@
 	core *residency.Core
 	// incarnation is the server's start time in its latest report, in Unix milliseconds; 0 when no report had one.
 	incarnation int64
-	gate        *prefillgate.Core
-	grantTimer  *time.Timer
-	publication publication
+	// reportedAt is when the latest report was requested, and askedAtReport the number of prompts that the gate had been
+	// asked to admit by then.
+	reportedAt    time.Time
+	askedAtReport int
+	gate          *prefillgate.Core
+	grantTimer    *time.Timer
+	publication   publication
 }
 
 func newHolders(node *Node) *holders {
@@ -177,6 +181,9 @@
 	requestedAt := time.Now()
 	h.node.holders.reports.Inc(1)
 	h.node.limits.charge(h.server.ID)
+	h.mu.Lock()
+	asked := h.gate.Asked()
+	h.mu.Unlock()
 	report, err := h.node.servers.Report(ctx, h.server)
 	if ctx.Err() != nil {
 		return
@@ -189,6 +196,7 @@
 		return
 	}
 	h.node.limits.reported(h.server, report.Limit, requestedAt)
+	h.reportedAt, h.askedAtReport = requestedAt, asked
 	restarted := h.incarnation != 0 && report.Born != 0 && report.Born != h.incarnation
 	if report.Born != 0 {
 		h.incarnation = report.Born
--- a/internal/node/publications.go
+++ b/internal/node/publications.go
@@ -60,7 +60,10 @@
 		Revision: snapshot.Revision, ServerID: h.server.ID, Born: h.server.Born, Holder: h.node.link.Address(),
 		Fence: fence, Sequence: p.local.Sequence + 1, Ready: snapshot.Ready, Slots: slots,
 		Adapters: snapshot.Adapters, Hot: snapshot.Hot, Waiting: snapshot.Waiting, Running: snapshot.Running,
-		Backlog: backlog,
+		Backlog: backlog, Asked: h.gate.Asked() - h.askedAtReport, Arrivals: h.gate.Arrivals(now),
+	}
+	if !h.reportedAt.IsZero() {
+		state.LoadAge = now.Sub(h.reportedAt)
 	}
 	urgent := state.Ready != p.local.Ready
 	arrivals := h.arrivals(now, p.local.Adapters, state.Adapters)
@@ -113,6 +116,9 @@
 	if p.localAt.IsZero() || !changed && now.Sub(p.sentAt) < publishPeriod {
 		return state, false
 	}
+	// What the gate knows is current, the rest is as old as the local publication.
+	state.LoadAge += now.Sub(p.localAt)
+	state.Asked, state.Arrivals = h.gate.Asked()-h.askedAtReport, h.gate.Arrivals(now)
 	// Every message gets a new sequence number, as receivers drop states that aren't newer.
 	p.local.Sequence++
 	state.Sequence = p.local.Sequence
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math"
 	"net"
 	"time"
 
@@ -62,6 +63,10 @@
 	Removed  []string `json:"x,omitempty"`
 	Waiting  int      `json:"w,omitempty"`
 	Running  int      `json:"r,omitempty"`
+	// LoadAgeMs, Asked and Arrivals have the meaning of the fields of serverview.Published, Arrivals in tenths per second.
+	LoadAgeMs int64 `json:"la,omitempty"`
+	Asked     int   `json:"as,omitempty"`
+	Arrivals  int   `json:"av,omitempty"`
 	// BacklogMs estimates how long a new prompt would wait to be admitted.
 	BacklogMs int64 `json:"bl,omitempty"`
 }
@@ -195,6 +200,7 @@
 		OrdersInMs: state.Slots.OrdersIn.Milliseconds(), Adapters: encodeVersions(state.Adapters), Hot: state.Hot.String(),
 		Kind: uint8(state.Kind), Revision: state.Revision, Base: state.Base,
 		Waiting: state.Waiting, Running: state.Running, BacklogMs: state.Backlog.Milliseconds(),
+		LoadAgeMs: state.LoadAge.Milliseconds(), Asked: state.Asked, Arrivals: int(math.Round(10 * state.Arrivals)),
 	}
 	for _, adapter := range state.Removed {
 		entry.Removed = append(entry.Removed, adapter.String())
@@ -216,6 +222,7 @@
 			Adapters: decodeVersions(s.Adapters), Hot: serving.ParseAdapter(s.Hot),
 			Waiting: s.Waiting, Running: s.Running,
 			Backlog: time.Duration(s.BacklogMs) * time.Millisecond,
+			LoadAge: time.Duration(s.LoadAgeMs) * time.Millisecond, Asked: s.Asked, Arrivals: float64(s.Arrivals) / 10,
 		}
 		for _, name := range s.Removed {
 			state.Removed = append(state.Removed, serving.ParseAdapter(name))
--- a/internal/peerlink/peerlink_test.go
+++ b/internal/peerlink/peerlink_test.go
@@ -40,7 +40,9 @@
 			Hot:      adapterGenerator.Draw(t, "hot"),
 			Waiting:  rapid.IntRange(0, 99).Draw(t, "waiting"), Running: rapid.IntRange(0, 99).Draw(t, "running"),
 			Backlog: time.Duration(rapid.IntRange(0, 5000).Draw(t, "backlog")) * time.Millisecond,
-			Holder:  "10.0.0.1:7000",
+			LoadAge: time.Duration(rapid.IntRange(0, 5000).Draw(t, "load age")) * time.Millisecond,
+			Asked:   rapid.IntRange(0, 99).Draw(t, "asked"), Arrivals: float64(rapid.IntRange(0, 999).Draw(t, "arrivals")) / 10,
+			Holder: "10.0.0.1:7000",
 		}
 		message := peerlink.Message{From: sent.Holder}
 		message.AddState(sent)
--- a/internal/prefillgate/prefillgate.go
+++ b/internal/prefillgate/prefillgate.go
@@ -7,8 +7,11 @@
 package prefillgate
 
 import (
+	"math"
 	"sort"
 	"time"
+
+	"waxwingcleat.example/waxwingcleat/internal/decay"
 )
 
 // Options holds the bound on the pauses of a server's streams.
@@ -31,6 +34,9 @@
 	longestReadTimeout = 1500 * time.Millisecond
 	// queueTimeout is the time after which a queued request is dropped; gateways stop waiting earlier.
 	queueTimeout = 3 * time.Second
+	// arrivalHalfLife is the half-life of the weight of a request in the rate of arrivals: with 7 requests a second, the
+	// rate is off by a sixth.
+	arrivalHalfLife = 5 * time.Second
 )
 
 // Request is a gateway's request for admission of a prompt.
@@ -75,6 +81,9 @@
 	eventTime time.Duration
 	// timeouts counts the prompts that timed out since one was read.
 	timeouts int
+	// asked counts all requests, and arrivals the recent ones.
+	asked    int
+	arrivals decay.Count
 }
 
 // New returns a gate for an engine of unknown speed.
@@ -107,10 +116,20 @@
 			return
 		}
 	}
+	c.asked++
+	c.arrivals = c.arrivals.Add(request.At, arrivalHalfLife, 1)
 	c.queue = append(c.queue, request)
 	sort.SliceStable(c.queue, func(i, j int) bool { return due(c.queue[i]).Before(due(c.queue[j])) })
 }
 
+// Asked returns the number of requests so far.
+func (c *Core) Asked() int { return c.asked }
+
+// Arrivals returns the rate of requests per second.
+func (c *Core) Arrivals(now time.Time) float64 {
+	return c.arrivals.Value(now, arrivalHalfLife) * math.Ln2 / arrivalHalfLife.Seconds()
+}
+
 // due returns the time by which the queue is ordered.
 func due(request Request) time.Time {
 	return request.At.Add(time.Duration(request.Priority) * rankDelay)
--- a/internal/prefillgate/prefillgate_test.go
+++ b/internal/prefillgate/prefillgate_test.go
@@ -62,3 +62,20 @@
 	ids := []uint64{granted[0].ID, granted[1].ID, granted[2].ID}
 	g.Expect(ids).To(gomega.Equal([]uint64{3, 2, 4}))
 }
+
+// Guards against arrivals that count twice as nodes repeat their requests, and against a rate that isn't that of the requests.
+func TestArrivalsAreCountedOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	gate := prefillgate.New(bound)
+	now := start
+	for id := uint64(1); id <= 300; id++ {
+		now = start.Add(time.Duration(id) * 100 * time.Millisecond)
+		for range 2 {
+			gate.Enqueue(prefillgate.Request{Node: "n", ID: id, Tokens: 10, At: now})
+		}
+		gate.Next(now)
+		gate.Done(now, "n", id, true)
+	}
+	g.Expect(gate.Asked()).To(gomega.Equal(300))
+	g.Expect(gate.Arrivals(now)).To(gomega.BeNumerically("~", 10, 0.5))
+}
--- a/internal/serverview/candidates.go
+++ b/internal/serverview/candidates.go
@@ -31,6 +31,15 @@
 	Connected bool
 	// Load estimates the requests of all nodes that run or wait on the server.
 	Load int
+	// Reported is the part of Load that the server reported LoadAge ago, and Asked the number of prompts of all nodes
+	// that are known to have come since.
+	Reported int
+	LoadAge  time.Duration
+	Asked    int
+	// SentSince is the number of this node's requests since the latest publication; they are part of Asked.
+	SentSince int
+	// Arrivals is the rate per second of requests of all nodes to the server; 0 when its holder doesn't publish it.
+	Arrivals float64
 	// Backlog estimates how long a prompt would wait for admission.
 	Backlog time.Duration
 	// Age is the age of the holder's latest publication; it is meaningless before the first one.
@@ -91,9 +100,13 @@
 		c.RoomIn = max(s.noRoomUntil.Sub(now), 0)
 	}
 	c.Load = s.inFlight
+	c.Reported = s.inFlight
 	if fresh {
 		c.Load = max(s.inFlight, s.published.Running+s.published.Waiting+s.sentSince)
 		c.Backlog = s.published.Backlog
+		c.Reported, c.Asked = s.published.Running+s.published.Waiting, s.published.Asked+s.sentSince
+		c.SentSince = s.sentSince
+		c.LoadAge, c.Arrivals = s.published.LoadAge+c.Age, s.published.Arrivals
 	}
 	if adapter.Name == "" {
 		c.Present = s.published.Ready
--- a/internal/serverview/published.go
+++ b/internal/serverview/published.go
@@ -44,6 +44,12 @@
 	Hot     serving.Adapter
 	Waiting int
 	Running int
+	// LoadAge is the age of Waiting and Running at the time of the publication, and Asked the number of prompts of all
+	// nodes for which the holder was asked since. Both are 0 in publications of older builds.
+	LoadAge time.Duration
+	Asked   int
+	// Arrivals is the rate per second at which the holder is asked to admit prompts of all nodes; 0 means unknown.
+	Arrivals float64
 	// Backlog estimates how long a prompt would wait for admission.
 	Backlog time.Duration
 }
--- a/internal/serverview/published_test.go
+++ b/internal/serverview/published_test.go
@@ -103,3 +103,21 @@
 	g.Expect(v.Publish(start, states...)).To(gomega.BeFalse())
 	g.Expect(changed).NotTo(gomega.BeClosed())
 }
+
+// Guards against a load whose age and arrivals don't reach the choice, and against a report that counts as younger than it is.
+func TestCandidatesCarryTheAgeOfTheirLoad(t *testing.T) {
+	g := gomega.NewWithT(t)
+	v := serverview.New()
+	v.PutEntry(start, entry("s1"))
+	v.Publish(start, serverview.Published{
+		ServerID: "s1", Holder: "h", Sequence: 1, Ready: true, Running: 5, Waiting: 1, LoadAge: 200 * time.Millisecond, Asked: 3,
+		Arrivals: 7,
+	})
+	v.Begin(start, "s1")
+	c := v.Candidates(start.Add(300*time.Millisecond), "models", serving.Adapter{})[0]
+	g.Expect(c.Reported).To(gomega.Equal(6))
+	g.Expect(c.Asked).To(gomega.Equal(4))
+	g.Expect(c.SentSince).To(gomega.Equal(1))
+	g.Expect(c.LoadAge).To(gomega.Equal(500 * time.Millisecond))
+	g.Expect(c.Arrivals).To(gomega.Equal(7.0))
+}
