steptime, node, modelpick: Holders learn how long a server takes between two events, and nodes choose by it

Cause: servers differ in speed by 2.4, and a server may be slow for a time.

Change: nodes tell the holder of a server the time between the events that pass through them, with their usage, and at once when it changes by a factor of 1.5. The holder learns the time for the number of runs, and a present slowness from a ratio of 1.5 until it is below 1.25; slowness that lasts for 5 s is learned as the speed. Both are published and belong to one incarnation. The choice takes a server to have as many runs as leave 0.7 of the route's longest pause to prompts, a tenth of its slots at least. Holders also learn and publish the times of loads, which replace 270 and 30 ms in the choice of load targets. All of it takes effect from 24 live nodes on; nodes below that record and send nothing of it.

Event 890 (server slow), counter holders.slowSpells, and the fields eventMs, slowness and takesRuns of answers show it.

--- a/internal/event/node.go
+++ b/internal/event/node.go
@@ -58,6 +58,8 @@
 		"The report of a model server could not be read; the server's state is unknown until the next report.")
 	ServerRestarted = register(824, logrus.WarnLevel, "server restarted",
 		"A model server restarted and has nothing loaded.")
+	ServerSlow = register(890, logrus.InfoLevel, "server slow",
+		"The streams of a model server take longer between two events than at the same number of requests before, or no longer do.")
 	GroupLeft = register(854, logrus.InfoLevel, "group of holders left",
 		"The node holds no leases, and others hold them all; it follows them and doesn't join the group until it's needed.")
 	LimitLearned = register(825, logrus.InfoLevel, "server limit learned",
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -55,6 +55,8 @@
 	Transport http.RoundTripper
 	Gate      Gate
 	EventGaps *eventgap.Observer
+	// StepTimes gets the time between two events of a stream of a model server; it may be nil.
+	StepTimes func(now time.Time, server crashguard.Incarnation, gap time.Duration)
 	Origins   Origins
 	Limits    Limits
 	Crashes   CrashGuard
@@ -375,7 +377,7 @@
 	return modelpick.Query{
 		Adapter: j.request.Adapter, MinVersion: minVersion, SoftwareVersion: j.softwareVersion,
 		Zone: j.f.options.Zone, Tried: j.tried, Priority: j.rank(), MaxInFlight: j.maxInFlight(),
-		Nodes: j.f.options.Nodes(),
+		Nodes: j.f.options.Nodes(), MaxPause: j.route.MaxPause,
 	}
 }
 
--- a/internal/forward/spread_test.go
+++ b/internal/forward/spread_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
 
+	"waxwingcleat.example/waxwingcleat/internal/crashguard"
 	"waxwingcleat.example/waxwingcleat/internal/event"
 	"waxwingcleat.example/waxwingcleat/internal/eventgap"
 	"waxwingcleat.example/waxwingcleat/internal/forward"
@@ -53,3 +56,36 @@
 		g.Expect(sent).To(gomega.HaveLen(servers), fmt.Sprint(nodes, " nodes"))
 	}
 }
+
+// Guards against events of streams that don't count for the server which sent them.
+func TestEventsOfStreamsAreObserved(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFixture(serving.Stream)
+	config := *f.forwarder.Config()
+	config.Services = map[string]serving.Service{service: {Name: service, Engine: &serving.Engine{}}}
+	var observed []crashguard.Incarnation
+	f.forwarder = forward.New(forward.Options{
+		Wire: wire{}, View: f.view, Usage: usage.New("n"), Transport: f, EventGaps: eventgap.New(), Limits: f.limits,
+		Crashes: noCrashes{}, Gate: openGate{}, Origins: noOrigins{}, Events: event.Discard(), Nodes: func() int { return 81 },
+		RetryBudget: retrybudget.Options{Ratio: 1, Slack: 100, Window: 10 * time.Second},
+		StepTimes:   func(_ time.Time, server crashguard.Incarnation, _ time.Duration) { observed = append(observed, server) },
+	})
+	f.forwarder.SetConfig(&config)
+	f.view.PutEntry(time.Now(), serving.Server{ID: "s", Service: service, Address: "s", Slots: 64, Born: 7})
+	f.view.Publish(time.Now(), serverview.Published{ServerID: "s", Born: 7, Holder: "h", Sequence: 1, Ready: true})
+	f.answer = func(string) (*http.Response, error) {
+		answer := answerWith(http.StatusOK, "")
+		events, writer := io.Pipe()
+		go func() {
+			for range 3 {
+				_, _ = io.WriteString(writer, "data: x\n\n")
+			}
+			_ = writer.Close()
+		}()
+		answer.Body, answer.ContentLength = events, -1
+		return answer, nil
+	}
+	f.call()
+	server := crashguard.Incarnation{ServerID: "s", Born: 7}
+	g.Expect(observed).To(gomega.Equal([]crashguard.Incarnation{server, server}))
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -38,6 +38,9 @@
 		s.onFirstData = func() { j.releaseGate(true) }
 	}
 	s.onGap = func(gap time.Duration) { j.f.options.EventGaps.Record(j.service.Name, gap) }
+	if j.f.options.StepTimes != nil && j.service.Engine != nil {
+		s.onServerGap = func(now time.Time, gap time.Duration) { j.f.options.StepTimes(now, j.incarnation, gap) }
+	}
 	s.onData = func(now time.Time) { j.received(now, s) }
 	err := s.copy(answer.Body)
 	j.recordStreamEnd(s, err)
@@ -141,6 +144,8 @@
 	callerErr error
 	// onGap is called with the time between two arrivals.
 	onGap func(gap time.Duration)
+	// onServerGap is called with the time between two arrivals of the same answer; may be nil.
+	onServerGap func(now time.Time, gap time.Duration)
 	// onData is called whenever data arrives.
 	onData func(now time.Time)
 	// onFirstData is called when the first data arrives, which shows that the server has read the prompt; may be nil.
@@ -165,6 +170,9 @@
 	} else {
 		s.longestPause = max(s.longestPause, now.Sub(s.lastAt))
 		s.onGap(now.Sub(s.lastAt))
+		if !s.begunAt.IsZero() && s.onServerGap != nil {
+			s.onServerGap(now, now.Sub(s.lastAt))
+		}
 	}
 	s.lastAt = now
 	if s.begunAt.IsZero() {
--- a/internal/modelpick/modelpick.go
+++ b/internal/modelpick/modelpick.go
@@ -62,6 +62,8 @@
 	MaxInFlight int
 	// Nodes is the number of live nodes that choose among the servers; 0 when it isn't known.
 	Nodes int
+	// MaxPause is the longest pause of streams that the route allows; 0 means no bound.
+	MaxPause time.Duration
 }
 
 // usable reports whether the request may be sent to a server, regardless of the adapters there.
@@ -229,10 +231,11 @@
 // servers. order is the server's position by rendezvous hashing.
 func loadWait(c serverview.Candidate, order int, query Query, current string) time.Duration {
 	wait := c.SlotQueue.Wait(query.Priority) + c.Backlog + c.RoomIn
+	cold, warm := query.loadTimes(c)
 	if c.Held {
-		wait += warmLoadTime
+		wait += warm
 	} else {
-		wait += coldLoadTime + time.Duration(order)*homeOrderCost
+		wait += cold + time.Duration(order)*homeOrderCost
 	}
 	if c.ID == current {
 		wait -= moveGain
@@ -240,6 +243,18 @@
 	return wait
 }
 
+// loadTimes returns the learned times of loads of a server on sites of many nodes, and the usual ones elsewhere.
+func (q Query) loadTimes(c serverview.Candidate) (cold, warm time.Duration) {
+	cold, warm = coldLoadTime, warmLoadTime
+	if q.Spreads() && c.LoadTimes.Cold > 0 {
+		cold = c.LoadTimes.Cold
+	}
+	if q.Spreads() && c.LoadTimes.Warm > 0 {
+		warm = c.LoadTimes.Warm
+	}
+	return cold, warm
+}
+
 // obstacle is a reason for which a server can't load an adapter.
 type obstacle uint8
 
--- a/internal/modelpick/spread.go
+++ b/internal/modelpick/spread.go
@@ -24,6 +24,12 @@
 	// without requests, and unknownSpread the share for servers whose holder doesn't publish the rate of arrivals.
 	minimumSpread = 0.02
 	unknownSpread = 0.2
+	// eventShare is the share of the longest pause that the time between two events may take. The rest is for the prompts
+	// read in between, for which the gate of prompts takes up to 0.7 of it.
+	eventShare = 0.3
+	// minimumCapacity is the least share of its slots that a server takes. A slow server thus gets some requests, which show
+	// when it is no longer slow, and a service whose servers are all too slow for the route is still served.
+	minimumCapacity = 0.1
 )
 
 // Spreads reports whether so many nodes choose that each sees only a small part of the requests, and the choice is drawn.
@@ -36,15 +42,16 @@
 	if len(candidates) == 0 {
 		return serverview.Candidate{}, false
 	}
-	scores, requests := make([]float64, len(candidates)), 0.0
+	scores, capacities, requests := make([]float64, len(candidates)), make([]float64, len(candidates)), 0.0
 	for i, c := range candidates {
-		scores[i] = query.residentScore(c, remaining(c)/slots(c))
+		capacities[i] = query.Capacity(c)
+		scores[i] = query.residentScore(c, remaining(c)/query.Capacity(c))
 		requests += expectedArrivals(c)
 	}
-	level := fillLevel(candidates, scores, requests)
-	best := draw(candidates, scores, level, requests, random)
+	level := fillLevel(capacities, scores, requests)
+	best := draw(candidates, capacities, scores, level, requests, random)
 	for range spreadDraws - 1 {
-		if c := draw(candidates, scores, level, requests, random); c.SentSince < best.SentSince {
+		if c := draw(candidates, capacities, scores, level, requests, random); c.SentSince < best.SentSince {
 			best = c
 		}
 	}
@@ -53,11 +60,11 @@
 
 // draw returns a candidate at random, weighted by the number of requests that bring it to the level.
 func draw(
-	candidates []serverview.Candidate, scores []float64, level, requests float64, random *rand.Rand,
+	candidates []serverview.Candidate, capacities, scores []float64, level, requests float64, random *rand.Rand,
 ) serverview.Candidate {
 	left := requests * random.Float64()
 	for i, c := range candidates {
-		if left -= math.Max(level-scores[i], 0) * slots(c); left < 0 {
+		if left -= math.Max(level-scores[i], 0) * capacities[i]; left < 0 {
 			return c
 		}
 	}
@@ -86,16 +93,16 @@
 }
 
 // fillLevel returns the score up to which the given number of requests fills the servers with the lowest scores.
-func fillLevel(candidates []serverview.Candidate, scores []float64, requests float64) (level float64) {
-	order := make([]int, len(candidates))
+func fillLevel(capacities, scores []float64, requests float64) (level float64) {
+	order := make([]int, len(scores))
 	for i := range order {
 		order[i] = i
 	}
 	sort.Slice(order, func(a, b int) bool { return scores[order[a]] < scores[order[b]] })
 	capacity, used := 0.0, 0.0
 	for n, i := range order {
-		capacity += slots(candidates[i])
-		used += slots(candidates[i]) * scores[i]
+		capacity += capacities[i]
+		used += capacities[i] * scores[i]
 		level = (requests + used) / capacity
 		if n+1 < len(order) && level <= scores[order[n+1]] {
 			break
@@ -104,4 +111,14 @@
 	return level
 }
 
+// Capacity returns the number of runs that a server takes: its slots, or fewer where the time between two events would use
+// up more than eventShare of the route's longest pause.
+func (q Query) Capacity(c serverview.Candidate) float64 {
+	if !q.Spreads() || q.MaxPause <= 0 {
+		return slots(c)
+	}
+	runs := c.Step.Runs(time.Duration(eventShare*float64(q.MaxPause)), max(c.Slots, 1))
+	return math.Max(float64(runs), minimumCapacity*slots(c))
+}
+
 func slots(c serverview.Candidate) float64 { return float64(max(c.Slots, 1)) }
--- a/internal/modelpick/spread_test.go
+++ b/internal/modelpick/spread_test.go
@@ -8,6 +8,8 @@
 
 	"waxwingcleat.example/waxwingcleat/internal/modelpick"
 	"waxwingcleat.example/waxwingcleat/internal/serverview"
+	"waxwingcleat.example/waxwingcleat/internal/serving"
+	"waxwingcleat.example/waxwingcleat/internal/steptime"
 )
 
 // manyNodes is baseQuery on a site of many nodes.
@@ -74,3 +76,48 @@
 	g.Expect(got).To(gomega.HaveLen(3))
 	g.Expect(got["s1"]).To(gomega.BeNumerically("<", 0.8))
 }
+
+// Guards against requests to a server whose streams already take longer between two events than the route allows, and
+// against one that gets none at all, so that nobody notices that it is no longer slow.
+func TestSlowServerTakesFewerRuns(t *testing.T) {
+	g := gomega.NewWithT(t)
+	query := manyNodes()
+	query.MaxPause = 300 * time.Millisecond
+	var candidates []serverview.Candidate
+	for _, id := range []string{"s0", "s1", "s2"} {
+		c := busyHolder(id, 20)
+		c.Step = steptime.Cost{Base: 20 * time.Millisecond, PerRun: 500 * time.Microsecond, Slowness: 1}
+		candidates = append(candidates, c)
+	}
+	g.Expect(query.Capacity(candidates[0])).To(gomega.Equal(64.0))
+	g.Expect(shares(candidates, query)["s0"]).To(gomega.BeNumerically("~", 1./3, 0.05))
+	candidates[0].Step.Slowness = 2.5
+	g.Expect(query.Capacity(candidates[0])).To(gomega.Equal(32.0))
+	g.Expect(shares(candidates, query)["s0"]).To(gomega.BeNumerically("<", 0.1))
+	for i := range candidates {
+		candidates[i].Step.Slowness = 100
+	}
+	g.Expect(query.Capacity(candidates[0])).To(gomega.BeNumerically("~", 6.4, 0.1))
+	g.Expect(shares(candidates, query)).To(gomega.HaveLen(3))
+	query.Nodes = 9
+	g.Expect(query.Capacity(candidates[0])).To(gomega.Equal(64.0))
+}
+
+// Guards against load targets by the usual times of loads where the holders have learned others, and on small sites
+// against other targets than before.
+func TestLearnedLoadTimesDecideOnLargeSites(t *testing.T) {
+	g := gomega.NewWithT(t)
+	candidates := []serverview.Candidate{withoutAdapter("s0"), withoutAdapter("s1")}
+	few, many := baseQuery, manyNodes()
+	before, _, _ := modelpick.LoadTarget(candidates, few, "")
+	for i := range candidates {
+		if candidates[i].ID == before.ID {
+			candidates[i].LoadTimes = serving.LoadTimes{Cold: 2 * time.Second}
+		}
+	}
+	same, _, _ := modelpick.LoadTarget(candidates, few, "")
+	g.Expect(same.ID).To(gomega.Equal(before.ID))
+	other, wait, _ := modelpick.LoadTarget(candidates, many, "")
+	g.Expect(other.ID).NotTo(gomega.Equal(before.ID))
+	g.Expect(wait).To(gomega.BeNumerically("<", time.Second))
+}
--- a/internal/node/holders.go
+++ b/internal/node/holders.go
@@ -13,6 +13,7 @@
 	"waxwingcleat.example/waxwingcleat/internal/requestlimit"
 	"waxwingcleat.example/waxwingcleat/internal/residency"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
+	"waxwingcleat.example/waxwingcleat/internal/steptime"
 )
 
 // defaultMaxPause is used when no route of the service bounds the pauses of its streams.
@@ -45,6 +46,7 @@
 	reportedAt    time.Time
 	askedAtReport int
 	gate          *prefillgate.Core
+	steps         *steptime.Core
 	grantTimer    *time.Timer
 	publication   publication
 }
@@ -98,7 +100,7 @@
 	started := &holder{
 		node: h.node, server: server, stop: stop, done: make(chan struct{}), wake: make(chan struct{}, 1),
 		core: h.node.newCore(options),
-		gate: prefillgate.New(prefillgate.Options{MaxPause: maxPause}),
+		gate: prefillgate.New(prefillgate.Options{MaxPause: maxPause}), steps: steptime.New(),
 	}
 	go started.run(ctx, options)
 	return started
@@ -137,12 +139,29 @@
 func (h *holder) recordUsage(now time.Time, usage residency.Usage) {
 	h.mu.Lock()
 	h.core.NoteUsage(now, usage)
+	changed := h.observeEvents(now, usage)
 	h.mu.Unlock()
-	if len(usage.Wants) > 0 {
+	if len(usage.Wants) > 0 || changed {
 		h.notify()
 	}
 }
 
+// observeEvents learns from the events that a node saw, and returns true when the server has become slow or no longer is.
+// The caller holds h.mu.
+func (h *holder) observeEvents(now time.Time, usage residency.Usage) (changed bool) {
+	if usage.Events == 0 || usage.EventsBorn != h.server.Born {
+		return false
+	}
+	before := h.steps.Cost(now).Slowness
+	observed := steptime.Observation{Gap: usage.EventGap, Events: usage.Events}
+	h.steps.Observe(now, usage.Node, observed, h.core.Running())
+	slowness := h.steps.Cost(now).Slowness
+	if changed = (before > 1) != (slowness > 1); changed {
+		h.node.logSlowness(h.server, h.steps.Cost(now), h.core.Running())
+	}
+	return changed
+}
+
 // run executes the core's actions until ctx ends.
 func (h *holder) run(ctx context.Context, options residency.Options) {
 	defer close(h.done)
@@ -204,6 +223,7 @@
 	if h.core.Reported(requestedAt, time.Now(), report) || restarted {
 		h.node.events.Emit(event.ServerRestarted, event.Fields{"server": h.server.ID, "born": report.Born})
 		h.core = h.node.newCore(options)
+		h.steps = steptime.New()
 		h.core.Reported(requestedAt, time.Now(), report)
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 	"waxwingcleat.example/waxwingcleat/internal/serverlease"
 	"waxwingcleat.example/waxwingcleat/internal/serverview"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
+	"waxwingcleat.example/waxwingcleat/internal/steptime"
 	"waxwingcleat.example/waxwingcleat/internal/upstream"
 	"waxwingcleat.example/waxwingcleat/internal/usage"
 )
@@ -76,6 +77,7 @@
 	view         *serverview.View
 	usage        *usage.Tracker
 	eventGaps    *eventgap.Observer
+	stepTimes    *steptime.Observer
 	forwarder    *forward.Forwarder
 	leases       *leases
 	holders      *holders
@@ -131,7 +133,7 @@
 		settings: settings, store: d.Store, servers: d.Servers, events: d.Events, reload: d.Reload,
 		linesDropped: d.LinesDropped, link: link, connections: d.Connections, publishNow: make(chan struct{}, 1),
 		view: serverview.New(), usage: usage.New(link.Address()), peers: newPeers(), callers: connset.New(),
-		watch: newWatch(), startedAt: time.Now(), eventGaps: eventgap.New(),
+		watch: newWatch(), startedAt: time.Now(), eventGaps: eventgap.New(), stepTimes: steptime.NewObserver(),
 		operatorAge: metrics.GetOrRegisterGauge("watch.operatorAgeMs", nil),
 	}
 	n.leases = newLeases(serverlease.Options{
@@ -148,7 +150,8 @@
 	n.connections.OnIdleDropsDetected(func() { n.events.Emit(event.IdleConnectionsReset, nil) })
 	n.forwarder = forward.New(forward.Options{
 		Wire: d.Wire, View: n.view, Usage: n.usage, Transport: d.Connections, Gate: n.admission, EventGaps: n.eventGaps,
-		Origins: n.origins, Limits: n.limits, Crashes: n.crashes, Peers: n.reach,
+		StepTimes: n.recordEvent,
+		Origins:   n.origins, Limits: n.limits, Crashes: n.crashes, Peers: n.reach,
 		PeerTransport: upstream.NewTransport(connectTimeout, false), Zone: settings.Node.Zone, Events: d.Events,
 		RetryBudget: retrybudget.Options{
 			Ratio: settings.RetryBudget.Ratio, Slack: settings.RetryBudget.Slack, Window: settings.RetryBudget.Window.Std(),
--- a/internal/node/outbox.go
+++ b/internal/node/outbox.go
@@ -39,6 +39,7 @@
 
 // addUsage adds the usage of a server to the message to its holder, or records it directly if this node is the holder.
 func (o *outbox) addUsage(server string, usage residency.Usage) {
+	o.node.addEvents(o.now, server, &usage)
 	if holder := o.node.holders.get(server); holder != nil {
 		holder.recordUsage(o.now, usage)
 		return
--- a/internal/node/publications.go
+++ b/internal/node/publications.go
@@ -9,6 +9,7 @@
 	"waxwingcleat.example/waxwingcleat/internal/peerlink"
 	"waxwingcleat.example/waxwingcleat/internal/serverview"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
+	"waxwingcleat.example/waxwingcleat/internal/steptime"
 )
 
 const (
@@ -49,8 +50,10 @@
 	p := &h.publication
 	backlog, slots := h.gate.Backlog(), h.core.SlotQueue(now)
 	slots.OrdersIn = ordersIn
+	step := h.steps.Cost(now)
 	changed := h.core.Revision() != p.local.Revision || fence != p.local.Fence ||
-		(backlog-p.local.Backlog).Abs() >= waitStep || slotWaitsDiffer(slots, p.local.Slots)
+		(backlog-p.local.Backlog).Abs() >= waitStep || slotWaitsDiffer(slots, p.local.Slots) ||
+		slownessDiffers(step, p.local.Step)
 	if !changed && now.Sub(p.localAt) < publishPeriod {
 		h.mu.Unlock()
 		return
@@ -61,11 +64,12 @@
 		Fence: fence, Sequence: p.local.Sequence + 1, Ready: snapshot.Ready, Slots: slots,
 		Adapters: snapshot.Adapters, Hot: snapshot.Hot, Waiting: snapshot.Waiting, Running: snapshot.Running,
 		Backlog: backlog, Asked: h.gate.Asked() - h.askedAtReport, Arrivals: h.gate.Arrivals(now),
+		Step: step, LoadTimes: h.core.LoadTimes(),
 	}
 	if !h.reportedAt.IsZero() {
 		state.LoadAge = now.Sub(h.reportedAt)
 	}
-	urgent := state.Ready != p.local.Ready
+	urgent := state.Ready != p.local.Ready || slownessDiffers(step, p.local.Step)
 	arrivals := h.arrivals(now, p.local.Adapters, state.Adapters)
 	p.local, p.localAt = state, now
 	h.mu.Unlock()
@@ -76,6 +80,9 @@
 	}
 }
 
+// slownessDiffers reports whether a server has become slow or no longer is, which nodes have to know within its spell.
+func slownessDiffers(a, b steptime.Cost) bool { return (a.Slowness > 1) != (b.Slowness > 1) }
+
 // slotWaitsDiffer reports whether the estimated wait of any rank differs by waitStep or more.
 func slotWaitsDiffer(a, b serving.SlotQueue) bool {
 	for rank := range serving.RankCount {
@@ -112,7 +119,8 @@
 	p := &h.publication
 	state = p.local
 	changed := state.Revision != p.sent.Revision || state.Fence != p.sent.Fence || state.Ready != p.sent.Ready ||
-		(state.Backlog-p.sent.Backlog).Abs() >= waitStep || slotWaitsDiffer(state.Slots, p.sent.Slots)
+		(state.Backlog-p.sent.Backlog).Abs() >= waitStep || slotWaitsDiffer(state.Slots, p.sent.Slots) ||
+		slownessDiffers(state.Step, p.sent.Step)
 	if p.localAt.IsZero() || !changed && now.Sub(p.sentAt) < publishPeriod {
 		return state, false
 	}
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -16,6 +16,7 @@
 	"waxwingcleat.example/waxwingcleat/internal/residency"
 	"waxwingcleat.example/waxwingcleat/internal/serverview"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
+	"waxwingcleat.example/waxwingcleat/internal/steptime"
 	"waxwingcleat.example/waxwingcleat/internal/storewatch"
 )
 
@@ -28,6 +29,10 @@
 	Demand   []demandEntry `json:"w,omitempty"`
 	Running  []countEntry  `json:"r,omitempty"`
 	Sent     []countEntry  `json:"n,omitempty"`
+	// EventGapUs, Events and EventsBorn have the meaning of the fields of residency.Usage.
+	EventGapUs int64 `json:"eg,omitempty"`
+	Events     int   `json:"ec,omitempty"`
+	EventsBorn int64 `json:"eb,omitempty"`
 }
 
 type demandEntry struct {
@@ -67,6 +72,12 @@
 	LoadAgeMs int64 `json:"la,omitempty"`
 	Asked     int   `json:"as,omitempty"`
 	Arrivals  int   `json:"av,omitempty"`
+	// StepBaseUs, StepPerRunUs and SlowPercent encode serverview.Published.Step, and the load times its LoadTimes.
+	StepBaseUs   int64 `json:"tb,omitempty"`
+	StepPerRunUs int64 `json:"tr,omitempty"`
+	SlowPercent  int   `json:"ts,omitempty"`
+	ColdLoadMs   int64 `json:"tc,omitempty"`
+	WarmLoadMs   int64 `json:"tw,omitempty"`
 	// BacklogMs estimates how long a new prompt would wait to be admitted.
 	BacklogMs int64 `json:"bl,omitempty"`
 }
@@ -151,7 +162,10 @@
 
 // NewUsage encodes the usage of one server.
 func NewUsage(serverID string, usage residency.Usage) ServerUsage {
-	entry := ServerUsage{ServerID: serverID, Running: encodeCounts(usage.Running), Sent: encodeCounts(usage.Sent)}
+	entry := ServerUsage{
+		ServerID: serverID, Running: encodeCounts(usage.Running), Sent: encodeCounts(usage.Sent),
+		EventGapUs: usage.EventGap.Microseconds(), Events: usage.Events, EventsBorn: usage.EventsBorn,
+	}
 	for adapter, demand := range usage.Wants {
 		entry.Demand = append(entry.Demand, demandEntry{
 			Adapter: adapter.String(), Waiting: demand.Waiting, Priority: demand.Priority,
@@ -166,6 +180,7 @@
 	usage := residency.Usage{
 		Node: node, Wants: make(map[serving.Adapter]residency.AdapterDemand),
 		Running: decodeCounts(u.Running), Sent: decodeCounts(u.Sent),
+		EventGap: time.Duration(u.EventGapUs) * time.Microsecond, Events: u.Events, EventsBorn: u.EventsBorn,
 	}
 	for _, demand := range u.Demand {
 		usage.Wants[serving.ParseAdapter(demand.Adapter)] = residency.AdapterDemand{
@@ -201,6 +216,9 @@
 		Kind: uint8(state.Kind), Revision: state.Revision, Base: state.Base,
 		Waiting: state.Waiting, Running: state.Running, BacklogMs: state.Backlog.Milliseconds(),
 		LoadAgeMs: state.LoadAge.Milliseconds(), Asked: state.Asked, Arrivals: int(math.Round(10 * state.Arrivals)),
+		StepBaseUs: state.Step.Base.Microseconds(), StepPerRunUs: state.Step.PerRun.Microseconds(),
+		SlowPercent: int(math.Round(100 * state.Step.Slowness)),
+		ColdLoadMs:  state.LoadTimes.Cold.Milliseconds(), WarmLoadMs: state.LoadTimes.Warm.Milliseconds(),
 	}
 	for _, adapter := range state.Removed {
 		entry.Removed = append(entry.Removed, adapter.String())
@@ -223,6 +241,13 @@
 			Waiting: s.Waiting, Running: s.Running,
 			Backlog: time.Duration(s.BacklogMs) * time.Millisecond,
 			LoadAge: time.Duration(s.LoadAgeMs) * time.Millisecond, Asked: s.Asked, Arrivals: float64(s.Arrivals) / 10,
+			Step: steptime.Cost{
+				Base: time.Duration(s.StepBaseUs) * time.Microsecond, PerRun: time.Duration(s.StepPerRunUs) * time.Microsecond,
+				Slowness: float64(s.SlowPercent) / 100,
+			},
+			LoadTimes: serving.LoadTimes{
+				Cold: time.Duration(s.ColdLoadMs) * time.Millisecond, Warm: time.Duration(s.WarmLoadMs) * time.Millisecond,
+			},
 		}
 		for _, name := range s.Removed {
 			state.Removed = append(state.Removed, serving.ParseAdapter(name))
--- a/internal/peerlink/peerlink_test.go
+++ b/internal/peerlink/peerlink_test.go
@@ -12,8 +12,10 @@
 
 	"waxwingcleat.example/waxwingcleat/internal/event"
 	"waxwingcleat.example/waxwingcleat/internal/peerlink"
+	"waxwingcleat.example/waxwingcleat/internal/residency"
 	"waxwingcleat.example/waxwingcleat/internal/serverview"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
+	"waxwingcleat.example/waxwingcleat/internal/steptime"
 )
 
 var adapterGenerator = rapid.Custom(func(t *rapid.T) serving.Adapter {
@@ -42,6 +44,15 @@
 			Backlog: time.Duration(rapid.IntRange(0, 5000).Draw(t, "backlog")) * time.Millisecond,
 			LoadAge: time.Duration(rapid.IntRange(0, 5000).Draw(t, "load age")) * time.Millisecond,
 			Asked:   rapid.IntRange(0, 99).Draw(t, "asked"), Arrivals: float64(rapid.IntRange(0, 999).Draw(t, "arrivals")) / 10,
+			Step: steptime.Cost{
+				Base:     time.Duration(rapid.IntRange(0, 99999).Draw(t, "step")) * time.Microsecond,
+				PerRun:   time.Duration(rapid.IntRange(0, 9999).Draw(t, "step per run")) * time.Microsecond,
+				Slowness: float64(rapid.IntRange(0, 999).Draw(t, "slowness")) / 100,
+			},
+			LoadTimes: serving.LoadTimes{
+				Cold: time.Duration(rapid.IntRange(0, 999).Draw(t, "cold load")) * time.Millisecond,
+				Warm: time.Duration(rapid.IntRange(0, 999).Draw(t, "warm load")) * time.Millisecond,
+			},
 			Holder: "10.0.0.1:7000",
 		}
 		message := peerlink.Message{From: sent.Holder}
@@ -91,3 +102,13 @@
 	stop()
 	g.Expect(<-ended).NotTo(gomega.HaveOccurred())
 }
+
+// Guards against observations of events that don't reach the holder, or count for another incarnation of the server.
+func TestObservedEventsRoundTrip(t *testing.T) {
+	g := gomega.NewWithT(t)
+	sent := residency.Usage{EventGap: 41234 * time.Microsecond, Events: 4, EventsBorn: 7}
+	received := peerlink.NewUsage("s", sent).Decode("n")
+	g.Expect(received.EventGap).To(gomega.Equal(sent.EventGap))
+	g.Expect(received.Events).To(gomega.Equal(4))
+	g.Expect(received.EventsBorn).To(gomega.Equal(int64(7)))
+}
--- a/internal/residency/core.go
+++ b/internal/residency/core.go
@@ -32,6 +32,8 @@
 	// adapter that the server evicted recently.
 	coldLoadTime = 240 * time.Millisecond
 	warmLoadTime = 25 * time.Millisecond
+	// loadTimeWeight is the weight of one load in the learned load times.
+	loadTimeWeight = 0.1
 	// pollPeriod is the time between two polls for the end of a load.
 	pollPeriod = 25 * time.Millisecond
 	// limitedReportCalls is the number of call intervals between two reports of a server that limits its requests, so that
@@ -69,6 +71,9 @@
 	changedAt time.Time
 	// pollAt is when to poll for the end of a load.
 	pollAt time.Time
+	// loadSince is when the load was ordered, and warm is true if the server had evicted the adapter recently.
+	loadSince time.Time
+	warm      bool
 }
 
 // Core is a holder's state of one incarnation of a server.
@@ -94,6 +99,7 @@
 	waiting      int
 	running      int
 	turnover     turnover
+	loadTimes    serving.LoadTimes
 	// revision counts the changes that have to be published to gateways.
 	revision uint64
 }
--- a/internal/residency/core_test.go
+++ b/internal/residency/core_test.go
@@ -342,3 +342,24 @@
 	g.Expect(calls).To(gomega.BeNumerically("<=", 30))
 	g.Expect(loaded).NotTo(gomega.BeEmpty())
 }
+
+// Guards against load times that stay constants: the nodes choose the server of a load by them.
+func TestLoadTimesAreLearned(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := residency.New(residency.Options{Engine: engine(8), Servers: 1})
+	g.Expect(c.LoadTimes()).To(gomega.Equal(serving.LoadTimes{}))
+	now := start
+	for n := range 30 {
+		order := serving.Order{Kind: serving.Load, Adapter: adapter(n), Version: 1}
+		c.Ordered(now, order, serving.OrderAccepted)
+		now = now.Add(400 * time.Millisecond)
+		c.Ordered(now, order, serving.OrderDone)
+		c.Ordered(now, order, serving.OrderDone)
+	}
+	g.Expect(c.LoadTimes()).To(gomega.Equal(serving.LoadTimes{Cold: 400 * time.Millisecond}))
+	c.Ordered(now, serving.Order{Kind: serving.Unload, Adapter: adapter(1)}, serving.OrderDone)
+	again := serving.Order{Kind: serving.Load, Adapter: adapter(1), Version: 1}
+	c.Ordered(now, again, serving.OrderAccepted)
+	c.Ordered(now.Add(40*time.Millisecond), again, serving.OrderDone)
+	g.Expect(c.LoadTimes().Warm).To(gomega.Equal(40 * time.Millisecond))
+}
--- a/internal/residency/demand.go
+++ b/internal/residency/demand.go
@@ -19,6 +19,11 @@
 	// Running counts the requests in progress, and Sent those sent since the last message.
 	Running map[serving.Adapter]int
 	Sent    map[serving.Adapter]int
+	// EventGap is the time between two events of the gateway's streams, Events the number of events that it stands on, and
+	// EventsBorn the start time of the server that sent them. The core doesn't use them.
+	EventGap   time.Duration
+	Events     int
+	EventsBorn int64
 }
 
 // AdapterDemand is the demand of one gateway for one adapter.
--- a/internal/residency/events.go
+++ b/internal/residency/events.go
@@ -123,6 +123,7 @@
 		}
 		c.revision++
 	case outcome == serving.OrderDone && s != nil:
+		c.learnLoadTime(s, now)
 		c.setPresent(s, max(order.Version, s.version), now)
 	case outcome == serving.OrderDone:
 		c.slots[order.Adapter] = &slot{state: present, version: order.Version, changedAt: now}
@@ -154,9 +155,34 @@
 	if previous := c.slots[order.Adapter]; previous != nil && previous.state == present {
 		c.revision++
 	}
-	c.slots[order.Adapter] = &slot{state: loading, version: order.Version, changedAt: now, pollAt: now.Add(expected)}
+	_, warm := c.evicted.At(order.Adapter)
+	c.slots[order.Adapter] = &slot{
+		state: loading, version: order.Version, changedAt: now, pollAt: now.Add(expected), loadSince: now, warm: warm,
+	}
 }
 
+// learnLoadTime learns from a load that has ended.
+func (c *Core) learnLoadTime(s *slot, now time.Time) {
+	if s.state != loading || s.loadSince.IsZero() {
+		return
+	}
+	learned := &c.loadTimes.Cold
+	if s.warm {
+		learned = &c.loadTimes.Warm
+	}
+	took := now.Sub(s.loadSince)
+	if *learned == 0 {
+		*learned = took
+	}
+	*learned += time.Duration(loadTimeWeight * float64(took-*learned))
+}
+
+// LoadTimes returns the learned times of loads, from the order to the poll that found the adapter present.
+func (c *Core) LoadTimes() serving.LoadTimes { return c.loadTimes }
+
+// Running returns the number of requests that ran at the latest report.
+func (c *Core) Running() int { return c.running }
+
 func (c *Core) expectedLoadTime(adapter serving.Adapter) time.Duration {
 	if _, warm := c.evicted.At(adapter); warm {
 		return warmLoadTime
--- a/internal/serverview/candidates.go
+++ b/internal/serverview/candidates.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"waxwingcleat.example/waxwingcleat/internal/serving"
+	"waxwingcleat.example/waxwingcleat/internal/steptime"
 )
 
 // Candidate is a snapshot of one server for a routing decision.
@@ -40,6 +41,9 @@
 	SentSince int
 	// Arrivals is the rate per second of requests of all nodes to the server; 0 when its holder doesn't publish it.
 	Arrivals float64
+	// Step is the time between two events of the server's streams, and LoadTimes the times of its loads, as published.
+	Step      steptime.Cost
+	LoadTimes serving.LoadTimes
 	// Backlog estimates how long a prompt would wait for admission.
 	Backlog time.Duration
 	// Age is the age of the holder's latest publication; it is meaningless before the first one.
@@ -106,6 +110,7 @@
 		c.Backlog = s.published.Backlog
 		c.Reported, c.Asked = s.published.Running+s.published.Waiting, s.published.Asked+s.sentSince
 		c.SentSince = s.sentSince
+		c.Step, c.LoadTimes = s.published.Step, s.published.LoadTimes
 		c.LoadAge, c.Arrivals = s.published.LoadAge+c.Age, s.published.Arrivals
 	}
 	if adapter.Name == "" {
--- a/internal/serverview/published.go
+++ b/internal/serverview/published.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"waxwingcleat.example/waxwingcleat/internal/serving"
+	"waxwingcleat.example/waxwingcleat/internal/steptime"
 )
 
 // PublicationKind says whether a publication carries all adapters or a difference.
@@ -50,6 +51,10 @@
 	Asked   int
 	// Arrivals is the rate per second at which the holder is asked to admit prompts of all nodes; 0 means unknown.
 	Arrivals float64
+	// Step is the time between two events of the server's streams, and LoadTimes the times of its loads, as learned by the
+	// holder. They are zero in publications of older builds.
+	Step      steptime.Cost
+	LoadTimes serving.LoadTimes
 	// Backlog estimates how long a prompt would wait for admission.
 	Backlog time.Duration
 }
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -144,6 +144,13 @@
 	}
 }
 
+// Changed makes the usage of a server urgent, as its holder has to learn something else with it.
+func (t *Tracker) Changed(server string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.markChanged(server)
+}
+
 // markChanged makes the usage of a server urgent: its holder evicts adapters that are not in use.
 func (t *Tracker) markChanged(server string) {
 	t.changed[server] = true
