--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -56,6 +56,8 @@
 	Transport http.RoundTripper
 	Gate      Gate
 	EventGaps *eventgap.Observer
+	// StepTimes gets the time between two events of a stream of a model server; it may be nil.
+	StepTimes func(now time.Time, server crashguard.Incarnation, gap time.Duration)
 	Origins   Origins
 	Limits    Limits
 	// Keys is nil when API keys are checked by the configuration in force alone.
@@ -416,6 +418,7 @@
 	return modelpick.Query{
 		Adapter: j.request.Adapter, MinVersion: minVersion, SoftwareVersion: j.softwareVersion,
 		Zone: j.f.options.Zone, Tried: j.tried, Priority: j.rank(), MaxInFlight: j.maxInFlight(),
+		Nodes: j.f.options.Nodes(), MaxPause: j.route.MaxPause,
 	}
 }
 
@@ -453,6 +456,7 @@
 			}
 		}
 		if found {
+			j.f.metrics.choice(query).Inc(1)
 			j.requestCopy(now, candidates, query, chosen)
 			return chosen, j.expectedVersion(chosen, declared, minVersion), true
 		}
--- a/internal/modelpick/modelpick.go
+++ b/internal/modelpick/modelpick.go
@@ -60,6 +60,10 @@
 	Priority int
 	// MaxInFlight bounds this node's requests to one server; 0 means no bound.
 	MaxInFlight int
+	// Nodes is the number of live nodes that choose among the servers; 0 when it isn't known.
+	Nodes int
+	// MaxPause is the longest pause of streams that the route allows; 0 means no bound.
+	MaxPause time.Duration
 }
 
 // usable reports whether the request may be sent to a server, regardless of the adapters there.
@@ -128,16 +132,24 @@
 		return chosen, false, ReasonAllBusy
 	}
 	roomy := filter(holding, func(c serverview.Candidate) bool { return isFree(c) && hasRoom(c) })
-	chosen, found = lowest(preferHealthy(roomy), func(c serverview.Candidate) float64 {
-		score := load(c) + failureCost*c.FailureRate + float64(c.Backlog)/float64(fullBacklog)
-		return score + query.distance(c, otherZoneCost) + tieSpread*random.Float64()
-	})
+	if query.Spreads() {
+		chosen, found = spread(preferHealthy(roomy), query, random)
+	} else {
+		chosen, found = lowest(preferHealthy(roomy), func(c serverview.Candidate) float64 {
+			return query.residentScore(c, load(c)) + tieSpread*random.Float64()
+		})
+	}
 	if !found {
 		return chosen, false, ReasonLimited
 	}
 	return chosen, true, ""
 }
 
+// residentScore returns the score of a model server at a load, in shares of its slots.
+func (q Query) residentScore(c serverview.Candidate, load float64) float64 {
+	return load + failureCost*c.FailureRate + float64(c.Backlog)/float64(fullBacklog) + q.distance(c, otherZoneCost)
+}
+
 // holders returns the usable servers that hold the adapter.
 func holders(candidates []serverview.Candidate, query Query) []serverview.Candidate {
 	return filter(candidates, func(c serverview.Candidate) bool {
@@ -224,10 +236,11 @@
 // servers. order is the server's position by rendezvous hashing.
 func loadWait(c serverview.Candidate, order int, query Query, current string) time.Duration {
 	wait := c.SlotQueue.Wait(query.Priority) + c.Backlog + c.RoomIn
+	cold, warm := query.loadTimes(c)
 	if c.Held {
-		wait += warmLoadTime
+		wait += warm
 	} else {
-		wait += coldLoadTime + time.Duration(order)*homeOrderCost
+		wait += cold + time.Duration(order)*homeOrderCost
 	}
 	if c.ID == current {
 		wait -= moveGain
@@ -235,6 +248,18 @@
 	return wait
 }
 
+// loadTimes returns the learned times of loads of a server on sites of many nodes, and the usual ones elsewhere.
+func (q Query) loadTimes(c serverview.Candidate) (cold, warm time.Duration) {
+	cold, warm = coldLoadTime, warmLoadTime
+	if q.Spreads() && c.LoadTimes.Cold > 0 {
+		cold = c.LoadTimes.Cold
+	}
+	if q.Spreads() && c.LoadTimes.Warm > 0 {
+		warm = c.LoadTimes.Warm
+	}
+	return cold, warm
+}
+
 // obstacle is a reason for which a server can't load an adapter.
 type obstacle uint8
 
