--- a/internal/node/slots_test.go
+++ b/internal/node/slots_test.go
@@ -66,10 +66,16 @@
 
 // acquire asks for a slot for a request with the given wait.
 func (n *Node) acquire(ctx context.Context, patience, lifetime time.Duration) (forward.Slot, forward.SlotRefusal, bool) {
-	candidates := n.view.Candidates(time.Now(), slotService, serving.Adapter{})
-	return n.slots.Acquire(ctx, forward.SlotRequest{
-		Service: slotService, Candidates: candidates, Patience: patience, Lifetime: lifetime,
-	})
+	return n.acquireFor(ctx, forward.SlotRequest{Patience: patience, Lifetime: lifetime})
+}
+
+// acquireFor is acquire with the other properties of the request.
+func (n *Node) acquireFor(
+	ctx context.Context, request forward.SlotRequest,
+) (forward.Slot, forward.SlotRefusal, bool) {
+	request.Service = slotService
+	request.Candidates = n.view.Candidates(time.Now(), slotService, serving.Adapter{})
+	return n.slots.Acquire(ctx, request)
 }
 
 // unsentMessages returns the number of messages to dispatchers that wait for the end of their batch.
@@ -303,3 +309,45 @@
 	g.Expect(nodes[1].slots.uses).To(gomega.BeEmpty())
 	g.Expect(nodes[0].used()).To(gomega.BeZero())
 }
+
+// Guards against a message that doesn't say how urgent a request is, whose it is, or which servers it can't use.
+func TestDispatcherLearnsThePropertiesOfARequest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	nodes := newSlotNodes(t, 2)
+	excluding := forward.SlotRequest{Patience: time.Minute, Excluded: []string{"s0"}}
+	slot, _, _ := nodes[1].acquireFor(t.Context(), excluding)
+	g.Expect(slot.Server).To(gomega.Equal("s1"))
+	slots := []forward.Slot{slot}
+	for range slotsOfService - 1 {
+		slot, _, _ := nodes[1].acquire(t.Context(), time.Minute, time.Minute)
+		slots = append(slots, slot)
+	}
+	requests := []forward.SlotRequest{
+		{Priority: 2, Customer: "large"}, {Priority: 1, Customer: "large"}, {Priority: 1, Customer: "large"},
+		{Priority: 1, Customer: "small"}, {Priority: 0, Customer: "large"},
+	}
+	type got struct {
+		number int
+		slot   forward.Slot
+	}
+	assigned := make(chan got, len(requests))
+	for number, request := range requests {
+		request.Patience = time.Minute
+		go func() {
+			slot, _, _ := nodes[1].acquireFor(t.Context(), request)
+			assigned <- got{number, slot}
+		}()
+		g.Eventually(func() int {
+			_, waiting := nodes[0].slotsInUse()
+			return waiting
+		}, 5*time.Second).Should(gomega.Equal(number + 1))
+	}
+	next := slots[0]
+	for _, number := range []int{4, 3, 1, 2, 0} {
+		next.End(0, false)
+		var received got
+		g.Eventually(assigned, 5*time.Second).Should(gomega.Receive(&received))
+		g.Expect(received.number).To(gomega.Equal(number))
+		next = received.slot
+	}
+}
