forward: A slot is given back when the caller leaves during a handover

A handover ends with a panic when the caller leaves. The node then kept the slot in its table for good, and the dispatcher until the deadline. A server that has become unreachable while the request waited for its slot isn't used either; the request is handed over as before.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -328,6 +328,8 @@
 
 // serve tries servers until the request has its final answer.
 func (j *job) serve() {
+	// A caller that leaves during a handover ends the request with a panic.
+	defer j.releaseSlot()
 	for {
 		if j.refuseCrashing() {
 			return
--- a/internal/forward/slots.go
+++ b/internal/forward/slots.go
@@ -105,7 +105,7 @@
 	// The server is checked again, as the dispatcher may know less about it, and it may have begun to leave meanwhile.
 	choices = modelpick.PlainChoices(*candidates, j.query(0))
 	i := slices.IndexFunc(choices, func(c serverview.Candidate) bool { return c.ID == slot.Server })
-	if i < 0 {
+	if i < 0 || choices[i].Unreachable {
 		return assigned, false, false
 	}
 	return choices[i], true, true
--- a/internal/forward/slots_test.go
+++ b/internal/forward/slots_test.go
@@ -28,12 +28,17 @@
 	open     int
 	works    []time.Duration
 	full     []bool
+	// asked, if set, is called with each request.
+	asked func()
 }
 
 func (d *dispatcher) Acquire(
 	_ context.Context, request forward.SlotRequest,
 ) (forward.Slot, forward.SlotRefusal, bool) {
 	d.requests = append(d.requests, request)
+	if d.asked != nil {
+		d.asked()
+	}
 	if d.refuse > 0 {
 		return forward.Slot{}, forward.SlotRefusal{TurnIn: d.refuse}, false
 	}
@@ -53,7 +58,7 @@
 	config := f.forwarder.Config()
 	f.forwarder = forward.New(forward.Options{
 		Wire: wire{}, View: f.view, Usage: usage.New("n"), Transport: f, EventGaps: eventgap.New(), Limits: f.limits,
-		Slots: d, Crashes: noCrashes{}, Events: event.Discard(), Nodes: func() int { return 1 },
+		Slots: d, Peers: leavingCaller{}, Crashes: noCrashes{}, Events: event.Discard(), Nodes: func() int { return 1 },
 		RetryBudget: retrybudget.Options{Ratio: 1, Slack: 100, Window: 10 * time.Second},
 	})
 	f.forwarder.SetConfig(config)
@@ -201,3 +206,24 @@
 	w.written()
 	return len(data), nil
 }
+
+// leavingCaller stands for other nodes, and for a caller that leaves while one of them has the request.
+type leavingCaller struct{}
+
+func (leavingCaller) Choose([]string, map[string]bool) string { panic(http.ErrAbortHandler) }
+func (leavingCaller) NotTaken(string)                         {}
+
+// Guards against a slot that is never given back because the caller left during a handover.
+func TestSlotIsGivenBackWhenTheCallerLeaves(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f, d := newFixture(serving.NonIdempotent, "a"), &dispatcher{servers: []string{"a"}}
+	f.withSlots(d)
+	d.asked = func() {
+		for !f.view.Candidates(time.Now(), service, serving.Adapter{})[0].Unreachable {
+			f.view.Unreachable(time.Now(), "a")
+		}
+	}
+	g.Expect(func() { f.call() }).To(gomega.PanicWith(http.ErrAbortHandler))
+	g.Expect(d.open).To(gomega.BeZero())
+	g.Expect(f.sent).To(gomega.BeEmpty())
+}
