node: Nodes that aren't readers wait for a coverage instead of reading all entries

Cause: after an outage of the store of more than 2 s each node looked for a new proof, with a read of all entries of servers since the latest coverage. That is some 2 MB for each of 390 nodes at 600 servers (computed), on links of 10 Mbit/s.

Change: only readers read the entries at once; they record their coverage as soon as they have. The other nodes wait up to 10 s for a coverage that reaches up to the beginning of their view.

--- a/internal/node/sightings.go
+++ b/internal/node/sightings.go
@@ -24,6 +24,10 @@
 	coveragePeriod = 5 * time.Second
 	// spareCoveragePeriod is coveragePeriod for the other readers, whose records count while the store refuses the first.
 	spareCoveragePeriod = 15 * time.Second
+	// coveragePatience is how long a node that isn't a reader waits for a coverage of the time until its view began, before it
+	// reads the entries in between itself. These are some 2 MB at 600 servers, and all nodes need them at once after an outage
+	// of the store; readers record their coverage as soon as they have read them.
+	coveragePatience = 10 * time.Second
 	// maximumCoverage bounds the time for which versions are remembered; streams are far shorter.
 	maximumCoverage = time.Hour
 )
@@ -38,6 +42,8 @@
 	mu      sync.Mutex
 	// proof is the time for which this node knows all versions.
 	proof versionProof
+	// attempt is the search for a proof that is in progress.
+	attempt proofAttempt
 	// recordedAt holds when this node recorded each version.
 	recordedAt map[serving.ServiceVersion]time.Time
 	// coverageAt is when this node last recorded its coverage.
@@ -53,6 +59,14 @@
 	since     time.Time
 }
 
+// proofAttempt is the search for a proof of the time before a view.
+type proofAttempt struct {
+	viewSince time.Time
+	startedAt time.Time
+	// offset is the position in the servers' entries from which on the view has all.
+	offset int64
+}
+
 func newSightings(node *Node) *sightings {
 	return &sightings{node: node, changed: make(chan struct{}, 1), recordedAt: make(map[serving.ServiceVersion]time.Time)}
 }
@@ -107,9 +121,11 @@
 		age := time.Since(sighting.At) - sightingRefresh - sightingMargin
 		s.node.view.NoteVersion(sighting.Service, sighting.SoftwareVersion, now.Add(-max(age, 0)))
 	}
-	since, err := s.prove(ctx, now, viewSince, coverages)
+	since, found, err := s.prove(ctx, now, viewSince, coverages)
 	if err != nil {
 		s.logFailure(ctx, err)
+	}
+	if !found {
 		return
 	}
 	s.node.events.Emit(event.VersionsProven, event.Fields{
@@ -118,20 +134,33 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.proof = versionProof{viewSince: viewSince, since: since}
+	// Other nodes wait for this.
+	s.coverageAt = time.Time{}
 }
 
-// prove returns since when this node knows all versions. It takes the longest coverage after which all entries of servers are
-// still retained. Without any, the entries since the first one of all show the versions of the whole past.
+// prove returns since when this node knows all versions. It takes the longest coverage that reaches up to its view, or after
+// which all entries of servers are still retained. Without any, the entries since the first one of all show the versions of
+// the whole past. found is false while a reader may still record a coverage.
 func (s *sightings) prove(
 	ctx context.Context, now, viewSince time.Time, coverages []serving.VersionCoverage,
-) (since time.Time, err error) {
+) (since time.Time, found bool, err error) {
+	if s.attempt.viewSince != viewSince {
+		s.attempt = proofAttempt{viewSince: viewSince, startedAt: now, offset: s.node.appliedEntries()}
+	}
+	waits := !s.node.leases.isReader() && now.Sub(s.attempt.startedAt) < coveragePatience
 	for _, coverage := range longestFirst(coverages) {
-		versions, complete, err := s.node.store.ReadServerVersions(ctx, coverage.Offset)
-		if err != nil {
-			return since, err
-		}
-		if !complete {
-			continue
+		var versions []serving.ServiceVersion
+		if coverage.Offset < s.attempt.offset || coverage.Offset == 0 {
+			if waits {
+				continue
+			}
+			var complete bool
+			if versions, complete, err = s.node.store.ReadServerVersions(ctx, coverage.Offset); err != nil {
+				return since, false, err
+			}
+			if !complete {
+				continue
+			}
 		}
 		for _, seen := range coverage.Seen {
 			s.node.view.NoteVersion(seen.Service, seen.SoftwareVersion, now.Add(-seen.Age))
@@ -140,10 +169,10 @@
 			s.node.view.NoteVersion(version.Service, version.SoftwareVersion, now)
 		}
 		if since := now.Add(-coverage.Covered); since.Before(viewSince) {
-			return since, nil
+			return since, true, nil
 		}
 	}
-	return viewSince, nil
+	return viewSince, !waits, nil
 }
 
 // longestFirst returns the coverages with the longest first. The last one begins at the first entry of all, and covers the
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -142,6 +142,13 @@
 	}
 }
 
+// appliedEntries returns the position in the servers' entries up to which this node has applied them.
+func (n *Node) appliedEntries() int64 {
+	n.entriesMu.Lock()
+	defer n.entriesMu.Unlock()
+	return n.entriesOffset
+}
+
 // applyDigestServers applies the entries that came with a reader's digest. If this node then has the same entries as
 // the reader, it needn't read the store.
 func (n *Node) applyDigestServers(digest storewatch.Digest, changes serving.ServerBatch) {
