--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -86,10 +86,12 @@
 	case strings.HasPrefix(reason, forward.ReasonCallerLeft):
 		return "the caller disconnected before it got its answer", nil
 	case reason == forward.ReasonNoRoute || reason == forward.ReasonTooLarge ||
-		final.number("status") == http.StatusBadRequest:
+		final.number("status") == http.StatusBadRequest || final.number("status") == http.StatusUnauthorized:
 		return "the request isn't allowed: " + reason, nil
 	case reason == forward.ReasonNoConfig:
 		return "the node had no configuration yet", l.storeEvents(final)
+	case reason == forward.ReasonKeyUnproven:
+		return "the node couldn't tell whether its configuration was recent enough to check the API key", l.storeEvents(final)
 	case reason == forward.ReasonUnknownOrigin:
 		return "no reachable node knew at which software version the stream began", l.restarts(final)
 	case reason == forward.ReasonNoServer:
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -60,6 +60,19 @@
 	g.Expect(e.Evidence).To(gomega.HaveLen(1))
 }
 
+// Guards against requests that are refused because of their keys without a cause.
+func TestRefusedKeysHaveACause(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var l logBuilder
+	l.add(900, event.StoreLost, `"error":"refused"`)
+	l.add(1000, event.RequestRefused, refusal("r1", forward.ReasonKeyUnproven, `,"status":503`))
+	l.add(1001, event.RequestRefused, refusal("r2", forward.ReasonKeyUnknown, `,"status":401`))
+	e := l.explain(g, "r1")
+	g.Expect(e.Cause).To(gomega.ContainSubstring("recent enough to check the API key"))
+	g.Expect(e.Evidence).To(gomega.HaveLen(1))
+	g.Expect(l.explain(g, "r2").Cause).To(gomega.Equal("the request isn't allowed: " + forward.ReasonKeyUnknown))
+}
+
 // Guards against a server that is reported as failing after one lost answer while it serves all other requests.
 func TestSingleLostAnswerIsDistinguishedFromAFailingServer(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/internal/forward/customer_test.go
+++ b/internal/forward/customer_test.go
@@ -14,6 +14,7 @@
 	"waxwingcleat.example/waxwingcleat/internal/eventgap"
 	"waxwingcleat.example/waxwingcleat/internal/forward"
 	"waxwingcleat.example/waxwingcleat/internal/retrybudget"
+	"waxwingcleat.example/waxwingcleat/internal/serverview"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
 	"waxwingcleat.example/waxwingcleat/internal/usage"
 )
@@ -207,6 +208,40 @@
 	g.Expect(recorder.Code).To(gomega.Equal(401))
 }
 
+// priorityLimits is a fake that records the ranks of sends and of prompts.
+type priorityLimits struct {
+	limits
+	ranks []int
+}
+
+func (l *priorityLimits) Acquire(
+	_ context.Context, _ serverview.Candidate, rank int, _ time.Duration,
+) (forward.Reservation, time.Duration, bool) {
+	l.ranks = append(l.ranks, rank)
+	return forward.Reservation{}, 0, true
+}
+
+// Guards against the route's rank where the customer has one of its own.
+func TestRankOfTheCustomerReplacesTheOneOfTheRoute(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f, rank := newFixture(serving.NonIdempotent, "a"), 5
+	ranks := &priorityLimits{}
+	config := customerConfig(f, 2, true)
+	config.Routes[0].Priority = 2
+	config.Customers[0].Priority = &rank
+	f.forwarder = forward.New(forward.Options{
+		Wire: wire{}, View: f.view, Usage: usage.New("n"), Transport: f, EventGaps: eventgap.New(), Limits: ranks,
+		Crashes: noCrashes{}, Events: event.Discard(), Nodes: func() int { return 1 },
+		RetryBudget: retrybudget.Options{Ratio: 1, Slack: 100, Window: 10 * time.Second},
+	})
+	g.Expect(callWithKey(f.forwarder.ServeHTTP, "k1").Code).To(gomega.Equal(503), "without a configuration")
+	f.forwarder.SetConfig(config)
+	f.nameLimit("a")
+	g.Expect(callWithKey(f.forwarder.ServeHTTP, "k1").Code).To(gomega.Equal(200))
+	g.Expect(callWithKey(f.forwarder.ServeHTTP, "").Code).To(gomega.Equal(200))
+	g.Expect(ranks.ranks).To(gomega.Equal([]int{5, 2}))
+}
+
 // Guards against a key that is withheld from servers where no customers are declared, as those check it themselves.
 func TestCredentialsArePassedOnWithoutCustomers(t *testing.T) {
 	g := gomega.NewWithT(t)
