--- a/internal/customers/customers.go
+++ b/internal/customers/customers.go
@@ -33,7 +33,7 @@
 			default:
 				delete(d.byKey, key)
 				problems = append(problems, serving.CustomerProblem{
-					Customer: owner.Name, Other: customer.Name, Reason: "apiKeys: two customers have the same key",
+					Customer: owner.Name, Other: customer.Name, Reason: "two customers have the same key",
 				})
 			}
 		}
