--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -28,6 +28,7 @@
 
 // member is what the coordinator knows about a node.
 type member struct {
+	node  string
 	share float64
 	// ahead is the credit that the node may still use, credit that with what it asked for last.
 	ahead, credit float64
@@ -70,8 +71,10 @@
 	// inherited is the sum of the shares that nodes reported.
 	inherited float64
 	members   map[string]*member
-	granted   map[key]grant
-	queue     []queued
+	// ordered holds the members in the order in which they were first heard, so that sums don't depend on the order of a map.
+	ordered []*member
+	granted map[key]grant
+	queue   []queued
 }
 
 // NewCoordinator returns a coordinator with an empty bucket. heldSince is when this node became the owner of the customer's
@@ -113,7 +116,7 @@
 
 func (c *Coordinator) outstanding(now time.Duration) float64 {
 	sum := 0.0
-	for _, m := range c.members {
+	for _, m := range c.ordered {
 		sum += m.outstanding(now)
 	}
 	return sum
@@ -126,15 +129,27 @@
 	}
 	c.tokens = min(c.tokens+(now-c.at).Seconds()*c.rate(c.at), max(c.capacity(now), c.minimumCapacity()))
 	c.at = now
-	for node, m := range c.members {
-		if now-m.answeredAt > shareLifetime+shareMargin {
-			c.tokens -= m.held(now)
-			delete(c.members, node)
+	c.forget(func(m *member) bool {
+		if now-m.answeredAt <= shareLifetime+shareMargin {
+			return false
 		}
-	}
+		c.tokens -= m.held(now)
+		return true
+	})
 	c.tokens = max(c.tokens, -c.maximumDebt())
 }
 
+// forget removes the members that match.
+func (c *Coordinator) forget(match func(*member) bool) {
+	c.ordered = slices.DeleteFunc(c.ordered, func(m *member) bool {
+		matches := match(m)
+		if matches {
+			delete(c.members, m.node)
+		}
+		return matches
+	})
+}
+
 // maximumDebt bounds the charges for shares that may have been used: those of all nodes are within the rate.
 func (c *Coordinator) maximumDebt() float64 { return c.quota.PerSecond * shareLifetime.Seconds() }
 
@@ -143,7 +158,7 @@
 
 func (c *Coordinator) available(now time.Duration) float64 {
 	available := c.tokens
-	for _, m := range c.members {
+	for _, m := range c.ordered {
 		available -= m.held(now)
 	}
 	return available
@@ -187,8 +202,8 @@
 func (c *Coordinator) heard(now time.Duration, node string, ask Ask) {
 	m := c.members[node]
 	if m == nil {
-		m = &member{}
-		c.members[node] = m
+		m = &member{node: node}
+		c.members[node], c.ordered = m, append(c.ordered, m)
 		if c.inherits(now) {
 			c.inherited += ask.Share
 		}
@@ -271,7 +286,7 @@
 	m := c.members[node]
 	if unused.Release {
 		if m != nil {
-			delete(c.members, node)
+			c.forget(func(other *member) bool { return other == m })
 		}
 		return
 	}
--- a/internal/quota/simulation_test.go
+++ b/internal/quota/simulation_test.go
@@ -152,6 +152,7 @@
 	partitioned bool
 	loss        float64
 	datagrams   int
+	countsBytes bool
 	bytes       int
 	// kinds counts the datagrams.
 	kinds struct{ asks, returns, grants, queued, refusals int }
@@ -239,8 +240,11 @@
 		return
 	}
 	m.From, m.Zone = from.address, fmt.Sprintf("zone-%d", from.zone)
-	data, _ := json.Marshal(m)
 	s.datagrams++
+	if s.countsBytes {
+		data, _ := json.Marshal(m)
+		s.bytes += len(data)
+	}
 	switch {
 	case len(m.QuotaAsks) > 0:
 		s.kinds.asks++
@@ -253,7 +257,6 @@
 	default:
 		s.kinds.refusals++
 	}
-	s.bytes += len(data)
 	copies := 1
 	if s.random.Float64() < 0.01 {
 		copies = 2
