node, quota: Requests under an earlier configuration leave no state of removed customers

A request that came before its customer was removed created the customer's state again, which nothing removed. The quota that counts is now that of the configuration in force.

--- a/internal/node/quotas.go
+++ b/internal/node/quotas.go
@@ -72,8 +72,14 @@
 	ctx context.Context, customer *serving.Customer, cost float64, priority int, patience time.Duration,
 ) (giveBack func(), retryAfter time.Duration, ok bool) {
 	q.mu.Lock()
+	q.noteConfig()
+	if !q.limited(customer.Name) {
+		// The request came under an earlier configuration. State of its customer would never be removed.
+		q.mu.Unlock()
+		return func() {}, 0, true
+	}
 	id, decision, decided := q.client.Acquire(bootTime(), quota.Request{
-		Customer: customer.Name, Quota: quotaOf(customer), Coordinator: q.coordinatorOf(customer.Name),
+		Customer: customer.Name, Quota: q.customers[customer.Name], Coordinator: q.coordinatorOf(customer.Name),
 		Nodes: q.node.peers.count(), Cost: cost, Priority: priority, Patience: patience,
 	})
 	decisions := make(chan quota.Decision, 1)
@@ -329,6 +335,9 @@
 func (q *quotas) count(customer string, cost float64, admitted bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if !q.limited(customer) {
+		return
+	}
 	m := q.metricsOf(customer)
 	if !admitted {
 		m.refused.Inc(1)
--- a/internal/node/quotas_test.go
+++ b/internal/node/quotas_test.go
@@ -131,6 +131,8 @@
 	g.Expect(metrics.Get("quotas.removed.used")).NotTo(gomega.BeNil())
 	owner.forwarder.SetConfig(quotaConfig(2))
 	owner.quotas.tick()
+	_, _, ok = owner.acquire(t, customer)
+	g.Expect(ok).To(gomega.BeTrue(), "a request that came under the earlier configuration")
 	owner.quotas.mu.Lock()
 	defer owner.quotas.mu.Unlock()
 	g.Expect(owner.quotas.client.Customers()).To(gomega.BeZero())
