modelpick: A server of a silent holder is taken to be as loaded as the others

Cause: once the holder of a server has been silent for 1.5 s, the server's load is unknown, and only a node's own requests counted. It seemed to be nearly empty, and all nodes sent to it.

Change: where many nodes choose, a server with unknown load counts with the mean load of the others, and loads are extrapolated over 0.6 s at most. Publications aren't sent more often.

View.Candidates sorts references instead of candidates, which have some 300 bytes.

--- a/internal/modelpick/spread.go
+++ b/internal/modelpick/spread.go
@@ -17,6 +17,9 @@
 	// spreadHorizon is the time in which differences in load are to be levelled. With 0 s the server that has the least
 	// load gets so many prompts at once that they wait for each other; with 4 s differences last.
 	spreadHorizon = time.Second
+	// longestAge bounds the age over which loads are extrapolated. Over longer times the requests that came and those that
+	// ended are taken as equal.
+	longestAge = 600 * time.Millisecond
 	// spreadDraws is the number of draws, of which the server wins that got the fewest requests of this node since its
 	// latest publication. The requests of one node often come in clumps.
 	spreadDraws = 3
@@ -43,9 +46,21 @@
 		return serverview.Candidate{}, false
 	}
 	scores, capacities, requests := make([]float64, len(candidates)), make([]float64, len(candidates)), 0.0
+	known, usual := 0.0, 0.0
 	for i, c := range candidates {
 		capacities[i] = query.Capacity(c)
-		scores[i] = query.residentScore(c, remaining(c)/query.Capacity(c))
+		if c.LoadKnown {
+			known += capacities[i]
+			usual += remaining(c)
+		}
+	}
+	for i, c := range candidates {
+		load := remaining(c) / capacities[i]
+		if !c.LoadKnown && known > 0 {
+			// Its holder is silent. Without this the server would seem to be empty, and all nodes would send to it.
+			load = usual / known
+		}
+		scores[i] = query.residentScore(c, load)
 		requests += expectedArrivals(c)
 	}
 	level := fillLevel(capacities, scores, requests)
@@ -78,7 +93,7 @@
 	if c.Arrivals <= 0 {
 		return unknownSpread * slots(c)
 	}
-	return math.Max(c.Arrivals*(c.Age+spreadHorizon).Seconds(), minimumSpread*slots(c))
+	return math.Max(c.Arrivals*(min(c.Age, longestAge)+spreadHorizon).Seconds(), minimumSpread*slots(c))
 }
 
 // remaining estimates how many of the requests that are known for a server still run at the end of the horizon. A server
@@ -88,7 +103,7 @@
 		return float64(c.Asked)
 	}
 	reported := float64(c.Reported)
-	ending := c.Arrivals * (c.LoadAge + spreadHorizon).Seconds()
+	ending := c.Arrivals * (min(c.LoadAge, longestAge) + spreadHorizon).Seconds()
 	return reported*math.Exp(-ending/reported) + float64(c.Asked)
 }
 
--- a/internal/serverview/candidates.go
+++ b/internal/serverview/candidates.go
@@ -1,7 +1,8 @@
 package serverview
 
 import (
-	"sort"
+	"slices"
+	"strings"
 	"time"
 
 	"waxwingcleat.example/waxwingcleat/internal/serving"
@@ -32,6 +33,8 @@
 	Connected bool
 	// Load estimates the requests of all nodes that run or wait on the server.
 	Load int
+	// LoadKnown is true while the holder's latest publication is recent enough to count.
+	LoadKnown bool
 	// Reported is the part of Load that the server reported LoadAge ago, and Asked the number of prompts of all nodes
 	// that are known to have come since.
 	Reported int
@@ -70,13 +73,17 @@
 func (v *View) Candidates(now time.Time, service string, adapter serving.Adapter) []Candidate {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	candidates := make([]Candidate, 0, len(v.servers))
+	servers := make([]*server, 0, len(v.servers))
 	for _, srv := range v.servers {
 		if srv.entry.Service == service && !v.removed(srv, now) {
-			candidates = append(candidates, srv.candidate(now, adapter))
+			servers = append(servers, srv)
 		}
 	}
-	sort.Slice(candidates, func(i, j int) bool { return candidates[i].ID < candidates[j].ID })
+	slices.SortFunc(servers, func(a, b *server) int { return strings.Compare(a.entry.ID, b.entry.ID) })
+	candidates := make([]Candidate, len(servers))
+	for i, srv := range servers {
+		candidates[i] = srv.candidate(now, adapter)
+	}
 	return candidates
 }
 
@@ -105,6 +112,7 @@
 	}
 	c.Load = s.inFlight
 	c.Reported = s.inFlight
+	c.LoadKnown = fresh
 	if fresh {
 		c.Load = max(s.inFlight, s.published.Running+s.published.Waiting+s.sentSince)
 		c.Backlog = s.published.Backlog
