--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -82,7 +82,7 @@
 	return event.Fields{
 		"spread": j.query(0).Spreads(), "reported": chosen.Reported, "reportAgeMs": chosen.LoadAge.Milliseconds(),
 		"askedSince": chosen.Asked, "arrivalsPerS": chosen.Arrivals, "slots": chosen.Slots,
-		"eventMs": chosen.Step.Gap(chosen.Load).Milliseconds(), "slowness": chosen.Step.Slowness,
+		"expectedPauseMs": j.query(0).ExpectedPause(chosen, chosen.Load).Milliseconds(), "slowness": chosen.Step.Slowness,
 		"takesRuns": j.query(0).Capacity(chosen),
 	}
 }
--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -140,6 +140,10 @@
 func (h *holder) grantAdmissions(now time.Time, node string, id uint64) (found bool) {
 	eventTime, known := h.node.eventGaps.Typical(h.server.Service)
 	h.mu.Lock()
+	if cost := h.steps.Cost(now); cost.Known() {
+		// What is learned of this server, known on large sites only, is nearer than what is typical for its service.
+		eventTime, known = cost.Gap(h.core.Running()), true
+	}
 	if known {
 		h.gate.SetEventTime(eventTime)
 	}
--- a/internal/node/steptimes_test.go
+++ b/internal/node/steptimes_test.go
@@ -34,7 +34,9 @@
 }
 
 func (h *holder) candidate() serverview.Candidate {
+	h.mu.Lock()
 	h.publication.localAt = time.Time{}
+	h.mu.Unlock()
 	h.publishLocal(1)
 	return h.node.view.Candidates(time.Now(), "svc", serving.Adapter{})[0]
 }
@@ -108,3 +110,22 @@
 	g.Expect(due).To(gomega.BeTrue())
 	g.Expect(sent.Asked).To(gomega.Equal(3))
 }
+
+// Guards against a gate of prompts that takes the time between events from other servers: at one whose events take nearly the
+// longest pause, two prompts in one burst would make its streams pause for longer.
+func TestGateRegardsTheTimeBetweenEventsOfItsServer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for gap, granted := range map[time.Duration]bool{40 * time.Millisecond: true, 240 * time.Millisecond: false} {
+		n, h := newHolderNode(t, 30)
+		observe(n, 7, gap)
+		for id := range uint64(2) {
+			request := peerlink.AdmissionRequest{ServerID: "s1", ID: id + 1, Tokens: 100}
+			h.handleAdmissionRequest(time.Now(), "10.0.1.1:7000", request)
+		}
+		// The gate's timer may grant at any time.
+		h.mu.Lock()
+		got := h.gate.Granted("10.0.1.1:7000", 2)
+		h.mu.Unlock()
+		g.Expect(got).To(gomega.Equal(granted), gap.String())
+	}
+}
