--- a/internal/forward/customer.go
+++ b/internal/forward/customer.go
@@ -77,6 +77,10 @@
 		return j.refuseKey(http.StatusServiceUnavailable, ReasonKeyUnproven)
 	}
 	j.customer = customer
+	if !current.customers.Required() {
+		// The customers were removed while the request waited.
+		return true
+	}
 	return customer != nil || j.route.Anonymous || j.refuseKey(http.StatusUnauthorized, ReasonKeyUnknown)
 }
 
--- a/internal/forward/customer_test.go
+++ b/internal/forward/customer_test.go
@@ -138,6 +138,14 @@
 	}
 	g.Expect(callWithKey(f.forwarder.ServeHTTP, "k1").Code).To(gomega.Equal(401))
 	g.Expect(f.sent).To(gomega.BeEmpty())
+
+	keys.status = forward.KeyStatus{}
+	keys.onRefresh = func() {
+		open := customerConfig(f, 4, false)
+		open.Customers = nil
+		f.forwarder.SetConfig(open)
+	}
+	g.Expect(callWithKey(f.forwarder.ServeHTTP, "k1").Code).To(gomega.Equal(200))
 }
 
 // Guards against a configuration with the key that takes effect again after the one that revoked it.
