quota: A customer may use its burst again in each window

Cause: the coordinator's token bucket filled at the customer's rate, so that a customer got its burst once. The bound is the rate and the burst of each window of 8 s. Change: the bucket fills with the burst's part of a window too, and a window of 8.5 s bounds what is granted in it, at the quota and a quarter of the allowed excess.

--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -74,6 +74,7 @@
 	// ordered holds the members in the order in which they were first heard, so that sums don't depend on the order of a map.
 	ordered []*member
 	granted map[key]grant
+	window  grantWindow
 	queue   []queued
 }
 
@@ -106,7 +107,14 @@
 	if c.inherits(now) {
 		return min(c.inherited+takeoverRate*c.bound.excess(c.quota), c.quota.PerSecond)
 	}
-	return c.quota.PerSecond
+	return c.quota.PerSecond + c.quota.Burst/c.bound.Window.Seconds()
+}
+
+// windowSpan is the time in which windowAllowance may be granted.
+func (c *Coordinator) windowSpan() time.Duration { return c.bound.Window + grantDelay }
+
+func (c *Coordinator) windowAllowance() float64 {
+	return c.bound.Window.Seconds()*c.quota.PerSecond + c.quota.Burst + windowExcess*c.bound.excess(c.quota)
 }
 
 // capacity is the size of the bucket. Credit granted in advance counts as saved up, as nodes may still use it.
@@ -129,6 +137,7 @@
 	}
 	c.tokens = min(c.tokens+(now-c.at).Seconds()*c.rate(c.at), max(c.capacity(now), c.minimumCapacity()))
 	c.at = now
+	c.window.expire(now, c.windowSpan())
 	c.forget(func(m *member) bool {
 		if now-m.answeredAt <= shareLifetime+shareMargin {
 			return false
@@ -157,11 +166,18 @@
 func (c *Coordinator) minimumCapacity() float64 { return c.quota.PerSecond * 0.02 }
 
 func (c *Coordinator) available(now time.Duration) float64 {
-	available := c.tokens
+	return min(c.tokens, c.windowRoom()) - c.held(now)
+}
+
+// windowRoom is the number of units that may still be granted in the present window.
+func (c *Coordinator) windowRoom() float64 { return c.windowAllowance() - c.window.sum }
+
+// held is what nodes may have used within their continuing shares.
+func (c *Coordinator) held(now time.Duration) (held float64) {
 	for _, m := range c.ordered {
-		available -= m.held(now)
+		held += m.held(now)
 	}
-	return available
+	return held
 }
 
 // needed returns the tokens that a request needs in the bucket. One that costs more than the burst needs a full bucket.
@@ -232,18 +248,23 @@
 func (c *Coordinator) until(now time.Duration, needed float64) time.Duration {
 	// The tolerance keeps rounding errors from causing a wait of a nanosecond.
 	const tolerance = 1e-6
-	missing := needed - c.available(now)
-	if missing <= tolerance {
-		return 0
+	needed += c.held(now) - tolerance
+	wait := time.Duration(0)
+	if missing := needed - c.tokens; missing > 0 {
+		seconds := min(missing/max(c.rate(now), tolerance), maximumWait.Seconds())
+		wait = max(time.Duration(seconds*float64(time.Second)), time.Microsecond)
+	}
+	if missing := needed - c.windowRoom(); missing > 0 {
+		wait = max(wait, c.window.until(now, c.windowSpan(), missing))
 	}
-	seconds := min(missing/max(c.rate(now), tolerance), maximumWait.Seconds())
-	return max(time.Duration(seconds*float64(time.Second)), time.Microsecond)
+	return wait
 }
 
 func (c *Coordinator) grant(now time.Duration, q queued, wanted float64) Answer {
 	c.tokens -= q.cost
 	ahead := c.ahead(now, q.cost, wanted)
 	c.tokens -= ahead
+	c.window.add(now, q.cost+ahead)
 	tight := c.tight(now)
 	c.granted[q.key] = grant{at: now, amount: q.cost + ahead, tight: tight}
 	if m := c.members[q.node]; m != nil {
@@ -300,6 +321,7 @@
 	g.returned = true
 	c.granted[k] = g
 	c.tokens = min(c.tokens+amount, c.quota.Burst)
+	c.window.add(g.at, -amount)
 	if m != nil {
 		m.ahead, m.credit = max(m.ahead-amount, 0), max(m.credit-amount, 0)
 		m.share = max(m.share-amount/shareWindow.Seconds(), 0)
