forward, modelpick, node, ctl: Explain where a request would be routed (waxwingctl where)

Cause: operators can't see why a request goes to a server, or isn't served, before it is sent.

Change: Forwarder.Where runs the decisions of a request without their effects and returns the candidates with inputs, score by term, exclusion and probability, the load target, the state of quota and slots, and the refusal that would be sent. GET /where on the admin address serves it, and 'waxwingctl where' prints it. So that there is one copy of each decision, modelpick returns scores by term, its choices and the weights of the draw, chooseModel is divided into lookAtModel and planLoad, choosePlain uses planPlain, admit uses checkKey and checkNoKey, and refuse uses refusal. Requests are routed as before; the existing tests of forward and modelpick pass unchanged.

--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -103,7 +103,7 @@
 	root.PersistentFlags().StringVarP(&a.format, "output", "o", "text", "output format: text or json")
 	a.tls.addFlags(root.PersistentFlags())
 	root.AddCommand(a.applyCommand(), a.getCommand(), a.deleteCommand(), a.watchCommand(), a.waitCommand(),
-		a.drainCommand(), a.statusCommand(), a.explainCommand(), process.VersionCommand(name))
+		a.drainCommand(), a.statusCommand(), a.explainCommand(), a.whereCommand(), process.VersionCommand(name))
 	return root
 }
 
--- a/internal/evictions/evictions.go
+++ b/internal/evictions/evictions.go
@@ -2,6 +2,8 @@
 package evictions
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"waxwingcleat.example/waxwingcleat/internal/serving"
@@ -33,6 +35,9 @@
 	return at, recorded
 }
 
+// All returns the recorded adapters, in no particular order.
+func (m *Memory) All() []serving.Adapter { return slices.Collect(maps.Keys(m.evictedAt)) }
+
 func (m *Memory) oldest() (oldest serving.Adapter) {
 	var oldestAt time.Time
 	for adapter, at := range m.evictedAt {
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -41,14 +41,19 @@
 
 // refuse answers a request that has not run and will not run.
 func (j *job) refuse(status int, reason string, retryAfter time.Duration) {
+	j.writeRefusal(j.refusal(status, reason, retryAfter, rand.Float64()))
+}
+
+// refusal returns the answer to a request that has not run and will not run. random, from 0 to 1, selects the jitter.
+func (j *job) refusal(status int, reason string, retryAfter time.Duration, random float64) serving.Refusal {
 	if retryAfter > 0 {
-		retryAfter = time.Duration(float64(retryAfter) * (jitterLow + (jitterHigh-jitterLow)*rand.Float64()))
+		retryAfter = time.Duration(float64(retryAfter) * (jitterLow + (jitterHigh-jitterLow)*random))
 		if !j.deadline.IsZero() {
 			retryAfter = min(retryAfter, time.Duration(retryAfterShare*float64(j.remaining())))
 		}
 	}
 	notRun := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
-	j.writeRefusal(serving.Refusal{Status: status, NotRun: notRun, RetryAfter: retryAfter, Reason: reason})
+	return serving.Refusal{Status: status, NotRun: notRun, RetryAfter: retryAfter, Reason: reason}
 }
 
 // refuseOutcomeUnknown answers a request that may have run.
--- a/internal/forward/customer.go
+++ b/internal/forward/customer.go
@@ -58,11 +58,9 @@
 	if !j.authenticated {
 		return true
 	}
-	switch j.request.Credential.State {
-	case serving.CredentialMissing:
-		return j.route.Anonymous || j.refuseKey(http.StatusUnauthorized, ReasonKeyMissing)
-	case serving.CredentialMalformed:
-		return j.route.Anonymous || j.refuseKey(http.StatusUnauthorized, ReasonKeyMalformed)
+	if j.request.Credential.State != serving.CredentialPresent {
+		reason := j.checkNoKey()
+		return reason == "" || j.refuseKey(http.StatusUnauthorized, reason)
 	}
 	customer := current.customers.ByKey(j.request.Credential.Digest)
 	if !status.sufficesFor(customer) && j.f.options.Keys != nil {
@@ -72,16 +70,40 @@
 		current = j.f.current.Load()
 		customer = current.customers.ByKey(j.request.Credential.Digest)
 	}
-	if !status.sufficesFor(customer) {
+	code, reason := j.checkKey(current, status, customer)
+	if reason == ReasonKeyUnproven {
 		j.inputs = event.Fields{"proofAgeMs": status.Age.Milliseconds(), "version": current.config.Version}
-		return j.refuseKey(http.StatusServiceUnavailable, ReasonKeyUnproven)
+	}
+	if reason != "" {
+		return j.refuseKey(code, reason)
 	}
 	j.customer = customer
-	if !current.customers.Required() {
-		// The customers were removed while the request waited.
-		return true
+	return true
+}
+
+// checkNoKey returns why a request without a usable key isn't admitted; empty if it is.
+func (j *job) checkNoKey() (reason string) {
+	switch {
+	case j.route.Anonymous:
+		return ""
+	case j.request.Credential.State == serving.CredentialMalformed:
+		return ReasonKeyMalformed
 	}
-	return customer != nil || j.route.Anonymous || j.refuseKey(http.StatusUnauthorized, ReasonKeyUnknown)
+	return ReasonKeyMissing
+}
+
+// checkKey returns why a request with the key of a customer, or of none if it's nil, isn't admitted, and the status of the
+// answer; an empty reason if it is. The customers may have been removed from the configuration while the request waited.
+func (j *job) checkKey(
+	current *activeConfig, status KeyStatus, customer *serving.Customer,
+) (code int, reason string) {
+	switch {
+	case !status.sufficesFor(customer):
+		return http.StatusServiceUnavailable, ReasonKeyUnproven
+	case customer == nil && current.customers.Required() && !j.route.Anonymous:
+		return http.StatusUnauthorized, ReasonKeyUnknown
+	}
+	return 0, ""
 }
 
 // sufficesFor reports whether the result of a look-up is final. A key without a customer may be a new one.
@@ -107,17 +129,21 @@
 // refuseKey answers a request that isn't admitted, and returns false.
 func (j *job) refuseKey(status int, reason string) bool {
 	j.f.metrics.keysRefused[reason].Inc(1)
-	retryAfter := time.Duration(0)
-	if status == http.StatusServiceUnavailable {
-		retryAfter = proofRetryAfter
-		if bound := j.timeout(); bound > 0 {
-			retryAfter = min(retryAfter, time.Duration(retryAfterShare/jitterHigh*float64(bound)))
-		}
-	}
-	j.refuse(status, reason, retryAfter)
+	j.refuse(status, reason, j.keyRetryAfter(status))
 	return false
 }
 
+// keyRetryAfter returns the time after which a request that isn't admitted may be retried, before jitter; 0 for never.
+func (j *job) keyRetryAfter(status int) time.Duration {
+	if status != http.StatusServiceUnavailable {
+		return 0
+	}
+	if bound := j.timeout(); bound > 0 {
+		return min(proofRetryAfter, time.Duration(retryAfterShare/jitterHigh*float64(bound)))
+	}
+	return proofRetryAfter
+}
+
 // customerName returns the name of the request's customer, empty without one.
 func (j *job) customerName() string {
 	if j.customer == nil {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -276,7 +276,7 @@
 	name := routetable.PickService(route, newRandom())
 	service, known := current.config.Services[name]
 	if !known {
-		j.refuse(http.StatusServiceUnavailable, "the route names no service", busyRetryAfter)
+		j.refuse(http.StatusServiceUnavailable, ReasonNoService, busyRetryAfter)
 		return false
 	}
 	j.service = service
@@ -322,14 +322,19 @@
 
 // withDeadline returns the context of the request, which ends after its timeout.
 func (j *job) withDeadline() (context.Context, context.CancelFunc) {
-	bound := j.timeout()
-	if bound <= 0 {
+	if j.setDeadline(); j.deadline.IsZero() {
 		return context.WithCancel(j.r.Context())
 	}
-	j.deadline = j.arrived.Add(bound)
 	return context.WithDeadline(j.r.Context(), j.deadline)
 }
 
+// setDeadline sets the deadline, if the request has one.
+func (j *job) setDeadline() {
+	if bound := j.timeout(); bound > 0 {
+		j.deadline = j.arrived.Add(bound)
+	}
+}
+
 // remaining returns the time until the deadline, or 0 if there is none.
 func (j *job) remaining() time.Duration {
 	if j.deadline.IsZero() {
@@ -397,17 +402,26 @@
 			return candidate, 0, false
 		}
 	}
-	switch {
-	case !found:
-		j.refuseUnserved(modelpick.ReasonNoServer)
-	case candidate.RoomIn > j.remainingWait():
-		j.refuseLimited(candidates, candidate.RoomIn)
+	if refusal := j.planPlain(candidates, candidate, found); refusal != nil {
+		j.refusePlanned(refusal)
 		found = false
 	}
 	j.chooseSlot(candidate, found)
 	return candidate, 0, found
 }
 
+// planPlain returns the refusal of a request to a plain service for which no server was found, or only one whose limit
+// leaves no room in time; nil if the request is sent.
+func (j *job) planPlain(candidates []serverview.Candidate, chosen serverview.Candidate, found bool) *unserved {
+	switch {
+	case !found:
+		return &unserved{reason: modelpick.ReasonNoServer, retryAfter: busyRetryAfter}
+	case chosen.RoomIn > j.remainingWait():
+		return limitedRefusal(candidates, chosen.RoomIn)
+	}
+	return nil
+}
+
 // rank returns the rank of the request, 0 the most urgent: its customer's if that has one, else its route's.
 func (j *job) rank() int {
 	if j.customer != nil && j.customer.Priority != nil {
@@ -443,53 +457,129 @@
 	defer demand.end()
 	for {
 		changed := j.f.options.View.Changed()
-		now := time.Now()
-		declared, since := j.f.options.View.Declared(j.request.Adapter)
-		minVersion := declared
-		if now.Sub(since) < outdatedVersionGrace {
-			minVersion = 0
+		look := j.lookAtModel(time.Now())
+		if servers := look.handoverServers(); len(servers) > 0 && j.handOver(servers) {
+			return look.chosen, 0, false
 		}
-		candidates := j.f.options.View.Candidates(now, j.service.Name, j.request.Adapter)
-		query := j.query(minVersion)
-		chosen, found, reason := modelpick.Resident(candidates, query, newRandom())
-		if !found || chosen.Unreachable {
-			if servers, none := unreachable(candidates); (found || none) && j.handOver(servers) {
-				return chosen, 0, false
-			}
+		if look.found {
+			j.f.metrics.choice(look.query).Inc(1)
+			j.requestCopy(look.now, look.candidates, look.query, look.chosen)
+			return look.chosen, j.expectedVersion(look.chosen, look.declared, look.query.MinVersion), true
 		}
-		if found {
-			j.f.metrics.choice(query).Inc(1)
-			j.requestCopy(now, candidates, query, chosen)
-			return chosen, j.expectedVersion(chosen, declared, minVersion), true
+		j.reason = look.reason
+		plan := j.planLoad(look, demand.server, waitEnds)
+		if plan.awaitsRoom {
+			return plan.limited, j.expectedVersion(plan.limited, look.declared, look.query.MinVersion), true
 		}
-		j.reason = reason
-		target, wait, possible := modelpick.LoadTarget(candidates, query, demand.server)
-		if limited, waits := j.awaitsRoom(candidates, query, wait, possible); waits {
-			return limited, j.expectedVersion(limited, declared, minVersion), true
-		} else if reason == ReasonLimited && !possible {
-			j.refuseLimited(candidates, limited.RoomIn)
-			return limited, 0, false
+		if plan.wanted {
+			demand.moveTo(j, plan.target.ID, waitEnds)
 		}
-		if possible {
-			if demand.server == "" && wait > waitEnds.Sub(now) {
-				j.inputs = obstacleFields(candidates)
-				j.inputs["loadWaitMs"] = wait.Milliseconds()
-				j.refuseUnservedFor(ReasonOverloaded, max(wait, busyRetryAfter))
-				return chosen, 0, false
-			}
-			demand.moveTo(j, target.ID, waitEnds)
+		if plan.refusal != nil {
+			j.refusePlanned(plan.refusal)
+			return look.chosen, 0, false
 		}
-		if !now.Before(waitEnds) || reason == modelpick.ReasonNoServer {
-			j.inputs = obstacleFields(candidates)
-			j.refuseUnserved(reason)
-			return chosen, 0, false
-		}
-		if !j.wait(changed, waitEnds.Sub(now)) {
-			return chosen, 0, false
+		if !j.wait(changed, waitEnds.Sub(look.now)) {
+			return look.chosen, 0, false
 		}
 	}
 }
 
+// modelLook is the choice of a model server at one moment.
+type modelLook struct {
+	now        time.Time
+	candidates []serverview.Candidate
+	query      modelpick.Query
+	// declared is the newest declared version of the adapter.
+	declared int
+	chosen   serverview.Candidate
+	found    bool
+	// reason is why no server was found.
+	reason string
+}
+
+// lookAtModel chooses a model server that holds the adapter now.
+func (j *job) lookAtModel(now time.Time) modelLook {
+	look := modelLook{now: now}
+	var since time.Time
+	look.declared, since = j.f.options.View.Declared(j.request.Adapter)
+	minVersion := look.declared
+	if now.Sub(since) < outdatedVersionGrace {
+		minVersion = 0
+	}
+	look.candidates = j.f.options.View.Candidates(now, j.service.Name, j.request.Adapter)
+	look.query = j.query(minVersion)
+	look.chosen, look.found, look.reason = modelpick.Resident(look.candidates, look.query, newRandom())
+	return look
+}
+
+// handoverServers returns the servers for which the request is passed to another node, if one takes it.
+func (l modelLook) handoverServers() []string {
+	if l.found && !l.chosen.Unreachable {
+		return nil
+	}
+	servers, all := unreachable(l.candidates)
+	if !l.found && !all {
+		return nil
+	}
+	return servers
+}
+
+// unserved is the refusal of a request that no server gets.
+type unserved struct {
+	reason     string
+	retryAfter time.Duration
+	// inputs are the inputs of the decision, for the log.
+	inputs event.Fields
+}
+
+// refusePlanned answers a request that no server gets.
+func (j *job) refusePlanned(refusal *unserved) {
+	if refusal.inputs != nil {
+		j.inputs = refusal.inputs
+	}
+	j.refuseUnservedFor(refusal.reason, refusal.retryAfter)
+}
+
+// loadPlan is what is done with a request that no server with the adapter can get now.
+type loadPlan struct {
+	// target is the server that loads the adapter, and wait the estimated time until it can get the request, if possible.
+	target   serverview.Candidate
+	wait     time.Duration
+	possible bool
+	// limited gets the request after a wait for its limit, if awaitsRoom.
+	limited    serverview.Candidate
+	awaitsRoom bool
+	// wanted is true when the demand for the adapter is registered at the target.
+	wanted bool
+	// refusal is nil while the request waits.
+	refusal *unserved
+}
+
+// planLoad decides what is done with a request for which no server was found. current is the server at which its demand is
+// registered already; waitEnds is when it has to be refused.
+func (j *job) planLoad(look modelLook, current string, waitEnds time.Time) (plan loadPlan) {
+	plan.target, plan.wait, plan.possible = modelpick.LoadTarget(look.candidates, look.query, current)
+	plan.limited, plan.awaitsRoom = j.awaitsRoom(look, plan.wait, plan.possible)
+	left := waitEnds.Sub(look.now)
+	switch {
+	case plan.awaitsRoom:
+		return plan
+	case look.reason == ReasonLimited && !plan.possible:
+		plan.refusal = limitedRefusal(look.candidates, plan.limited.RoomIn)
+		return plan
+	case plan.possible && current == "" && plan.wait > left:
+		inputs := obstacleFields(look.candidates)
+		inputs["loadWaitMs"] = plan.wait.Milliseconds()
+		plan.refusal = &unserved{ReasonOverloaded, max(plan.wait, busyRetryAfter), inputs}
+		return plan
+	}
+	plan.wanted = plan.possible
+	if left <= 0 || look.reason == modelpick.ReasonNoServer {
+		plan.refusal = &unserved{look.reason, busyRetryAfter, obstacleFields(look.candidates)}
+	}
+	return plan
+}
+
 // obstacleFields returns the log fields that show why no server can load the adapter.
 func obstacleFields(candidates []serverview.Candidate) event.Fields {
 	o := modelpick.CountObstacles(candidates)
--- a/internal/forward/limits.go
+++ b/internal/forward/limits.go
@@ -92,22 +92,22 @@
 // remainingWait returns how much longer the request may wait for a load or for room at a server with a limit.
 func (j *job) remainingWait() time.Duration { return max(j.loadWait()-time.Since(j.arrived), 0) }
 
-// refuseLimited answers a request for which the servers' limits leave no room in time.
-func (j *job) refuseLimited(candidates []serverview.Candidate, roomIn time.Duration) {
-	j.inputs = obstacleFields(candidates)
-	j.inputs["roomInMs"] = roomIn.Milliseconds()
-	j.refuseUnservedFor(ReasonLimited, max(roomIn, busyRetryAfter))
+// limitedRefusal returns the refusal of a request for which the servers' limits leave no room in time.
+func limitedRefusal(candidates []serverview.Candidate, roomIn time.Duration) *unserved {
+	inputs := obstacleFields(candidates)
+	inputs["roomInMs"] = roomIn.Milliseconds()
+	return &unserved{reason: ReasonLimited, retryAfter: max(roomIn, busyRetryAfter), inputs: inputs}
 }
 
 // awaitsRoom chooses a server that holds the adapter and whose limit leaves room soon enough: within the request's wait,
 // and before another server could load the adapter, if one can.
 func (j *job) awaitsRoom(
-	candidates []serverview.Candidate, query modelpick.Query, loadWait time.Duration, loadPossible bool,
+	look modelLook, loadWait time.Duration, loadPossible bool,
 ) (limited serverview.Candidate, waits bool) {
-	if j.reason != ReasonLimited {
+	if look.reason != ReasonLimited {
 		return limited, false
 	}
-	limited, found := modelpick.LimitedResident(candidates, query)
+	limited, found := modelpick.LimitedResident(look.candidates, look.query)
 	soon := limited.RoomIn <= j.remainingWait() && (!loadPossible || limited.RoomIn < loadWait)
 	return limited, found && soon
 }
--- a/internal/forward/quota.go
+++ b/internal/forward/quota.go
@@ -101,9 +101,12 @@
 		j.refuseOutcomeUnknown(http.StatusBadGateway, ReasonQuota)
 		return
 	}
-	j.refuse(http.StatusTooManyRequests, ReasonQuota, max(retryAfter, time.Millisecond))
+	j.refuse(http.StatusTooManyRequests, ReasonQuota, quotaRetryAfter(retryAfter))
 }
 
+// quotaRetryAfter returns the time that a refusal names, before jitter, where there is room after roomIn.
+func quotaRetryAfter(roomIn time.Duration) time.Duration { return max(roomIn, time.Millisecond) }
+
 // giveBackQuota gives back the charge of a send that has not run.
 func (j *job) giveBackQuota() {
 	if j.charge.giveBack != nil {
--- a/internal/forward/reasons.go
+++ b/internal/forward/reasons.go
@@ -6,6 +6,7 @@
 const (
 	ReasonNoConfig            = "no configuration is known yet"
 	ReasonNoRoute             = "no route for this host and path"
+	ReasonNoService           = "the route names no service"
 	ReasonTooLarge            = "the body is larger than allowed"
 	ReasonNoServer            = modelpick.ReasonNoServer
 	ReasonAllBusy             = modelpick.ReasonAllBusy
--- a/internal/forward/slots.go
+++ b/internal/forward/slots.go
@@ -75,7 +75,7 @@
 func (j *job) awaitSlot(candidates *[]serverview.Candidate) (assigned serverview.Candidate, decided, ok bool) {
 	j.releaseSlot()
 	choices := modelpick.PlainChoices(*candidates, j.query(0))
-	if j.f.options.Slots == nil || len(choices) == 0 || choices[0].Unreachable {
+	if !j.asksDispatcher(choices) {
 		return assigned, false, false
 	}
 	customer := ""
@@ -111,6 +111,11 @@
 	return choices[i], true, true
 }
 
+// asksDispatcher reports whether a slot is needed for one of the servers that can get the request now.
+func (j *job) asksDispatcher(choices []serverview.Candidate) bool {
+	return j.f.options.Slots != nil && len(choices) > 0 && !choices[0].Unreachable
+}
+
 // logFields returns the log fields about the slot; none if the service has no dispatcher.
 func (s Slot) logFields() event.Fields {
 	if s.End == nil {
--- a/internal/modelpick/modelpick.go
+++ b/internal/modelpick/modelpick.go
@@ -67,20 +67,33 @@
 }
 
 // usable reports whether the request may be sent to a server, regardless of the adapters there.
-func (q Query) usable(c serverview.Candidate) bool {
-	otherVersion := q.SoftwareVersion != "" && c.SoftwareVersion != q.SoftwareVersion
-	return !c.Leaving && !otherVersion && !q.Tried[c.ID] && (q.MaxInFlight == 0 || c.InFlight < q.MaxInFlight)
+func (q Query) usable(c serverview.Candidate) bool { return q.unusable(c) == "" }
+
+// unusable returns why the request may not be sent to a server, regardless of the adapters there; empty if it may.
+func (q Query) unusable(c serverview.Candidate) Exclusion {
+	switch {
+	case c.Leaving:
+		return ExcludedLeaving
+	case q.SoftwareVersion != "" && c.SoftwareVersion != q.SoftwareVersion:
+		return ExcludedSoftware
+	case q.Tried[c.ID]:
+		return ExcludedTried
+	case q.MaxInFlight != 0 && c.InFlight >= q.MaxInFlight:
+		return ExcludedConnections
+	}
+	return ""
 }
 
-// distance returns the cost of reaching a server: another zone or a new connection.
-func (q Query) distance(c serverview.Candidate, otherZone float64) (cost float64) {
+// score returns the score of a server at a load, with the cost of reaching it: another zone or a new connection.
+func (q Query) score(c serverview.Candidate, load, backlog, otherZone float64) Score {
+	s := Score{Load: load, Failures: failureCost * c.FailureRate, Backlog: backlog}
 	if c.Zone != q.Zone {
-		cost += otherZone
+		s.Zone = otherZone
 	}
 	if !c.Connected {
-		cost += connectCost
+		s.Connection = connectCost
 	}
-	return cost
+	return s
 }
 
 // Reasons for which no server was chosen.
@@ -98,11 +111,15 @@
 		return SoonestRoom(preferHealthy(filter(candidates, query.usable)))
 	}
 	return lowest(roomy, func(c serverview.Candidate) float64 {
-		score := float64(c.InFlight)/float64(max(c.Slots, 1)) + failureCost*c.FailureRate
-		return score + query.distance(c, plainOtherZoneCost) + tieSpread*random.Float64()
+		return query.plainScore(c).Total() + tieSpread*random.Float64()
 	})
 }
 
+// plainScore returns the score of a server of a plain service.
+func (q Query) plainScore(c serverview.Candidate) Score {
+	return q.score(c, float64(c.InFlight)/slots(c), 0, plainOtherZoneCost)
+}
+
 // PlainChoices returns the servers of a plain service that can get the request now. Ejected servers are among them only
 // when no other one has room.
 func PlainChoices(candidates []serverview.Candidate, query Query) []serverview.Candidate {
@@ -121,40 +138,60 @@
 func Resident(
 	candidates []serverview.Candidate, query Query, random *rand.Rand,
 ) (chosen serverview.Candidate, found bool, reason string) {
+	choices, reason := residentChoices(candidates, query)
+	if reason != "" {
+		return chosen, false, reason
+	}
+	if query.Spreads() {
+		chosen, found = spread(choices, query, random)
+	} else {
+		chosen, found = lowest(choices, func(c serverview.Candidate) float64 {
+			return query.residentScore(c, load(c)).Total() + tieSpread*random.Float64()
+		})
+	}
+	return chosen, found, ""
+}
+
+// residentChoices returns the model servers that can get the request now. Without any, reason says why.
+func residentChoices(
+	candidates []serverview.Candidate, query Query,
+) (choices []serverview.Candidate, reason string) {
 	if len(filter(candidates, query.usable)) == 0 {
-		return chosen, false, ReasonNoServer
+		return nil, ReasonNoServer
 	}
 	holding := holders(candidates, query)
 	if len(holding) == 0 {
-		return chosen, false, ReasonNotLoaded
+		return nil, ReasonNotLoaded
 	}
 	if len(filter(preferHealthy(holding), isFree)) == 0 {
-		return chosen, false, ReasonAllBusy
+		return nil, ReasonAllBusy
 	}
-	roomy := filter(holding, func(c serverview.Candidate) bool { return isFree(c) && hasRoom(c) })
-	if query.Spreads() {
-		chosen, found = spread(preferHealthy(roomy), query, random)
-	} else {
-		chosen, found = lowest(preferHealthy(roomy), func(c serverview.Candidate) float64 {
-			return query.residentScore(c, load(c)) + tieSpread*random.Float64()
-		})
+	choices = preferHealthy(filter(holding, func(c serverview.Candidate) bool { return isFree(c) && hasRoom(c) }))
+	if len(choices) == 0 {
+		return nil, ReasonLimited
 	}
-	if !found {
-		return chosen, false, ReasonLimited
-	}
-	return chosen, true, ""
+	return choices, ""
 }
 
 // residentScore returns the score of a model server at a load, in shares of its slots.
-func (q Query) residentScore(c serverview.Candidate, load float64) float64 {
-	return load + failureCost*c.FailureRate + float64(c.Backlog)/float64(fullBacklog) + q.distance(c, otherZoneCost)
+func (q Query) residentScore(c serverview.Candidate, load float64) Score {
+	return q.score(c, load, float64(c.Backlog)/float64(fullBacklog), otherZoneCost)
 }
 
 // holders returns the usable servers that hold the adapter.
 func holders(candidates []serverview.Candidate, query Query) []serverview.Candidate {
-	return filter(candidates, func(c serverview.Candidate) bool {
-		return query.usable(c) && c.Present && (query.Adapter.Name == "" || c.Version >= query.MinVersion)
-	})
+	return filter(candidates, func(c serverview.Candidate) bool { return query.usable(c) && query.lacking(c) == "" })
+}
+
+// lacking returns why a server can't serve the adapter; empty if it can.
+func (q Query) lacking(c serverview.Candidate) Exclusion {
+	switch {
+	case !c.Present:
+		return ExcludedLacks
+	case q.Adapter.Name != "" && c.Version < q.MinVersion:
+		return ExcludedOutdated
+	}
+	return ""
 }
 
 // preferHealthy returns the candidates without the ejected ones if there are others.
@@ -202,6 +239,22 @@
 func loadTarget(
 	candidates []serverview.Candidate, query Query, current, salt string,
 ) (target serverview.Candidate, wait time.Duration, found bool) {
+	for _, option := range loadOptions(candidates, query, current, salt) {
+		if !found || option.wait < wait {
+			target, wait, found = option.Candidate, option.wait, true
+		}
+	}
+	return target, wait, found
+}
+
+// loadOption is a server that may load an adapter, and the estimated wait until it serves it.
+type loadOption struct {
+	serverview.Candidate
+	wait time.Duration
+}
+
+// loadOptions returns the servers among which loadTarget chooses.
+func loadOptions(candidates []serverview.Candidate, query Query, current, salt string) (options []loadOption) {
 	eligible := filter(candidates, func(c serverview.Candidate) bool {
 		return obstacleOf(c) == none && !c.Present && query.usable(c)
 	})
@@ -218,11 +271,9 @@
 		if i >= homes && !c.Held && c.ID != current {
 			continue
 		}
-		if w := loadWait(c, i, query, current); !found || w < wait {
-			target, wait, found = c, w, true
-		}
+		options = append(options, loadOption{c, loadWait(c, i, query, current)})
 	}
-	return target, wait, found
+	return options
 }
 
 // byRendezvous returns the candidates in the order of their rendezvous hashes, the highest first.
--- a/internal/modelpick/spread.go
+++ b/internal/modelpick/spread.go
@@ -48,42 +48,62 @@
 	if len(candidates) == 0 {
 		return serverview.Candidate{}, false
 	}
-	scores, capacities, requests := make([]float64, len(candidates)), make([]float64, len(candidates)), 0.0
-	known, usual := 0.0, 0.0
+	weights, requests := spreadWeights(candidates, query)
+	best := draw(candidates, weights, requests, random)
+	for range spreadDraws - 1 {
+		if c := draw(candidates, weights, requests, random); c.SentSince < best.SentSince {
+			best = c
+		}
+	}
+	return best, true
+}
+
+// spreadWeights returns the number of requests that bring each candidate to the common level, and the sum of them.
+func spreadWeights(candidates []serverview.Candidate, query Query) (weights []float64, requests float64) {
+	scores, capacities := make([]float64, len(candidates)), make([]float64, len(candidates))
+	score := spreadScore(candidates, query)
 	for i, c := range candidates {
 		capacities[i] = slots(c)
+		scores[i] = score(c).Total()
+		requests += expectedArrivals(c)
+	}
+	level := fillLevel(capacities, scores, requests)
+	weights = make([]float64, len(candidates))
+	for i := range weights {
+		weights[i] = math.Max(level-scores[i], 0) * capacities[i]
+	}
+	return weights, requests
+}
+
+// spreadScore returns the function that scores a server where the choice among the candidates is drawn. The load is what is
+// estimated to remain of it.
+func spreadScore(candidates []serverview.Candidate, query Query) func(c serverview.Candidate) Score {
+	known, usual := 0.0, 0.0
+	for _, c := range candidates {
 		if c.LoadKnown {
-			known += capacities[i]
+			known += slots(c)
 			usual += remaining(c)
 		}
 	}
-	for i, c := range candidates {
-		load := remaining(c) / capacities[i]
+	return func(c serverview.Candidate) Score {
+		load := remaining(c) / slots(c)
 		if !c.LoadKnown && known > 0 {
 			// Its holder is silent. Without this the server would seem to be empty, and all nodes would send to it.
 			load = usual / known
 		}
-		excess := math.Max(float64(c.Load)-query.Capacity(c), 0) / capacities[i]
-		scores[i] = query.residentScore(c, load) + excessCost*excess
-		requests += expectedArrivals(c)
+		score := query.residentScore(c, load)
+		score.Excess = excessCost * (math.Max(float64(c.Load)-query.Capacity(c), 0) / slots(c))
+		return score
 	}
-	level := fillLevel(capacities, scores, requests)
-	best := draw(candidates, capacities, scores, level, requests, random)
-	for range spreadDraws - 1 {
-		if c := draw(candidates, capacities, scores, level, requests, random); c.SentSince < best.SentSince {
-			best = c
-		}
-	}
-	return best, true
 }
 
-// draw returns a candidate at random, weighted by the number of requests that bring it to the level.
+// draw returns a candidate at random, with a probability in proportion to its weight. requests is the sum of the weights.
 func draw(
-	candidates []serverview.Candidate, capacities, scores []float64, level, requests float64, random *rand.Rand,
+	candidates []serverview.Candidate, weights []float64, requests float64, random *rand.Rand,
 ) serverview.Candidate {
 	left := requests * random.Float64()
 	for i, c := range candidates {
-		if left -= math.Max(level-scores[i], 0) * capacities[i]; left < 0 {
+		if left -= weights[i]; left < 0 {
 			return c
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -247,6 +247,7 @@
 	group.Go(func() error { return process.ServeListener(n.ctx, l.ready, ready, auxiliaryShutdownTimeout) })
 	admin := process.NewAdmin(n.ready)
 	n.crashes.handle(admin.Mux)
+	n.handleWhere(admin.Mux)
 	group.Go(func() error { return process.ServeListener(n.ctx, l.admin, admin.Mux, auxiliaryShutdownTimeout) })
 }
 
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -181,6 +181,52 @@
 	return id, Decision{}, false
 }
 
+// Preview returns how a request would be decided now. decided is false if the coordinator would be asked. It changes no state.
+func (c *Client) Preview(now time.Duration, r Request) (decision Decision, decided bool) {
+	preview := &Client{
+		bound: c.bound, accounts: make(map[string]*account), calls: make(map[uint64]*call), silentUntil: c.silentUntil,
+	}
+	if a := c.accounts[r.Customer]; a != nil {
+		copied := *a
+		copied.lots, copied.pending = slices.Clone(a.lots), nil
+		preview.accounts[r.Customer] = &copied
+	}
+	_, decision, decided = preview.Acquire(now, r)
+	return decision, decided
+}
+
+// ClientState is a node's state of one customer.
+type ClientState struct {
+	// Credit is what the node may use without asking the coordinator.
+	Credit float64
+	// Share is the rate in units a second at which the node continues while the coordinator is silent.
+	Share float64
+	// AnsweredAgo is the age of the coordinator's latest answer; negative without one.
+	AnsweredAgo time.Duration
+	// SilentFor is how much longer the coordinator isn't asked because it didn't answer; 0 if it is asked.
+	SilentFor time.Duration
+	// Waiting is the number of requests that wait for credit.
+	Waiting int
+}
+
+// State returns the state of a customer, whose coordinator has the given address. It changes no state.
+func (c *Client) State(now time.Duration, customer, coordinator string) ClientState {
+	state := ClientState{AnsweredAgo: -1, SilentFor: max(c.silentUntil[coordinator]-now, 0)}
+	for _, l := range c.calls {
+		if l.ask.Customer == customer {
+			state.Waiting += len(l.requests)
+		}
+	}
+	if a := c.accounts[customer]; a != nil {
+		state.Credit, state.Share = a.left(now), a.continuing(now)
+		state.Waiting += len(a.pending)
+		if a.known {
+			state.AnsweredAgo = now - a.answeredAt
+		}
+	}
+	return state
+}
+
 // covers reports whether a call of the same customer is on its way that isn't less urgent. Other requests wait for its end, so
 // that a node under load doesn't send a message for each of them.
 func (c *Client) covers(r Request) bool {
--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -339,3 +340,10 @@
 	c.advance(now)
 	return State{c.available(now), c.outstanding(now), len(c.members), len(c.queue), c.inherits(now)}
 }
+
+// Preview returns the coordinator's state at a time without advancing it to that time.
+func (c *Coordinator) Preview(now time.Duration) State {
+	copied := *c
+	copied.members, copied.ordered = maps.Clone(c.members), slices.Clone(c.ordered)
+	return copied.State(now)
+}
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -47,10 +47,7 @@
 // PickService returns the name of a random service of the route, with probabilities in proportion to the weights. It
 // returns an empty name when no weight is positive.
 func PickService(route *serving.Route, random *rand.Rand) string {
-	total := 0
-	for _, service := range route.Services {
-		total += max(service.Weight, 0)
-	}
+	total := totalWeight(route)
 	if total == 0 {
 		return ""
 	}
@@ -63,3 +60,22 @@
 	}
 	return ""
 }
+
+// Probabilities returns the probability with which PickService returns each of the route's destinations, in their order.
+func Probabilities(route *serving.Route) []float64 {
+	total := totalWeight(route)
+	probabilities := make([]float64, len(route.Services))
+	for i, service := range route.Services {
+		if total > 0 {
+			probabilities[i] = float64(max(service.Weight, 0)) / float64(total)
+		}
+	}
+	return probabilities
+}
+
+func totalWeight(route *serving.Route) (total int) {
+	for _, service := range route.Services {
+		total += max(service.Weight, 0)
+	}
+	return total
+}
--- a/internal/serverview/candidates.go
+++ b/internal/serverview/candidates.go
@@ -1,6 +1,7 @@
 package serverview
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -87,6 +88,26 @@
 	return candidates
 }
 
+// KnownAdapters returns the adapters of which a version was declared, or that a server holds or evicted recently, in no
+// particular order.
+func (v *View) KnownAdapters() []serving.Adapter {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	known := make(map[serving.Adapter]bool)
+	for adapter := range v.declared {
+		known[adapter] = true
+	}
+	for _, srv := range v.servers {
+		for adapter := range srv.published.Adapters {
+			known[adapter] = true
+		}
+		for _, adapter := range srv.evicted.All() {
+			known[adapter] = true
+		}
+	}
+	return slices.Collect(maps.Keys(known))
+}
+
 // InUse reports whether a server may get requests: it has an entry and isn't leaving.
 func (v *View) InUse(now time.Time, id string) bool {
 	v.mu.Lock()
