--- a/internal/ctl/where.go
+++ b/internal/ctl/where.go
@@ -131,7 +131,7 @@
 		return cmp.Or(cmp.Compare(b.Probability, a.Probability), cmp.Compare(a.Total, b.Total))
 	})
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "SERVER\tZONE\tPROBABILITY\tSCORE\t= LOAD\t+ FAILURES\t+ BACKLOG\t+ ZONE\t+ CONNECTION\tRUNS\tAGE\tROOM IN\tLOAD WAIT\tEXCLUDED")
+	fmt.Fprintln(table, "SERVER\tZONE\tPROBABILITY\tSCORE\t= LOAD\t+ FAILURES\t+ BACKLOG\t+ ZONE\t+ CONNECTION\t+ EXCESS\tRUNS\tAGE\tROOM IN\tLOAD WAIT\tEXCLUDED")
 	for _, c := range sorted {
 		load := "-"
 		if o := c.LoadOption; o != nil && o.Excluded == "" {
@@ -143,8 +143,8 @@
 		if c.AgeMs >= 0 {
 			age = fmt.Sprintf("%d ms", c.AgeMs)
 		}
-		fmt.Fprintf(table, "%s\t%s\t%.3g\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%d/%d\t%s\t%d ms\t%s\t%s\n", c.Server, c.Zone,
-			c.Probability, c.Total, c.Score.Load, c.Score.Failures, c.Score.Backlog, c.Score.Zone, c.Score.Connection,
+		fmt.Fprintf(table, "%s\t%s\t%.3g\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%d/%d\t%s\t%d ms\t%s\t%s\n", c.Server, c.Zone,
+			c.Probability, c.Total, c.Score.Load, c.Score.Failures, c.Score.Backlog, c.Score.Zone, c.Score.Connection, c.Score.Excess,
 			c.Load, c.Slots, age, c.RoomInMs, load, c.Excluded)
 	}
 	_ = table.Flush()
--- a/internal/forward/where.go
+++ b/internal/forward/where.go
@@ -159,7 +159,8 @@
 	Quota  *WhereQuota `json:"quota,omitempty"`
 	// Destinations holds the services of the route that the request could go to.
 	Destinations []WhereDestination `json:"destinations,omitempty"`
-	// Refusal is the answer before a server is chosen; nil if a server is chosen.
+	// Refusal is the answer of a request that is refused before a server is chosen, because of its route, key or quota; nil
+	// if it gets to one of the destinations.
 	Refusal *WhereRefusal `json:"refusal,omitempty"`
 }
 
@@ -319,16 +320,18 @@
 	LoadOption  *WhereLoadOption `json:"loadOption,omitempty"`
 
 	// AgeMs is the age of the holder's publication, LoadAgeMs that of the reported load; -1 without a publication.
-	AgeMs        int64   `json:"ageMs"`
-	LoadAgeMs    int64   `json:"loadAgeMs"`
-	Load         int     `json:"load"`
-	Slots        int     `json:"slots"`
-	Reported     int     `json:"reported"`
-	Asked        int     `json:"asked"`
-	SentSince    int     `json:"sentSince"`
-	Arrivals     float64 `json:"arrivalsPerSecond"`
-	TakesRuns    float64 `json:"takesRuns"`
-	EventMs      float64 `json:"eventMs"`
+	AgeMs     int64   `json:"ageMs"`
+	LoadAgeMs int64   `json:"loadAgeMs"`
+	Load      int     `json:"load"`
+	Slots     int     `json:"slots"`
+	Reported  int     `json:"reported"`
+	Asked     int     `json:"asked"`
+	SentSince int     `json:"sentSince"`
+	Arrivals  float64 `json:"arrivalsPerSecond"`
+	TakesRuns float64 `json:"takesRuns"`
+	EventMs   float64 `json:"eventMs"`
+	// PauseMs is the longest pause to be expected of the streams there; 0 where the route bounds none.
+	PauseMs      int64   `json:"expectedPauseMs"`
 	InFlight     int     `json:"inFlight"`
 	FailureRate  float64 `json:"failureRate"`
 	BacklogMs    int64   `json:"backlogMs"`
@@ -371,14 +374,14 @@
 		return where, nil
 	}
 	where.Route = j.route.Name
-	if refusal := j.explainKey(current, status, &where); refusal != nil {
-		where.Refusal = refusal
-		return where, nil
-	}
+	// What follows is shown also for a request that is refused before a server is chosen.
+	where.Refusal = j.explainKey(current, status, &where)
 	where.Rank = j.rank()
 	j.setDeadline()
 	where.DeadlineMs, where.WaitMs = j.timeout().Milliseconds(), j.loadWait().Milliseconds()
-	where.Refusal = j.explainQuota(&where)
+	if refusal := j.explainQuota(&where); where.Refusal == nil {
+		where.Refusal = refusal
+	}
 	for i, probability := range routetable.Probabilities(j.route) {
 		service, known := current.config.Services[j.route.Services[i].Service]
 		if probability == 0 || !known {
@@ -389,7 +392,7 @@
 		destination.Probability = probability
 		where.Destinations = append(where.Destinations, destination)
 	}
-	if len(where.Destinations) == 0 {
+	if len(where.Destinations) == 0 && where.Refusal == nil {
 		where.Refusal = j.explainRefusal(http.StatusServiceUnavailable, ReasonNoService, busyRetryAfter)
 	}
 	return where, nil
@@ -657,5 +660,8 @@
 	if e.Age > maximumAge {
 		c.AgeMs, c.LoadAgeMs = -1, -1
 	}
+	if query.MaxPause > 0 {
+		c.PauseMs = query.ExpectedPause(e.Candidate, e.Load).Milliseconds()
+	}
 	return c
 }
--- a/internal/modelpick/explain.go
+++ b/internal/modelpick/explain.go
@@ -36,7 +36,9 @@
 }
 
 // Total returns the sum of the terms.
-func (s Score) Total() float64 { return s.Load + s.Failures + s.Backlog + (s.Zone + s.Connection) + s.Excess }
+func (s Score) Total() float64 {
+	return s.Load + s.Failures + s.Backlog + (s.Zone + s.Connection) + s.Excess
+}
 
 // Explanation tells what a choice makes of a candidate.
 type Explanation struct {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -245,10 +245,15 @@
 	})
 	ready := http.HandlerFunc(n.serveReady)
 	group.Go(func() error { return process.ServeListener(n.ctx, l.ready, ready, auxiliaryShutdownTimeout) })
+	group.Go(func() error { return process.ServeListener(n.ctx, l.admin, n.adminHandler(), auxiliaryShutdownTimeout) })
+}
+
+// adminHandler returns the handler of the admin address.
+func (n *Node) adminHandler() http.Handler {
 	admin := process.NewAdmin(n.ready)
 	n.crashes.handle(admin.Mux)
 	n.handleWhere(admin.Mux)
-	group.Go(func() error { return process.ServeListener(n.ctx, l.admin, admin.Mux, auxiliaryShutdownTimeout) })
+	return admin.Mux
 }
 
 var (
