forward: The explanation shows services that the configuration lacks

A route may weigh a service that the configuration doesn't have; its share of the requests is refused with 503. The explanation left such services out. The test covers the shares of all services of a route.

--- a/internal/forward/where.go
+++ b/internal/forward/where.go
@@ -383,12 +383,17 @@
 		where.Refusal = refusal
 	}
 	for i, probability := range routetable.Probabilities(j.route) {
-		service, known := current.config.Services[j.route.Services[i].Service]
-		if probability == 0 || !known {
+		if probability == 0 {
 			continue
 		}
-		j.service = service
-		destination := j.explainDestination()
+		name := j.route.Services[i].Service
+		destination := WhereDestination{Service: name, Candidates: []WhereCandidate{}}
+		if service, known := current.config.Services[name]; known {
+			j.service = service
+			destination = j.explainDestination()
+		} else {
+			destination.refuse(j, &unserved{reason: ReasonNoService, retryAfter: busyRetryAfter})
+		}
 		destination.Probability = probability
 		where.Destinations = append(where.Destinations, destination)
 	}
--- a/internal/forward/where_test.go
+++ b/internal/forward/where_test.go
@@ -278,6 +278,24 @@
 	g.Expect(d.HandOver.Servers).To(gomega.Equal([]string{"m"}))
 }
 
+// Guards against a service of the route that is left out, or shown with another share of the requests.
+func TestAllServicesOfTheRouteAreExplained(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newWhereFixture(3)
+	f.config.Routes[1].Services = []serving.WeightedService{{Service: service, Weight: 3}, {Service: "absent", Weight: 1}, {Service: modelService}}
+	f.start()
+	f.putPlain("a")
+	destinations := f.where(t, forward.Description{Route: "files"}).Destinations
+	g.Expect(destinations).To(gomega.HaveLen(2))
+	g.Expect(destinations[0].Probability).To(gomega.Equal(0.75))
+	g.Expect(destinations[0].Server).To(gomega.Equal("a"))
+	g.Expect(destinations[1].Probability).To(gomega.Equal(0.25))
+	g.Expect(destinations[1].Refusal.Reason).To(gomega.Equal(forward.ReasonNoService))
+	f.config.Routes[1].Services = nil
+	f.start()
+	g.Expect(f.where(t, forward.Description{Route: "files"}).Refusal.Reason).To(gomega.Equal(forward.ReasonNoService))
+}
+
 // Guards against refusals before the choice of a server that aren't shown: of the key, the quota, the route, and without a
 // configuration. No key may be shown.
 func TestRefusalsBeforeTheChoiceAreExplained(t *testing.T) {
