--- a/internal/serverview/candidates.go
+++ b/internal/serverview/candidates.go
@@ -1,6 +1,7 @@
 package serverview
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -87,6 +88,42 @@
 	return candidates
 }
 
+// KnowsAdapter reports whether a version of the adapter was declared, or a server holds it or evicted it recently.
+func (v *View) KnowsAdapter(adapter serving.Adapter) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if _, declared := v.declared[adapter]; declared {
+		return true
+	}
+	for _, srv := range v.servers {
+		_, held := srv.published.Adapters[adapter]
+		if _, evicted := srv.evicted.At(adapter); held || evicted {
+			return true
+		}
+	}
+	return false
+}
+
+// KnownAdapters returns the adapters for which KnowsAdapter is true, in no particular order. With some 10,000 of them it
+// takes milliseconds, in which the view is locked.
+func (v *View) KnownAdapters() []serving.Adapter {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	known := make(map[serving.Adapter]bool)
+	for adapter := range v.declared {
+		known[adapter] = true
+	}
+	for _, srv := range v.servers {
+		for adapter := range srv.published.Adapters {
+			known[adapter] = true
+		}
+		for _, adapter := range srv.evicted.All() {
+			known[adapter] = true
+		}
+	}
+	return slices.Collect(maps.Keys(known))
+}
+
 // InUse reports whether a server may get requests: it has an entry and isn't leaving.
 func (v *View) InUse(now time.Time, id string) bool {
 	v.mu.Lock()
