gateway: A routing decision is recorded before the request is sent

Cause: the dispatcher replied to the waiting request before it recorded the decision, so that on a busy machine an answer was complete while the recorder still had the blocked decision only. Change: the decision is recorded first.

--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -251,10 +251,14 @@
 	d.gather(w, now)
 	choice := d.policy.Decide(&w.request, &routing.Snapshot{Now: now, Candidates: d.candidates}, d.random, d.verdicts)
 	d.verdicts = choice.Verdicts
-	if choice.Index >= 0 && d.assign(w, d.candidates[choice.Index]) {
-		d.recordDecision(w, choice, now)
-		d.finishDispatch(w, now)
-		return admission.Dispatched
+	if choice.Index >= 0 {
+		if assigned, ok := d.assign(w, d.candidates[choice.Index]); ok {
+			// The decision is recorded first, as the request may end as soon as its waiter has the reply.
+			d.recordDecision(w, choice, now)
+			w.reply <- dispatchResult{assignment: assigned}
+			d.finishDispatch(w, now)
+			return admission.Dispatched
+		}
 	}
 	if !w.decisionRecorded {
 		w.decisionRecorded = true
@@ -291,21 +295,19 @@
 	return false
 }
 
-// assign counts the request as in flight on the candidate and replies to the waiter. It returns false if the permit is
-// no longer available.
-func (d *dispatcher) assign(w *waiter, candidate routing.Candidate) bool {
+// assign counts the request as in flight on the candidate. It returns false if the permit is no longer available.
+func (d *dispatcher) assign(w *waiter, candidate routing.Candidate) (*assignment, bool) {
 	p := &assignment{candidate: candidate}
 	if w.request.Target.Service != "" {
 		d.endpoints.acquire(candidate.Address)
 	} else {
 		reservation, ok := d.permits.Acquire(candidate.Server, candidate.Load)
 		if !ok {
-			return false
+			return nil, false
 		}
 		p.reservation = reservation
 	}
-	w.reply <- dispatchResult{assignment: p}
-	return true
+	return p, true
 }
 
 func (d *dispatcher) finishDispatch(w *waiter, now time.Time) {
