node, serverlease: Nodes with large links hold the leases

Change: settings name the VM's link (linkMbps). Nodes say their links in their messages; a node waits 20 Mbit/s x 1 s / link, 2 s at most, before it joins the group of a site that starts, the owner of partition 0 invites only nodes whose links have half of the largest bandwidth or more, and others join only if a partition has no owner. Sites whose nodes have equal links, or that don't name them, choose as before.

--- a/internal/node/leases.go
+++ b/internal/node/leases.go
@@ -38,6 +38,10 @@
 	invitationLifetime = 700 * time.Millisecond
 	// invitingPartition is the partition whose owner invites nodes to the group; it's also a reader.
 	invitingPartition = 0
+	// joinDelayMbps and maximumJoinDelay bound the time after its start for which a node doesn't join the group, so that nodes
+	// with large links get the partitions of a site that starts: 0.1 s at 200 Mbit/s, 2 s at 10 Mbit/s.
+	joinDelayMbps    = 20.0
+	maximumJoinDelay = 2 * time.Second
 	// readerPartitions is the number of partitions, from 0, whose owners read the store for all nodes. With three of
 	// them, two readers may fail.
 	readerPartitions = 3
@@ -203,8 +207,10 @@
 }
 
 // group returns what the node with the address self on a site of so many nodes knows of the group, and whether that is recent
-// enough to rely on.
-func (l *leases) group(now time.Time, self string, nodes int) (group serverlease.Group, current bool) {
+// enough to rely on. well holds the peers with large links, nil if links aren't told apart; selfWell is true if this node's is.
+func (l *leases) group(
+	now time.Time, self string, nodes int, well map[string]bool, selfWell bool,
+) (group serverlease.Group, current bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	members := make(map[string]bool)
@@ -213,6 +219,13 @@
 	}
 	group = serverlease.Group{
 		Owners: len(members), Complete: len(l.owners) >= l.partitions, Listed: members[self], Nodes: nodes,
+		PoorlyConnected: !selfWell,
+	}
+	if nodes > 0 && well != nil {
+		group.WellConnected = len(well)
+		if selfWell {
+			group.WellConnected++
+		}
 	}
 	return group, now.Sub(l.ownersConfirmedAt) <= ownersConfirmation
 }
@@ -237,7 +250,17 @@
 
 // group returns what this node knows of the group, and whether that is recent enough to rely on.
 func (n *Node) group() (group serverlease.Group, current bool) {
-	return n.leases.group(time.Now(), n.link.Address(), n.peers.observed())
+	now := time.Now()
+	well, selfWell := n.peers.wellConnected(now, n.settings.LinkMbps)
+	return n.leases.group(now, n.link.Address(), n.peers.observed(), well, selfWell)
+}
+
+// joinDelay returns how long after its start a node with such a link doesn't join the group.
+func joinDelay(linkMbps float64) time.Duration {
+	if linkMbps <= 0 {
+		return 0
+	}
+	return min(time.Duration(joinDelayMbps/linkMbps*float64(time.Second)), maximumJoinDelay)
 }
 
 // takesPart reports whether this node is a member of the group, or becomes one now.
@@ -252,7 +275,7 @@
 	group, current := n.group()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if current {
+	if current && time.Since(n.startedAt) >= joinDelay(n.settings.LinkMbps) {
 		invited := time.Since(l.invitedAt) < invitationLifetime
 		l.candidacy.Consider(bootTime(), group, invited, rand.Float64())
 	}
@@ -348,8 +371,10 @@
 }
 
 // invitations returns the nodes that this node invites to join the group, out of the live peers.
-func (l *leases) invitations(now time.Time, self string, nodes int, peers []string) []string {
-	group, current := l.group(now, self, nodes)
+func (n *Node) invitations(now time.Time, peers []string) []string {
+	group, current := n.group()
+	well, _ := n.peers.wellConnected(now, n.settings.LinkMbps)
+	l := n.leases
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !current || !group.Complete || !l.core.HasPartition(invitingPartition) {
@@ -359,7 +384,7 @@
 	for _, owner := range l.owners {
 		owners[owner] = true
 	}
-	candidates := slices.DeleteFunc(slices.Clone(peers), func(peer string) bool { return owners[peer] })
+	candidates := slices.DeleteFunc(slices.Clone(peers), func(peer string) bool { return owners[peer] || well != nil && !well[peer] })
 	return l.inviter.Invite(bootTime(), group, candidates)
 }
 
--- a/internal/node/leases_test.go
+++ b/internal/node/leases_test.go
@@ -20,10 +20,10 @@
 	l.applyOwnersNotice(now, "self", peerlink.OwnersNotice{Generation: 4, Owners: map[int]string{0: "old", 1: "old"}})
 	g.Expect(l.copyOwners()).To(gomega.Equal(map[int]string{0: "a", 1: "b"}))
 	l.applyOwnersNotice(now.Add(time.Second), "self", peerlink.OwnersNotice{Generation: 5})
-	_, current := l.group(now.Add(2500*time.Millisecond), "a", 9)
+	_, current := l.group(now.Add(2500*time.Millisecond), "a", 9, nil, true)
 	g.Expect(current).To(gomega.BeTrue(), "a notice without owners confirms them")
 	l.applyOwnersNotice(now.Add(3*time.Second), "self", peerlink.OwnersNotice{Generation: 6})
-	_, current = l.group(now.Add(3500*time.Millisecond), "a", 9)
+	_, current = l.group(now.Add(3500*time.Millisecond), "a", 9, nil, true)
 	g.Expect(current).To(gomega.BeFalse())
 	g.Expect(l.ownersDue(now.Add(3500 * time.Millisecond))).To(gomega.BeTrue())
 	// The store may come back from a copy with an older generation.
@@ -36,9 +36,9 @@
 	g := gomega.NewWithT(t)
 	l, now := testLeases(), time.Now()
 	l.applyOwnersNotice(now, "self", peerlink.OwnersNotice{Generation: 5, Owners: map[int]string{0: "a", 1: "b"}})
-	group, _ := l.group(now, "a", 9)
+	group, _ := l.group(now, "a", 9, nil, true)
 	g.Expect(group).To(gomega.Equal(serverlease.Group{Owners: 2, Complete: true, Listed: true, Nodes: 9}))
-	group, _ = l.group(now, "c", 9)
+	group, _ = l.group(now, "c", 9, nil, true)
 	g.Expect(group.Listed).To(gomega.BeFalse())
 }
 
@@ -90,3 +90,23 @@
 	digestBytes := float64(digestEntries(nodes) * nodes * entryBytes)
 	g.Expect(digestBytes / digestPeriod.Seconds()).To(gomega.BeNumerically("<=", linkBytesPerSecond))
 }
+
+// Guards against nodes with small links that get the partitions of a site that starts.
+func TestNodesWithLargeLinksJoinFirst(t *testing.T) {
+	g := gomega.NewWithT(t)
+	g.Expect(joinDelay(0)).To(gomega.BeZero())
+	g.Expect(joinDelay(200)).To(gomega.Equal(100 * time.Millisecond))
+	g.Expect(joinDelay(10)).To(gomega.Equal(2 * time.Second))
+	g.Expect(joinDelay(1)).To(gomega.Equal(2 * time.Second))
+	now, p := time.Now(), newPeers()
+	for address, linkMbps := range map[string]float64{"a": 200, "b": 150, "c": 10, "d": 0} {
+		p.recordSeen(now, address, "z", 5)
+		p.noteLink(address, linkMbps)
+	}
+	well, self := p.wellConnected(now, 10)
+	g.Expect(well).To(gomega.Equal(map[string]bool{"a": true, "b": true}))
+	g.Expect(self).To(gomega.BeFalse())
+	well, self = p.wellConnected(now, 0)
+	g.Expect(well).To(gomega.BeNil())
+	g.Expect(self).To(gomega.BeTrue())
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -123,6 +123,7 @@
 	if err != nil {
 		return err
 	}
+	link.SetLinkMbps(settings.LinkMbps)
 	n := newNode(settings, dependencies, link)
 	listeners, err := n.listen()
 	if err != nil {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -48,6 +48,8 @@
 type peer struct {
 	lastSeen time.Time
 	zone     string
+	// linkMbps is the bandwidth of the peer's network link; 0 if it isn't known.
+	linkMbps float64
 }
 
 func newPeers() *peers {
@@ -86,7 +88,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	isNew = now.Sub(p.byAddress[address].lastSeen) > subscriberLifetime
-	p.byAddress[address] = peer{lastSeen: now, zone: zone}
+	p.byAddress[address] = peer{lastSeen: now, zone: zone, linkMbps: p.byAddress[address].linkMbps}
 	if nodes >= p.reportedNodes || now.Sub(p.reportedAt) > subscriberLifetime {
 		p.reportedNodes, p.reportedAt = nodes, now
 	}
@@ -118,6 +120,39 @@
 	return alive
 }
 
+// noteLink records the bandwidth of a peer's network link.
+func (p *peers) noteLink(address string, linkMbps float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if known, found := p.byAddress[address]; found {
+		known.linkMbps = linkMbps
+		p.byAddress[address] = known
+	}
+}
+
+// wellConnected returns the live peers whose links have at least half of the largest known bandwidth, own included, and
+// whether this node's own has. Without a bandwidth of its own a node tells no peers apart and returns nil.
+func (p *peers) wellConnected(now time.Time, own float64) (addresses map[string]bool, self bool) {
+	if own <= 0 {
+		return nil, true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	largest := own
+	for _, peer := range p.byAddress {
+		if now.Sub(peer.lastSeen) <= subscriberLifetime {
+			largest = max(largest, peer.linkMbps)
+		}
+	}
+	addresses = make(map[string]bool)
+	for address, peer := range p.byAddress {
+		if now.Sub(peer.lastSeen) <= subscriberLifetime && peer.linkMbps >= largest/2 {
+			addresses[address] = true
+		}
+	}
+	return addresses, own >= largest/2
+}
+
 // aliveNodes returns the number of live nodes that this node has observed itself, including itself. Only this number is
 // sent to peers: if nodes relayed the numbers of others, dead nodes would be counted forever.
 func (p *peers) aliveNodes(now time.Time) int {
@@ -159,6 +194,7 @@
 		n.sendFullStates(message.From)
 		n.crashes.sendBlocks(now, message.From)
 	}
+	n.peers.noteLink(message.From, message.LinkMbps)
 	n.view.Publish(now, message.Published()...)
 	for _, arrival := range message.Arrived {
 		n.view.Arrived(now, message.From, arrival.ServerID, arrival.AdapterVersion())
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -26,6 +26,9 @@
 	RetryBudget RetryBudgetSettings `json:"retryBudget"`
 	// OrdersFenced is true when model servers refuse orders with an old fencing token.
 	OrdersFenced bool `json:"ordersFenced"`
+	// LinkMbps is the bandwidth of the VM's network link in Mbit/s; 0 if it isn't known. Of VMs with unequal links the ones with
+	// large links hold the leases.
+	LinkMbps float64 `json:"linkMbps"`
 	// Keys bounds how long a revoked API key may be accepted.
 	Keys KeySettings `json:"keys"`
 	// Quota bounds how far customers' quotas may be exceeded.
@@ -98,6 +101,7 @@
 	c.Require(ratio >= 0 && ratio <= 1, "retryBudget.ratio", ratio, "a number from 0 to 1")
 	c.Require(s.RetryBudget.Slack >= 0, "retryBudget.slack", s.RetryBudget.Slack, "a number of 0 or more")
 	c.DurationBetween("retryBudget.window", s.RetryBudget.Window, time.Second, time.Hour)
+	c.Require(s.LinkMbps >= 0, "linkMbps", s.LinkMbps, "a number of 0 or more")
 	c.Require(!s.Keys.Strict || s.Keys.Revocation.Std() >= time.Second, "keys.revocation", s.Keys.Revocation.Std(),
 		"a duration of 1s or more")
 	c.Require(s.Quota.Over >= 0 && s.Quota.Slack >= 0, "quota", s.Quota, "numbers of 0 or more")
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -234,7 +234,7 @@
 		now := time.Now()
 		if message, fresh := n.digestMessage(now); fresh {
 			peers := n.peers.alive(now)
-			invited := n.leases.invitations(now, n.link.Address(), n.peers.observed(), peers)
+			invited := n.invitations(now, peers)
 			message.Owners = n.leases.ownersNotice(now, round, invited)
 			n.link.Send(message, peers...)
 		}
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -86,6 +86,8 @@
 type Message struct {
 	// From is the sender's peer address, which also identifies it as a lease holder.
 	From string `json:"from"`
+	// LinkMbps is the bandwidth of the sender's network link in Mbit/s; 0 if it isn't known.
+	LinkMbps float64 `json:"lk,omitempty"`
 	// Zone is the sender's availability zone.
 	Zone string `json:"z,omitempty"`
 	// Nodes is the number of live nodes that the sender counts, itself included.
@@ -302,11 +304,17 @@
 	conn    *net.UDPConn
 	address string
 	zone    string
-	events  *event.Log
+	// linkMbps is sent with each message.
+	linkMbps float64
+	events   *event.Log
 	// sent and received count the messages.
 	sent, received traffic
 }
 
+// SetLinkMbps sets the bandwidth of this node's network link, of which the peers are told. It must be called before the link
+// is used.
+func (l *Link) SetLinkMbps(linkMbps float64) { l.linkMbps = linkMbps }
+
 // Listen opens the link on address, ip:port, which also identifies this node to its peers. zone is the node's
 // availability zone.
 func Listen(address, zone string, events *event.Log) (*Link, error) {
@@ -328,7 +336,7 @@
 
 // Send sends a message to peers. Failures are only logged, as senders repeat what is still current.
 func (l *Link) Send(message Message, peers ...string) {
-	message.From, message.Zone = l.address, l.zone
+	message.From, message.Zone, message.LinkMbps = l.address, l.zone, l.linkMbps
 	data, err := json.Marshal(message)
 	if err != nil {
 		l.events.EmitError(event.PeerMessageFailed, err, nil)
--- a/internal/serverlease/candidacy.go
+++ b/internal/serverlease/candidacy.go
@@ -46,6 +46,11 @@
 	Listed bool
 	// Nodes is the number of nodes of the site, including those that aren't members; 0 while it's unknown.
 	Nodes int
+	// WellConnected is the number of nodes whose network links are about as large as the largest one; 0 while it's unknown.
+	// Holders publish to all nodes, so that nodes with small links aren't asked to join while these can hold the partitions.
+	WellConnected int
+	// PoorlyConnected is true if this node isn't one of them.
+	PoorlyConnected bool
 }
 
 // missing returns how many further nodes should hold partitions.
@@ -53,6 +58,9 @@
 	if g.Nodes > 0 {
 		partitions = min(partitions, g.Nodes)
 	}
+	if g.WellConnected > 0 {
+		partitions = min(partitions, g.WellConnected)
+	}
 	return partitions - g.Owners
 }
 
@@ -70,7 +78,7 @@
 	case c.missingSince < 0:
 		c.missingSince = now
 	}
-	uninvited := missing > 0 && (group.Nodes == 0 || now-c.missingSince >= invitationTimeout)
+	uninvited := missing > 0 && !group.PoorlyConnected && (group.Nodes == 0 || now-c.missingSince >= invitationTimeout)
 	others := max(group.Nodes-group.Owners, 1)
 	chosen := uninvited && random*float64(others) < float64(missing)
 	c.member = c.member || !group.Complete || group.Listed || invited || chosen
--- a/internal/serverlease/candidacy_test.go
+++ b/internal/serverlease/candidacy_test.go
@@ -76,6 +76,25 @@
 	g.Expect(c.Member()).To(gomega.BeFalse())
 }
 
+// Guards against holders with small links, which publish to all nodes: on a site with 6 nodes of 200 Mbit/s and 75 of 10 Mbit/s
+// these held all 8 partitions, and their messages waited for hundreds of milliseconds.
+func TestPoorlyConnectedNodesLeavePartitionsToOthers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	group := serverlease.Group{Owners: 6, Complete: true, Nodes: 81, WellConnected: 6}
+	g.Expect(serverlease.NewInviter(8).Invite(0, group, []string{"n"})).To(gomega.BeEmpty())
+	group.Owners = 5
+	g.Expect(serverlease.NewInviter(8).Invite(0, group, []string{"n", "m"})).To(gomega.HaveLen(1))
+	poor := serverlease.NewCandidacy(8)
+	group.PoorlyConnected = true
+	for now := time.Duration(0); now < time.Minute; now += time.Second {
+		poor.Consider(now, group, false, 0)
+	}
+	g.Expect(poor.Member()).To(gomega.BeFalse())
+	group.Complete = false
+	poor.Consider(time.Minute, group, false, 0)
+	g.Expect(poor.Member()).To(gomega.BeTrue(), "a partition without an owner stays without one")
+}
+
 // site is a group of nodes at a store that moves a partition to a new member once its holder has joined again, which here
 // is the member's first join after that.
 type site struct {
