node: Owners of an incomplete group are read again soon, and listed nodes join at once

Cause: since nodes with small links wait for others to join, a node that read the owners before anybody had joined relied on that for 2 s, knew no holder and was known to no reader. Change: while partitions have no owner, the owners are read again after 0.3 s. A node that is still listed as an owner joins at once, whatever its link.

--- a/internal/node/leases.go
+++ b/internal/node/leases.go
@@ -30,6 +30,9 @@
 	ownersConfirmation = 2 * time.Second
 	// ownersRetryPause is the least time between two reads of the owners by a node that isn't a member.
 	ownersRetryPause = time.Second
+	// incompleteOwnersPause is ownersRetryPause while partitions have no owner. A node that waits for others to join knows no
+	// holder until then, and no reader knows it.
+	incompleteOwnersPause = 300 * time.Millisecond
 	// ownersNoticeInterval is the number of digests of a reader of which one carries the owners, ownersNoticeRepeats how long
 	// after a change each does.
 	ownersNoticeInterval = 10
@@ -196,13 +199,17 @@
 }
 
 // ownersDue reports whether this node has to read the owners: a member after each change of the group, as a new holder
-// publishes only to nodes from which it has received messages; another node if no reader confirms what it knows.
+// publishes only to nodes from which it has received messages; another node if no reader confirms what it knows, or if
+// partitions have no owner.
 func (l *leases) ownersDue(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.candidacy.Member() {
 		return l.ownersGeneration != l.generation || now.Sub(l.ownersReadAt) > ownersLifetime
 	}
+	if len(l.owners) < l.partitions && now.Sub(l.ownersReadAt) > incompleteOwnersPause {
+		return true
+	}
 	return now.Sub(l.ownersConfirmedAt) > ownersConfirmation && now.Sub(l.ownersReadAt) > ownersRetryPause
 }
 
@@ -275,7 +282,7 @@
 	group, current := n.group()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if current && time.Since(n.startedAt) >= joinDelay(n.settings.LinkMbps) {
+	if current && (group.Listed || time.Since(n.startedAt) >= joinDelay(n.settings.LinkMbps)) {
 		invited := time.Since(l.invitedAt) < invitationLifetime
 		l.candidacy.Consider(bootTime(), group, invited, rand.Float64())
 	}
--- a/internal/node/leases_test.go
+++ b/internal/node/leases_test.go
@@ -110,3 +110,16 @@
 	g.Expect(well).To(gomega.BeNil())
 	g.Expect(self).To(gomega.BeTrue())
 }
+
+// Guards against a node that waits for others to join and learns of the holders seconds after they have: after all nodes had lost
+// power, 75 of 81 served almost nothing for two seconds longer.
+func TestOwnersOfAnIncompleteGroupAreReadAgainSoon(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l, now := newLeases(serverlease.Options{Partitions: 2}), time.Now()
+	l.replaceOwners(now, 1, map[int]string{0: "a"})
+	l.ownersReadAt = now
+	g.Expect(l.ownersDue(now.Add(100 * time.Millisecond))).To(gomega.BeFalse())
+	g.Expect(l.ownersDue(now.Add(400 * time.Millisecond))).To(gomega.BeTrue())
+	l.replaceOwners(now, 1, map[int]string{0: "a", 1: "b"})
+	g.Expect(l.ownersDue(now.Add(400 * time.Millisecond))).To(gomega.BeFalse())
+}
