forward: The name of a customer and the query of a log line are computed in one place

awaitSlot repeats what customerName does, and the fields of each answer built the same query three times, which counts the peers under a lock each time. Behaviour is unchanged.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -84,11 +84,12 @@
 	if j.service.Engine == nil {
 		return nil
 	}
+	query := j.query(0)
 	return event.Fields{
-		"spread": j.query(0).Spreads(), "reported": chosen.Reported, "reportAgeMs": chosen.LoadAge.Milliseconds(),
+		"spread": query.Spreads(), "reported": chosen.Reported, "reportAgeMs": chosen.LoadAge.Milliseconds(),
 		"askedSince": chosen.Asked, "arrivalsPerS": chosen.Arrivals, "slots": chosen.Slots,
-		"expectedPauseMs": j.query(0).ExpectedPause(chosen, chosen.Load).Milliseconds(), "slowness": chosen.Step.Slowness,
-		"takesRuns": j.query(0).Capacity(chosen),
+		"expectedPauseMs": query.ExpectedPause(chosen, chosen.Load).Milliseconds(), "slowness": chosen.Step.Slowness,
+		"takesRuns": query.Capacity(chosen),
 	}
 }
 
--- a/internal/forward/slots.go
+++ b/internal/forward/slots.go
@@ -78,13 +78,9 @@
 	if !j.asksDispatcher(choices) {
 		return assigned, false, false
 	}
-	customer := ""
-	if j.customer != nil {
-		customer = j.customer.Name
-	}
 	slot, refusal, ok := j.f.options.Slots.Acquire(j.ctx, SlotRequest{
 		Service: j.service.Name, Candidates: *candidates, Excluded: excluded(*candidates, choices), Priority: j.rank(),
-		Customer: customer, Patience: j.remainingWait(), Lifetime: j.remaining(),
+		Customer: j.customerName(), Patience: j.remainingWait(), Lifetime: j.remaining(),
 	})
 	switch {
 	case !ok && j.ctx.Err() != nil:
