node, forward: What brittle servers name is decoded, logged and counted

Logs and metrics couldn't tell rejections of sends that the dispatcher had assigned from those that a node chose by itself, nor show that a server is brittle. Events 891 to 893, counters tolerances.*, fields brittle and assigned of [802].

--- a/internal/event/node.go
+++ b/internal/event/node.go
@@ -72,6 +72,12 @@
 		"A model server restarted and has nothing loaded.")
 	ServerSlow = register(890, logrus.InfoLevel, "server slow",
 		"The streams of a model server take longer between two events than at the same number of requests before, or no longer do.")
+	ServerBrittle = register(891, logrus.InfoLevel, "server brittle",
+		"A server names how many requests a second it can reject for want of room; it falls over when it rejects more.")
+	ServerNotBrittle = register(892, logrus.InfoLevel, "server no longer brittle",
+		"An answer of a server that was brittle doesn't name a tolerance any more.")
+	ToleranceInvalid = register(893, logrus.WarnLevel, "server tolerance invalid",
+		"An answer names a tolerance that can't be used; what was known about the server stays in force.")
 	GroupLeft = register(854, logrus.InfoLevel, "group of holders left",
 		"The node holds no leases, and others hold them all; it follows them and doesn't join the group until it's needed.")
 	LimitLearned = register(825, logrus.InfoLevel, "server limit learned",
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -100,6 +100,9 @@
 		"mayHaveRun": mayHaveRun, "send": j.sends, "ms": time.Since(j.arrived).Milliseconds(),
 		"promptParts": j.request.SharedParts,
 	}
+	if candidate.Brittle {
+		fields["brittle"], fields["assigned"] = true, j.isAssigned()
+	}
 	if mayHaveRun {
 		fields["method"], fields["path"], fields["caller"] = j.r.Method, j.r.URL.Path, j.caller
 	}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -256,6 +256,7 @@
 func (j *job) answered(candidate serverview.Candidate, answer *http.Response) (done bool) {
 	info := j.f.options.Wire.DecodeAnswer(answer)
 	j.observeLimit(candidate, answer, info)
+	j.observeTolerance(candidate, answer, info)
 	j.settleQuota(info)
 	now := time.Now()
 	if answer.StatusCode != http.StatusMisdirectedRequest {
@@ -304,6 +305,7 @@
 func (j *job) notRun(candidate serverview.Candidate, answer *http.Response, info serving.AnswerInfo) (done bool) {
 	reason := "the server refused the request with status " + strconv.Itoa(answer.StatusCode)
 	j.slot.noteNotRun(answer.StatusCode)
+	j.noteRejection(candidate, answer)
 	j.logFailedAttempt(candidate, false, failure.New(failure.Refused, "read answer", candidate.Address, reason))
 	if answer.StatusCode == http.StatusBadRequest {
 		j.refuse(http.StatusBadRequest, reason, 0)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -59,6 +59,8 @@
 	StepTimes func(now time.Time, server crashguard.Incarnation, gap time.Duration)
 	Origins   Origins
 	Limits    Limits
+	// Tolerances learns which servers are brittle; it may be nil.
+	Tolerances Tolerances
 	// Keys is nil when API keys are checked by the configuration in force alone.
 	Keys Keys
 	// Slots assigns the slots of plain services' servers; nil means that this node chooses by itself.
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -75,10 +75,10 @@
 type limits struct {
 	acquire  func(server string, patience time.Duration) (forward.Reservation, time.Duration, bool)
 	mu       sync.Mutex
-	observed []serving.RequestLimit
+	observed []serving.NamedRate
 }
 
-func (l *limits) Observe(_ serverview.Candidate, limit serving.RequestLimit, _ time.Time, _ bool) {
+func (l *limits) Observe(_ serverview.Candidate, limit serving.NamedRate, _ time.Time, _ bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.observed = append(l.observed, limit)
--- a/internal/forward/limits.go
+++ b/internal/forward/limits.go
@@ -14,7 +14,7 @@
 type Limits interface {
 	// Observe applies what an answer says about its server's limit. sentAt is when the request was sent. An answer without a
 	// limit means that there is none only if it's conclusive.
-	Observe(server serverview.Candidate, limit serving.RequestLimit, sentAt time.Time, conclusive bool)
+	Observe(server serverview.Candidate, limit serving.NamedRate, sentAt time.Time, conclusive bool)
 	// Acquire reserves the sending of one request of the given rank, and waits for it up to patience. Without a reservation
 	// it returns the time after which there is probably room. Servers without a limit always have room.
 	Acquire(
@@ -112,10 +112,15 @@
 	return limited, found && soon
 }
 
+// isOwnAnswer reports whether an answer is that of the server to the request.
+func isOwnAnswer(requestID string, info serving.AnswerInfo) bool {
+	return info.BelongsTo(requestID) && !info.Misdirected && (info.HasDigest || info.NotRun)
+}
+
 // observeLimit applies the limit in an answer, unless the answer may be that of another request or server. Failures and
 // refusals don't show that the server names no limit any more.
 func (j *job) observeLimit(candidate serverview.Candidate, answer *http.Response, info serving.AnswerInfo) {
-	if info.BelongsTo(j.request.ID) && !info.Misdirected && (info.HasDigest || info.NotRun) {
+	if isOwnAnswer(j.request.ID, info) {
 		conclusive := !info.NotRun && answer.StatusCode < http.StatusInternalServerError
 		j.f.options.Limits.Observe(candidate, info.Limit, j.sentAt, conclusive)
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -116,6 +116,7 @@
 	s.delimiter = upstream.DelimiterOf(answer)
 	info := j.f.options.Wire.DecodeAnswer(answer)
 	j.observeLimit(candidate, answer, info)
+	j.observeTolerance(candidate, answer, info)
 	j.settleQuota(info)
 	if answer.StatusCode != http.StatusOK || !info.HasDigest || !info.BelongsTo(j.request.ID) {
 		return candidate, errNotResumed
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -70,25 +70,25 @@
 	born int64
 }
 
-// Sources of what a node knows about a limit, in the log.
+// Sources of what a node knows about a limit or a tolerance, in the log.
 const (
-	limitFromAnswer = "answer"
-	limitFromReport = "report"
+	sourceAnswer = "answer"
+	sourceReport = "report"
 )
 
 // Observe implements forward.Limits.
-func (l *limits) Observe(server serverview.Candidate, limit serving.RequestLimit, sentAt time.Time, conclusive bool) {
-	l.observe(limitedServer{server.ID, server.Born}, limit, sentAt, conclusive, limitFromAnswer)
+func (l *limits) Observe(server serverview.Candidate, limit serving.NamedRate, sentAt time.Time, conclusive bool) {
+	l.observe(limitedServer{server.ID, server.Born}, limit, sentAt, conclusive, sourceAnswer)
 }
 
 // reported applies what the answer to a report says about the limit. Whether servers name their limit there isn't known,
 // so a report without one says nothing.
-func (l *limits) reported(server serving.Server, limit serving.RequestLimit, requestedAt time.Time) {
-	l.observe(limitedServer{server.ID, server.Born}, limit, requestedAt, false, limitFromReport)
+func (l *limits) reported(server serving.Server, limit serving.NamedRate, requestedAt time.Time) {
+	l.observe(limitedServer{server.ID, server.Born}, limit, requestedAt, false, sourceReport)
 }
 
 func (l *limits) observe(
-	server limitedServer, limit serving.RequestLimit, sentAt time.Time, conclusive bool, source string,
+	server limitedServer, limit serving.NamedRate, sentAt time.Time, conclusive bool, source string,
 ) {
 	if limit.Invalid != nil {
 		l.metrics.invalid.Inc(1)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -86,6 +86,7 @@
 	sightings    *sightings
 	limits       *limits
 	slots        *slots
+	tolerances   *tolerances
 	quotas       *quotas
 	crashes      *crashes
 	reach        *reach
@@ -149,6 +150,7 @@
 	n.origins = newOrigins(n)
 	n.sightings = newSightings(n)
 	n.limits = newLimits(n)
+	n.tolerances = newTolerances(n)
 	n.slots = newSlots(n)
 	n.quotas = newQuotas(n)
 	n.crashes = newCrashes(n)
@@ -158,7 +160,7 @@
 	n.connections.OnIdleDropsDetected(func() { n.events.Emit(event.IdleConnectionsReset, nil) })
 	n.forwarder = forward.New(forward.Options{
 		Wire: d.Wire, View: n.view, Usage: n.usage, Transport: d.Connections, Gate: n.admission, EventGaps: n.eventGaps,
-		Origins: n.origins, Limits: n.limits, Slots: n.slots, Crashes: n.crashes, Peers: n.reach,
+		Origins: n.origins, Limits: n.limits, Tolerances: n.tolerances, Slots: n.slots, Crashes: n.crashes, Peers: n.reach,
 		Keys: n.keys.forwarderKeys(), StepTimes: n.recordEvent,
 		PeerTransport: upstream.NewTransport(connectTimeout, false), Zone: settings.Node.Zone, Events: d.Events,
 		RetryBudget: retrybudget.Options{
--- a/internal/serverview/candidates.go
+++ b/internal/serverview/candidates.go
@@ -60,6 +60,8 @@
 	// leaves room for a request of this node.
 	Limited bool
 	RoomIn  time.Duration
+	// Brittle is true when the server names how many rejections a second it tolerates.
+	Brittle bool
 	// Version is the version of the requested adapter that is present; Present distinguishes version 0 from none.
 	Present bool
 	Version int
@@ -147,6 +149,7 @@
 	if _, c.Limited = s.limit.Limit(); c.Limited {
 		c.RoomIn = max(s.noRoomUntil.Sub(now), 0)
 	}
+	c.Brittle = s.tolerance.isNamed(now)
 	c.Load = s.inFlight
 	c.Reported = s.inFlight
 	c.LoadKnown = fresh
--- a/internal/serverview/serverview.go
+++ b/internal/serverview/serverview.go
@@ -72,6 +72,9 @@
 	limit requestlimit.Belief
 	// noRoomUntil is when the limit probably leaves room for a request of this node; it's meaningless without a limit.
 	noRoomUntil time.Time
+	tolerance   tolerance
+	// soundAt is when the latest request whose answer named no tolerance was sent.
+	soundAt time.Time
 }
 
 // View is the aggregate of all servers.
--- a/internal/serving/request.go
+++ b/internal/serving/request.go
@@ -59,17 +59,19 @@
 	RequestID string
 	// HasDigest is true when the answer carries the digest that servers put on the answers they produce themselves.
 	HasDigest bool
-	// Limit is the limit that the server names in the answer.
-	Limit RequestLimit
+	// Limit is the rate of requests that the server accepts from all nodes together.
+	Limit NamedRate
+	// Tolerance is the rate of requests that the server can reject for want of room without falling over.
+	Tolerance NamedRate
 }
 
-// RequestLimit is the rate of requests that a server accepts from all nodes together, as named in one of its answers.
-type RequestLimit struct {
-	// Named is true when the answer names a valid limit.
+// NamedRate is a rate that a server names in one of its answers.
+type NamedRate struct {
+	// Named is true when the answer names a valid rate.
 	Named bool
-	// PerSecond is the limit in requests a second.
+	// PerSecond is the rate in requests a second.
 	PerSecond float64
-	// Invalid is set when the answer names a limit that can't be used; the answer then says nothing about the limit.
+	// Invalid is set when the answer names a rate that can't be used; the answer then says nothing about it.
 	Invalid error
 }
 
--- a/internal/serving/server.go
+++ b/internal/serving/server.go
@@ -79,8 +79,9 @@
 	// Waiting and Running are the numbers of requests in these states.
 	Waiting int
 	Running int
-	// Limit is the limit of requests that the answer with the report names.
-	Limit RequestLimit
+	// Limit and Tolerance are the rates that the answer with the report names, as in AnswerInfo.
+	Limit     NamedRate
+	Tolerance NamedRate
 }
 
 // OrderKind is the operation that an order requests.
