slotdispatch, node, serverview: Brittle plain servers get no more requests than they process

What callers saw: servers that name a tolerance for rejections fell over again and again under the requests that they had to reject; callers got 502.

Cause: nobody read the tolerance. Nodes filled the servers' queues, which get shorter in such periods; where nodes outnumber slots, the dispatcher did so too (up to 1.5 times the slots), and nodes without a dispatcher sent as they liked.

Change: a service with a brittle server has a dispatcher, however few the nodes. It assigns no more than the server's slots, fewer after a rejection, and nothing while the rejections of the last second are near the tolerance. All nodes are told of each rejection. Without a dispatcher a node keeps to its share of the room, and at a crowded server to the places that it obtained by probes within a fifth of the tolerance. A server that has just started counts as brittle if its service is.

--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -23,19 +23,23 @@
 	if assigned, decided, ok := j.awaitSlot(&candidates); decided {
 		return assigned, 0, ok
 	}
-	candidate, found := modelpick.Plain(candidates, j.query(0), newRandom())
+	candidate, found, barred := j.pickPlain(candidates)
 	if found && candidate.Unreachable {
 		if servers, _ := unreachable(candidates); j.handOver(servers) {
 			j.releaseSlot()
 			return candidate, 0, false
 		}
 	}
-	if refusal := j.planPlain(candidates, candidate, found); refusal != nil {
+	refusal := j.planPlain(candidates, candidate, found)
+	if barred {
+		refusal = &unserved{reason: ReasonBrittle, retryAfter: busyRetryAfter}
+	}
+	if refusal != nil {
+		j.releaseSlot()
 		j.refusePlanned(refusal)
-		found = false
+		return candidate, 0, false
 	}
-	j.chooseSlot(candidate, found)
-	return candidate, 0, found
+	return candidate, 0, true
 }
 
 // planPlain returns the refusal of a request to a plain service for which no server was found, or only one whose limit
--- a/internal/forward/reasons.go
+++ b/internal/forward/reasons.go
@@ -4,16 +4,18 @@
 
 // Reasons of final answers, as logged in the field "reason" of the events 800 and 801.
 const (
-	ReasonNoConfig            = "no configuration is known yet"
-	ReasonNoRoute             = "no route for this host and path"
-	ReasonNoService           = "the route names no service"
-	ReasonTooLarge            = "the body is larger than allowed"
-	ReasonNoServer            = modelpick.ReasonNoServer
-	ReasonAllBusy             = modelpick.ReasonAllBusy
-	ReasonOverloaded          = "no server can load the adapter in time"
-	ReasonNotLoaded           = modelpick.ReasonNotLoaded
-	ReasonLimited             = modelpick.ReasonLimited
-	ReasonSlotsInUse          = "all slots of the servers are in use"
+	ReasonNoConfig   = "no configuration is known yet"
+	ReasonNoRoute    = "no route for this host and path"
+	ReasonNoService  = "the route names no service"
+	ReasonTooLarge   = "the body is larger than allowed"
+	ReasonNoServer   = modelpick.ReasonNoServer
+	ReasonAllBusy    = modelpick.ReasonAllBusy
+	ReasonOverloaded = "no server can load the adapter in time"
+	ReasonNotLoaded  = modelpick.ReasonNotLoaded
+	ReasonLimited    = modelpick.ReasonLimited
+	ReasonSlotsInUse = "all slots of the servers are in use"
+	// ReasonBrittle means that brittle servers may have no room, and the node that knows their requests did not answer.
+	ReasonBrittle             = "the brittle servers may have no room"
 	ReasonQuota               = "the customer's quota is used up"
 	ReasonCrashing            = "servers crash on a part of the prompt"
 	ReasonCrashingRequest     = "servers crash on this request"
--- a/internal/forward/slots.go
+++ b/internal/forward/slots.go
@@ -39,8 +39,9 @@
 	// Dispatcher is the peer address of the node that has answered, and Waited the time until then, for the log.
 	Dispatcher string
 	Waited     time.Duration
-	// Choose records the server that this node has chosen; nil if nobody has to know.
-	Choose func(server string)
+	// Choose records the server that this node has chosen, and reports whether it may send the request there; nil if nobody
+	// has to know.
+	Choose func(server serverview.Candidate) bool
 	// End gives the slot back; nil if there is nothing to give back. work is the time that the server spent on the request,
 	// 0 if it wasn't processed. full says that the server rejected it because its slots were in use.
 	End func(work time.Duration, full bool)
@@ -132,13 +133,16 @@
 	return ids
 }
 
-// chooseSlot records this node's own choice. Without one the slot is given back.
-func (j *job) chooseSlot(candidate serverview.Candidate, found bool) {
-	switch {
-	case !found:
-		j.releaseSlot()
-	case j.slot.Choose != nil:
-		j.slot.Choose(candidate.ID)
+// pickPlain chooses a server by this node's own view and records the choice. barred is true when there are only servers to
+// which the node mustn't send without their dispatcher.
+func (j *job) pickPlain(candidates []serverview.Candidate) (chosen serverview.Candidate, found, barred bool) {
+	for {
+		chosen, found = modelpick.Plain(candidates, j.query(0), newRandom())
+		if !found || chosen.Unreachable || j.slot.Choose == nil || j.slot.Choose(chosen) {
+			return chosen, found, barred && !found
+		}
+		barred = true
+		candidates = slices.DeleteFunc(candidates, func(c serverview.Candidate) bool { return c.ID == chosen.ID })
 	}
 }
 
--- a/internal/forward/slots_test.go
+++ b/internal/forward/slots_test.go
@@ -14,6 +14,7 @@
 	"waxwingcleat.example/waxwingcleat/internal/eventgap"
 	"waxwingcleat.example/waxwingcleat/internal/forward"
 	"waxwingcleat.example/waxwingcleat/internal/retrybudget"
+	"waxwingcleat.example/waxwingcleat/internal/serverview"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
 	"waxwingcleat.example/waxwingcleat/internal/usage"
 )
@@ -45,7 +46,10 @@
 	d.open++
 	server := d.servers[min(len(d.requests), len(d.servers))-1]
 	return forward.Slot{
-		Server: server, Choose: func(server string) { d.chosen = append(d.chosen, server) },
+		Server: server, Choose: func(server serverview.Candidate) bool {
+			d.chosen = append(d.chosen, server.ID)
+			return true
+		},
 		End: func(work time.Duration, full bool) {
 			d.open--
 			d.works, d.full = append(d.works, work), append(d.full, full)
--- a/internal/node/publications.go
+++ b/internal/node/publications.go
@@ -51,7 +51,8 @@
 	backlog, slots := h.gate.Backlog(), h.core.SlotQueue(now)
 	slots.OrdersIn = ordersIn
 	step := h.steps.Cost(now)
-	changed := h.core.Revision() != p.local.Revision || fence != p.local.Fence ||
+	tolerance, brittle := h.node.view.Tolerance(now, h.server.ID)
+	changed := brittle != p.local.Tolerance.Named || h.core.Revision() != p.local.Revision || fence != p.local.Fence ||
 		(backlog-p.local.Backlog).Abs() >= waitStep || slotWaitsDiffer(slots, p.local.Slots) ||
 		slownessDiffers(step, p.local.Step)
 	if !changed && now.Sub(p.localAt) < publishPeriod {
@@ -66,6 +67,10 @@
 		Backlog: backlog, Asked: h.gate.Asked() - h.askedAtReport, Arrivals: h.gate.Arrivals(now),
 		Step: step, LoadTimes: h.core.LoadTimes(),
 	}
+	if brittle {
+		state.Tolerance = serving.NamedRate{Named: true, PerSecond: tolerance.PerSecond}
+		state.ToleranceAge = now.Sub(tolerance.NamedAt)
+	}
 	if !h.reportedAt.IsZero() {
 		state.LoadAge = now.Sub(h.reportedAt)
 	}
@@ -118,7 +123,7 @@
 	defer h.mu.Unlock()
 	p := &h.publication
 	state = p.local
-	changed := state.Revision != p.sent.Revision || state.Fence != p.sent.Fence || state.Ready != p.sent.Ready ||
+	changed := state.Tolerance.Named != p.sent.Tolerance.Named || state.Revision != p.sent.Revision || state.Fence != p.sent.Fence || state.Ready != p.sent.Ready ||
 		(state.Backlog-p.sent.Backlog).Abs() >= waitStep || slotWaitsDiffer(state.Slots, p.sent.Slots) ||
 		slownessDiffers(state.Step, p.sent.Step)
 	if p.localAt.IsZero() || !changed && now.Sub(p.sentAt) < publishPeriod {
--- a/internal/node/slotcall.go
+++ b/internal/node/slotcall.go
@@ -95,5 +95,6 @@
 	s.addUses(now, peer, message)
 	s.mu.Unlock()
 	message.Ask = peerlink.NewSlotAsk(request)
+	message.Tolerances = s.node.tolerances.encode(now, c.request.Service)
 	s.send(message, c.dispatcher)
 }
--- a/internal/node/slotdispatcher.go
+++ b/internal/node/slotdispatcher.go
@@ -36,6 +36,7 @@
 // the other node chooses by itself at once.
 func (s *slots) handleRequest(now time.Time, message peerlink.Message) {
 	received := message.Slots
+	s.node.tolerances.noteAll(now, message.From, received.Tolerances)
 	_, holds := s.node.leases.holds(received.Service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -74,7 +75,9 @@
 	var servers []slotdispatch.Server
 	for _, c := range s.node.view.Candidates(now, service, serving.Adapter{}) {
 		if !c.Leaving {
-			servers = append(servers, slotdispatch.Server{ID: c.ID, Zone: c.Zone, Slots: c.Slots})
+			servers = append(servers, slotdispatch.Server{
+				ID: c.ID, Zone: c.Zone, Slots: c.Slots, Room: c.Room, ClosedUntil: c.ClosedUntil,
+			})
 		}
 	}
 	switch {
@@ -96,6 +99,15 @@
 	return d
 }
 
+// roomChanged makes the dispatchers of this node read the servers again with the next message.
+func (s *slots) roomChanged() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, d := range s.dispatchers {
+		d.serversAt = time.Time{}
+	}
+}
+
 // endDispatcher ends a dispatcher, if there is one. The caller holds s.mu.
 func (s *slots) endDispatcher(now time.Time, service, reason string) {
 	d := s.dispatchers[service]
--- a/internal/node/slots.go
+++ b/internal/node/slots.go
@@ -82,6 +82,8 @@
 	deadline time.Time
 	// reported is true once the dispatcher has assigned the server or was told of it.
 	reported bool
+	// alone is true when this node has chosen the server by itself.
+	alone bool
 }
 
 func newSlots(node *Node) *slots {
@@ -121,7 +123,7 @@
 	answer, outcome := call.await(ctx)
 	end := func(work time.Duration, full bool) { s.end(id, slotdispatch.End{Work: work, Full: full}) }
 	slot = forward.Slot{
-		Dispatcher: answer.from, Waited: time.Since(begun), End: end, Choose: func(server string) { s.choose(id, server) },
+		Dispatcher: answer.from, Waited: time.Since(begun), End: end, Choose: func(server serverview.Candidate) bool { return s.choose(id, server) },
 	}
 	switch outcome {
 	case slotAssigned:
@@ -142,10 +144,13 @@
 }
 
 // active reports whether a service has a dispatcher: there are more nodes than slots, so that even one request at each node
-// is more than the servers process at once. With fewer nodes each sees enough by its own requests.
+// is more than the servers process at once, or a server is brittle. Else each node sees enough by its own requests.
 func (s *slots) active(candidates []serverview.Candidate) bool {
 	slots := 0
 	for _, c := range candidates {
+		if c.Brittle {
+			return true
+		}
 		if !c.Leaving {
 			slots += c.Slots
 		}
@@ -153,19 +158,35 @@
 	return s.node.peers.observed() > slots
 }
 
-// choose records a server that this node has chosen by itself. The dispatcher is told with the next message.
-func (s *slots) choose(id uint64, server string) {
-	s.metrics.alone.Inc(1)
+// choose records a server that this node has chosen by itself, unless the server is brittle and has no room for another
+// request of this node. The dispatcher is told with the next message.
+func (s *slots) choose(id uint64, server serverview.Candidate) bool {
+	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	use := s.uses[id]
 	if use == nil {
-		return
+		return true
 	}
-	use.server, use.reported = server, false
-	if peer := s.confirmed[use.service]; peer.address != "" && !time.Now().Before(s.silentUntil[peer.address]) {
+	if !s.node.tolerances.mayChoose(now, server, s.usesOf(server.ID, id)) {
+		return false
+	}
+	s.metrics.alone.Inc(1)
+	use.server, use.reported, use.alone = server.ID, false, true
+	if peer := s.confirmed[use.service]; peer.address != "" && !now.Before(s.silentUntil[peer.address]) {
 		s.schedule(slotPeer{peer.address, use.service})
 	}
+	return true
+}
+
+// usesOf counts this node's requests at a server besides the given one. The caller holds s.mu.
+func (s *slots) usesOf(server string, except uint64) (count int) {
+	for id, use := range s.uses {
+		if use.server == server && id != except {
+			count++
+		}
+	}
+	return count
 }
 
 // end ends a request. A dispatcher that doesn't know it isn't told.
@@ -177,6 +198,9 @@
 		return
 	}
 	delete(s.uses, id)
+	if use.alone && end.Work > 0 {
+		s.node.tolerances.ended(time.Now(), use.server)
+	}
 	if use.dispatcher != "" {
 		s.giveBack(slotPeer{use.dispatcher, use.service}, id, end)
 	}
@@ -334,6 +358,7 @@
 	for ctx.Err() == nil {
 		delay.For(ctx, slotsCheckPeriod)
 		now := time.Now()
+		s.node.tolerances.prune(now)
 		s.mu.Lock()
 		for service, dispatcher := range s.dispatchers {
 			if _, holds := s.node.leases.holds(service); !holds {
--- a/internal/node/slots_test.go
+++ b/internal/node/slots_test.go
@@ -12,6 +12,7 @@
 
 	"waxwingcleat.example/waxwingcleat/internal/forward"
 	"waxwingcleat.example/waxwingcleat/internal/peerlink"
+	"waxwingcleat.example/waxwingcleat/internal/serverview"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
 )
 
@@ -230,7 +231,7 @@
 		slot, _, ok := nodes[1].acquire(t.Context(), time.Second, time.Minute)
 		g.Expect(ok).To(gomega.BeTrue())
 		g.Expect(slot.Server).To(gomega.BeEmpty())
-		slot.Choose("s1")
+		slot.Choose(serverview.Candidate{ID: "s1"})
 		slots = append(slots, slot)
 		g.Expect(nodes[1].silentDispatchers()).To(gomega.Equal([]string{silent}))
 		nodes[1].slots.mu.Lock()
--- a/internal/node/tolerances.go
+++ b/internal/node/tolerances.go
@@ -1,11 +1,16 @@
 package node
 
 import (
+	"math/rand/v2"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
+	"waxwingcleat.example/waxwingcleat/internal/brittle"
 	"waxwingcleat.example/waxwingcleat/internal/event"
+	"waxwingcleat.example/waxwingcleat/internal/peerlink"
 	"waxwingcleat.example/waxwingcleat/internal/serverview"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
 )
@@ -15,6 +20,10 @@
 type tolerances struct {
 	node    *Node
 	metrics toleranceMetrics
+
+	mu sync.Mutex
+	// places holds this node's places at brittle servers without a coordinator, by the server's ID.
+	places map[string]*brittle.Places
 }
 
 // toleranceMetrics counts the answers that name a tolerance and those whose tolerance can't be used, and the rejections by
@@ -23,7 +32,7 @@
 
 func newTolerances(node *Node) *tolerances {
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("tolerances."+name, nil) }
-	return &tolerances{node: node, metrics: toleranceMetrics{
+	return &tolerances{node: node, places: make(map[string]*brittle.Places), metrics: toleranceMetrics{
 		named: counter("named"), invalid: counter("invalid"),
 		rejectedAssigned: counter("rejected.assigned"), rejectedAlone: counter("rejected.alone"),
 	}}
@@ -65,11 +74,99 @@
 	}
 }
 
-// Rejected implements forward.Tolerances.
-func (t *tolerances) Rejected(_ serverview.Candidate, assigned bool) {
+// Rejected implements forward.Tolerances. All nodes are told, as each may coordinate the server or send to it.
+func (t *tolerances) Rejected(server serverview.Candidate, assigned bool) {
 	if assigned {
 		t.metrics.rejectedAssigned.Inc(1)
 	} else {
 		t.metrics.rejectedAlone.Inc(1)
 	}
+	now, rejections := time.Now(), []peerlink.Rejection{{ServerID: server.ID, Born: server.Born}}
+	t.noteRejections(now, rejections)
+	message := peerlink.Message{Rejections: rejections, Relayed: t.node.leases.isReader()}
+	t.node.link.Send(message, t.node.peers.alive(now)...)
+}
+
+// handleMessage applies the rejections that another node has got. Readers, to which all nodes are known, pass them on.
+func (t *tolerances) handleMessage(now time.Time, message peerlink.Message) {
+	if len(message.Rejections) == 0 {
+		return
+	}
+	t.noteRejections(now, message.Rejections)
+	if message.Relayed || !t.node.leases.isReader() {
+		return
+	}
+	others := slices.DeleteFunc(t.node.peers.alive(now), func(peer string) bool { return peer == message.From })
+	t.node.link.Send(peerlink.Message{Rejections: message.Rejections, Relayed: true}, others...)
+}
+
+func (t *tolerances) noteRejections(now time.Time, rejections []peerlink.Rejection) {
+	for _, rejection := range rejections {
+		if t.node.view.NoteRejection(now, rejection.ServerID, rejection.Born) {
+			t.node.slots.roomChanged()
+		}
+	}
+}
+
+// encode returns the tolerances of a service's servers for another node.
+func (t *tolerances) encode(now time.Time, service string) (encoded []peerlink.Tolerance) {
+	for _, notice := range t.node.view.Tolerances(now, service) {
+		encoded = append(encoded, peerlink.NewTolerance(now, notice))
+	}
+	return encoded
+}
+
+// noteAll applies the tolerances that another node knows.
+func (t *tolerances) noteAll(now time.Time, from string, received []peerlink.Tolerance) {
+	for _, tolerance := range received {
+		t.note(now, tolerance.Decode(now), from)
+	}
+}
+
+// mayChoose reports whether this node, with a number of requests in progress at a server, may send it another one without a
+// coordinator: to a brittle server only within its share of the room, and not while its rejections are near its tolerance. At
+// a crowded one it needs a place.
+func (t *tolerances) mayChoose(now time.Time, c serverview.Candidate, inProgress int) bool {
+	switch nodes := t.node.peers.count(); {
+	case !c.Brittle:
+		return true
+	case now.Before(c.ClosedUntil):
+		return false
+	case !c.Crowded:
+		return inProgress < max(c.Room/nodes, 1)
+	default:
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		return t.placesAt(now, c.ID).Take(now, c.Tolerance, nodes)
+	}
+}
+
+// ended records that a brittle server processed a request that this node had sent without a coordinator.
+func (t *tolerances) ended(now time.Time, server string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, brittle := t.node.view.Tolerance(now, server); brittle {
+		t.placesAt(now, server).Ended(now)
+	}
+}
+
+// placesAt returns this node's places at a server. The caller holds t.mu.
+func (t *tolerances) placesAt(now time.Time, server string) *brittle.Places {
+	places := t.places[server]
+	if places == nil {
+		places = brittle.NewPlaces(now, rand.Float64())
+		t.places[server] = places
+	}
+	return places
+}
+
+// prune removes the places at servers that aren't brittle any more.
+func (t *tolerances) prune(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for server := range t.places {
+		if _, brittle := t.node.view.Tolerance(now, server); !brittle {
+			delete(t.places, server)
+		}
+	}
 }
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -80,6 +80,9 @@
 	WarmLoadMs   int64 `json:"tw,omitempty"`
 	// BacklogMs estimates how long a new prompt would wait to be admitted.
 	BacklogMs int64 `json:"bl,omitempty"`
+	// Tolerance is that of a brittle server, and ToleranceAgoMs the time since it named it.
+	Tolerance      *float64 `json:"to,omitempty"`
+	ToleranceAgoMs int64    `json:"ta,omitempty"`
 }
 
 // Message is one datagram.
@@ -130,6 +133,8 @@
 	LimitRequest *LimitRequest `json:"lq,omitempty"`
 	LimitReturn  *LimitReturn  `json:"lr,omitempty"`
 	LimitAnswers []LimitAnswer `json:"la,omitempty"`
+	// Rejections are those of brittle servers that the sender has got; they aren't passed on.
+	Rejections []Rejection `json:"rj,omitempty"`
 	// QuotaAsks request credit of customers that the receiver coordinates, QuotaReturns give it back, QuotaAnswers answer
 	// requests of the receiver.
 	QuotaAsks    []QuotaAsk    `json:"ca,omitempty"`
@@ -164,6 +169,9 @@
 	ID       uint64 `json:"i"`
 	Tokens   int    `json:"t"`
 	Priority int    `json:"p,omitempty"`
+	// LifetimeMs is the time until the deadline of a request whose end the sender tells, as it does for brittle servers; 0
+	// for others.
+	LifetimeMs int64 `json:"l,omitempty"`
 }
 
 // AdmissionRelease ends an admission request, granted or not.
@@ -172,6 +180,8 @@
 	ID       uint64 `json:"i"`
 	// Read is true when the server has read the prompt, as its first event shows.
 	Read bool `json:"r,omitempty"`
+	// Ended is true when the request has ended whose prompt was read, if the request said that its end would be told.
+	Ended bool `json:"e,omitempty"`
 }
 
 // NewUsage encodes the usage of one server.
@@ -234,6 +244,9 @@
 		SlowPercent: int(math.Round(100 * state.Step.Slowness)),
 		ColdLoadMs:  state.LoadTimes.Cold.Milliseconds(), WarmLoadMs: state.LoadTimes.Warm.Milliseconds(),
 	}
+	if state.Tolerance.Named {
+		entry.Tolerance, entry.ToleranceAgoMs = &state.Tolerance.PerSecond, state.ToleranceAge.Milliseconds()
+	}
 	for _, adapter := range state.Removed {
 		entry.Removed = append(entry.Removed, adapter.String())
 	}
@@ -263,6 +276,10 @@
 				Cold: time.Duration(s.ColdLoadMs) * time.Millisecond, Warm: time.Duration(s.WarmLoadMs) * time.Millisecond,
 			},
 		}
+		if s.Tolerance != nil {
+			state.Tolerance = serving.NamedRate{Named: true, PerSecond: max(*s.Tolerance, 0)}
+			state.ToleranceAge = milliseconds(s.ToleranceAgoMs)
+		}
 		for _, name := range s.Removed {
 			state.Removed = append(state.Removed, serving.ParseAdapter(name))
 		}
--- a/internal/peerlink/slot.go
+++ b/internal/peerlink/slot.go
@@ -17,6 +17,8 @@
 	// Answers are those of the dispatcher. Instance differs for each new dispatcher.
 	Answers  []SlotAnswer `json:"a,omitempty"`
 	Instance int64        `json:"n,omitempty"`
+	// Tolerances are those of the service's brittle servers.
+	Tolerances []Tolerance `json:"t,omitempty"`
 }
 
 // SlotAsk asks for a slot for one request. Times are those that remain.
--- a/internal/serverview/candidates.go
+++ b/internal/serverview/candidates.go
@@ -60,8 +60,14 @@
 	// leaves room for a request of this node.
 	Limited bool
 	RoomIn  time.Duration
-	// Brittle is true when the server names how many rejections a second it tolerates.
-	Brittle bool
+	// Brittle is true when the server names how many rejections a second it tolerates. Room is then the number of requests
+	// that it probably processes at once, and ClosedUntil the time before which it mustn't get requests since it has
+	// rejected nearly as many. Crowded is true when it has rejected a request recently.
+	Brittle     bool
+	Tolerance   float64
+	Room        int
+	ClosedUntil time.Time
+	Crowded     bool
 	// Version is the version of the requested adapter that is present; Present distinguishes version 0 from none.
 	Present bool
 	Version int
@@ -85,7 +91,7 @@
 	slices.SortFunc(servers, func(a, b *server) int { return strings.Compare(a.entry.ID, b.entry.ID) })
 	candidates := make([]Candidate, len(servers))
 	for i, srv := range servers {
-		candidates[i] = srv.candidate(now, adapter)
+		candidates[i] = srv.candidate(now, adapter, v.toleranceOf(srv))
 	}
 	return candidates
 }
@@ -134,7 +140,7 @@
 	return srv != nil && !srv.leaving && !v.removed(srv, now)
 }
 
-func (s *server) candidate(now time.Time, adapter serving.Adapter) Candidate {
+func (s *server) candidate(now time.Time, adapter serving.Adapter, named tolerance) Candidate {
 	fresh := now.Sub(s.publishedAt) < publishedLifetime
 	holderCannotReach := fresh && !s.published.Ready
 	c := Candidate{
@@ -149,7 +155,11 @@
 	if _, c.Limited = s.limit.Limit(); c.Limited {
 		c.RoomIn = max(s.noRoomUntil.Sub(now), 0)
 	}
-	c.Brittle = s.tolerance.isNamed(now)
+	if c.Brittle = named.isNamed(now); c.Brittle {
+		c.Tolerance = named.perSecond
+		c.Room, c.ClosedUntil = s.room.Requests(now, s.entry.Slots), s.room.ClosedUntil(now, named.perSecond)
+		c.Crowded = s.room.IsCrowded(now)
+	}
 	c.Load = s.inFlight
 	c.Reported = s.inFlight
 	c.LoadKnown = fresh
--- a/internal/serverview/published.go
+++ b/internal/serverview/published.go
@@ -57,6 +57,9 @@
 	LoadTimes serving.LoadTimes
 	// Backlog estimates how long a prompt would wait for admission.
 	Backlog time.Duration
+	// Tolerance is what a brittle server names, and ToleranceAge the time since its latest answer that did so.
+	Tolerance    serving.NamedRate
+	ToleranceAge time.Duration
 }
 
 // Since returns the state as a delta to an earlier full state of the same holder and fencing token.
--- a/internal/serverview/serverview.go
+++ b/internal/serverview/serverview.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"waxwingcleat.example/waxwingcleat/internal/brittle"
 	"waxwingcleat.example/waxwingcleat/internal/evictions"
 	"waxwingcleat.example/waxwingcleat/internal/requestlimit"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
@@ -73,6 +74,8 @@
 	// noRoomUntil is when the limit probably leaves room for a request of this node; it's meaningless without a limit.
 	noRoomUntil time.Time
 	tolerance   tolerance
+	// room is what the rejections of the server show about its room while it is brittle.
+	room brittle.Room
 	// soundAt is when the latest request whose answer named no tolerance was sent.
 	soundAt time.Time
 }
@@ -87,7 +90,9 @@
 	storeFailedAt time.Time
 	changed       chan struct{}
 	declared      map[serving.Adapter]declaration
-	versions      versionHistory
+	// tolerances holds the latest named tolerance of each service's servers.
+	tolerances map[string]tolerance
+	versions   versionHistory
 }
 
 type declaration struct {
@@ -99,7 +104,7 @@
 func New() *View {
 	return &View{
 		servers: make(map[string]*server), changed: make(chan struct{}), declared: make(map[serving.Adapter]declaration),
-		versions: make(versionHistory),
+		versions: make(versionHistory), tolerances: make(map[string]tolerance),
 	}
 }
 
@@ -220,6 +225,9 @@
 	srv.recordEvictions(now, state)
 	srv.published = state
 	srv.publishedAt = now
+	if state.Tolerance.Named {
+		v.noteTolerance(now, srv, tolerance{state.Tolerance.PerSecond, now.Add(-state.ToleranceAge)})
+	}
 	srv.sentSince = 0
 	if state.Ready && state.Running+state.Waiting > 0 {
 		// The holder reaches the server and requests run there, so the next ejection starts from the shortest time.
--- a/internal/slotdispatch/server.go
+++ b/internal/slotdispatch/server.go
@@ -103,8 +103,12 @@
 }
 
 // capacity returns how many requests may be assigned to the server at once: its slots, and as many more as are on their
-// way to it or back on average, less those that it has shown not to accept.
+// way to it or back on average, less those that it has shown not to accept. A brittle server gets no such excess, which it
+// would have to queue.
 func (s *server) capacity() int {
+	if s.Room > 0 {
+		return s.Room
+	}
 	if s.work <= 0 {
 		return s.Slots
 	}
--- a/internal/slotdispatch/slotdispatch.go
+++ b/internal/slotdispatch/slotdispatch.go
@@ -49,6 +49,10 @@
 	ID    string
 	Zone  string
 	Slots int
+	// Room bounds the requests at a brittle server, which falls over when it rejects too many; 0 for other servers.
+	Room int
+	// ClosedUntil is when a brittle server may get requests again.
+	ClosedUntil time.Time
 }
 
 // Request asks for a slot. Node and ID together identify it.
@@ -289,6 +293,7 @@
 	}
 	for _, s := range d.present {
 		earliest(s.fullUntil)
+		earliest(s.ClosedUntil)
 	}
 	return decisions, next
 }
@@ -419,14 +424,17 @@
 
 // hasRoom reports whether a server may get another request now.
 func (d *Dispatcher) hasRoom(now time.Time, s *server) bool {
-	return !now.Before(s.fullUntil) && s.used+d.unknown(now, s) < s.capacity()
+	return !now.Before(s.fullUntil) && !now.Before(s.ClosedUntil) && s.used+d.unknown(now, s) < s.capacity()
 }
 
-// unknown returns how many more slots a new dispatcher assumes to be in use than it was told.
+// unknown returns how many more slots a new dispatcher assumes to be in use than it was told: all of a brittle server.
 func (d *Dispatcher) unknown(now time.Time, s *server) int {
 	if now.Sub(d.startedAt) >= initialPeriod {
 		return 0
 	}
+	if s.Room > 0 {
+		return max(s.Room-s.told, 0)
+	}
 	return max((s.Slots+1)/2-s.told, 0)
 }
 
