prefillgate, node, forward: Brittle model servers get no more requests than they process

Cause: the gate of a model server admits prompts by the speed at which they are read, not by the server's slots, and nodes choose by loads that are up to a second old. The server's queue took the surplus, and rejected it once it was shorter. Resumed streams didn't pass the gate at all.

Change: the gate counts the requests that are present at a brittle server, by grants and by ends that nodes now tell, and by the server's report for those of a previous holder. It grants no more than the slots, fewer after a rejection. Without an answer of the holder a node keeps to its share or places, as at plain services. A request that finds all loads full waits at the gate of a brittle server instead of looking again, half of its wait at first, since the loads are old. Resumed streams pass the gate.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"sync"
 	"time"
 
 	"waxwingcleat.example/waxwingcleat/internal/event"
@@ -21,6 +20,8 @@
 const (
 	// minimumGateWait is the least wait allowed at a gate, also to a request that has used up its wait for the adapter.
 	minimumGateWait = 200 * time.Millisecond
+	// minimumBrittleWait is the least wait at the first gate of a brittle server.
+	minimumBrittleWait = 50 * time.Millisecond
 	// maximumGateWait bounds the wait at one gate; a healthy server prefills several prompts in that time.
 	maximumGateWait = 700 * time.Millisecond
 	// maximumGateTimeouts bounds the gates at which one request may time out.
@@ -113,11 +114,15 @@
 
 // awaitGate waits until the prompt may be sent to the server.
 func (j *job) awaitGate(candidate serverview.Candidate) (release func(read bool), ok bool) {
-	timeout := min(max(j.loadWait()-time.Since(j.arrived), minimumGateWait), maximumGateWait)
-	releaseGrant, ok := j.f.options.Gate.Await(
-		j.ctx, candidate.ID, j.request.PromptTokens, j.rank(), timeout)
-	var once sync.Once
-	return func(read bool) { once.Do(func() { releaseGrant(read) }) }, ok
+	left := j.loadWait() - time.Since(j.arrived)
+	timeout := min(max(left, minimumGateWait), maximumGateWait)
+	if candidate.Brittle && j.gateTimeouts == 0 {
+		// Another server may have had room all the while, as the loads by which servers are chosen are old.
+		timeout = min(timeout, max(left/2, minimumBrittleWait))
+	}
+	return j.f.options.Gate.Await(j.ctx, Prompt{
+		Server: candidate, Tokens: j.request.PromptTokens, Priority: j.rank(), Lifetime: j.remaining(),
+	}, timeout)
 }
 
 // priority returns the rank sent to model servers, or -1 for plain services, which get none.
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -170,7 +170,7 @@
 	target   serverview.Candidate
 	wait     time.Duration
 	possible bool
-	// limited gets the request after a wait for its limit, if awaitsRoom.
+	// limited gets the request after a wait for its limit, or for room if it is brittle, if awaitsRoom.
 	limited    serverview.Candidate
 	awaitsRoom bool
 	// wanted is true when the demand for the adapter is registered at the target.
@@ -185,6 +185,9 @@
 	plan.target, plan.wait, plan.possible = modelpick.LoadTarget(look.candidates, look.query, current)
 	plan.limited, plan.awaitsRoom = j.awaitsRoom(look, plan.wait, plan.possible)
 	left := waitEnds.Sub(look.now)
+	if look.reason == modelpick.ReasonAllBusy && !plan.possible {
+		plan.limited, plan.awaitsRoom = modelpick.BusyBrittle(look.candidates, look.query)
+	}
 	switch {
 	case plan.awaitsRoom:
 		return plan
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -82,12 +82,20 @@
 
 // Gate paces the prompts sent to each model server.
 type Gate interface {
-	// Await blocks until a prompt of the given size and rank may be sent to the server. It returns false if the
-	// timeout passed or ctx ended first. The caller must call release once the server has read the prompt, or once the
-	// request has ended without that.
-	Await(
-		ctx context.Context, server string, tokens, priority int, timeout time.Duration,
-	) (release func(read bool), ok bool)
+	// Await blocks until a prompt may be sent to its server. It returns false if the timeout passed or ctx ended first, or if
+	// the server may have no room for the request. The caller must call release with true once the server has read the
+	// prompt, and with false once the request has ended. Further calls have no effect.
+	Await(ctx context.Context, prompt Prompt, timeout time.Duration) (release func(read bool), ok bool)
+}
+
+// Prompt is the prompt of a request to a model server.
+type Prompt struct {
+	Server serverview.Candidate
+	Tokens int
+	// Priority is the rank of the request, 0 the most urgent.
+	Priority int
+	// Lifetime is the time until the request's deadline, 0 without one.
+	Lifetime time.Duration
 }
 
 // Origins knows at which software version streams began, from this node's own streams and from other nodes.
--- a/internal/forward/spread_test.go
+++ b/internal/forward/spread_test.go
@@ -23,7 +23,7 @@
 // openGate admits every prompt at once.
 type openGate struct{}
 
-func (openGate) Await(context.Context, string, int, int, time.Duration) (func(bool), bool) {
+func (openGate) Await(context.Context, forward.Prompt, time.Duration) (func(bool), bool) {
 	return func(bool) {}, true
 }
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -47,6 +47,9 @@
 	for err != nil && j.resumable(s, err) {
 		j.logFailedAttempt(candidate, true, err)
 		j.f.recordFailure(time.Now(), candidate.ID)
+		if j.releaseGate != nil {
+			j.releaseGate(false)
+		}
 		candidate, err = j.resume(s)
 	}
 	if err != nil {
@@ -92,6 +95,17 @@
 		j.reservation.cancel()
 		return candidate, errQuota
 	}
+	if candidate.Brittle && j.service.Engine != nil {
+		// The engine admits a resumed stream as any other request, so it must have room for it.
+		release, ok := j.awaitGate(candidate)
+		if !ok {
+			j.reservation.cancel()
+			return candidate, errNoRoomToResume
+		}
+		defer release(false)
+		defer func() { s.onNextData = nil }()
+		s.onNextData = func() { release(true) }
+	}
 	now := time.Now()
 	j.sends++
 	j.attempts++
@@ -131,6 +145,7 @@
 	errEventTooLarge    = errors.New("an event of the stream is too large")
 	errCrashing         = errors.New(ReasonCrashing)
 	errQuota            = errors.New(ReasonQuota)
+	errNoRoomToResume   = errors.New("the server has no room to go on with the stream")
 	errNotResumed       = errors.New("the server doesn't go on with the stream")
 )
 
@@ -158,6 +173,8 @@
 	onData func(now time.Time)
 	// onFirstData is called when the first data arrives, which shows that the server has read the prompt; may be nil.
 	onFirstData func()
+	// onNextData is called when the next data arrives, as onFirstData is for the first data; may be nil.
+	onNextData func()
 	// firstAt and lastAt are the times of the first and latest arrival of data, longestPause the longest time between
 	// two arrivals.
 	firstAt, lastAt time.Time
@@ -182,6 +199,10 @@
 			s.onServerGap(now, now.Sub(s.lastAt))
 		}
 	}
+	if s.onNextData != nil {
+		s.onNextData()
+		s.onNextData = nil
+	}
 	s.lastAt = now
 	if s.begunAt.IsZero() {
 		s.begunAt = now
--- a/internal/modelpick/modelpick.go
+++ b/internal/modelpick/modelpick.go
@@ -202,7 +202,8 @@
 	return candidates
 }
 
-func isFree(c serverview.Candidate) bool { return load(c) < fullLoad }
+// isFree reports whether a model server probably has a free slot, and isn't closed as it is brittle and has rejected requests.
+func isFree(c serverview.Candidate) bool { return load(c) < fullLoad && !c.Closed }
 
 // LimitedResident chooses the server that holds the adapter and whose limit leaves room first, for a request that waits
 // for it. Resident has found no server with room.
@@ -210,6 +211,15 @@
 	return SoonestRoom(filter(preferHealthy(holders(candidates, query)), isFree))
 }
 
+// BusyBrittle chooses the brittle server that holds the adapter and has the least load, for a request that waits there until
+// the holder of the server finds room for it. Resident has found no server with a free slot, by loads that are older than what
+// the holder knows.
+func BusyBrittle(candidates []serverview.Candidate, query Query) (chosen serverview.Candidate, found bool) {
+	return lowest(filter(preferHealthy(holders(candidates, query)), func(c serverview.Candidate) bool {
+		return c.Brittle && !c.Closed && !c.Ejected && hasRoom(c)
+	}), load)
+}
+
 // Estimated times of loads, from the demand to the notice of arrival, and costs for the choice between servers.
 const (
 	coldLoadTime = 270 * time.Millisecond
--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
+	"waxwingcleat.example/waxwingcleat/internal/forward"
 	"waxwingcleat.example/waxwingcleat/internal/peerlink"
 	"waxwingcleat.example/waxwingcleat/internal/prefillgate"
+	"waxwingcleat.example/waxwingcleat/internal/serverview"
 )
 
 const (
@@ -50,19 +53,24 @@
 
 // Await implements forward.Gate.
 func (c *admissionClient) Await(
-	ctx context.Context, server string, tokens, priority int, maxWait time.Duration,
+	ctx context.Context, prompt forward.Prompt, maxWait time.Duration,
 ) (release func(read bool), ok bool) {
 	id, answers := c.pending.register(unreadAdmissionAnswers)
 	defer c.pending.unregister(id)
-	request := peerlink.AdmissionRequest{ServerID: server, ID: id, Tokens: tokens, Priority: priority}
-	release = func(read bool) { c.sendRelease(server, id, read) }
+	request := peerlink.AdmissionRequest{
+		ServerID: prompt.Server.ID, ID: id, Tokens: prompt.Tokens, Priority: prompt.Priority,
+	}
+	if prompt.Server.Brittle {
+		request.LifetimeMs = max(prompt.Lifetime, time.Millisecond).Milliseconds()
+	}
+	release = c.releaseOf(request)
 	expired := time.NewTimer(maxWait)
 	defer expired.Stop()
 	resend := time.NewTimer(resendInterval)
 	defer resend.Stop()
 	answeredAt, interval, timeout := time.Now(), resendInterval, answerTimeout
 	if !c.sendRequest(request) {
-		return func(bool) {}, true
+		return c.admitAlone(prompt.Server, func(bool) {})
 	}
 	for {
 		select {
@@ -73,7 +81,7 @@
 			answeredAt, interval, timeout = time.Now(), queuedResendInterval, queuedAnswerTimeout
 		case <-resend.C:
 			if time.Since(answeredAt) >= timeout || !c.sendRequest(request) {
-				return release, true
+				return c.admitAlone(prompt.Server, release)
 			}
 			resend.Reset(interval)
 		case <-expired.C:
@@ -86,6 +94,50 @@
 	}
 }
 
+// releaseOf returns the function that tells the holder of the end of a prompt, and that of the request if it asked for that.
+func (c *admissionClient) releaseOf(request peerlink.AdmissionRequest) func(read bool) {
+	var mu sync.Mutex
+	wasRead, ended := false, false
+	return func(read bool) {
+		mu.Lock()
+		defer mu.Unlock()
+		switch {
+		case ended || wasRead && read:
+			return
+		case read:
+			wasRead = true
+		default:
+			ended = true
+			if wasRead && request.LifetimeMs == 0 {
+				return
+			}
+		}
+		c.sendRelease(peerlink.AdmissionRelease{
+			ServerID: request.ServerID, ID: request.ID, Read: read, Ended: ended && wasRead,
+		})
+	}
+}
+
+// admitAlone admits a prompt without the holder of its server: a brittle server only gets it within this node's share.
+func (c *admissionClient) admitAlone(server serverview.Candidate, release func(read bool)) (func(read bool), bool) {
+	finish, ok := c.node.tolerances.beginAlone(time.Now(), server)
+	if !ok {
+		release(false)
+		return release, false
+	}
+	var mu sync.Mutex
+	wasRead, ended := false, false
+	return func(read bool) {
+		release(read)
+		mu.Lock()
+		defer mu.Unlock()
+		if wasRead = wasRead || read; !read && !ended {
+			ended = true
+			finish(wasRead)
+		}
+	}, true
+}
+
 // sendRequest sends an admission request to the server's holder. It returns false when no holder is known.
 func (c *admissionClient) sendRequest(request peerlink.AdmissionRequest) bool {
 	if h := c.node.holders.get(request.ServerID); h != nil {
@@ -100,14 +152,13 @@
 	return true
 }
 
-// sendRelease reports that the prompt was read or its request abandoned.
-func (c *admissionClient) sendRelease(server string, id uint64, read bool) {
-	release := peerlink.AdmissionRelease{ServerID: server, ID: id, Read: read}
-	if h := c.node.holders.get(server); h != nil {
+// sendRelease reports that the prompt was read or its request abandoned, or that a request has ended.
+func (c *admissionClient) sendRelease(release peerlink.AdmissionRelease) {
+	if h := c.node.holders.get(release.ServerID); h != nil {
 		h.handleAdmissionRelease(time.Now(), c.node.link.Address(), release)
 		return
 	}
-	if owner := c.node.holderOf(time.Now(), server); owner != "" && owner != c.node.link.Address() {
+	if owner := c.node.holderOf(time.Now(), release.ServerID); owner != "" && owner != c.node.link.Address() {
 		c.node.link.Send(peerlink.Message{AdmissionRelease: &release}, owner)
 	}
 }
@@ -122,6 +173,7 @@
 	}
 	h.gate.Enqueue(prefillgate.Request{
 		Node: from, ID: request.ID, Tokens: request.Tokens, Priority: request.Priority, At: now,
+		Lifetime: time.Duration(request.LifetimeMs) * time.Millisecond,
 	})
 	h.mu.Unlock()
 	if !h.grantAdmissions(now, from, request.ID) {
@@ -131,7 +183,11 @@
 
 func (h *holder) handleAdmissionRelease(now time.Time, from string, release peerlink.AdmissionRelease) {
 	h.mu.Lock()
-	h.gate.Done(now, from, release.ID, release.Read)
+	if release.Ended {
+		h.gate.Ended(now, from, release.ID)
+	} else {
+		h.gate.Done(now, from, release.ID, release.Read)
+	}
 	h.mu.Unlock()
 	h.grantAdmissions(now, "", 0)
 }
@@ -147,6 +203,7 @@
 	if known {
 		h.gate.SetEventTime(eventTime)
 	}
+	h.gate.SetRoom(h.room(now))
 	granted, nextAt := h.gate.Next(now)
 	if !nextAt.IsZero() {
 		h.scheduleGrants(nextAt.Sub(now))
@@ -159,6 +216,15 @@
 	return found
 }
 
+// room returns the bound on the requests at the server while it's brittle, else nil.
+func (h *holder) room(now time.Time) *prefillgate.Room {
+	requests, closedUntil, brittle := h.node.view.BrittleRoom(now, h.server.ID)
+	if !brittle {
+		return nil
+	}
+	return &prefillgate.Room{Requests: requests, ClosedUntil: closedUntil}
+}
+
 func (h *holder) scheduleGrants(after time.Duration) {
 	if h.grantTimer == nil {
 		h.grantTimer = time.AfterFunc(after, func() { h.grantAdmissions(time.Now(), "", 0) })
--- a/internal/node/holders.go
+++ b/internal/node/holders.go
@@ -217,6 +217,7 @@
 	h.node.limits.reported(h.server, report.Limit, requestedAt)
 	h.node.tolerances.reported(h.server, report.Tolerance, requestedAt)
 	h.reportedAt, h.askedAtReport = requestedAt, asked
+	h.gate.Reported(requestedAt, report.Running+report.Waiting)
 	restarted := h.incarnation != 0 && report.Born != 0 && report.Born != h.incarnation
 	if report.Born != 0 {
 		h.incarnation = report.Born
--- a/internal/node/tolerances.go
+++ b/internal/node/tolerances.go
@@ -24,6 +24,8 @@
 	mu sync.Mutex
 	// places holds this node's places at brittle servers without a coordinator, by the server's ID.
 	places map[string]*brittle.Places
+	// alone counts this node's requests to model servers without their holders, by the server's ID.
+	alone map[string]int
 }
 
 // toleranceMetrics counts the answers that name a tolerance and those whose tolerance can't be used, and the rejections by
@@ -32,7 +34,7 @@
 
 func newTolerances(node *Node) *tolerances {
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("tolerances."+name, nil) }
-	return &tolerances{node: node, places: make(map[string]*brittle.Places), metrics: toleranceMetrics{
+	return &tolerances{node: node, places: make(map[string]*brittle.Places), alone: make(map[string]int), metrics: toleranceMetrics{
 		named: counter("named"), invalid: counter("invalid"),
 		rejectedAssigned: counter("rejected.assigned"), rejectedAlone: counter("rejected.alone"),
 	}}
@@ -127,6 +129,12 @@
 // coordinator: to a brittle server only within its share of the room, and not while its rejections are near its tolerance. At
 // a crowded one it needs a place.
 func (t *tolerances) mayChoose(now time.Time, c serverview.Candidate, inProgress int) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.mayChooseLocked(now, c, inProgress)
+}
+
+func (t *tolerances) mayChooseLocked(now time.Time, c serverview.Candidate, inProgress int) bool {
 	switch nodes := t.node.peers.count(); {
 	case !c.Brittle:
 		return true
@@ -135,12 +143,30 @@
 	case !c.Crowded:
 		return inProgress < max(c.Room/nodes, 1)
 	default:
-		t.mu.Lock()
-		defer t.mu.Unlock()
 		return t.placesAt(now, c.ID).Take(now, c.Tolerance, nodes)
 	}
 }
 
+// beginAlone is mayChoose for a model server whose holder doesn't answer. finish ends the request.
+func (t *tolerances) beginAlone(now time.Time, c serverview.Candidate) (finish func(accepted bool), ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.mayChooseLocked(now, c, t.alone[c.ID]) {
+		return nil, false
+	}
+	t.alone[c.ID]++
+	return func(accepted bool) {
+		t.mu.Lock()
+		if t.alone[c.ID]--; t.alone[c.ID] == 0 {
+			delete(t.alone, c.ID)
+		}
+		t.mu.Unlock()
+		if accepted {
+			t.ended(time.Now(), c.ID)
+		}
+	}, true
+}
+
 // ended records that a brittle server processed a request that this node had sent without a coordinator.
 func (t *tolerances) ended(now time.Time, server string) {
 	t.mu.Lock()
--- a/internal/prefillgate/prefillgate.go
+++ b/internal/prefillgate/prefillgate.go
@@ -50,6 +50,8 @@
 	Priority int
 	// At is when the request arrived.
 	At time.Time
+	// Lifetime is the time until the deadline of a request whose end will be told; 0 for others.
+	Lifetime time.Duration
 }
 
 type key struct {
@@ -84,12 +86,14 @@
 	// asked counts all requests, and arrivals the recent ones.
 	asked    int
 	arrivals decay.Count
+	presence presence
 }
 
 // New returns a gate for an engine of unknown speed.
 func New(options Options) *Core {
 	return &Core{
 		options: options, speed: newSpeedEstimate(), granted: make(map[key]grant), eventTime: initialEventTime,
+		presence: presence{known: make(map[key]ongoing)},
 	}
 }
 
@@ -144,6 +148,9 @@
 // Done records that the prompt of a request was read, or that its gateway abandoned the request.
 func (c *Core) Done(now time.Time, node string, id uint64, read bool) {
 	k := key{node, id}
+	if !read {
+		c.Ended(now, node, id)
+	}
 	if g, found := c.granted[k]; found {
 		delete(c.granted, k)
 		if read {
@@ -182,6 +189,9 @@
 	limit := c.limit()
 	for len(c.queue) > 0 {
 		request := c.queue[0]
+		if until, blocked := c.blockedUntil(now); blocked {
+			return granted, until
+		}
 		if c.burstTokens > 0 && c.burstTokens+request.Tokens > limit {
 			return granted, c.nextBurst(now)
 		}
@@ -193,6 +203,7 @@
 		c.burstTokens += request.Tokens
 		c.unreadTokens += request.Tokens
 		c.granted[key{request.Node, request.ID}] = grant{tokens: request.Tokens, expiresAt: now.Add(c.readTimeout())}
+		c.presence.begin(now, request)
 		granted = append(granted, request)
 	}
 	return granted, time.Time{}
@@ -257,5 +268,5 @@
 	for _, request := range c.queue {
 		waiting += request.Tokens
 	}
-	return time.Duration(float64(waiting) / c.speed.tokensPerMs() * float64(time.Millisecond))
+	return c.roomWait() + time.Duration(float64(waiting)/c.speed.tokensPerMs()*float64(time.Millisecond))
 }
--- a/internal/serverview/candidates.go
+++ b/internal/serverview/candidates.go
@@ -62,11 +62,12 @@
 	RoomIn  time.Duration
 	// Brittle is true when the server names how many rejections a second it tolerates. Room is then the number of requests
 	// that it probably processes at once, and ClosedUntil the time before which it mustn't get requests since it has
-	// rejected nearly as many. Crowded is true when it has rejected a request recently.
+	// rejected nearly as many; Closed is true until then. Crowded is true when it has rejected a request recently.
 	Brittle     bool
 	Tolerance   float64
 	Room        int
 	ClosedUntil time.Time
+	Closed      bool
 	Crowded     bool
 	// Version is the version of the requested adapter that is present; Present distinguishes version 0 from none.
 	Present bool
@@ -158,7 +159,7 @@
 	if c.Brittle = named.isNamed(now); c.Brittle {
 		c.Tolerance = named.perSecond
 		c.Room, c.ClosedUntil = s.room.Requests(now, s.entry.Slots), s.room.ClosedUntil(now, named.perSecond)
-		c.Crowded = s.room.IsCrowded(now)
+		c.Closed, c.Crowded = now.Before(c.ClosedUntil), s.room.IsCrowded(now)
 	}
 	c.Load = s.inFlight
 	c.Reported = s.inFlight
