node: Readers name nodes that take the requests of one that is cut off from servers

What callers saw: at a node without links to the servers requests were refused, or late, while most nodes of the site reached the servers.

Cause: a node that holds nothing gets messages of the holders and readers only, so it knows no others and hands all its requests over to them. The class of fault: a node takes what it hears of for the whole site.

Change: readers, which know all nodes, answer a node's list of unreachable servers with up to eight nodes that reach them, drawn by the bandwidth of their links: of its zone, or of all zones where more of its zone's nodes are cut off than are left. It makes itself known to them, as nodes take requests of nodes that they know only.

Evidence: the test failed before with 0 of 98 requests served at a node that knows only holders that are cut off; now 98 of 98.

--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -120,6 +120,18 @@
 	return alive
 }
 
+// takers returns the live peers as takers of requests.
+func (p *peers) takers(now time.Time) (takers []taker) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, peer := range p.byAddress {
+		if now.Sub(peer.lastSeen) <= subscriberLifetime {
+			takers = append(takers, taker{address: address, zone: peer.zone, linkMbps: peer.linkMbps})
+		}
+	}
+	return takers
+}
+
 // noteLink records the bandwidth of a peer's network link.
 func (p *peers) noteLink(address string, linkMbps float64) {
 	p.mu.Lock()
@@ -223,7 +235,7 @@
 	n.slots.handleMessage(now, message)
 	n.quotas.handleMessage(message)
 	n.crashes.handleMessage(now, message)
-	n.reach.noteUnreachable(now, message)
+	n.reach.handleMessage(now, message)
 	n.keys.handleMessage(message)
 	for _, entry := range message.Usage {
 		if holder := n.holders.get(entry.ServerID); holder != nil {
--- a/internal/node/reach.go
+++ b/internal/node/reach.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -16,7 +15,6 @@
 	"waxwingcleat.example/waxwingcleat/internal/forward"
 	"waxwingcleat.example/waxwingcleat/internal/peerlink"
 	"waxwingcleat.example/waxwingcleat/internal/serverview"
-	"waxwingcleat.example/waxwingcleat/internal/streamorigin"
 )
 
 const (
@@ -48,6 +46,8 @@
 	byPeer map[string]peerReach
 	// pausedUntil holds the peers that didn't take a request.
 	pausedUntil map[string]time.Time
+	// named holds the nodes that readers have named as takers of requests, by address.
+	named map[string]taker
 
 	unreachable metrics.Gauge
 }
@@ -61,7 +61,7 @@
 func newReach(node *Node) *reach {
 	return &reach{
 		node: node, probes: make(chan struct{}, maximumProbes), byPeer: make(map[string]peerReach),
-		pausedUntil: make(map[string]time.Time),
+		pausedUntil: make(map[string]time.Time), named: make(map[string]taker),
 		unreachable: metrics.GetOrRegisterGauge("reach.unreachableServers", nil),
 	}
 }
@@ -81,8 +81,7 @@
 			period = lostProbeCheckPeriod
 			if now.Sub(sentAt) >= unreachablePeriod {
 				sentAt = now
-				message := peerlink.Message{UnreachableServers: lost[:min(len(lost), maximumUnreachable)]}
-				r.node.link.Send(message, r.node.peers.alive(now)...)
+				r.sendUnreachable(lost, r.recipients(now)...)
 			}
 		}
 		delay.For(ctx, period)
@@ -90,6 +89,10 @@
 	return nil
 }
 
+func (r *reach) sendUnreachable(lost []string, peers ...string) {
+	r.node.link.Send(peerlink.Message{UnreachableServers: lost[:min(len(lost), maximumUnreachable)]}, peers...)
+}
+
 // try opens a connection to a server in the background. Beyond maximumProbes it does nothing; the probe is due again later.
 func (r *reach) try(ctx context.Context, probe serverview.Probe) {
 	select {
@@ -115,6 +118,12 @@
 	}()
 }
 
+// handleMessage processes the parts of a peer's message about servers that can't be reached.
+func (r *reach) handleMessage(now time.Time, message peerlink.Message) {
+	r.noteUnreachable(now, message)
+	r.noteTakers(now, message.Takers)
+}
+
 // noteUnreachable records what a peer can't reach.
 func (r *reach) noteUnreachable(now time.Time, message peerlink.Message) {
 	if len(message.UnreachableServers) == 0 {
@@ -125,32 +134,37 @@
 		servers[id] = true
 	}
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	for peer, known := range r.byPeer {
 		if now.Sub(known.at) > unreachableLifetime {
 			delete(r.byPeer, peer)
 		}
 	}
 	r.byPeer[message.From] = peerReach{servers: servers, at: now}
+	r.mu.Unlock()
+	r.nameTakers(now, message.From, message.Zone, message.UnreachableServers)
 }
 
-// Choose implements forward.Peers. It prefers nodes of the own availability zone.
+// Choose implements forward.Peers. Without nodes that readers have named, it prefers nodes of the own availability zone.
 func (r *reach) Choose(servers []string, tried map[string]bool) (peer string) {
 	now := time.Now()
-	alive := r.node.peers.aliveWithZones(now)
+	alive := r.node.peers.takers(now)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	able := slices.DeleteFunc(alive, func(n streamorigin.Node) bool {
-		return tried[n.Address] || now.Before(r.pausedUntil[n.Address]) || !r.reaches(now, n.Address, servers)
-	})
-	near := slices.DeleteFunc(slices.Clone(able), func(n streamorigin.Node) bool { return n.Zone != r.node.settings.Node.Zone })
-	if len(near) > 0 {
-		able = near
+	unable := func(t taker) bool {
+		return tried[t.address] || now.Before(r.pausedUntil[t.address]) || !r.reaches(now, t.address, servers)
+	}
+	able := slices.DeleteFunc(r.namedTakers(now), unable)
+	if len(able) == 0 {
+		able = slices.DeleteFunc(alive, unable)
+		near := slices.DeleteFunc(slices.Clone(able), func(t taker) bool { return t.zone != r.node.settings.Node.Zone })
+		if len(near) > 0 {
+			able = near
+		}
 	}
 	if len(able) == 0 {
 		return ""
 	}
-	return able[rand.IntN(len(able))].Address
+	return drawTakers(able, 1)[0].address
 }
 
 // reaches reports whether a peer probably reaches one of the servers.
--- a/internal/peerlink/counts.go
+++ b/internal/peerlink/counts.go
@@ -32,9 +32,9 @@
 		return kindAdmission
 	case m.OriginQuery != nil, m.OriginAnswer != nil, len(m.Origins) > 0:
 		return kindOrigins
-	case len(m.UnreachableServers) > 0:
+	case len(m.UnreachableServers)+len(m.Takers) > 0:
 		return kindUnreachable
-	case m.LimitRequest != nil, m.LimitReturn != nil, len(m.LimitNotices)+len(m.LimitAnswers) > 0:
+	case m.LimitRequest != nil, m.LimitReturn != nil, len(m.LimitNotices)+len(m.LimitAnswers)+len(m.Rejections) > 0:
 		return kindLimits
 	case len(m.QuotaAsks)+len(m.QuotaReturns)+len(m.QuotaAnswers) > 0:
 		return kindQuotas
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -127,6 +127,8 @@
 	OriginAnswer *OriginAnswer `json:"oa,omitempty"`
 	// UnreachableServers lists servers to which the sender can't open connections; it is repeated while there are any.
 	UnreachableServers []string `json:"us,omitempty"`
+	// Takers are nodes that reach servers which the receiver doesn't, and may take its requests.
+	Takers []Taker `json:"tk,omitempty"`
 	// LimitNotices say what servers named in their answers about their limits.
 	LimitNotices []LimitNotice `json:"ln,omitempty"`
 	// LimitRequest asks for the leave to send a request to a server with a limit, LimitReturn gives it back unused.
@@ -153,6 +155,13 @@
 	KeyAnswer    *KeyAnswer    `json:"ka,omitempty"`
 }
 
+// Taker is a node that may take requests of another one. LinkMbps is the bandwidth of its network link; 0 if it isn't known.
+type Taker struct {
+	Address  string  `json:"a"`
+	Zone     string  `json:"z,omitempty"`
+	LinkMbps float64 `json:"l,omitempty"`
+}
+
 // OwnersNotice tells which nodes hold the leases of the model servers.
 type OwnersNotice struct {
 	// Generation is that of the group for which the owners were read.
