forward: A request that is handed over keeps count of its attempts and sends

Cause: the node that takes a request counts its attempts from zero, also when the node before has sent it to servers already.

Change: attempts, and the sends that reached servers, travel with the request.

Evidence: the tests failed before (two sends instead of one, no header).

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -188,6 +188,9 @@
 		return j.attemptCancelled(candidate)
 	}
 	j.logFailedAttempt(candidate, written, err)
+	if !written {
+		j.unsent++
+	}
 	if !written && j.sendLapsed {
 		// The connection took longer than the reservation lasts, or the process was suspended; the server isn't to blame.
 		delete(j.tried, candidate.ID)
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -74,7 +74,7 @@
 // chooseModel waits until a server with free capacity holds the adapter, and requests a load of it meanwhile.
 func (j *job) chooseModel() (serverview.Candidate, int, bool) {
 	waitEnds := j.arrived.Add(j.loadWait())
-	if j.sends == 0 {
+	if j.recent == 0 {
 		j.recent = j.f.options.Usage.Arrived(j.arrived, j.request.Adapter)
 	}
 	var demand loadDemand
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -180,6 +180,8 @@
 	deadline     time.Time
 	tried        map[string]bool
 	sends        int
+	// unsent counts the sends of which no byte was written.
+	unsent int
 	// attempts counts the sends after which the request may have run.
 	attempts int
 	// softwareVersion is the version at which the stream began; empty before its first event, and for other requests.
--- a/internal/forward/handover.go
+++ b/internal/forward/handover.go
@@ -21,6 +21,10 @@
 	headerPeerRemaining = "Waxwing-Remaining-Ms"
 	// headerPeerCustomer is the name of the request's customer; it is missing without one.
 	headerPeerCustomer = "Waxwing-Customer"
+	// headerPeerAttempts and headerPeerSends are the attempts of the request, and those of its sends that reached servers;
+	// missing for none.
+	headerPeerAttempts = "Waxwing-Attempts"
+	headerPeerSends    = "Waxwing-Sends"
 	// headerNotTaken marks the answer of a node that didn't take the request, which thus has not run.
 	headerNotTaken = "Waxwing-Not-Taken"
 )
@@ -65,15 +69,27 @@
 	if remaining, err := strconv.ParseInt(r.Header.Get(headerPeerRemaining), 10, 64); err == nil {
 		j.peerRemaining = time.Duration(max(remaining, 1)) * time.Millisecond
 	}
+	j.attempts, j.sends = peerCount(r.Header, headerPeerAttempts), peerCount(r.Header, headerPeerSends)
 	removePeerHeaders(r.Header)
 	j.handle()
 }
 
+// peerCount returns the count in a header of another node. What can't be read counts as none.
+func peerCount(header http.Header, name string) int {
+	count, err := strconv.Atoi(header.Get(name))
+	if err != nil {
+		return 0
+	}
+	return min(max(count, 0), maximumSends)
+}
+
 // removePeerHeaders removes the headers between nodes, which callers can't set and servers don't get.
 func removePeerHeaders(header http.Header) {
 	header.Del(headerPeerCaller)
 	header.Del(headerPeerRemaining)
 	header.Del(headerPeerCustomer)
+	header.Del(headerPeerAttempts)
+	header.Del(headerPeerSends)
 }
 
 // Taken returns the number of requests of other nodes in progress.
@@ -123,6 +139,10 @@
 	if j.customer != nil {
 		header.Set(headerPeerCustomer, j.customer.Name)
 	}
+	if arrived := j.sends - j.unsent; arrived > 0 {
+		header.Set(headerPeerAttempts, strconv.Itoa(j.attempts))
+		header.Set(headerPeerSends, strconv.Itoa(arrived))
+	}
 	if remaining := j.remaining(); remaining > 0 {
 		header.Set(headerPeerRemaining, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
 	}
--- a/internal/forward/handover_test.go
+++ b/internal/forward/handover_test.go
@@ -351,3 +351,42 @@
 	g.Expect(f.call().Code).To(gomega.Equal(http.StatusOK))
 	g.Expect(f.sent).To(gomega.BeEmpty())
 }
+
+// Guards against a request that runs on more servers than its route allows because the node that takes it doesn't know how
+// often it was sent before.
+func TestHandoverCountsTheAttemptsBefore(t *testing.T) {
+	for name, header := range map[string][2]string{
+		"attempts": {"Waxwing-Attempts", "1"}, "sends": {"Waxwing-Sends", "2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			other := newFixture(serving.Idempotent, "a", "b", "c")
+			other.answer = func(string) (*http.Response, error) { return answerWith(http.StatusInternalServerError, ""), nil }
+			request := httptest.NewRequest(http.MethodPost, "/x", http.NoBody)
+			request.Header.Set("Waxwing-Caller", "192.0.2.1")
+			request.Header.Set(header[0], header[1])
+			other.forwarder.ServePeer(httptest.NewRecorder(), request)
+			g.Expect(other.sent).To(gomega.HaveLen(1), "the route allows two attempts, and each request three sends")
+		})
+	}
+}
+
+// Guards against a request whose attempts are used up and that is handed over all the same, and against attempts that aren't
+// told.
+func TestHandoverTellsTheAttemptsBefore(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f, peers := newFixture(serving.Idempotent, "a", "b"), &fakePeers{nodes: []string{"peer"}}
+	var header http.Header
+	f.cutOff(peers, roundTrip(func(r *http.Request) (*http.Response, error) {
+		header = r.Header
+		return answerWith(http.StatusOK, "body"), nil
+	}), "b")
+	f.answer = func(string) (*http.Response, error) {
+		f.view.Unreachable(time.Now(), "a")
+		return answerWith(http.StatusInternalServerError, ""), nil
+	}
+	f.call()
+	g.Expect(f.sent).To(gomega.Equal([]string{"a"}))
+	g.Expect(header.Get("Waxwing-Attempts")).To(gomega.Equal("1"))
+	g.Expect(header.Get("Waxwing-Sends")).To(gomega.Equal("1"))
+}
