forward, upstream: A refusal counts only for the request that it names, and once

What callers saw, as other operators report: a faulty server wrote an earlier refusal once more on a kept connection; callers were told 'not run, try again' for requests that the server ran, or the request ran at a second server.

Cause: an answer without the ID of a request counted as that of any, also when it said that the request had not run. And a request that a server refuses as misdirected may be sent there again, on the same connection, where the refusal written once more names the right request.

Change: only a refusal that names the request shows that it has not run. A request isn't sent again on a connection on which it was refused. A connection whose answer can't be used is closed, as the next answer there is out of step.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -35,6 +35,8 @@
 	// suspectAfter is the time without an answer after which a cancelled attempt (caller disconnected or deadline
 	// passed) counts as a failure of the server.
 	suspectAfter = time.Second
+	// maximumConnectionTries bounds the connections of one send that are given up because the request was refused on them.
+	maximumConnectionTries = 3
 	// maximumAttemptTime applies when neither the caller nor the route sets a timeout.
 	maximumAttemptTime = 5 * time.Minute
 )
@@ -137,10 +139,18 @@
 func (j *job) send(
 	ctx context.Context, candidate serverview.Candidate, attempt serving.Attempt,
 ) (answer *http.Response, written bool, err error) {
-	trace := &upstream.RequestTrace{}
 	permit := j.permit()
-	request := j.outgoing(candidate.Address, j.f.options.Wire.ServerHeader(j.r.Header, j.request, attempt))
-	answer, err = j.f.options.Transport.RoundTrip(request.WithContext(trace.WithTrace(ctx, permit)))
+	header := j.f.options.Wire.ServerHeader(j.r.Header, j.request, attempt)
+	var trace *upstream.RequestTrace
+	for range maximumConnectionTries {
+		trace = &upstream.RequestTrace{Avoided: &j.refusedOn}
+		request := j.outgoing(candidate.Address, header)
+		answer, err = j.f.options.Transport.RoundTrip(request.WithContext(trace.WithTrace(ctx, permit)))
+		if !trace.WasAvoided() {
+			break
+		}
+	}
+	j.trace = trace
 	if err != nil {
 		if !trace.Written() {
 			j.sendLapsed = !permit()
@@ -275,6 +285,9 @@
 	switch {
 	case !info.BelongsTo(j.request.ID):
 		return j.handleUnusableAnswer(candidate, "the answer belongs to another request")
+	case info.NotRun && info.RequestID != j.request.ID:
+		// It may be the refusal of an earlier request on the connection, written once more.
+		return j.handleUnusableAnswer(candidate, "the refusal names no request")
 	case info.NotRun:
 		return j.notRun(candidate, answer, info)
 	case !info.HasDigest:
@@ -299,6 +312,8 @@
 
 // handleUnusableAnswer handles an answer that can't be forwarded; the request may have run.
 func (j *job) handleUnusableAnswer(candidate serverview.Candidate, reason string) (done bool) {
+	// The next answer on the connection may be the one to this request.
+	j.trace.Discard()
 	j.attempts++
 	j.f.recordFailure(time.Now(), candidate.ID)
 	j.logFailedAttempt(candidate, true, failure.New(failure.Invalid, "read answer", candidate.Address, reason))
@@ -327,6 +342,8 @@
 		return true
 	}
 	if info.Misdirected {
+		// A server that writes this refusal once more must not refuse the request by it when it's sent there again.
+		j.refusedOn.Add(j.trace)
 		// The server may load the adapter while the request waits, so it stays a candidate.
 		delete(j.tried, candidate.ID)
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -23,6 +23,7 @@
 	"waxwingcleat.example/waxwingcleat/internal/serverview"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
 	"waxwingcleat.example/waxwingcleat/internal/streamorigin"
+	"waxwingcleat.example/waxwingcleat/internal/upstream"
 	"waxwingcleat.example/waxwingcleat/internal/usage"
 )
 
@@ -186,6 +187,9 @@
 	attempts int
 	// softwareVersion is the version at which the stream began; empty before its first event, and for other requests.
 	softwareVersion string
+	// trace is that of the latest send, refusedOn the connections on which servers refused the request.
+	trace     *upstream.RequestTrace
+	refusedOn upstream.Connections
 	// reservation allows the latest send.
 	reservation Reservation
 	// slot is the slot for the next or the latest send to a plain service.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -95,10 +96,39 @@
 // RequestTrace records the writes of one request to a server. net/http may try a request on several connections: once a
 // write was allowed on one of them, the request may have run, even if a write on a later connection is refused.
 type RequestTrace struct {
+	// Avoided holds connections on which the request isn't sent; may be nil.
+	Avoided *Connections
+
 	written atomic.Bool
 	refused atomic.Bool
+	avoided atomic.Bool
+	// conn is the connection that the request got last.
+	conn atomic.Pointer[gatedConn]
+}
+
+// Connections is a set of connections to servers. It isn't safe for concurrent use.
+type Connections struct{ conns []*gatedConn }
+
+// Add adds the connection of a request.
+func (c *Connections) Add(trace *RequestTrace) {
+	if conn := trace.conn.Load(); conn != nil {
+		c.conns = append(c.conns, conn)
+	}
 }
 
+func (c *Connections) has(conn *gatedConn) bool { return c != nil && slices.Contains(c.conns, conn) }
+
+// Discard closes the connection of the request, so that no other one gets it.
+func (t *RequestTrace) Discard() {
+	if conn := t.conn.Load(); conn != nil {
+		// A connection that is closed already has no use for another error.
+		_ = conn.Close()
+	}
+}
+
+// WasAvoided reports whether the request wasn't written because it got a connection in Avoided, which is closed then.
+func (t *RequestTrace) WasAvoided() bool { return t.avoided.Load() && !t.Written() }
+
 // Written reports whether a byte of the request may have been written to a server.
 func (t *RequestTrace) Written() bool { return t.written.Load() }
 
@@ -106,7 +136,8 @@
 // records the result in t.
 func (t *RequestTrace) WithTrace(ctx context.Context, allowed func() bool) context.Context {
 	check := func() bool {
-		ok := allowed() && ctx.Err() == nil
+		t.avoided.Store(t.Avoided.has(t.conn.Load()))
+		ok := !t.avoided.Load() && allowed() && ctx.Err() == nil
 		if ok {
 			t.written.Store(true)
 		}
@@ -120,6 +151,7 @@
 				t.written.Store(true)
 				return
 			}
+			t.conn.Store(conn)
 			conn.arm(check)
 		},
 	})
