forward: Only the next events of an event stream continue a stream that broke off

What callers saw, as other operators report: after a stream had broken off, the next server's error stood in the middle of it, or it ended as if it were complete.

Errors by status were no part of a stream here. But an answer of status 200 of another type than a stream of events was copied into it, as were events that began once more or left some out, and text without an ID; and an empty answer ended the stream as complete.

Change: a resumed answer has to be an event stream, each of its events needs an ID, the first one has to follow the latest event of the stream, and there has to be one. Otherwise the stream breaks off, so that the caller can resume it.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -132,9 +132,10 @@
 	j.observeLimit(candidate, answer, info)
 	j.observeTolerance(candidate, answer, info)
 	j.settleQuota(info)
-	if answer.StatusCode != http.StatusOK || !info.HasDigest || !info.BelongsTo(j.request.ID) {
+	if answer.StatusCode != http.StatusOK || !info.HasDigest || !info.BelongsTo(j.request.ID) || !isEventStream(answer) {
 		return candidate, errNotResumed
 	}
+	s.resumed, s.continued = true, false
 	err = s.copy(answer.Body)
 	j.recordStreamEnd(s, err)
 	return candidate, err
@@ -157,6 +158,10 @@
 	resumable bool
 	// lastID is the ID of the last event sent to the caller.
 	lastID string
+	// ids are those of the events sent to the caller.
+	ids eventIDs
+	// resumed is true once another server goes on with the stream, and continued once its first event was checked.
+	resumed, continued bool
 	// partial is the received part of an incomplete event.
 	partial []byte
 	// eventBytes is the number of bytes since the latest end of an event.
@@ -222,7 +227,11 @@
 			if !s.countEventBytes(buffer[:n]) {
 				return errEventTooLarge
 			}
-			if err := s.forward(buffer[:n]); err != nil {
+			err := s.forward(buffer[:n])
+			if errors.Is(err, errNoContinuation) {
+				return err
+			}
+			if err != nil {
 				s.callerErr = err
 				return err
 			}
@@ -257,6 +266,11 @@
 		return nil
 	}
 	complete := s.partial[:end]
+	if s.resumed {
+		if err := s.checkContinuation(complete); err != nil {
+			return err
+		}
+	}
 	if err := s.write(complete); err != nil {
 		return err
 	}
@@ -267,6 +281,9 @@
 
 // finish forwards the data after the last complete event, once the body has ended normally.
 func (s *stream) finish() error {
+	if s.resumed && (!s.continued || len(s.partial) > 0) {
+		return errNoContinuation
+	}
 	if len(s.partial) == 0 {
 		return nil
 	}
@@ -295,6 +312,7 @@
 	for line := range bytes.FieldsFuncSeq(complete, func(r rune) bool { return r == '\n' || r == '\r' }) {
 		if rest, found := bytes.CutPrefix(line, idField); found {
 			s.lastID = string(bytes.TrimSpace(rest))
+			s.ids.note(s.lastID)
 		}
 	}
 }
