--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -98,6 +98,8 @@
 		return l.noUsableServer(final)
 	case reason == forward.ReasonLimited:
 		return l.limited(final)
+	case reason == forward.ReasonBrittle:
+		return l.brittle(final)
 	case reason == forward.ReasonCrashing, reason == forward.ReasonCrashingRequest:
 		return l.crashing(final)
 	case reason == forward.ReasonNotLoaded || reason == forward.ReasonOverloaded:
@@ -222,6 +224,14 @@
 		final.number("limited"), final.number("servers"), final.number("roomInMs")), limits
 }
 
+// brittle returns which servers were brittle while no coordinator assigned their room.
+func (l *Log) brittle(final Line) (string, []Line) {
+	servers := l.around(final.At, limitWindowBefore, 0, func(line Line) bool {
+		return line.Event == event.ServerBrittle.Number || line.Event == event.SlotDispatcherSilent.Number
+	})
+	return "servers were brittle, and the node that knows the requests of all nodes there didn't answer", servers
+}
+
 // crashing returns under which part of its prompt servers ended, so that the request was refused.
 func (l *Log) crashing(final Line) (string, []Line) {
 	part := final.text("part")
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -143,6 +143,18 @@
 	g.Expect(e.Evidence).To(gomega.HaveLen(1))
 }
 
+// Guards against a refusal beside brittle servers that counts as one for lack of servers.
+func TestRefusalBesideBrittleServersNamesThem(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var l logBuilder
+	l.add(400, event.ServerBrittle, `"server":"s1","rejectionsPerSecond":3,"source":"answer"`)
+	l.add(1200, event.SlotDispatcherSilent, `"service":"plain","dispatcher":"10.0.0.1:7"`)
+	l.add(1300, event.RequestRefused, refusal("r1", forward.ReasonBrittle, ""))
+	e := l.explain(g, "r1")
+	g.Expect(e.Cause).To(gomega.HavePrefix("servers were brittle"))
+	g.Expect(e.Evidence).To(gomega.HaveLen(2))
+}
+
 // Guards against a refusal that doesn't name the part of the prompt on which servers crash.
 func TestRefusalByACrashingPartNamesIt(t *testing.T) {
 	g := gomega.NewWithT(t)
