node, forward: The gate says whether the holder admitted a prompt

One type now follows an admitted prompt to the end of its request, with or without a holder. No other change of behaviour.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -122,9 +122,11 @@
 		// Another server may have had room all the while, as the loads by which servers are chosen are old.
 		timeout = min(timeout, max(left/2, minimumBrittleWait))
 	}
-	return j.f.options.Gate.Await(j.ctx, Prompt{
+	admission, ok := j.f.options.Gate.Await(j.ctx, Prompt{
 		Server: candidate, Tokens: j.request.PromptTokens, Priority: j.rank(), Lifetime: j.remaining(),
 	}, timeout)
+	j.admittedByHolder = admission.ByHolder
+	return admission.Release, ok
 }
 
 // priority returns the rank sent to model servers, or -1 for plain services, which get none.
--- a/internal/forward/brittle.go
+++ b/internal/forward/brittle.go
@@ -35,5 +35,8 @@
 	}
 }
 
-// isAssigned reports whether the node that knows the requests of all nodes has assigned the latest server.
-func (j *job) isAssigned() bool { return j.slot.Server != "" }
+// isAssigned reports whether the node that knows the requests of all nodes has assigned the latest server, or admitted the
+// request there.
+func (j *job) isAssigned() bool {
+	return j.slot.Server != "" || j.service.Engine != nil && j.admittedByHolder
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -84,9 +84,17 @@
 // Gate paces the prompts sent to each model server.
 type Gate interface {
 	// Await blocks until a prompt may be sent to its server. It returns false if the timeout passed or ctx ended first, or if
-	// the server may have no room for the request. The caller must call release with true once the server has read the
-	// prompt, and with false once the request has ended. Further calls have no effect.
-	Await(ctx context.Context, prompt Prompt, timeout time.Duration) (release func(read bool), ok bool)
+	// the server may have no room for the request.
+	Await(ctx context.Context, prompt Prompt, timeout time.Duration) (admission Admission, ok bool)
+}
+
+// Admission allows a prompt to be sent.
+type Admission struct {
+	// Release must be called with true once the server has read the prompt, and with false once the request has ended. Further
+	// calls have no effect.
+	Release func(read bool)
+	// ByHolder is true when the holder of the server's lease has admitted the prompt, false when it didn't answer.
+	ByHolder bool
 }
 
 // Prompt is the prompt of a request to a model server.
@@ -212,8 +220,9 @@
 	peerRemaining time.Duration
 	// reason is why the latest choice found no server.
 	reason string
-	// releaseGate frees the request's place at the gate; nil for plain services.
-	releaseGate func(read bool)
+	// releaseGate frees the request's place at the gate; nil for plain services. admittedByHolder is that of the latest gate.
+	releaseGate      func(read bool)
+	admittedByHolder bool
 	// sentAt is when the latest send began, gateTimeouts the number of gates at which the request timed out.
 	sentAt       time.Time
 	gateTimeouts int
--- a/internal/forward/spread_test.go
+++ b/internal/forward/spread_test.go
@@ -23,8 +23,8 @@
 // openGate admits every prompt at once.
 type openGate struct{}
 
-func (openGate) Await(context.Context, forward.Prompt, time.Duration) (func(bool), bool) {
-	return func(bool) {}, true
+func (openGate) Await(context.Context, forward.Prompt, time.Duration) (forward.Admission, bool) {
+	return forward.Admission{Release: func(bool) {}}, true
 }
 
 // Guards against a choice that doesn't learn how many nodes choose: on a site of 81 nodes all of them would send to the
--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -54,7 +54,7 @@
 // Await implements forward.Gate.
 func (c *admissionClient) Await(
 	ctx context.Context, prompt forward.Prompt, maxWait time.Duration,
-) (release func(read bool), ok bool) {
+) (admission forward.Admission, ok bool) {
 	id, answers := c.pending.register(unreadAdmissionAnswers)
 	defer c.pending.unregister(id)
 	request := peerlink.AdmissionRequest{
@@ -63,79 +63,80 @@
 	if prompt.Server.Brittle {
 		request.LifetimeMs = max(prompt.Lifetime, time.Millisecond).Milliseconds()
 	}
-	release = c.releaseOf(request)
+	admitted := &admittedPrompt{client: c, request: request}
 	expired := time.NewTimer(maxWait)
 	defer expired.Stop()
 	resend := time.NewTimer(resendInterval)
 	defer resend.Stop()
 	answeredAt, interval, timeout := time.Now(), resendInterval, answerTimeout
 	if !c.sendRequest(request) {
-		return c.admitAlone(prompt.Server, func(bool) {})
+		return admitted.withoutHolder(prompt.Server)
 	}
 	for {
 		select {
 		case answer := <-answers:
 			if answer == admissionGranted {
-				return release, true
+				return forward.Admission{Release: admitted.release, ByHolder: true}, true
 			}
 			answeredAt, interval, timeout = time.Now(), queuedResendInterval, queuedAnswerTimeout
 		case <-resend.C:
 			if time.Since(answeredAt) >= timeout || !c.sendRequest(request) {
-				return c.admitAlone(prompt.Server, release)
+				return admitted.withoutHolder(prompt.Server)
 			}
 			resend.Reset(interval)
 		case <-expired.C:
-			release(false)
-			return release, false
+			admitted.release(false)
+			return forward.Admission{}, false
 		case <-ctx.Done():
-			release(false)
-			return release, false
+			admitted.release(false)
+			return forward.Admission{}, false
 		}
 	}
 }
 
-// releaseOf returns the function that tells the holder of the end of a prompt, and that of the request if it asked for that.
-func (c *admissionClient) releaseOf(request peerlink.AdmissionRequest) func(read bool) {
-	var mu sync.Mutex
-	wasRead, ended := false, false
-	return func(read bool) {
-		mu.Lock()
-		defer mu.Unlock()
-		switch {
-		case ended || wasRead && read:
-			return
-		case read:
-			wasRead = true
-		default:
-			ended = true
-			if wasRead && request.LifetimeMs == 0 {
-				return
-			}
-		}
-		c.sendRelease(peerlink.AdmissionRelease{
-			ServerID: request.ServerID, ID: request.ID, Read: read, Ended: ended && wasRead,
-		})
-	}
+// admittedPrompt is a prompt for which admission was requested.
+type admittedPrompt struct {
+	client  *admissionClient
+	request peerlink.AdmissionRequest
+
+	mu          sync.Mutex
+	read, ended bool
+	// finish is called at the end of the request if no holder has admitted it; may be nil.
+	finish func(accepted bool)
 }
 
-// admitAlone admits a prompt without the holder of its server: a brittle server only gets it within this node's share.
-func (c *admissionClient) admitAlone(server serverview.Candidate, release func(read bool)) (func(read bool), bool) {
-	finish, ok := c.node.tolerances.beginAlone(time.Now(), server)
+// withoutHolder admits the prompt without the holder of its server: a brittle server only gets it within this node's share.
+func (p *admittedPrompt) withoutHolder(server serverview.Candidate) (forward.Admission, bool) {
+	finish, ok := p.client.node.tolerances.beginAlone(time.Now(), server)
 	if !ok {
-		release(false)
-		return release, false
-	}
-	var mu sync.Mutex
-	wasRead, ended := false, false
-	return func(read bool) {
-		release(read)
-		mu.Lock()
-		defer mu.Unlock()
-		if wasRead = wasRead || read; !read && !ended {
-			ended = true
-			finish(wasRead)
-		}
-	}, true
+		p.release(false)
+		return forward.Admission{}, false
+	}
+	p.finish = finish
+	return forward.Admission{Release: p.release}, true
+}
+
+// release implements forward.Admission.Release. The holder is told when the prompt was read, and of the end of a request whose
+// prompt wasn't read or that it counts until then.
+func (p *admittedPrompt) release(read bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ended || p.read && read {
+		return
+	}
+	told := peerlink.AdmissionRelease{ServerID: p.request.ServerID, ID: p.request.ID, Read: read}
+	if read {
+		p.read = true
+		p.client.sendRelease(told)
+		return
+	}
+	p.ended, told.Ended = true, p.read
+	if !p.read || p.request.LifetimeMs > 0 {
+		p.client.sendRelease(told)
+	}
+	if p.finish != nil {
+		p.finish(p.read)
+	}
 }
 
 // sendRequest sends an admission request to the server's holder. It returns false when no holder is known.
--- a/internal/node/publications.go
+++ b/internal/node/publications.go
@@ -123,7 +123,8 @@
 	defer h.mu.Unlock()
 	p := &h.publication
 	state = p.local
-	changed := state.Tolerance.Named != p.sent.Tolerance.Named || state.Revision != p.sent.Revision || state.Fence != p.sent.Fence || state.Ready != p.sent.Ready ||
+	changed := state.Tolerance.Named != p.sent.Tolerance.Named || state.Revision != p.sent.Revision ||
+		state.Fence != p.sent.Fence || state.Ready != p.sent.Ready ||
 		(state.Backlog-p.sent.Backlog).Abs() >= waitStep || slotWaitsDiffer(state.Slots, p.sent.Slots) ||
 		slownessDiffers(state.Step, p.sent.Step)
 	if p.localAt.IsZero() || !changed && now.Sub(p.sentAt) < publishPeriod {
--- a/internal/node/slots.go
+++ b/internal/node/slots.go
@@ -123,7 +123,8 @@
 	answer, outcome := call.await(ctx)
 	end := func(work time.Duration, full bool) { s.end(id, slotdispatch.End{Work: work, Full: full}) }
 	slot = forward.Slot{
-		Dispatcher: answer.from, Waited: time.Since(begun), End: end, Choose: func(server serverview.Candidate) bool { return s.choose(id, server) },
+		Dispatcher: answer.from, Waited: time.Since(begun), End: end,
+		Choose: func(server serverview.Candidate) bool { return s.choose(id, server) },
 	}
 	switch outcome {
 	case slotAssigned:
--- a/internal/node/tolerances.go
+++ b/internal/node/tolerances.go
@@ -29,15 +29,18 @@
 }
 
 // toleranceMetrics counts the answers that name a tolerance and those whose tolerance can't be used, and the rejections by
-// brittle servers of requests of this node, by whether a coordinator had assigned the server.
+// brittle servers of requests of this node, by whether a coordinator had assigned the server or admitted the request there.
 type toleranceMetrics struct{ named, invalid, rejectedAssigned, rejectedAlone metrics.Counter }
 
 func newTolerances(node *Node) *tolerances {
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("tolerances."+name, nil) }
-	return &tolerances{node: node, places: make(map[string]*brittle.Places), alone: make(map[string]int), metrics: toleranceMetrics{
-		named: counter("named"), invalid: counter("invalid"),
-		rejectedAssigned: counter("rejected.assigned"), rejectedAlone: counter("rejected.alone"),
-	}}
+	return &tolerances{
+		node: node, places: make(map[string]*brittle.Places), alone: make(map[string]int),
+		metrics: toleranceMetrics{
+			named: counter("named"), invalid: counter("invalid"),
+			rejectedAssigned: counter("rejected.assigned"), rejectedAlone: counter("rejected.alone"),
+		},
+	}
 }
 
 // Observe implements forward.Tolerances.
--- a/internal/prefillgate/room.go
+++ b/internal/prefillgate/room.go
@@ -105,8 +105,8 @@
 	}
 }
 
-// blockedUntil returns whether the server mustn't get another request now, and the time from which it may probably get one; zero
-// if only the end of a request shows that.
+// blockedUntil returns whether the server mustn't get another request now, and the time from which it may probably get one;
+// zero if only the end of a request shows that.
 func (c *Core) blockedUntil(now time.Time) (until time.Time, blocked bool) {
 	p := &c.presence
 	for k, request := range p.known {
