--- a/internal/node/takers_test.go
+++ b/internal/node/takers_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
 
 	"waxwingcleat.example/waxwingcleat/internal/peerlink"
+	"waxwingcleat.example/waxwingcleat/internal/serving"
 )
 
 var lostServers = []string{"s1", "s2"}
@@ -83,3 +85,30 @@
 	n.reach.noteTakers(now.Add(-2*takerLifetime), []peerlink.Taker{{Address: "10.2.0.1:7", Zone: "2"}})
 	g.Expect(n.reach.Choose(lostServers, nil)).To(gomega.BeEmpty())
 }
+
+// knows reports whether a node counts another one as alive.
+func (n *Node) knows(other *Node) func() bool {
+	return func() bool { return slices.Contains(n.peers.alive(time.Now()), other.link.Address()) }
+}
+
+// Guards against a named node that refuses requests because it doesn't know the one that is cut off.
+func TestNamedNodeIsToldAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n, named := newCrashesNode(t), newCrashesNode(t)
+	go func() { _ = named.link.Run(t.Context(), named.handleMessage) }()
+	n.reach.noteTakers(time.Now(), []peerlink.Taker{{Address: named.link.Address()}})
+	g.Eventually(named.knows(n)).Should(gomega.BeTrue())
+}
+
+// Guards against a named node that forgets the one that is cut off while it is.
+func TestNamedNodeIsToldAsLongAsItIsNamed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n, named := newCrashesNode(t), newCrashesNode(t)
+	go func() { _ = named.link.Run(t.Context(), named.handleMessage) }()
+	now := time.Now()
+	n.view.PutEntry(now, serving.Server{ID: "s", Address: closedAddress(t), Service: "x"})
+	n.view.Unreachable(now, "s")
+	n.reach.named[named.link.Address()] = taker{address: named.link.Address(), until: now.Add(time.Minute)}
+	go func() { _ = n.reach.run(t.Context()) }()
+	g.Eventually(named.knows(n)).Should(gomega.BeTrue())
+}
--- a/internal/node/tolerances_test.go
+++ b/internal/node/tolerances_test.go
@@ -49,14 +49,14 @@
 // Guards against a dispatcher that doesn't know that a server is brittle because its own node sends nothing there.
 func TestAskForASlotTellsTheTolerances(t *testing.T) {
 	g := gomega.NewWithT(t)
-	asking, dispatcher := newCrashesNode(t), newCrashesNode(t)
+	nodes := newSlotNodes(t, 2)
+	dispatcher, asking := nodes[0], nodes[1]
 	now := time.Now()
-	asking.brittleServer(now)
-	dispatcher.view.PutEntry(now, serving.Server{ID: "s", Service: "x", Slots: 4})
-	dispatcher.slots.handleRequest(now, peerlink.Message{
-		From: asking.link.Address(), Slots: &peerlink.SlotMessage{Service: "x", Tolerances: asking.tolerances.encode(now, "x")},
-	})
-	_, brittle := dispatcher.view.Tolerance(now, "s")
+	asking.view.NoteTolerance(now, serverview.ToleranceNotice{ServerID: "s0", PerSecond: 3, NamedAt: now})
+	slot, _, ok := asking.acquire(t.Context(), time.Second, time.Minute)
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(slot.Server).NotTo(gomega.BeEmpty())
+	_, brittle := dispatcher.view.Tolerance(now, "s0")
 	g.Expect(brittle).To(gomega.BeTrue())
 }
 
