node: A late dispatcher or holder of brittle servers is waited for

Cause: a node that gets no answer of the dispatcher for 40 ms chooses by itself, and doesn't ask it for 0.3 s. At a crowded brittle server it then gets next to nothing, as all nodes together may only probe.

Change: up to 0.2 s for the dispatcher of a brittle service, never longer than the request may wait, and it's asked also while it counts as silent; 0.25 s for the holder of a brittle model server.

Evidence: the test of a late and of a silent dispatcher failed before.

--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -18,6 +18,8 @@
 	// answerTimeout is how long an admission request may stay unanswered before the prompt is sent without admission:
 	// the holder is then down or unreachable, and pausing a few streams is better than not answering the caller.
 	answerTimeout = 120 * time.Millisecond
+	// brittleAnswerTimeout is answerTimeout for a prompt to a brittle server, which gets next to nothing without its holder.
+	brittleAnswerTimeout = 250 * time.Millisecond
 	// queuedResendInterval is resendInterval for an admission request that the holder has queued.
 	queuedResendInterval = 200 * time.Millisecond
 	// queuedAnswerTimeout is answerTimeout for an admission request that the holder has queued.
@@ -64,11 +66,15 @@
 		request.LifetimeMs = max(prompt.Lifetime, time.Millisecond).Milliseconds()
 	}
 	admitted := &admittedPrompt{client: c, request: request}
+	unanswered := answerTimeout
+	if prompt.Server.Brittle {
+		unanswered = brittleAnswerTimeout
+	}
 	expired := time.NewTimer(maxWait)
 	defer expired.Stop()
 	resend := time.NewTimer(resendInterval)
 	defer resend.Stop()
-	answeredAt, interval, timeout := time.Now(), resendInterval, answerTimeout
+	answeredAt, interval, timeout := time.Now(), resendInterval, unanswered
 	if !c.sendRequest(request) {
 		return admitted.withoutHolder(prompt.Server)
 	}
--- a/internal/node/slotcall.go
+++ b/internal/node/slotcall.go
@@ -2,16 +2,21 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"waxwingcleat.example/waxwingcleat/internal/forward"
 	"waxwingcleat.example/waxwingcleat/internal/peerlink"
+	"waxwingcleat.example/waxwingcleat/internal/serverview"
 	"waxwingcleat.example/waxwingcleat/internal/slotdispatch"
 )
 
 const (
 	// slotSilence is how long a dispatcher may leave a request unanswered before the node chooses by itself.
 	slotSilence = 40 * time.Millisecond
+	// brittleSlotSilence is slotSilence where a server is brittle: by its own choice a node gets next to nothing there. It
+	// doesn't apply again while the dispatcher counts as silent.
+	brittleSlotSilence = 200 * time.Millisecond
 	// slotResendInterval is the time between two messages of a request without an answer.
 	slotResendInterval = 15 * time.Millisecond
 	// queuedSlotInterval is slotResendInterval for a request that the dispatcher has queued.
@@ -45,13 +50,19 @@
 
 // await sends the request until it's answered.
 func (c *slotCall) await(ctx context.Context) (slotAnswer, slotOutcome) {
-	c.dispatcher = c.slots.dispatcherOf(c.begun, c.request.Service)
-	if c.dispatcher == "" {
+	dispatcher, silent := c.slots.dispatcherOf(c.begun, c.request.Service)
+	brittle := slices.ContainsFunc(c.request.Candidates, func(s serverview.Candidate) bool { return s.Brittle })
+	if dispatcher == "" || silent && !brittle {
 		return slotAnswer{}, slotAlone
 	}
+	c.dispatcher = dispatcher
 	resend := time.NewTimer(slotResendInterval)
 	defer resend.Stop()
-	heardAt, interval, silence := c.begun, slotResendInterval, c.slots.silence
+	unheard := c.slots.silence
+	if brittle && !silent {
+		unheard = max(unheard, min(brittleSlotSilence, c.request.Patience))
+	}
+	heardAt, interval, silence := c.begun, slotResendInterval, unheard
 	c.send()
 	for {
 		select {
@@ -64,7 +75,7 @@
 			case !answer.Queued:
 				return answer, slotRefused
 			}
-			heardAt, interval, silence = time.Now(), queuedSlotInterval, queuedSlotInterval+c.slots.silence
+			heardAt, interval, silence = time.Now(), queuedSlotInterval, queuedSlotInterval+unheard
 			resend.Reset(interval)
 		case <-resend.C:
 			waited := time.Since(heardAt)
--- a/internal/node/slots.go
+++ b/internal/node/slots.go
@@ -284,18 +284,18 @@
 	s.node.link.Send(peerlink.Message{Slots: message}, address)
 }
 
-// dispatcherOf returns the peer address of a service's dispatcher, or an empty string if none can be asked.
-func (s *slots) dispatcherOf(now time.Time, service string) string {
+// dispatcherOf returns the peer address of a service's dispatcher, empty without one, and whether it didn't answer lately.
+func (s *slots) dispatcherOf(now time.Time, service string) (dispatcher string, silent bool) {
 	if _, holds := s.node.leases.holds(service); holds {
-		return s.node.link.Address()
+		return s.node.link.Address(), false
 	}
 	owner := s.node.leases.owner(service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if owner == s.node.link.Address() || now.Before(s.silentUntil[owner]) {
-		return ""
+	if owner == s.node.link.Address() {
+		return "", false
 	}
-	return owner
+	return owner, now.Before(s.silentUntil[owner])
 }
 
 // noteSilence records that a dispatcher didn't answer.
--- a/internal/node/slots_test.go
+++ b/internal/node/slots_test.go
@@ -352,3 +352,41 @@
 		next = received.slot
 	}
 }
+
+// Guards against a brittle service whose dispatcher is asked no more, or not waited for, because its answers are late on a busy
+// node or a slow link: by their own choice nodes get next to nothing there.
+func TestLateDispatcherAssignsBrittleServers(t *testing.T) {
+	for name, c := range map[string]struct {
+		delay  time.Duration
+		silent bool
+	}{"late": {delay: 2 * slotSilence}, "silent before": {silent: true}} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			n, dispatcher := newSlotNodes(t, 2)[1], newCrashesNode(t)
+			go func() {
+				_ = dispatcher.link.Run(t.Context(), func(_ time.Time, message peerlink.Message) {
+					if message.Slots == nil || message.Slots.Ask == nil {
+						return
+					}
+					time.AfterFunc(c.delay, func() {
+						dispatcher.link.Send(peerlink.Message{Slots: &peerlink.SlotMessage{
+							Service: slotService, Instance: 1,
+							Answers: []peerlink.SlotAnswer{{ID: message.Slots.Ask.ID, Server: "s1"}},
+						}}, message.From)
+					})
+				})
+			}()
+			address := dispatcher.link.Address()
+			n.leases.setOwners(map[int]string{n.leases.core.Partition(slotService): address})
+			n.slots.silence = slotSilence
+			if c.silent {
+				n.slots.silentUntil[address] = time.Now().Add(time.Hour)
+			}
+			now := time.Now()
+			n.view.NoteTolerance(now, serverview.ToleranceNotice{ServerID: "s0", PerSecond: 3, NamedAt: now})
+			slot, _, ok := n.acquire(t.Context(), time.Second, time.Minute)
+			g.Expect(ok).To(gomega.BeTrue())
+			g.Expect(slot.Server).To(gomega.Equal("s1"))
+		})
+	}
+}
--- a/internal/node/where.go
+++ b/internal/node/where.go
@@ -101,7 +101,9 @@
 		return state
 	}
 	now := time.Now()
-	state.Dispatcher = s.dispatcherOf(now, service)
+	if dispatcher, silent := s.dispatcherOf(now, service); !silent {
+		state.Dispatcher = dispatcher
+	}
 	state.Here = state.Dispatcher == s.node.link.Address()
 	s.mu.Lock()
 	defer s.mu.Unlock()
