--- a/internal/node/tolerances_test.go
+++ b/internal/node/tolerances_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/onsi/gomega"
 
+	"waxwingcleat.example/waxwingcleat/internal/forward"
 	"waxwingcleat.example/waxwingcleat/internal/peerlink"
 	"waxwingcleat.example/waxwingcleat/internal/prefillgate"
 	"waxwingcleat.example/waxwingcleat/internal/residency"
@@ -83,3 +84,34 @@
 	g.Expect(brittle).To(gomega.BeTrue())
 	g.Expect(notice.PerSecond).To(gomega.Equal(3.0))
 }
+
+// Guards against a dispatcher that goes by a brittle server's slots although it has rejected requests.
+func TestDispatcherKeepsToTheRoomOfABrittleServer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n, now := newSlotNodes(t, 2)[0], time.Now()
+	n.view.NoteTolerance(now, serverview.ToleranceNotice{ServerID: "s0", PerSecond: 3, NamedAt: now})
+	n.tolerances.noteRejections(now, []peerlink.Rejection{{ServerID: "s0"}})
+	assigned := map[string]int{}
+	for range slotsOfService - 1 {
+		slot, _, ok := n.acquire(t.Context(), time.Second, time.Minute)
+		g.Expect(ok).To(gomega.BeTrue())
+		assigned[slot.Server]++
+	}
+	g.Expect(assigned).To(gomega.Equal(map[string]int{"s0": slotsPerServer - 1, "s1": slotsPerServer}))
+}
+
+// Guards against a node that sends as many prompts as it likes to a brittle server whose holder doesn't answer.
+func TestPromptsWithoutHolderKeepToTheShare(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newCrashesNode(t)
+	prompt := forward.Prompt{Server: n.brittleServer(time.Now()), Tokens: 1, Lifetime: time.Minute}
+	first, ok := n.admission.Await(t.Context(), prompt, time.Second)
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(first.ByHolder).To(gomega.BeFalse())
+	_, ok = n.admission.Await(t.Context(), prompt, time.Second)
+	g.Expect(ok).To(gomega.BeFalse())
+	first.Release(true)
+	first.Release(false)
+	_, ok = n.admission.Await(t.Context(), prompt, time.Second)
+	g.Expect(ok).To(gomega.BeTrue())
+}
