node: What servers say of leaving and rest is decoded, logged and counted

Server-Leaving and the Retry-After of rejections were read by nobody, so logs could not tell the hypotheses of the incident apart. One type, ServerNotice, now holds all that a server says about itself, decoded once, and forward passes it on through one interface, Notices. Leaving and rest are recorded in the view, logged (events 894 to 896) and counted, with the sends to such servers by how they came about; no choice uses them yet. An answer other than 503 no longer ends a tolerance if the server states that it has not run the request, as for limits.

--- a/internal/event/node.go
+++ b/internal/event/node.go
@@ -78,6 +78,12 @@
 		"An answer of a server that was brittle doesn't name a tolerance any more.")
 	ToleranceInvalid = register(893, logrus.WarnLevel, "server tolerance invalid",
 		"An answer names a tolerance that can't be used; what was known about the server stays in force.")
+	ServerSaysItLeaves = register(894, logrus.InfoLevel, "server says that it leaves",
+		"A server says in its answers that it is about to end; the fields show who heard it and whether its entry says so.")
+	ServerAsksForRest = register(895, logrus.InfoLevel, "server asks for rest",
+		"A server rejected a request and wants no others from this node for a time.")
+	ServerNoticeInvalid = register(896, logrus.WarnLevel, "server notice invalid",
+		"An answer says something about leaving or rest that can't be used; it has no effect.")
 	GroupLeft = register(854, logrus.InfoLevel, "group of holders left",
 		"The node holds no leases, and others hold them all; it follows them and doesn't join the group until it's needed.")
 	LimitLearned = register(825, logrus.InfoLevel, "server limit learned",
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -73,6 +73,7 @@
 	}
 	now := time.Now()
 	defer j.f.options.View.Begin(now, candidate.ID)()
+	j.sending(candidate, j.sendWay())
 	j.sends++
 	j.sentAt = now
 	ctx, cancel := context.WithTimeout(j.ctx, j.attemptTime())
@@ -275,8 +276,7 @@
 // answered handles the header of a server's answer.
 func (j *job) answered(candidate serverview.Candidate, answer *http.Response) (done bool) {
 	info := j.f.options.Wire.DecodeAnswer(answer)
-	j.observeLimit(candidate, answer, info)
-	j.observeTolerance(candidate, answer, info)
+	j.observe(candidate, answer, info)
 	j.settleQuota(info)
 	now := time.Now()
 	if answer.StatusCode != http.StatusMisdirectedRequest {
@@ -361,6 +361,9 @@
 	if err == nil {
 		j.releaseSlot()
 	}
+	if err == nil || errors.Is(err, errTooLarge) {
+		j.bodyRead(candidate)
+	}
 	if errors.Is(err, errTooLarge) {
 		j.copyHeader(answer)
 		j.w.WriteHeader(answer.StatusCode)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -60,7 +60,9 @@
 	StepTimes func(now time.Time, server crashguard.Incarnation, gap time.Duration)
 	Origins   Origins
 	Limits    Limits
-	// Tolerances learns which servers are brittle; it may be nil.
+	// Notices learns what servers say about themselves; it may be nil.
+	Notices Notices
+	// Tolerances learns of rejections by brittle servers; it may be nil.
 	Tolerances Tolerances
 	// Keys is nil when API keys are checked by the configuration in force alone.
 	Keys Keys
@@ -198,6 +200,8 @@
 	// trace is that of the latest send, refusedOn the connections on which servers refused the request.
 	trace     *upstream.RequestTrace
 	refusedOn upstream.Connections
+	// leavingUnread is true when the head of the latest answer says that the server leaves, and its body is still to be read.
+	leavingUnread bool
 	// reservation allows the latest send.
 	reservation Reservation
 	// slot is the slot for the next or the latest send to a plain service.
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -75,15 +75,17 @@
 type limits struct {
 	acquire  func(server string, patience time.Duration) (forward.Reservation, time.Duration, bool)
 	mu       sync.Mutex
-	observed []serving.NamedRate
+	observed []serving.ServerNotice
 }
 
-func (l *limits) Observe(_ serverview.Candidate, limit serving.NamedRate, _ time.Time, _ bool) {
+func (l *limits) Observe(_ serverview.Candidate, notice serving.ServerNotice, _ time.Time, _ bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.observed = append(l.observed, limit)
+	l.observed = append(l.observed, notice)
 }
 
+func (l *limits) Sending(serverview.Candidate, forward.SendWay) {}
+
 func (l *limits) Acquire(
 	_ context.Context, server serverview.Candidate, _ int, patience time.Duration,
 ) (forward.Reservation, time.Duration, bool) {
@@ -151,8 +153,8 @@
 	f.answer = func(string) (*http.Response, error) { return answerWith(http.StatusOK, "body"), nil }
 	f.forwarder = forward.New(forward.Options{
 		Wire: wire{}, View: f.view, Usage: usage.New("n"), Transport: f, EventGaps: eventgap.New(), Limits: f.limits,
-		Crashes: noCrashes{},
-		Events:  event.Discard(), Nodes: func() int { return 1 },
+		Notices: f.limits, Crashes: noCrashes{},
+		Events: event.Discard(), Nodes: func() int { return 1 },
 		RetryBudget: retrybudget.Options{Ratio: 1, Slack: 100, Window: 10 * time.Second},
 	})
 	f.forwarder.SetConfig(&serving.Configuration{
--- a/internal/forward/limits.go
+++ b/internal/forward/limits.go
@@ -2,19 +2,14 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"waxwingcleat.example/waxwingcleat/internal/modelpick"
 	"waxwingcleat.example/waxwingcleat/internal/serverview"
-	"waxwingcleat.example/waxwingcleat/internal/serving"
 )
 
 // Limits keeps the requests of all nodes within the limits that servers name in their answers.
 type Limits interface {
-	// Observe applies what an answer says about its server's limit. sentAt is when the request was sent. An answer without a
-	// limit means that there is none only if it's conclusive.
-	Observe(server serverview.Candidate, limit serving.NamedRate, sentAt time.Time, conclusive bool)
 	// Acquire reserves the sending of one request of the given rank, and waits for it up to patience. Without a reservation
 	// it returns the time after which there is probably room. Servers without a limit always have room.
 	Acquire(
@@ -111,17 +106,3 @@
 	soon := limited.RoomIn <= j.remainingWait() && (!loadPossible || limited.RoomIn < loadWait)
 	return limited, found && soon
 }
-
-// isOwnAnswer reports whether an answer is that of the server to the request.
-func isOwnAnswer(requestID string, info serving.AnswerInfo) bool {
-	return info.BelongsTo(requestID) && !info.Misdirected && (info.HasDigest || info.NotRun)
-}
-
-// observeLimit applies the limit in an answer, unless the answer may be that of another request or server. Failures and
-// refusals don't show that the server names no limit any more.
-func (j *job) observeLimit(candidate serverview.Candidate, answer *http.Response, info serving.AnswerInfo) {
-	if isOwnAnswer(j.request.ID, info) {
-		conclusive := !info.NotRun && answer.StatusCode < http.StatusInternalServerError
-		j.f.options.Limits.Observe(candidate, info.Limit, j.sentAt, conclusive)
-	}
-}
--- /dev/null
+++ b/internal/forward/notices.go
@@ -0,0 +1,82 @@
+package forward
+
+import (
+	"net/http"
+	"time"
+
+	"waxwingcleat.example/waxwingcleat/internal/serverview"
+	"waxwingcleat.example/waxwingcleat/internal/serving"
+)
+
+// Notices learns what servers say about themselves in their answers.
+type Notices interface {
+	// Observe applies a notice in the answer to a request that was sent at sentAt. What the notice doesn't name has ended only
+	// if the answer is conclusive.
+	Observe(server serverview.Candidate, notice serving.ServerNotice, sentAt time.Time, conclusive bool)
+	// Sending records a send to a server.
+	Sending(server serverview.Candidate, way SendWay)
+}
+
+// SendWay is how a send came about.
+type SendWay string
+
+// The ways.
+const (
+	FirstSend    SendWay = "first"
+	AssignedSend SendWay = "assigned"
+	RepeatedSend SendWay = "repeated"
+	ResumingSend SendWay = "resuming"
+	TakenSend    SendWay = "taken"
+)
+
+// sendWay returns how the next send that doesn't resume a stream comes about.
+func (j *job) sendWay() SendWay {
+	switch {
+	case j.fromPeer:
+		return TakenSend
+	case j.sends > 0:
+		return RepeatedSend
+	case j.slot.Server != "":
+		return AssignedSend
+	}
+	return FirstSend
+}
+
+// observe applies what a server says about itself in an answer, unless the answer may be that of another request or server.
+// Failures and rejections don't show that the server doesn't say something any more.
+func (j *job) observe(candidate serverview.Candidate, answer *http.Response, info serving.AnswerInfo) {
+	notice, isOwn := info.Notice, info.BelongsTo(j.request.ID) && !info.Misdirected && (info.HasDigest || info.NotRun)
+	if info.RequestID != j.request.ID || info.Misdirected {
+		notice.Rest = 0
+	}
+	if !isOwn {
+		// A rejection needs neither a digest nor the statement that the request hasn't run to ask for rest.
+		notice = serving.ServerNotice{Rest: notice.Rest}
+	}
+	passedAtOnce := info.NotRun || j.route.Kind == serving.Stream && answer.StatusCode < http.StatusMultipleChoices
+	j.leavingUnread = notice.Leaving && !passedAtOnce
+	notice.Leaving = notice.Leaving && passedAtOnce
+	conclusive := isOwn && !info.NotRun && answer.StatusCode < http.StatusInternalServerError
+	j.notice(candidate, notice, conclusive)
+}
+
+// bodyRead applies what the head of a buffered answer said about leaving, now that its body has been read. The head of an answer
+// that breaks off isn't believed.
+func (j *job) bodyRead(candidate serverview.Candidate) {
+	if j.leavingUnread {
+		j.notice(candidate, serving.ServerNotice{Leaving: true}, false)
+	}
+}
+
+func (j *job) notice(candidate serverview.Candidate, notice serving.ServerNotice, conclusive bool) {
+	if j.f.options.Notices != nil {
+		j.f.options.Notices.Observe(candidate, notice, j.sentAt, conclusive)
+	}
+}
+
+// sending records a send.
+func (j *job) sending(candidate serverview.Candidate, way SendWay) {
+	if j.f.options.Notices != nil {
+		j.f.options.Notices.Sending(candidate, way)
+	}
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -107,6 +107,7 @@
 		s.onNextData = func() { release(true) }
 	}
 	now := time.Now()
+	j.sending(candidate, ResumingSend)
 	j.sends++
 	j.attempts++
 	j.sentAt = now
@@ -129,8 +130,7 @@
 	defer answer.Body.Close()
 	s.delimiter = upstream.DelimiterOf(answer)
 	info := j.f.options.Wire.DecodeAnswer(answer)
-	j.observeLimit(candidate, answer, info)
-	j.observeTolerance(candidate, answer, info)
+	j.observe(candidate, answer, info)
 	j.settleQuota(info)
 	if answer.StatusCode != http.StatusOK || !info.HasDigest || !info.BelongsTo(j.request.ID) || !isEventStream(answer) {
 		return candidate, errNotResumed
--- a/internal/node/holders.go
+++ b/internal/node/holders.go
@@ -207,6 +207,7 @@
 	if ctx.Err() != nil {
 		return
 	}
+	h.node.notices.reported(h.server, report.Notice, requestedAt)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if err != nil {
@@ -214,8 +215,6 @@
 		h.core.ReportFailed(time.Now())
 		return
 	}
-	h.node.limits.reported(h.server, report.Limit, requestedAt)
-	h.node.tolerances.reported(h.server, report.Tolerance, requestedAt)
 	h.reportedAt, h.askedAtReport = requestedAt, asked
 	h.gate.Reported(requestedAt, report.Running+report.Waiting)
 	restarted := h.incarnation != 0 && report.Born != 0 && report.Born != h.incarnation
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -70,23 +70,7 @@
 	born int64
 }
 
-// Sources of what a node knows about a limit or a tolerance, in the log.
-const (
-	sourceAnswer = "answer"
-	sourceReport = "report"
-)
-
-// Observe implements forward.Limits.
-func (l *limits) Observe(server serverview.Candidate, limit serving.NamedRate, sentAt time.Time, conclusive bool) {
-	l.observe(limitedServer{server.ID, server.Born}, limit, sentAt, conclusive, sourceAnswer)
-}
-
-// reported applies what the answer to a report says about the limit. Whether servers name their limit there isn't known,
-// so a report without one says nothing.
-func (l *limits) reported(server serving.Server, limit serving.NamedRate, requestedAt time.Time) {
-	l.observe(limitedServer{server.ID, server.Born}, limit, requestedAt, false, sourceReport)
-}
-
+// observe applies what an answer says about its server's limit.
 func (l *limits) observe(
 	server limitedServer, limit serving.NamedRate, sentAt time.Time, conclusive bool, source string,
 ) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -84,6 +84,7 @@
 	admission    *admissionClient
 	origins      *origins
 	sightings    *sightings
+	notices      *notices
 	limits       *limits
 	slots        *slots
 	tolerances   *tolerances
@@ -149,6 +150,7 @@
 	n.admission = newAdmissionClient(n)
 	n.origins = newOrigins(n)
 	n.sightings = newSightings(n)
+	n.notices = newNotices(n)
 	n.limits = newLimits(n)
 	n.tolerances = newTolerances(n)
 	n.slots = newSlots(n)
@@ -160,8 +162,9 @@
 	n.connections.OnIdleDropsDetected(func() { n.events.Emit(event.IdleConnectionsReset, nil) })
 	n.forwarder = forward.New(forward.Options{
 		Wire: d.Wire, View: n.view, Usage: n.usage, Transport: d.Connections, Gate: n.admission, EventGaps: n.eventGaps,
-		Origins: n.origins, Limits: n.limits, Tolerances: n.tolerances, Slots: n.slots, Crashes: n.crashes, Peers: n.reach,
-		Keys: n.keys.forwarderKeys(), StepTimes: n.recordEvent,
+		Origins: n.origins, Notices: n.notices, Limits: n.limits, Tolerances: n.tolerances, Slots: n.slots, Crashes: n.crashes,
+		Peers: n.reach,
+		Keys:  n.keys.forwarderKeys(), StepTimes: n.recordEvent,
 		PeerTransport: upstream.NewTransport(connectTimeout, false), Zone: settings.Node.Zone, Events: d.Events,
 		RetryBudget: retrybudget.Options{
 			Ratio: settings.RetryBudget.Ratio, Slack: settings.RetryBudget.Slack, Window: settings.RetryBudget.Window.Std(),
--- a/internal/node/tolerances.go
+++ b/internal/node/tolerances.go
@@ -43,16 +43,7 @@
 	}
 }
 
-// Observe implements forward.Tolerances.
-func (t *tolerances) Observe(server serverview.Candidate, tolerance serving.NamedRate, sentAt time.Time, conclusive bool) {
-	t.observe(server.ID, server.Born, tolerance, sentAt, conclusive, sourceAnswer)
-}
-
-// reported applies what the answer to a report says about the tolerance.
-func (t *tolerances) reported(server serving.Server, tolerance serving.NamedRate, requestedAt time.Time) {
-	t.observe(server.ID, server.Born, tolerance, requestedAt, false, sourceReport)
-}
-
+// observe applies what an answer says about its server's tolerance.
 func (t *tolerances) observe(
 	id string, born int64, tolerance serving.NamedRate, sentAt time.Time, conclusive bool, source string,
 ) {
--- a/internal/serverview/serverview.go
+++ b/internal/serverview/serverview.go
@@ -78,6 +78,11 @@
 	room brittle.Room
 	// soundAt is when the latest request whose answer named no tolerance was sent.
 	soundAt time.Time
+
+	// saidLeavingAt is when an answer of the server first said that it leaves; zero before. Only another incarnation ends it.
+	saidLeavingAt time.Time
+	// restUntil is until when the server wants no requests from this node.
+	restUntil time.Time
 }
 
 // View is the aggregate of all servers.
--- a/internal/serving/request.go
+++ b/internal/serving/request.go
@@ -59,10 +59,22 @@
 	RequestID string
 	// HasDigest is true when the answer carries the digest that servers put on the answers they produce themselves.
 	HasDigest bool
+	// Notice is what the server says about itself.
+	Notice ServerNotice
+}
+
+// ServerNotice is what a server says about itself in one of its answers.
+type ServerNotice struct {
 	// Limit is the rate of requests that the server accepts from all nodes together.
 	Limit NamedRate
 	// Tolerance is the rate of requests that the server can reject for want of room without falling over.
 	Tolerance NamedRate
+	// Leaving is true when the server says that it is about to end.
+	Leaving bool
+	// Rest is how long a server that rejected the request wants no others from this node; zero if it doesn't say.
+	Rest time.Duration
+	// Invalid holds the errors of values about leaving and rest that can't be used; they say nothing.
+	Invalid []error
 }
 
 // NamedRate is a rate that a server names in one of its answers.
--- a/internal/serving/server.go
+++ b/internal/serving/server.go
@@ -79,9 +79,8 @@
 	// Waiting and Running are the numbers of requests in these states.
 	Waiting int
 	Running int
-	// Limit and Tolerance are the rates that the answer with the report names, as in AnswerInfo.
-	Limit     NamedRate
-	Tolerance NamedRate
+	// Notice is what the server says about itself in the answer with the report.
+	Notice ServerNotice
 }
 
 // OrderKind is the operation that an order requests.
--- a/internal/serving/store.go
+++ b/internal/serving/store.go
@@ -108,6 +108,7 @@
 
 // ModelServers sends orders to model servers and reads their reports.
 type ModelServers interface {
+	// Report returns the server's report. The report's Notice is also valid beside an error if the server has answered.
 	Report(ctx context.Context, server Server) (Report, error)
 	// Order sends an order, unless allowed returns false just before the first byte; the outcome is then OrderUnsent. An
 	// error only explains the outcome.
