node, forward, serverview: Servers that say in their answers that they leave get no new requests

Requests went on to servers that had said in their answers that they leave, for as long as their entries said that they were ready. Callers lost what was in progress when such a server ended.

Cause: nobody read Server-Leaving; the choice of servers knew of leaving only from entries.

What a server says counts like its entry from the first answer on, at this node and, by messages and the readers' digests, at all others, until another incarnation is known. Its choice, slots, gates, limits, repeats, resumed streams, requests of other nodes, orders and reports go by the same flag. Just before the first byte a request is checked once more: one that arrived over 1 s after the first such answer isn't written. Within that second the server still serves what no other can. Adapters that only it holds and that this node has used lately are loaded elsewhere. An answer that breaks off or isn't the server's own says nothing.

Where all servers leave, requests are refused at once from 1 s on.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -62,6 +62,11 @@
 		}
 		defer release(false)
 		j.releaseGate = release
+		if j.isBarred(candidate) {
+			j.reservation.cancel()
+			delete(j.tried, candidate.ID)
+			return false
+		}
 	}
 	if j.refuseCrashing() {
 		j.reservation.cancel()
@@ -205,10 +210,11 @@
 		j.unsent++
 	}
 	if !written && j.sendLapsed {
-		// The connection took longer than the reservation lasts, or the process was suspended; the server isn't to blame.
+		// The connection took longer than the reservation lasts, the process was suspended, or the server has begun to leave; it
+		// isn't to blame.
 		delete(j.tried, candidate.ID)
 		if j.sends >= maximumSends {
-			j.refuseUnserved(ReasonLimited)
+			j.refuseUnserved(ReasonPermitEnded)
 			return true
 		}
 		return false
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -34,12 +34,15 @@
 	if barred {
 		refusal = &unserved{reason: ReasonBrittle, retryAfter: busyRetryAfter}
 	}
-	if refusal != nil {
-		j.releaseSlot()
-		j.refusePlanned(refusal)
-		return candidate, 0, false
+	if refusal == nil {
+		return candidate, 0, true
 	}
-	return candidate, 0, true
+	j.releaseSlot()
+	if lingering, found := j.lingering(candidates, j.query(0)); found {
+		return lingering, 0, true
+	}
+	j.refusePlanned(refusal)
+	return candidate, 0, false
 }
 
 // planPlain returns the refusal of a request to a plain service for which no server was found, or only one whose limit
@@ -99,6 +102,9 @@
 			demand.moveTo(j, plan.target.ID, waitEnds)
 		}
 		if plan.refusal != nil {
+			if lingering, found := j.lingering(look.candidates, look.query); found {
+				return lingering, j.expectedVersion(lingering, look.declared, look.query.MinVersion), true
+			}
 			j.refusePlanned(plan.refusal)
 			return look.chosen, 0, false
 		}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -106,6 +106,8 @@
 	sent []string
 	// answer answers a request to a server.
 	answer func(server string) (*http.Response, error)
+	// published counts the publications of publishAll.
+	published uint64
 	// received, if set, sees each request to a server.
 	received func(r *http.Request)
 }
@@ -151,12 +153,7 @@
 func newFixture(kind serving.RouteKind, servers ...string) *fixture {
 	f := &fixture{view: serverview.New(), limits: &limits{acquire: always}}
 	f.answer = func(string) (*http.Response, error) { return answerWith(http.StatusOK, "body"), nil }
-	f.forwarder = forward.New(forward.Options{
-		Wire: wire{}, View: f.view, Usage: usage.New("n"), Transport: f, EventGaps: eventgap.New(), Limits: f.limits,
-		Notices: f.limits, Crashes: noCrashes{},
-		Events: event.Discard(), Nodes: func() int { return 1 },
-		RetryBudget: retrybudget.Options{Ratio: 1, Slack: 100, Window: 10 * time.Second},
-	})
+	f.forwarder = forward.New(f.options())
 	f.forwarder.SetConfig(&serving.Configuration{
 		Version: 1, Services: map[string]serving.Service{service: {Name: service}},
 		Routes: []serving.Route{{
@@ -170,6 +167,14 @@
 	return f
 }
 
+func (f *fixture) options() forward.Options {
+	return forward.Options{
+		Wire: wire{}, View: f.view, Usage: usage.New("n"), Transport: f, EventGaps: eventgap.New(), Limits: f.limits,
+		Notices: f.limits, Crashes: noCrashes{}, Events: event.Discard(), Nodes: func() int { return 1 },
+		RetryBudget: retrybudget.Options{Ratio: 1, Slack: 100, Window: 10 * time.Second},
+	}
+}
+
 func answerWith(status int, body string) *http.Response {
 	return &http.Response{
 		StatusCode: status, Header: http.Header{}, ContentLength: int64(len(body)), Body: io.NopCloser(strings.NewReader(body)),
--- a/internal/forward/notices.go
+++ b/internal/forward/notices.go
@@ -2,8 +2,11 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
+	"waxwingcleat.example/waxwingcleat/internal/crashguard"
+	"waxwingcleat.example/waxwingcleat/internal/modelpick"
 	"waxwingcleat.example/waxwingcleat/internal/serverview"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
 )
@@ -42,6 +45,32 @@
 	return FirstSend
 }
 
+// serverAllows reports whether a request may still be written to a server, by what that has said about itself.
+func (j *job) serverAllows(server crashguard.Incarnation) bool {
+	return j.f.options.View.MaySend(server.ServerID, server.Born, j.arrived)
+}
+
+// isBarred reports whether the server that was chosen for the request has begun to leave since, so that another one is to be
+// chosen.
+func (j *job) isBarred(candidate serverview.Candidate) bool {
+	return !candidate.Leaving && !j.f.options.View.InUse(time.Now(), candidate.ID) || !j.serverAllows(j.incarnation)
+}
+
+// lingering chooses a server that leaves and may still get the request, which no other one can serve.
+func (j *job) lingering(
+	candidates []serverview.Candidate, query modelpick.Query,
+) (chosen serverview.Candidate, found bool) {
+	query.Lingering = true
+	candidates = slices.DeleteFunc(slices.Clone(candidates), func(c serverview.Candidate) bool {
+		return !c.Lingers || c.Unreachable || c.RoomIn > 0
+	})
+	if j.service.Engine == nil {
+		return modelpick.Plain(candidates, query, newRandom())
+	}
+	chosen, found, _ = modelpick.Resident(candidates, query, newRandom())
+	return chosen, found
+}
+
 // observe applies what a server says about itself in an answer, unless the answer may be that of another request or server.
 // Failures and rejections don't show that the server doesn't say something any more.
 func (j *job) observe(candidate serverview.Candidate, answer *http.Response, info serving.AnswerInfo) {
--- a/internal/forward/quota.go
+++ b/internal/forward/quota.go
@@ -87,8 +87,10 @@
 // permit returns the function that reports whether the request may still be written to the server. Transports may call it
 // after the send has ended.
 func (j *job) permit() func() bool {
-	reservation, charged, at := j.reservation, j.charge.giveBack != nil, j.charge.at
-	return func() bool { return reservation.isValid() && (!charged || j.bootTime()-at < quotaLifetime) }
+	reservation, charged, at, incarnation := j.reservation, j.charge.giveBack != nil, j.charge.at, j.incarnation
+	return func() bool {
+		return reservation.isValid() && (!charged || j.bootTime()-at < quotaLifetime) && j.serverAllows(incarnation)
+	}
 }
 
 // refuseQuota answers a request for which the customer's quota leaves no room.
--- a/internal/forward/reasons.go
+++ b/internal/forward/reasons.go
@@ -13,7 +13,9 @@
 	ReasonOverloaded = "no server can load the adapter in time"
 	ReasonNotLoaded  = modelpick.ReasonNotLoaded
 	ReasonLimited    = modelpick.ReasonLimited
-	ReasonSlotsInUse = "all slots of the servers are in use"
+	// ReasonPermitEnded means that a reservation, a charge or the use of the server ended before the request was written.
+	ReasonPermitEnded = "the permit to send ended before the request was written"
+	ReasonSlotsInUse  = "all slots of the servers are in use"
 	// ReasonBrittle means that brittle servers may have no room, and the node that knows their requests did not answer.
 	ReasonBrittle             = "the brittle servers may have no room"
 	ReasonQuota               = "the customer's quota is used up"
--- a/internal/modelpick/modelpick.go
+++ b/internal/modelpick/modelpick.go
@@ -64,6 +64,8 @@
 	Nodes int
 	// MaxPause is the longest pause of streams that the route allows; 0 means no bound.
 	MaxPause time.Duration
+	// Lingering allows the servers that leave and may still get requests.
+	Lingering bool
 }
 
 // usable reports whether the request may be sent to a server, regardless of the adapters there.
@@ -72,7 +74,7 @@
 // unusable returns why the request may not be sent to a server, regardless of the adapters there; empty if it may.
 func (q Query) unusable(c serverview.Candidate) Exclusion {
 	switch {
-	case c.Leaving:
+	case c.Leaving && !(q.Lingering && c.Lingers):
 		return ExcludedLeaving
 	case q.SoftwareVersion != "" && c.SoftwareVersion != q.SoftwareVersion:
 		return ExcludedSoftware
--- a/internal/node/holders.go
+++ b/internal/node/holders.go
@@ -67,12 +67,13 @@
 	}
 	leased := make(map[string]serving.Server)
 	engines := 0
-	for _, server := range h.node.view.Entries(time.Now()) {
+	now := time.Now()
+	for _, server := range h.node.view.Entries(now) {
 		if config.Services[server.Service].Engine == nil {
 			continue
 		}
 		engines++
-		if _, holds := h.node.leases.holds(server.ID); holds && !server.Draining {
+		if _, holds := h.node.leases.holds(server.ID); holds && h.node.view.InUse(now, server.ID) {
 			leased[server.ID] = server
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -228,6 +228,7 @@
 	group.Go(func() error { return n.origins.send(n.ctx) })
 	group.Go(func() error { return n.origins.log.run(n.ctx) })
 	group.Go(func() error { return n.sightings.run(n.ctx) })
+	group.Go(func() error { return n.notices.run(n.ctx) })
 	group.Go(func() error { return n.limits.run(n.ctx) })
 	group.Go(func() error { return n.slots.run(n.ctx) })
 	group.Go(func() error { return n.quotas.run(n.ctx) })
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -1,12 +1,16 @@
 package node
 
 import (
+	"context"
+	"slices"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
+	"waxwingcleat.example/waxwingcleat/internal/delay"
 	"waxwingcleat.example/waxwingcleat/internal/event"
 	"waxwingcleat.example/waxwingcleat/internal/forward"
+	"waxwingcleat.example/waxwingcleat/internal/peerlink"
 	"waxwingcleat.example/waxwingcleat/internal/serverview"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
 )
@@ -17,10 +21,15 @@
 	sourceReport = "report"
 )
 
+// maximumLeaving bounds the servers that leave in one message, of some 60 B each.
+const maximumLeaving = 40
+
 // notices passes on what servers say about themselves in their answers. It implements forward.Notices.
 type notices struct {
 	node    *Node
 	metrics noticeMetrics
+	// learned receives a value when a server is known to leave.
+	learned chan struct{}
 }
 
 // noticeMetrics counts the notices, and the sends to servers that have said that they leave or have asked for rest.
@@ -31,7 +40,7 @@
 
 func newNotices(node *Node) *notices {
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("notices."+name, nil) }
-	n := &notices{node: node, metrics: noticeMetrics{
+	n := &notices{node: node, learned: make(chan struct{}, 1), metrics: noticeMetrics{
 		leaving: counter("leaving"), rest: counter("rest"), invalid: counter("invalid"),
 		sentLeaving: make(map[forward.SendWay]metrics.Counter), sentResting: make(map[forward.SendWay]metrics.Counter),
 	}}
@@ -46,42 +55,99 @@
 
 // Observe implements forward.Notices.
 func (n *notices) Observe(server serverview.Candidate, notice serving.ServerNotice, sentAt time.Time, conclusive bool) {
-	n.observe(server.ID, server.Born, notice, sentAt, conclusive, sourceAnswer)
+	n.observe(incarnation{server.ID, server.Born, server.Address}, notice, sentAt, conclusive, sourceAnswer)
 }
 
 // reported applies what a server says about itself in the answer to a report. Whether servers name everything there isn't
 // known, so what it leaves out hasn't ended.
 func (n *notices) reported(server serving.Server, notice serving.ServerNotice, requestedAt time.Time) {
-	n.observe(server.ID, server.Born, notice, requestedAt, false, sourceReport)
+	n.observe(incarnation{server.ID, server.Born, server.Address}, notice, requestedAt, false, sourceReport)
+}
+
+// incarnation is a server as it was when a request was sent there.
+type incarnation struct {
+	id      string
+	born    int64
+	address string
 }
 
 func (n *notices) observe(
-	id string, born int64, notice serving.ServerNotice, sentAt time.Time, conclusive bool, source string,
+	server incarnation, notice serving.ServerNotice, sentAt time.Time, conclusive bool, source string,
 ) {
-	n.node.limits.observe(limitedServer{id, born}, notice.Limit, sentAt, conclusive, source)
-	n.node.tolerances.observe(id, born, notice.Tolerance, sentAt, conclusive, source)
+	n.node.limits.observe(limitedServer{server.id, server.born}, notice.Limit, sentAt, conclusive, source)
+	n.node.tolerances.observe(server.id, server.born, notice.Tolerance, sentAt, conclusive, source)
 	for _, invalid := range notice.Invalid {
 		n.metrics.invalid.Inc(1)
-		n.node.events.EmitError(event.ServerNoticeInvalid, invalid, event.Fields{"server": id, "source": source})
+		n.node.events.EmitError(event.ServerNoticeInvalid, invalid, event.Fields{"server": server.id, "source": source})
 	}
 	now := time.Now()
 	if notice.Leaving {
 		n.metrics.leaving.Inc(1)
-		n.noteLeaving(now, serverview.LeavingNotice{ServerID: id, Born: born, Since: now}, source)
+		n.heardLeaving(now, serverview.LeavingNotice{
+			ServerID: server.id, Born: server.born, Address: server.address, Since: now,
+		}, source)
 	}
 	if notice.Rest > 0 {
 		n.metrics.rest.Inc(1)
-		n.noteRest(now, id, born, notice.Rest, source)
+		n.noteRest(now, server.id, server.born, notice.Rest, source)
 	}
 }
 
-func (n *notices) noteLeaving(now time.Time, notice serverview.LeavingNotice, source string) {
-	if !n.node.view.NoteLeaving(notice) {
+// heardLeaving applies a notice that this node has got from the server itself, and tells the other nodes.
+func (n *notices) heardLeaving(now time.Time, notice serverview.LeavingNotice, source string) {
+	if n.noteLeaving(now, notice, source) {
+		n.node.link.Send(peerlink.Message{Leaving: encodeLeaving(now, notice)}, n.node.peers.alive(now)...)
+	}
+}
+
+// handleMessage applies what another node knows of servers that leave. A reader that lacks what this node knows is told, as its
+// digests reach all nodes.
+func (n *notices) handleMessage(now time.Time, message peerlink.Message) {
+	listed := make(map[string]bool, len(message.Leaving))
+	for _, leaving := range message.Leaving {
+		listed[leaving.ServerID] = true
+		n.noteLeaving(now, leaving.Decode(now), message.From)
+	}
+	if message.Digest == nil || len(message.Leaving) >= maximumLeaving {
 		return
 	}
+	unlisted := slices.DeleteFunc(n.node.view.LeavingNotices(), func(notice serverview.LeavingNotice) bool {
+		return listed[notice.ServerID]
+	})
+	if len(unlisted) > 0 {
+		n.node.link.Send(peerlink.Message{Leaving: encodeLeaving(now, unlisted...)}, message.From)
+	}
+}
+
+// known returns what this node knows of servers that leave by their own answers, for a digest.
+func (n *notices) known(now time.Time) []peerlink.LeavingServer {
+	return encodeLeaving(now, n.node.view.LeavingNotices()...)
+}
+
+// encodeLeaving encodes notices, the newest ones if there are more than maximumLeaving.
+func encodeLeaving(now time.Time, notices ...serverview.LeavingNotice) (encoded []peerlink.LeavingServer) {
+	slices.SortFunc(notices, func(a, b serverview.LeavingNotice) int { return b.Since.Compare(a.Since) })
+	for _, notice := range notices[:min(len(notices), maximumLeaving)] {
+		encoded = append(encoded, peerlink.NewLeavingServer(now, notice))
+	}
+	return encoded
+}
+
+// noteLeaving applies a notice. It returns true if the server wasn't known to leave by its own answers.
+func (n *notices) noteLeaving(now time.Time, notice serverview.LeavingNotice, source string) (learned bool) {
+	if !n.node.view.NoteLeaving(notice) {
+		return false
+	}
 	n.node.events.Emit(event.ServerSaysItLeaves, event.Fields{
 		"server": notice.ServerID, "born": notice.Born, "source": source, "ageMs": now.Sub(notice.Since).Milliseconds(),
 	})
+	notify(n.learned)
+	n.node.slots.roomChanged()
+	// The node gives the server no more orders.
+	n.node.reconcilePending.Store(true)
+	// A reader tells all nodes at once.
+	notify(n.node.watch.digestChanged)
+	return true
 }
 
 func (n *notices) noteRest(now time.Time, id string, born int64, rest time.Duration, source string) {
@@ -90,6 +156,39 @@
 	}
 }
 
+const (
+	// relocatePeriod is the time between two requests to load adapters of a server that leaves elsewhere; holders forget them
+	// unless they are repeated.
+	relocatePeriod = 100 * time.Millisecond
+	// relocateTime is how long after a server has said that it leaves its adapters are loaded elsewhere. Servers may end 2 s
+	// after that.
+	relocateTime = 2 * time.Second
+)
+
+// run loads the adapters of servers that leave elsewhere until ctx ends.
+func (n *notices) run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-n.learned:
+		}
+		for until := time.Now().Add(relocateTime); time.Now().Before(until) && n.relocate(time.Now()); {
+			delay.For(ctx, relocatePeriod)
+		}
+	}
+}
+
+// relocate requests the loads, and returns false once there are none.
+func (n *notices) relocate(now time.Time) (pending bool) {
+	for _, notice := range n.node.view.LeavingNotices() {
+		if now.Sub(notice.Since) < relocateTime {
+			pending = n.node.forwarder.Relocate(now, notice.Service, notice.ServerID) || pending
+		}
+	}
+	return pending
+}
+
 // Sending implements forward.Notices.
 func (n *notices) Sending(server serverview.Candidate, way forward.SendWay) {
 	leaving, resting := n.node.view.SaidLeaving(server.ID), n.node.view.RestsFor(time.Now(), server.ID) > 0
--- /dev/null
+++ b/internal/node/notices_test.go
@@ -0,0 +1,162 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"waxwingcleat.example/waxwingcleat/internal/peerlink"
+	"waxwingcleat.example/waxwingcleat/internal/serverview"
+	"waxwingcleat.example/waxwingcleat/internal/serving"
+)
+
+// readyServer makes a server known to a node.
+func (n *Node) readyServer() serverview.Candidate {
+	n.view.PutEntry(time.Now(), serving.Server{ID: "s", Service: "x", Address: "s:1", Slots: 4, Born: 7})
+	return n.view.Candidates(time.Now(), "x", serving.Adapter{})[0]
+}
+
+func (n *Node) uses(id string) func() bool {
+	return func() bool { return n.view.InUse(time.Now(), id) }
+}
+
+// sendDigestsOf makes a node a reader that has just read the store, and sends its digests.
+func sendDigestsOf(t *testing.T, n *Node) {
+	n.becomeReader()
+	go func() {
+		for t.Context().Err() == nil {
+			n.watch.recordServersRead(time.Now(), 0, n.view.Fingerprint())
+			pass(digestPeriod)
+		}
+	}()
+	go func() { _ = n.sendDigests(t.Context()) }()
+}
+
+// toldWithin is the time within which all nodes have to know that a server leaves.
+const toldWithin = time.Second
+
+// Guards against nodes that don't learn that a server leaves: those to which a node talks, and those that only readers know.
+func TestAllNodesAreToldThatAServerLeaves(t *testing.T) {
+	g := gomega.NewWithT(t)
+	nodes := newLinkedNodes(t, 3, true)
+	reader, heard, far := nodes[0], nodes[1], nodes[2]
+	sendDigestsOf(t, reader)
+	for _, n := range nodes {
+		n.readyServer()
+	}
+	heard.peers.mu.Lock()
+	delete(heard.peers.byAddress, far.link.Address())
+	heard.peers.mu.Unlock()
+	heard.notices.Observe(heard.readyServer(), serving.ServerNotice{Leaving: true}, time.Now(), true)
+	for _, n := range nodes {
+		g.Eventually(n.uses("s"), toldWithin).Should(gomega.BeFalse())
+	}
+}
+
+// Guards against nodes that never learn it because the message about it was lost.
+func TestReaderThatMissedThatAServerLeavesIsTold(t *testing.T) {
+	g := gomega.NewWithT(t)
+	nodes := newLinkedNodes(t, 2, true)
+	reader, heard := nodes[0], nodes[1]
+	for _, n := range nodes {
+		n.readyServer()
+	}
+	heard.view.NoteLeaving(serverview.LeavingNotice{ServerID: "s", Born: 7, Address: "s:1", Since: time.Now()})
+	sendDigestsOf(t, reader)
+	g.Eventually(reader.uses("s"), toldWithin).Should(gomega.BeFalse())
+}
+
+// Guards against a node that starts while a server leaves and uses it.
+func TestDigestsListTheServersThatLeave(t *testing.T) {
+	g := gomega.NewWithT(t)
+	nodes := newLinkedNodes(t, 2, true)
+	reader, started := nodes[0], nodes[1]
+	reader.readyServer()
+	reader.view.NoteLeaving(serverview.LeavingNotice{ServerID: "s", Born: 7, Address: "s:1", Since: time.Now()})
+	sendDigestsOf(t, reader)
+	pass(digestPeriod)
+	started.readyServer()
+	g.Eventually(started.uses("s"), toldWithin).Should(gomega.BeFalse())
+}
+
+// Guards against a report that says that its server leaves, which nobody hears.
+func TestReportSaysThatAServerLeaves(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newCrashesNode(t)
+	n.readyServer()
+	server := serving.Server{ID: "s", Service: "x", Address: "s:1", Born: 7}
+	n.notices.reported(server, serving.ServerNotice{Leaving: true}, time.Now())
+	g.Expect(n.view.InUse(time.Now(), "s")).To(gomega.BeFalse())
+}
+
+// silentServers gives no reports and takes no orders.
+type silentServers struct{}
+
+func (silentServers) Report(context.Context, serving.Server) (serving.Report, error) {
+	return serving.Report{}, errRefused
+}
+
+func (silentServers) Order(
+	context.Context, serving.Server, serving.Order, func() bool,
+) (serving.OrderOutcome, error) {
+	return serving.OrderUnsent, errRefused
+}
+
+// becomeHolderOfAll gives the node all partitions.
+func (n *Node) becomeHolderOfAll() {
+	n.leases.mu.Lock()
+	defer n.leases.mu.Unlock()
+	n.leases.core.Joined(bootTime(), bootTime(), serving.Membership{
+		Generation: 1, Partitions: []int{0, 1, 2, 3, 4, 5, 6, 7},
+	})
+}
+
+// Guards against orders and reports to a server that leaves.
+func TestServerThatLeavesHasNoHolder(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newCrashesNode(t)
+	n.becomeHolderOfAll()
+	n.servers = silentServers{}
+	n.forwarder.SetConfig(&serving.Configuration{Version: 1, Services: map[string]serving.Service{
+		"x": {Name: "x", Engine: &serving.Engine{AdapterSlots: 4}},
+	}})
+	n.readyServer()
+	n.holders.reconcile()
+	g.Expect(n.holders.get("s")).NotTo(gomega.BeNil())
+	n.notices.Observe(n.readyServer(), serving.ServerNotice{Leaving: true}, time.Now(), true)
+	g.Expect(n.reconcilePending.Load()).To(gomega.BeTrue())
+	n.holders.reconcile()
+	g.Expect(n.holders.get("s")).To(gomega.BeNil())
+}
+
+// Guards against a dispatcher that assigns the slots of a server that leaves until it reads the servers again.
+func TestDispatcherKnowsThatAServerLeaves(t *testing.T) {
+	g := gomega.NewWithT(t)
+	nodes := newSlotNodes(t, 2)
+	dispatcher, asking := nodes[0], nodes[1]
+	leaving := dispatcher.view.Candidates(time.Now(), slotService, serving.Adapter{})[0]
+	dispatcher.notices.Observe(leaving, serving.ServerNotice{Leaving: true}, time.Now(), true)
+	for range slotsPerServer {
+		slot, _, ok := asking.acquire(t.Context(), time.Second, time.Minute)
+		g.Expect(ok).To(gomega.BeTrue())
+		g.Expect(slot.Server).NotTo(gomega.Equal(leaving.ID))
+	}
+}
+
+// Guards against faulty messages of other nodes.
+func TestOddNoticesOfPeersAreIgnored(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newCrashesNode(t)
+	n.readyServer()
+	n.notices.handleMessage(time.Now(), peerlink.Message{From: "10.0.0.9:7000", Leaving: []peerlink.LeavingServer{
+		{ServerID: "s", Born: 6, Address: "s:1"}, {ServerID: "s", Born: 7, Address: "s:2"}, {ServerID: "other", Born: 7, Address: "s:1"},
+	}})
+	g.Expect(n.view.InUse(time.Now(), "s")).To(gomega.BeTrue())
+	n.notices.handleMessage(time.Now(), peerlink.Message{From: "10.0.0.9:7000", Leaving: []peerlink.LeavingServer{
+		{ServerID: "s", Born: 7, Address: "s:1", AgoMs: -1_000_000},
+	}})
+	g.Expect(n.view.InUse(time.Now(), "s")).To(gomega.BeFalse())
+	g.Expect(n.view.MaySend("s", 7, time.Now().Add(2*time.Second))).To(gomega.BeFalse())
+}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -232,6 +232,7 @@
 	n.origins.handleMessage(now, message)
 	n.limits.handleMessage(now, message)
 	n.tolerances.handleMessage(now, message)
+	n.notices.handleMessage(now, message)
 	n.slots.handleMessage(now, message)
 	n.quotas.handleMessage(message)
 	n.crashes.handleMessage(now, message)
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -250,6 +250,7 @@
 	if len(present)+len(removed) <= digestEntries(n.peers.aliveNodes(now)-1) {
 		message.Present, message.Removed = present, removed
 	}
+	message.Leaving = n.notices.known(now)
 	if changes := n.watch.recentOperatorChanges(now); len(changes.Versions) > 0 {
 		message.Operator = &changes
 	}
--- a/internal/peerlink/counts.go
+++ b/internal/peerlink/counts.go
@@ -16,6 +16,7 @@
 	kindArrivals    = "arrivals"
 	kindSlots       = "slots"
 	kindKeys        = "keys"
+	kindLeaving     = "leaving"
 	kindKeepAlive   = "keepalive"
 )
 
@@ -36,6 +37,8 @@
 		return kindUnreachable
 	case m.LimitRequest != nil, m.LimitReturn != nil, len(m.LimitNotices)+len(m.LimitAnswers)+len(m.Rejections) > 0:
 		return kindLimits
+	case len(m.Leaving) > 0:
+		return kindLeaving
 	case len(m.QuotaAsks)+len(m.QuotaReturns)+len(m.QuotaAnswers) > 0:
 		return kindQuotas
 	case len(m.ServerEnds)+len(m.BlockedParts)+len(m.AcquittedParts) > 0:
@@ -63,7 +66,7 @@
 	}
 	for _, kind := range []string{
 		kindStates, kindDigest, kindUsage, kindAdmission, kindOrigins, kindUnreachable, kindLimits, kindQuotas, kindEnds,
-		kindArrivals, kindSlots, kindKeys, kindKeepAlive,
+		kindArrivals, kindSlots, kindKeys, kindLeaving, kindKeepAlive,
 	} {
 		t.byKind[kind] = metrics.GetOrRegisterCounter("peerlink."+direction+"."+kind, nil)
 	}
--- a/internal/serverview/candidates.go
+++ b/internal/serverview/candidates.go
@@ -21,6 +21,8 @@
 	Born    int64
 	Slots   int
 	Leaving bool
+	// Lingers is true when the server leaves and may still get the requests that no other one can serve.
+	Lingers bool
 	// Ejected is true while the server should not get requests: after consecutive failures, while all its streams are
 	// stalled, or while its holder cannot reach it.
 	Ejected bool
@@ -113,6 +115,21 @@
 	return false
 }
 
+// Adapters returns the adapters that a server holds, as last published.
+func (v *View) Adapters(id string) map[serving.Adapter]bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	srv := v.servers[id]
+	if srv == nil {
+		return nil
+	}
+	held := make(map[serving.Adapter]bool, len(srv.published.Adapters))
+	for adapter := range srv.published.Adapters {
+		held[adapter] = true
+	}
+	return held
+}
+
 // KnownAdapters returns the adapters for which KnowsAdapter is true, in no particular order. With some 10,000 of them it
 // takes milliseconds, in which the view is locked.
 func (v *View) KnownAdapters() []serving.Adapter {
@@ -138,7 +155,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	srv := v.servers[id]
-	return srv != nil && !srv.leaving && !v.removed(srv, now)
+	return srv != nil && !srv.isLeaving() && !v.removed(srv, now)
 }
 
 func (s *server) candidate(now time.Time, adapter serving.Adapter, named tolerance) Candidate {
@@ -146,7 +163,7 @@
 	holderCannotReach := fresh && !s.published.Ready
 	c := Candidate{
 		ID: s.entry.ID, Address: s.entry.Address, Zone: s.entry.Zone, SoftwareVersion: s.entry.SoftwareVersion,
-		Born: s.entry.Born, Slots: s.entry.Slots, Leaving: s.leaving,
+		Born: s.entry.Born, Slots: s.entry.Slots, Leaving: s.isLeaving(), Lingers: s.lingers(now),
 		Ejected:     now.Before(s.ejectedUntil) || s.stalled(now) || holderCannotReach || s.reach.isLost(),
 		Unreachable: s.reach.isLost(),
 		FailureRate: s.failureRate, InFlight: s.inFlight, Age: now.Sub(s.publishedAt),
--- a/internal/serverview/notices.go
+++ b/internal/serverview/notices.go
@@ -2,10 +2,18 @@
 
 import "time"
 
+// lingerTime is how long a server that says that it leaves may still get requests that no other one can serve. The platform
+// wants it to get no request that is sent 2 s or more after the first such answer.
+const lingerTime = time.Second
+
 // LeavingNotice says that one incarnation of a server is about to end, according to the server itself.
 type LeavingNotice struct {
 	ServerID string
-	Born     int64
+	// Service is set in the view's notices only.
+	Service string
+	Born    int64
+	// Address is where the incarnation listens.
+	Address string
 	// Since is when an answer first said so at a node.
 	Since time.Time
 }
@@ -15,15 +23,30 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	srv := v.servers[notice.ServerID]
-	if srv == nil || srv.entry.Born != notice.Born {
+	if srv == nil || srv.entry.Born != notice.Born || srv.entry.Address != notice.Address {
 		return false
 	}
 	if learned = srv.saidLeavingAt.IsZero(); learned || notice.Since.Before(srv.saidLeavingAt) {
 		srv.saidLeavingAt = notice.Since
 	}
+	if learned {
+		v.notify()
+	}
 	return learned
 }
 
+// LeavingNotices returns the notices about the servers that leave by their own answers alone: their entries don't say so.
+func (v *View) LeavingNotices() (notices []LeavingNotice) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for id, srv := range v.servers {
+		if !srv.saidLeavingAt.IsZero() && !srv.leaving && srv.removedAt.IsZero() {
+			notices = append(notices, LeavingNotice{id, srv.entry.Service, srv.entry.Born, srv.entry.Address, srv.saidLeavingAt})
+		}
+	}
+	return notices
+}
+
 // SaidLeaving reports whether a server has said in its answers that it leaves.
 func (v *View) SaidLeaving(id string) bool {
 	v.mu.Lock()
@@ -32,6 +55,26 @@
 	return srv != nil && !srv.saidLeavingAt.IsZero()
 }
 
+// isLeaving reports whether the server leaves, by its entry or its answers.
+func (s *server) isLeaving() bool { return s.leaving || !s.saidLeavingAt.IsZero() }
+
+// lingers reports whether the server, which leaves by its answers, has said so for less than lingerTime.
+func (s *server) lingers(now time.Time) bool {
+	return !s.leaving && !s.saidLeavingAt.IsZero() && now.Sub(s.saidLeavingAt) < lingerTime
+}
+
+// MaySend reports whether a request that arrived at a time may still be written to an incarnation of a server, which may have
+// changed since it was chosen.
+func (v *View) MaySend(id string, born int64, arrived time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	srv := v.servers[id]
+	if srv == nil || srv.entry.Born != born || srv.saidLeavingAt.IsZero() {
+		return true
+	}
+	return arrived.Before(srv.saidLeavingAt.Add(lingerTime))
+}
+
 // NoteRest records that an incarnation of a server wants no requests from this node until a time. It returns true if it didn't
 // before; a shorter rest doesn't end a longer one.
 func (v *View) NoteRest(now time.Time, id string, born int64, until time.Time) (begun bool) {
--- a/internal/serverview/serverview.go
+++ b/internal/serverview/serverview.go
@@ -44,7 +44,8 @@
 	entry serving.Server
 	// removedAt is when the entry disappeared; zero while it is present.
 	removedAt time.Time
-	leaving   bool
+	// leaving is true when the entry says that the server leaves.
+	leaving bool
 	// changedAt is when the entry last changed or disappeared.
 	changedAt time.Time
 
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -53,6 +53,9 @@
 // recentHalfLife is the half-life of a request's weight in the count of recent requests.
 const recentHalfLife = 5 * time.Second
 
+// leastRecent is the count of recent requests from which an adapter counts as recently used: one request in a half-life.
+const leastRecent = 0.5
+
 // Arrived records a request for an adapter and returns the decayed count of recent requests, including this one.
 func (t *Tracker) Arrived(now time.Time, adapter serving.Adapter) (recent float64) {
 	t.mu.Lock()
@@ -62,6 +65,18 @@
 	return count.Value(now, recentHalfLife)
 }
 
+// Recent returns the adapters with at least one recent request, in no particular order.
+func (t *Tracker) Recent(now time.Time) (adapters []serving.Adapter) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for adapter, count := range t.recent {
+		if adapter.Name != "" && count.Value(now, recentHalfLife) >= leastRecent {
+			adapters = append(adapters, adapter)
+		}
+	}
+	return adapters
+}
+
 // dropNegligible removes the adapters whose count of recent requests has decayed to almost zero.
 func (t *Tracker) dropNegligible(now time.Time) {
 	const negligible = 0.1
