node, forward, modelpick: Servers that ask for rest get none of this node's requests until its end

Requests went on to servers that had turned one away with 503 and Retry-After: 26 to 53 of one node within a rest of 3 s, two are allowed. Callers were served after one more send, or refused after two sends with a constant Retry-After.

Cause: nobody read a server's Retry-After. A model server that rejects also had the least load, so that 290 of 334 first sends went to it.

Such a server isn't chosen, loaded or called until the end of its rest, which is checked again after each wait and before the first byte; reports and orders wait as well, and the holder publishes that nothing is loaded there meanwhile. Where all servers rest, requests are refused at once with the time at which the first rest ends. A new incarnation doesn't rest; a time in which the VM was suspended counts.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -210,8 +210,8 @@
 		j.unsent++
 	}
 	if !written && j.sendLapsed {
-		// The connection took longer than the reservation lasts, the process was suspended, or the server has begun to leave; it
-		// isn't to blame.
+		// The connection took longer than the reservation lasts, the process was suspended, or the server has begun to leave or
+		// rest; it isn't to blame.
 		delete(j.tried, candidate.ID)
 		if j.sends >= maximumSends {
 			j.refuseUnserved(ReasonPermitEnded)
@@ -345,6 +345,11 @@
 	if info.Misdirected && !j.request.Adapter.IsZero() {
 		j.f.options.View.Lacks(candidate.ID, j.request.Adapter)
 	}
+	candidates := j.f.options.View.Candidates(time.Now(), j.service.Name, j.request.Adapter)
+	if refusal := restRefusal(candidates); refusal != nil {
+		j.refuseResting(refusal)
+		return true
+	}
 	if j.sends >= maximumSends || j.ctx.Err() != nil || !j.consumeRetry() {
 		j.refuseUnserved(reason)
 		return true
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -50,6 +50,9 @@
 func (j *job) planPlain(candidates []serverview.Candidate, chosen serverview.Candidate, found bool) *unserved {
 	switch {
 	case !found:
+		if refusal := restRefusal(candidates); refusal != nil {
+			return refusal
+		}
 		return &unserved{reason: modelpick.ReasonNoServer, retryAfter: busyRetryAfter}
 	case chosen.RoomIn > j.remainingWait():
 		return limitedRefusal(candidates, chosen.RoomIn)
@@ -164,6 +167,10 @@
 
 // refusePlanned answers a request that no server gets.
 func (j *job) refusePlanned(refusal *unserved) {
+	if refusal.reason == ReasonResting {
+		j.refuseResting(refusal)
+		return
+	}
 	if refusal.inputs != nil {
 		j.inputs = refusal.inputs
 	}
@@ -206,6 +213,11 @@
 		plan.refusal = &unserved{ReasonOverloaded, max(plan.wait, busyRetryAfter), inputs}
 		return plan
 	}
+	if look.reason == modelpick.ReasonNoServer {
+		if plan.refusal = restRefusal(look.candidates); plan.refusal != nil {
+			return plan
+		}
+	}
 	plan.wanted = plan.possible
 	if left <= 0 || look.reason == modelpick.ReasonNoServer {
 		plan.refusal = &unserved{look.reason, busyRetryAfter, obstacleFields(look.candidates)}
@@ -217,7 +229,7 @@
 func obstacleFields(candidates []serverview.Candidate) event.Fields {
 	o := modelpick.CountObstacles(candidates)
 	return event.Fields{
-		"servers": o.Servers, "leaving": o.Leaving, "leftAlone": o.Ejected, "withoutHolder": o.WithoutHolder,
+		"servers": o.Servers, "leaving": o.Leaving, "resting": o.Resting, "leftAlone": o.Ejected, "withoutHolder": o.WithoutHolder,
 		"full": o.Full, "limited": o.Limited,
 	}
 }
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -123,7 +123,9 @@
 	answer, err := f.answer(request.URL.Host)
 	if answer != nil {
 		answer.Request = request
-		answer.Header.Set("Id", request.Header.Get("Id"))
+		if answer.Header.Get("Id") == "" {
+			answer.Header.Set("Id", request.Header.Get("Id"))
+		}
 	}
 	if err != nil && !errors.Is(err, errUnreachable) {
 		traceWritten(request)
--- a/internal/forward/limits.go
+++ b/internal/forward/limits.go
@@ -45,10 +45,9 @@
 		patience = j.remainingWait()
 	}
 	if j.acquire(candidate, patience) {
-		if patience == 0 || j.f.options.View.InUse(time.Now(), candidate.ID) {
+		if patience == 0 || !j.isBarred(candidate) {
 			return true, false
 		}
-		// The server began to leave while the request waited.
 		j.reservation.cancel()
 		return false, false
 	}
--- a/internal/forward/notices.go
+++ b/internal/forward/notices.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
@@ -47,15 +48,40 @@
 
 // serverAllows reports whether a request may still be written to a server, by what that has said about itself.
 func (j *job) serverAllows(server crashguard.Incarnation) bool {
-	return j.f.options.View.MaySend(server.ServerID, server.Born, j.arrived)
+	return j.f.options.View.MaySend(time.Now(), server.ServerID, server.Born, j.arrived)
 }
 
-// isBarred reports whether the server that was chosen for the request has begun to leave since, so that another one is to be
-// chosen.
+// isBarred reports whether the server that was chosen for the request has begun to leave or rest since, so that another one is
+// to be chosen.
 func (j *job) isBarred(candidate serverview.Candidate) bool {
 	return !candidate.Leaving && !j.f.options.View.InUse(time.Now(), candidate.ID) || !j.serverAllows(j.incarnation)
 }
 
+// restRefusal returns the refusal of a request where all servers rest, nil otherwise.
+func restRefusal(candidates []serverview.Candidate) *unserved {
+	in, allRest := modelpick.RestEnd(candidates)
+	if !allRest {
+		return nil
+	}
+	inputs := obstacleFields(candidates)
+	inputs["restEndsInMs"] = in.Milliseconds()
+	return &unserved{reason: ReasonResting, retryAfter: in, inputs: inputs}
+}
+
+// refuseResting answers a request for which all servers rest. Retry-After is the time at which the first rest ends: it isn't
+// bounded by the caller's deadline, as an earlier repeat would be refused as well.
+func (j *job) refuseResting(refusal *unserved) {
+	j.inputs = refusal.inputs
+	if j.attempts > 0 {
+		j.refuseOutcomeUnknown(http.StatusBadGateway, refusal.reason)
+		return
+	}
+	j.writeRefusal(serving.Refusal{
+		Status: http.StatusServiceUnavailable, NotRun: true, Reason: refusal.reason,
+		RetryAfter: time.Duration((1 + turnJitter*rand.Float64()) * float64(refusal.retryAfter)),
+	})
+}
+
 // lingering chooses a server that leaves and may still get the request, which no other one can serve.
 func (j *job) lingering(
 	candidates []serverview.Candidate, query modelpick.Query,
--- a/internal/forward/notices_test.go
+++ b/internal/forward/notices_test.go
@@ -33,9 +33,15 @@
 	f.forwarder.SetConfig(&config)
 }
 
-// closing makes a server unusable for new requests: it has said long ago that it leaves.
-func (f *fixture) closing(id string) {
-	f.saysLeaving(id, time.Now().Add(-time.Minute))
+// closings are the ways in which a server makes itself unusable for new requests: it has said long ago that it leaves, or it has
+// asked for rest.
+var closings = map[string]func(f *fixture, id string){
+	"leaving": func(f *fixture, id string) { f.saysLeaving(id, time.Now().Add(-time.Minute)) },
+	"resting": func(f *fixture, id string) { f.asksForRest(id, time.Minute) },
+}
+
+func (f *fixture) asksForRest(id string, rest time.Duration) {
+	f.view.NoteRest(time.Now(), id, 0, time.Now().Add(rest))
 }
 
 func (f *fixture) saysLeaving(id string, since time.Time) {
@@ -60,118 +66,146 @@
 
 // Guards against a request that is sent to a server which has closed itself while the request waited at its gate.
 func TestServerThatClosesWhileARequestWaitsAtItsGateIsLeft(t *testing.T) {
-	g := gomega.NewWithT(t)
-	f := newFixture(serving.NonIdempotent, "a", "b")
-	waitedAt := ""
-	gate := gateFunc(func(server string) {
-		if waitedAt == "" {
-			waitedAt = server
-			f.closing(server)
-		}
-	})
-	f.change(true, func(o *forward.Options) { o.Gate = gate }, func(*serving.Route) {})
-	f.publishAll("a", "b")
-	g.Expect(f.call().Code).To(gomega.Equal(http.StatusOK))
-	g.Expect(f.sent).To(gomega.HaveLen(1))
-	g.Expect(f.sent[0]).NotTo(gomega.Equal(waitedAt))
+	for name, closing := range closings {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			f := newFixture(serving.NonIdempotent, "a", "b")
+			waitedAt := ""
+			gate := gateFunc(func(server string) {
+				if waitedAt == "" {
+					waitedAt = server
+					closing(f, server)
+				}
+			})
+			f.change(true, func(o *forward.Options) { o.Gate = gate }, func(*serving.Route) {})
+			f.publishAll("a", "b")
+			g.Expect(f.call().Code).To(gomega.Equal(http.StatusOK))
+			g.Expect(f.sent).To(gomega.HaveLen(1))
+			g.Expect(f.sent[0]).NotTo(gomega.Equal(waitedAt))
+		})
+	}
 }
 
 // Guards against a request that is sent to the server which its dispatcher has assigned although it has closed itself since.
 func TestServerThatClosesWhileARequestWaitsForItsSlotIsLeft(t *testing.T) {
-	g := gomega.NewWithT(t)
-	f, d := newFixture(serving.NonIdempotent, "a", "b"), &dispatcher{servers: []string{"a"}}
-	d.asked = func() { f.closing("a") }
-	f.withSlots(d)
-	g.Expect(f.call().Code).To(gomega.Equal(http.StatusOK))
-	g.Expect(f.sent).To(gomega.Equal([]string{"b"}))
+	for name, closing := range closings {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			f, d := newFixture(serving.NonIdempotent, "a", "b"), &dispatcher{servers: []string{"a"}}
+			d.asked = func() { closing(f, "a") }
+			f.withSlots(d)
+			g.Expect(f.call().Code).To(gomega.Equal(http.StatusOK))
+			g.Expect(f.sent).To(gomega.Equal([]string{"b"}))
+		})
+	}
 }
 
 // Guards against the same while the request waits for the limit of its server.
 func TestServerThatClosesWhileARequestWaitsForItsLimitIsLeft(t *testing.T) {
-	g := gomega.NewWithT(t)
-	f := newFixture(serving.NonIdempotent, "a", "b")
-	for _, id := range []string{"a", "b"} {
-		f.nameLimit(id)
-		f.view.NoRoom(id, time.Now().Add(50*time.Millisecond))
-	}
-	waitedFor := ""
-	f.limits.acquire = func(server string, _ time.Duration) (forward.Reservation, time.Duration, bool) {
-		if waitedFor == "" {
-			waitedFor = server
-			f.closing(server)
-		}
-		return forward.Reservation{}, 0, true
+	for name, closing := range closings {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			f := newFixture(serving.NonIdempotent, "a", "b")
+			for _, id := range []string{"a", "b"} {
+				f.nameLimit(id)
+				f.view.NoRoom(id, time.Now().Add(50*time.Millisecond))
+			}
+			waitedFor := ""
+			f.limits.acquire = func(server string, _ time.Duration) (forward.Reservation, time.Duration, bool) {
+				if waitedFor == "" {
+					waitedFor = server
+					closing(f, server)
+				}
+				return forward.Reservation{}, 0, true
+			}
+			g.Expect(f.call().Code).To(gomega.Equal(http.StatusOK))
+			g.Expect(f.sent).To(gomega.HaveLen(1))
+			g.Expect(f.sent[0]).NotTo(gomega.Equal(waitedFor))
+		})
 	}
-	g.Expect(f.call().Code).To(gomega.Equal(http.StatusOK))
-	g.Expect(f.sent).To(gomega.HaveLen(1))
-	g.Expect(f.sent[0]).NotTo(gomega.Equal(waitedFor))
 }
 
 // Guards against the same while a connection to its server is opened.
 func TestServerThatClosesWhileAConnectionIsOpenedIsLeft(t *testing.T) {
-	g := gomega.NewWithT(t)
-	reached := make(chan string, 3)
-	newServer := func(name string) string {
-		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { reached <- name }))
-		t.Cleanup(server.Close)
-		return strings.TrimPrefix(server.URL, "http://")
+	for name, closing := range closings {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			reached := make(chan string, 3)
+			newServer := func(name string) string {
+				server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { reached <- name }))
+				t.Cleanup(server.Close)
+				return strings.TrimPrefix(server.URL, "http://")
+			}
+			addresses := []string{newServer("first"), newServer("second")}
+			f := newFixture(serving.NonIdempotent, addresses...)
+			dialed := ""
+			pool := upstream.NewPool(func(ctx context.Context, network, address string) (net.Conn, error) {
+				if dialed == "" {
+					dialed = address
+					closing(f, address)
+				}
+				return (&net.Dialer{}).DialContext(ctx, network, address)
+			})
+			f.change(false, func(o *forward.Options) { o.Transport = pool }, func(*serving.Route) {})
+			g.Expect(f.call().Code).To(gomega.Equal(http.StatusOK))
+			g.Expect(reached).To(gomega.HaveLen(1))
+			g.Expect(<-reached == "first").To(gomega.Equal(dialed == addresses[1]))
+		})
 	}
-	addresses := []string{newServer("first"), newServer("second")}
-	f := newFixture(serving.NonIdempotent, addresses...)
-	dialed := ""
-	pool := upstream.NewPool(func(ctx context.Context, network, address string) (net.Conn, error) {
-		if dialed == "" {
-			dialed = address
-			f.closing(address)
-		}
-		return (&net.Dialer{}).DialContext(ctx, network, address)
-	})
-	f.change(false, func(o *forward.Options) { o.Transport = pool }, func(*serving.Route) {})
-	g.Expect(f.call().Code).To(gomega.Equal(http.StatusOK))
-	g.Expect(reached).To(gomega.HaveLen(1))
-	g.Expect(<-reached == "first").To(gomega.Equal(dialed == addresses[1]))
 }
 
 // Guards against a request that is repeated at a server which is closed.
 func TestRequestIsNotRepeatedAtAClosedServer(t *testing.T) {
-	g := gomega.NewWithT(t)
-	f := newFixture(serving.Idempotent, "a", "b")
-	f.answer = func(server string) (*http.Response, error) {
-		f.closing(map[string]string{"a": "b", "b": "a"}[server])
-		return answerWith(http.StatusServiceUnavailable, ""), nil
+	for name, closing := range closings {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			f := newFixture(serving.Idempotent, "a", "b")
+			f.answer = func(server string) (*http.Response, error) {
+				closing(f, map[string]string{"a": "b", "b": "a"}[server])
+				return answerWith(http.StatusServiceUnavailable, ""), nil
+			}
+			g.Expect(f.call().Code).To(gomega.Equal(http.StatusServiceUnavailable))
+			g.Expect(f.sent).To(gomega.HaveLen(1))
+		})
 	}
-	g.Expect(f.call().Code).To(gomega.Equal(http.StatusServiceUnavailable))
-	g.Expect(f.sent).To(gomega.HaveLen(1))
 }
 
 // Guards against a stream that is resumed at a server which is closed.
 func TestStreamIsNotResumedAtAClosedServer(t *testing.T) {
-	g := gomega.NewWithT(t)
-	f := newFixture(serving.Stream, "a", "b")
-	f.change(false, func(o *forward.Options) { o.Origins = noOrigins{} }, func(r *serving.Route) { r.Resumable = true })
-	f.answer = func(server string) (*http.Response, error) {
-		f.closing(map[string]string{"a": "b", "b": "a"}[server])
-		broken := answerWith(http.StatusOK, "")
-		broken.Header.Set("Content-Type", "text/event-stream")
-		broken.Body = io.NopCloser(io.MultiReader(strings.NewReader("id: 1\ndata: x\n\n"), failingReader{}))
-		return broken, nil
+	for name, closing := range closings {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			f := newFixture(serving.Stream, "a", "b")
+			f.change(false, func(o *forward.Options) { o.Origins = noOrigins{} }, func(r *serving.Route) { r.Resumable = true })
+			f.answer = func(server string) (*http.Response, error) {
+				closing(f, map[string]string{"a": "b", "b": "a"}[server])
+				broken := answerWith(http.StatusOK, "")
+				broken.Header.Set("Content-Type", "text/event-stream")
+				broken.Body = io.NopCloser(io.MultiReader(strings.NewReader("id: 1\ndata: x\n\n"), failingReader{}))
+				return broken, nil
+			}
+			g.Expect(func() { f.call() }).To(gomega.PanicWith(gomega.MatchError(http.ErrAbortHandler)))
+			g.Expect(f.sent).To(gomega.HaveLen(1))
+		})
 	}
-	g.Expect(func() { f.call() }).To(gomega.PanicWith(gomega.MatchError(http.ErrAbortHandler)))
-	g.Expect(f.sent).To(gomega.HaveLen(1))
 }
 
 // Guards against a node that passes requests of others on to a server which is closed.
 func TestHandedOverRequestIsNotSentToAClosedServer(t *testing.T) {
-	g := gomega.NewWithT(t)
-	other := newFixture(serving.NonIdempotent, "a", "b")
-	other.closing("a")
-	f := newFixture(serving.NonIdempotent, "a", "b")
-	f.cutOff(&fakePeers{nodes: []string{other.servePeers(t)}}, http.DefaultTransport, "a", "b")
-	for range 10 {
-		g.Expect(f.callWithID("r1").Code).To(gomega.Equal(http.StatusOK))
+	for name, closing := range closings {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			other := newFixture(serving.NonIdempotent, "a", "b")
+			closing(other, "a")
+			f := newFixture(serving.NonIdempotent, "a", "b")
+			f.cutOff(&fakePeers{nodes: []string{other.servePeers(t)}}, http.DefaultTransport, "a", "b")
+			for range 10 {
+				g.Expect(f.callWithID("r1").Code).To(gomega.Equal(http.StatusOK))
+			}
+			g.Expect(other.sent).To(gomega.HaveLen(10))
+			g.Expect(other.sent).NotTo(gomega.ContainElement("a"))
+		})
 	}
-	g.Expect(other.sent).To(gomega.HaveLen(10))
-	g.Expect(other.sent).NotTo(gomega.ContainElement("a"))
 }
 
 // Guards against requests that are refused while a server that has just said that it leaves is the only one, and against a
@@ -188,10 +222,10 @@
 		}
 		g.Expect(f.sent).NotTo(gomega.ContainElement("a"))
 		f.publishAll("a", "b")
-		f.closing("b")
+		f.saysLeaving("b", time.Now().Add(-time.Minute))
 		g.Expect(f.call().Code).To(gomega.Equal(http.StatusOK))
 		g.Expect(f.sent[10:]).To(gomega.Equal([]string{"a"}))
-		f.closing("a")
+		f.saysLeaving("a", time.Now().Add(-time.Minute))
 		begun := time.Now()
 		g.Expect(f.call().Code).To(gomega.Equal(http.StatusServiceUnavailable))
 		g.Expect(time.Since(begun)).To(gomega.BeNumerically("<", 100*time.Millisecond))
@@ -199,12 +233,16 @@
 	}
 }
 
-// noticeWire is wire with a notice in the header "Leaving".
+// noticeWire is wire with notices in the headers "Leaving" and "Rest".
 type noticeWire struct{ wire }
 
 func (noticeWire) DecodeAnswer(answer *http.Response) serving.AnswerInfo {
 	info := wire{}.DecodeAnswer(answer)
+	info.NotRun = info.NotRun && answer.Header.Get("Unmarked") == ""
 	info.Notice.Leaving = answer.Header.Get("Leaving") != ""
+	if answer.Header.Get("Rest") != "" {
+		info.Notice.Rest = time.Minute
+	}
 	return info
 }
 
@@ -244,3 +282,62 @@
 		g.Expect(heard).To(gomega.Equal(c.heard), name)
 	}
 }
+
+// retryAfterOf returns the time that a refusal names.
+func retryAfterOf(g *gomega.WithT, refusal *httptest.ResponseRecorder) time.Duration {
+	retryAfter, err := time.ParseDuration(refusal.Header().Get("Retry-After"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	return retryAfter
+}
+
+// Guards against callers that wait, or come back too early, while all servers rest, and against a repeat at one that has just
+// asked for rest.
+func TestRefusalNamesTheEndOfTheFirstRest(t *testing.T) {
+	for _, engine := range []bool{false, true} {
+		g := gomega.NewWithT(t)
+		f := newFixture(serving.NonIdempotent, "a", "b")
+		f.change(engine, func(o *forward.Options) { o.Gate = gateFunc(func(string) {}) }, func(*serving.Route) {})
+		f.publishAll("a", "b")
+		f.asksForRest("a", 30*time.Second)
+		f.answer = func(server string) (*http.Response, error) {
+			f.asksForRest(server, 20*time.Second)
+			return answerWith(http.StatusServiceUnavailable, ""), nil
+		}
+		for _, sent := range []int{1, 1} {
+			begun := time.Now()
+			refusal := f.call()
+			g.Expect(refusal.Code).To(gomega.Equal(http.StatusServiceUnavailable))
+			g.Expect(time.Since(begun)).To(gomega.BeNumerically("<", 100*time.Millisecond))
+			g.Expect(retryAfterOf(g, refusal)).To(gomega.BeNumerically("~", 21500*time.Millisecond, 1600*time.Millisecond))
+			g.Expect(f.sent).To(gomega.HaveLen(sent))
+		}
+	}
+}
+
+// Guards against a rest that is taken from the answer to another request, and against one that isn't heard because the server
+// doesn't state that the request hasn't run.
+func TestOnlyOwnAnswersAskForRest(t *testing.T) {
+	for name, c := range map[string]struct {
+		header map[string]string
+		heard  bool
+	}{
+		"marked": {nil, true}, "unmarked": {map[string]string{"Unmarked": "1"}, true},
+		"neither marked nor signed": {map[string]string{"Unmarked": "1", "No-Digest": "1"}, true},
+		"of another request":        {map[string]string{"Id": "r2"}, false},
+	} {
+		g := gomega.NewWithT(t)
+		f := newFixture(serving.NonIdempotent, "a")
+		f.change(false, func(o *forward.Options) { o.Wire = noticeWire{} }, func(*serving.Route) {})
+		f.answer = func(string) (*http.Response, error) {
+			answer := answerWith(http.StatusServiceUnavailable, "")
+			answer.Header.Set("Rest", "1")
+			for key, value := range c.header {
+				answer.Header.Set(key, value)
+			}
+			return answer, nil
+		}
+		f.callWithID("r1")
+		g.Expect(f.limits.observed).To(gomega.HaveLen(1), name)
+		g.Expect(f.limits.observed[0].Rest > 0).To(gomega.Equal(c.heard), name)
+	}
+}
--- a/internal/forward/reasons.go
+++ b/internal/forward/reasons.go
@@ -13,6 +13,7 @@
 	ReasonOverloaded = "no server can load the adapter in time"
 	ReasonNotLoaded  = modelpick.ReasonNotLoaded
 	ReasonLimited    = modelpick.ReasonLimited
+	ReasonResting    = modelpick.ReasonResting
 	// ReasonPermitEnded means that a reservation, a charge or the use of the server ended before the request was written.
 	ReasonPermitEnded = "the permit to send ended before the request was written"
 	ReasonSlotsInUse  = "all slots of the servers are in use"
--- a/internal/modelpick/explain.go
+++ b/internal/modelpick/explain.go
@@ -13,6 +13,7 @@
 // Exclusions, in the order in which they are checked.
 const (
 	ExcludedLeaving     Exclusion = "draining"
+	ExcludedResting     Exclusion = "has asked for rest"
 	ExcludedSoftware    Exclusion = "other software version"
 	ExcludedTried       Exclusion = "tried"
 	ExcludedConnections Exclusion = "this node's share of its connections is in use"
@@ -213,5 +214,5 @@
 
 // String returns the obstacle as in an explanation.
 func (o obstacle) String() string {
-	return [...]string{"", "draining", "ejected", "no holder publishes its state", "full"}[o]
+	return [...]string{"", "draining", "has asked for rest", "ejected", "no holder publishes its state", "full"}[o]
 }
--- a/internal/modelpick/modelpick.go
+++ b/internal/modelpick/modelpick.go
@@ -76,6 +76,8 @@
 	switch {
 	case c.Leaving && !(q.Lingering && c.Lingers):
 		return ExcludedLeaving
+	case c.RestsFor > 0:
+		return ExcludedResting
 	case q.SoftwareVersion != "" && c.SoftwareVersion != q.SoftwareVersion:
 		return ExcludedSoftware
 	case q.Tried[c.ID]:
@@ -104,6 +106,7 @@
 	ReasonAllBusy   = "all servers that hold the adapter are full"
 	ReasonNotLoaded = "no server holds the adapter"
 	ReasonLimited   = "the limits that the servers name leave no room"
+	ReasonResting   = "all servers have asked this node for rest"
 )
 
 // Plain chooses a server of a plain service. Ejected servers are chosen only when no other one has room.
@@ -131,6 +134,21 @@
 // hasRoom reports whether the limit of a server probably leaves room for a request now.
 func hasRoom(c serverview.Candidate) bool { return !c.Limited || c.RoomIn <= 0 }
 
+// RestEnd returns how long it takes until the first server may get requests again where all that don't leave rest. Otherwise
+// it returns false.
+func RestEnd(candidates []serverview.Candidate) (in time.Duration, allRest bool) {
+	for _, c := range candidates {
+		switch {
+		case c.Leaving:
+		case c.RestsFor <= 0:
+			return 0, false
+		case !allRest || c.RestsFor < in:
+			in, allRest = c.RestsFor, true
+		}
+	}
+	return in, allRest
+}
+
 // SoonestRoom chooses the server whose limit leaves room first.
 func SoonestRoom(candidates []serverview.Candidate) (serverview.Candidate, bool) {
 	return lowest(candidates, func(c serverview.Candidate) float64 { return c.RoomIn.Seconds() })
@@ -333,6 +351,7 @@
 const (
 	none obstacle = iota
 	leaving
+	resting
 	ejected
 	withoutHolder
 	full
@@ -343,6 +362,8 @@
 	switch {
 	case c.Leaving:
 		return leaving
+	case c.RestsFor > 0:
+		return resting
 	case c.Ejected:
 		return ejected
 	case !c.HolderAlive:
@@ -357,6 +378,7 @@
 type Obstacles struct {
 	Servers       int
 	Leaving       int
+	Resting       int
 	Ejected       int
 	WithoutHolder int
 	Full          int
@@ -379,7 +401,7 @@
 		counts[reason]++
 	}
 	return Obstacles{
-		Servers: len(candidates), Leaving: counts[leaving], Ejected: counts[ejected],
+		Servers: len(candidates), Leaving: counts[leaving], Resting: counts[resting], Ejected: counts[ejected],
 		WithoutHolder: counts[withoutHolder], Full: counts[full], Limited: limited,
 	}
 }
--- a/internal/node/holders.go
+++ b/internal/node/holders.go
@@ -168,10 +168,11 @@
 	defer close(h.done)
 	for ctx.Err() == nil {
 		fence, mayOrder := h.node.leases.mayOrder(h.server.ID)
-		callInterval := h.callInterval()
+		callInterval, now := h.callInterval(), time.Now()
 		h.mu.Lock()
 		h.core.SetCallInterval(callInterval)
-		action := h.core.Next(time.Now(), mayOrder)
+		h.core.SetRest(now.Add(h.node.view.RestsFor(now, h.server.ID)))
+		action := h.core.Next(now, mayOrder)
 		h.mu.Unlock()
 		switch action.Kind {
 		case residency.Report:
@@ -208,12 +209,14 @@
 	if ctx.Err() != nil {
 		return
 	}
-	h.node.notices.reported(h.server, report.Notice, requestedAt)
+	h.node.notices.called(h.server, report.Notice, requestedAt)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if err != nil {
 		h.node.events.EmitError(event.ServerReportFailed, err, event.Fields{"server": h.server.ID})
-		h.core.ReportFailed(time.Now())
+		if report.Notice.Rest == 0 {
+			h.core.ReportFailed(time.Now())
+		}
 		return
 	}
 	h.reportedAt, h.askedAtReport = requestedAt, asked
@@ -239,9 +242,12 @@
 	// The process may have been suspended, or the connection slow, since the lease was checked.
 	stillAllowed := func() bool {
 		current, may := h.node.leases.mayOrder(h.server.ID)
-		return may && current == fence
+		return may && current == fence && h.node.view.RestsFor(time.Now(), h.server.ID) == 0
 	}
-	outcome, err := h.node.servers.Order(ctx, h.server, order, stillAllowed)
+	sentAt := time.Now()
+	result, err := h.node.servers.Order(ctx, h.server, order, stillAllowed)
+	outcome := result.Outcome
+	h.node.notices.called(h.server, result.Notice, sentAt)
 	if !action.Repeats || outcome != serving.OrderAccepted {
 		h.logOrder(action, order, outcome, err)
 	}
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -18,7 +18,7 @@
 // Sources of what a node knows from a server's answers, in the log.
 const (
 	sourceAnswer = "answer"
-	sourceReport = "report"
+	sourceCall   = "report or order"
 )
 
 // maximumLeaving bounds the servers that leave in one message, of some 60 B each.
@@ -28,6 +28,9 @@
 type notices struct {
 	node    *Node
 	metrics noticeMetrics
+	// checkedAt and checkedBootTime are the readings of both clocks at the latest check for a suspension of the VM.
+	checkedAt       time.Time
+	checkedBootTime time.Duration
 	// learned receives a value when a server is known to leave.
 	learned chan struct{}
 }
@@ -58,10 +61,10 @@
 	n.observe(incarnation{server.ID, server.Born, server.Address}, notice, sentAt, conclusive, sourceAnswer)
 }
 
-// reported applies what a server says about itself in the answer to a report. Whether servers name everything there isn't
-// known, so what it leaves out hasn't ended.
-func (n *notices) reported(server serving.Server, notice serving.ServerNotice, requestedAt time.Time) {
-	n.observe(incarnation{server.ID, server.Born, server.Address}, notice, requestedAt, false, sourceReport)
+// called applies what a server says about itself in the answer to a report or an order. Whether servers name everything there
+// isn't known, so what it leaves out hasn't ended.
+func (n *notices) called(server serving.Server, notice serving.ServerNotice, sentAt time.Time) {
+	n.observe(incarnation{server.ID, server.Born, server.Address}, notice, sentAt, false, sourceCall)
 }
 
 // incarnation is a server as it was when a request was sent there.
@@ -189,6 +192,19 @@
 	return pending
 }
 
+// leastSuspension is the difference between the two clocks that counts as a suspension of the VM.
+const leastSuspension = 50 * time.Millisecond
+
+// checkSuspension shortens the rests of servers by the time for which the VM was suspended. It's called by one goroutine. boot is
+// the reading of bootTime.
+func (n *notices) checkSuspension(now time.Time, boot time.Duration) {
+	suspended := boot - n.checkedBootTime - now.Sub(n.checkedAt)
+	if !n.checkedAt.IsZero() && suspended >= leastSuspension {
+		n.node.view.NoteSuspension(n.checkedAt, suspended)
+	}
+	n.checkedAt, n.checkedBootTime = now, boot
+}
+
 // Sending implements forward.Notices.
 func (n *notices) Sending(server serverview.Candidate, way forward.SendWay) {
 	leaving, resting := n.node.view.SaidLeaving(server.ID), n.node.view.RestsFor(time.Now(), server.ID) > 0
--- a/internal/node/notices_test.go
+++ b/internal/node/notices_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -81,29 +82,16 @@
 	g.Eventually(started.uses("s"), toldWithin).Should(gomega.BeFalse())
 }
 
-// Guards against a report that says that its server leaves, which nobody hears.
+// Guards against a report or order whose answer says that the server leaves, which nobody hears.
 func TestReportSaysThatAServerLeaves(t *testing.T) {
 	g := gomega.NewWithT(t)
 	n := newCrashesNode(t)
 	n.readyServer()
 	server := serving.Server{ID: "s", Service: "x", Address: "s:1", Born: 7}
-	n.notices.reported(server, serving.ServerNotice{Leaving: true}, time.Now())
+	n.notices.called(server, serving.ServerNotice{Leaving: true}, time.Now())
 	g.Expect(n.view.InUse(time.Now(), "s")).To(gomega.BeFalse())
 }
 
-// silentServers gives no reports and takes no orders.
-type silentServers struct{}
-
-func (silentServers) Report(context.Context, serving.Server) (serving.Report, error) {
-	return serving.Report{}, errRefused
-}
-
-func (silentServers) Order(
-	context.Context, serving.Server, serving.Order, func() bool,
-) (serving.OrderOutcome, error) {
-	return serving.OrderUnsent, errRefused
-}
-
 // becomeHolderOfAll gives the node all partitions.
 func (n *Node) becomeHolderOfAll() {
 	n.leases.mu.Lock()
@@ -117,14 +105,7 @@
 func TestServerThatLeavesHasNoHolder(t *testing.T) {
 	g := gomega.NewWithT(t)
 	n := newCrashesNode(t)
-	n.becomeHolderOfAll()
-	n.servers = silentServers{}
-	n.forwarder.SetConfig(&serving.Configuration{Version: 1, Services: map[string]serving.Service{
-		"x": {Name: "x", Engine: &serving.Engine{AdapterSlots: 4}},
-	}})
-	n.readyServer()
-	n.holders.reconcile()
-	g.Expect(n.holders.get("s")).NotTo(gomega.BeNil())
+	n.startHolder(g, &callCounter{})
 	n.notices.Observe(n.readyServer(), serving.ServerNotice{Leaving: true}, time.Now(), true)
 	g.Expect(n.reconcilePending.Load()).To(gomega.BeTrue())
 	n.holders.reconcile()
@@ -158,5 +139,81 @@
 		{ServerID: "s", Born: 7, Address: "s:1", AgoMs: -1_000_000},
 	}})
 	g.Expect(n.view.InUse(time.Now(), "s")).To(gomega.BeFalse())
-	g.Expect(n.view.MaySend("s", 7, time.Now().Add(2*time.Second))).To(gomega.BeFalse())
+	g.Expect(n.view.MaySend(time.Now(), "s", 7, time.Now().Add(2*time.Second))).To(gomega.BeFalse())
+}
+
+// callCounter counts the calls to a server, which has demand for an adapter.
+type callCounter struct {
+	calls atomic.Int64
+	// answer is what the server says about itself.
+	answer serving.ServerNotice
+}
+
+func (c *callCounter) Report(context.Context, serving.Server) (serving.Report, error) {
+	c.calls.Add(1)
+	if c.answer.Rest > 0 {
+		return serving.Report{Notice: c.answer}, errRefused
+	}
+	return serving.Report{Models: map[string]bool{"m": true}, Busy: true}, nil
+}
+
+func (c *callCounter) Order(
+	context.Context, serving.Server, serving.Order, func() bool,
+) (serving.OrderResult, error) {
+	c.calls.Add(1)
+	return serving.OrderResult{Outcome: serving.OrderUnknown}, errRefused
+}
+
+// startHolder makes a node the holder of a server.
+func (n *Node) startHolder(g *gomega.WithT, servers serving.ModelServers) {
+	n.becomeHolderOfAll()
+	n.servers = servers
+	n.forwarder.SetConfig(&serving.Configuration{Version: 1, Services: map[string]serving.Service{
+		"x": {Name: "x", Engine: &serving.Engine{AdapterSlots: 4}},
+	}})
+	n.readyServer()
+	n.holders.reconcile()
+	g.Expect(n.holders.get("s")).NotTo(gomega.BeNil())
+}
+
+// Guards against reports and orders to a server that has asked this node for rest.
+func TestServerThatRestsGetsNoCalls(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n, counter := newCrashesNode(t), &callCounter{}
+	n.startHolder(g, counter)
+	g.Eventually(counter.calls.Load).Should(gomega.BeNumerically(">", 2))
+	n.notices.Observe(n.readyServer(), serving.ServerNotice{Rest: time.Hour}, time.Now(), false)
+	pass(100 * time.Millisecond)
+	before := counter.calls.Load()
+	pass(700 * time.Millisecond)
+	g.Expect(counter.calls.Load()).To(gomega.Equal(before))
+	// The end of the rest is only noticed with the next publication.
+	n.view.NoteSuspension(time.Now(), time.Hour)
+	g.Eventually(counter.calls.Load, 2*time.Second).Should(gomega.BeNumerically(">", before))
+}
+
+// Guards against a rejected report whose time of rest isn't heard, or makes its server count as unreachable.
+func TestRejectedReportAsksForRest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n, counter := newCrashesNode(t), &callCounter{answer: serving.ServerNotice{Rest: time.Hour}}
+	n.startHolder(g, counter)
+	g.Eventually(func() time.Duration { return n.view.RestsFor(time.Now(), "s") }).Should(gomega.BeNumerically(">", time.Minute))
+	g.Expect(counter.calls.Load()).To(gomega.BeNumerically("==", 1))
+	g.Eventually(func() time.Duration {
+		return n.view.Candidates(time.Now(), "x", serving.Adapter{})[0].SlotQueue.OrdersIn
+	}).Should(gomega.BeNumerically(">", time.Minute), "other nodes have to know that nothing is loaded there")
+}
+
+// Guards against a rest that lasts too long as the VM was suspended, and against other differences between the clocks.
+func TestSuspensionShortensRests(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newCrashesNode(t)
+	n.readyServer()
+	now := time.Now()
+	n.view.NoteRest(now, "s", 7, now.Add(10*time.Second))
+	n.notices.checkSuspension(now, time.Hour)
+	n.notices.checkSuspension(now.Add(time.Second), time.Hour+time.Second)
+	g.Expect(n.view.RestsFor(now, "s")).To(gomega.Equal(10 * time.Second))
+	n.notices.checkSuspension(now.Add(2*time.Second), time.Hour+6*time.Second)
+	g.Expect(n.view.RestsFor(now, "s")).To(gomega.Equal(6 * time.Second))
 }
--- a/internal/node/publications.go
+++ b/internal/node/publications.go
@@ -49,7 +49,7 @@
 	h.mu.Lock()
 	p := &h.publication
 	backlog, slots := h.gate.Backlog(), h.core.SlotQueue(now)
-	slots.OrdersIn = ordersIn
+	slots.OrdersIn = max(ordersIn, h.node.view.RestsFor(now, h.server.ID))
 	step := h.steps.Cost(now)
 	tolerance, brittle := h.node.view.Tolerance(now, h.server.ID)
 	changed := brittle != p.local.Tolerance.Named || h.core.Revision() != p.local.Revision || fence != p.local.Fence ||
--- a/internal/node/tolerances_test.go
+++ b/internal/node/tolerances_test.go
@@ -73,7 +73,7 @@
 	for _, n := range []*Node{holding, other} {
 		n.view.PutEntry(now, h.server)
 	}
-	holding.notices.reported(h.server, serving.ServerNotice{Tolerance: serving.NamedRate{Named: true, PerSecond: 3}}, now)
+	holding.notices.called(h.server, serving.ServerNotice{Tolerance: serving.NamedRate{Named: true, PerSecond: 3}}, now)
 	h.publishLocal(1)
 	state, due := h.due(now)
 	g.Expect(due).To(gomega.BeTrue())
--- a/internal/residency/core.go
+++ b/internal/residency/core.go
@@ -95,11 +95,13 @@
 	callInterval time.Duration
 	lastCallAt   time.Time
 	pausedUntil  time.Time
-	reachable    bool
-	waiting      int
-	running      int
-	turnover     turnover
-	loadTimes    serving.LoadTimes
+	// restUntil is until when the server wants no calls.
+	restUntil time.Time
+	reachable bool
+	waiting   int
+	running   int
+	turnover  turnover
+	loadTimes serving.LoadTimes
 	// revision counts the changes that have to be published to gateways.
 	revision uint64
 }
@@ -151,9 +153,13 @@
 // removes the bound.
 func (c *Core) SetCallInterval(interval time.Duration) { c.callInterval = interval }
 
+// SetRest makes Next return neither reports nor orders until a time.
+func (c *Core) SetRest(until time.Time) { c.restUntil = until }
+
 // Next returns the next action. Without the lease, mayOrder is false and no orders are returned.
 func (c *Core) Next(now time.Time, mayOrder bool) Action {
-	if earliest := later(c.pausedUntil, c.lastCallAt.Add(c.callInterval)); now.Before(earliest) {
+	earliest := later(later(c.pausedUntil, c.restUntil), c.lastCallAt.Add(c.callInterval))
+	if now.Before(earliest) {
 		return Action{Kind: Wait, Until: earliest}
 	}
 	action := c.nextCall(now, mayOrder)
--- a/internal/serverview/candidates.go
+++ b/internal/serverview/candidates.go
@@ -23,6 +23,8 @@
 	Leaving bool
 	// Lingers is true when the server leaves and may still get the requests that no other one can serve.
 	Lingers bool
+	// RestsFor is how long the server still wants no requests from this node.
+	RestsFor time.Duration
 	// Ejected is true while the server should not get requests: after consecutive failures, while all its streams are
 	// stalled, or while its holder cannot reach it.
 	Ejected bool
@@ -163,7 +165,7 @@
 	holderCannotReach := fresh && !s.published.Ready
 	c := Candidate{
 		ID: s.entry.ID, Address: s.entry.Address, Zone: s.entry.Zone, SoftwareVersion: s.entry.SoftwareVersion,
-		Born: s.entry.Born, Slots: s.entry.Slots, Leaving: s.isLeaving(), Lingers: s.lingers(now),
+		Born: s.entry.Born, Slots: s.entry.Slots, Leaving: s.isLeaving(), Lingers: s.lingers(now), RestsFor: s.restsFor(now),
 		Ejected:     now.Before(s.ejectedUntil) || s.stalled(now) || holderCannotReach || s.reach.isLost(),
 		Unreachable: s.reach.isLost(),
 		FailureRate: s.failureRate, InFlight: s.inFlight, Age: now.Sub(s.publishedAt),
--- a/internal/serverview/notices.go
+++ b/internal/serverview/notices.go
@@ -65,14 +65,17 @@
 
 // MaySend reports whether a request that arrived at a time may still be written to an incarnation of a server, which may have
 // changed since it was chosen.
-func (v *View) MaySend(id string, born int64, arrived time.Time) bool {
+func (v *View) MaySend(now time.Time, id string, born int64, arrived time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	srv := v.servers[id]
-	if srv == nil || srv.entry.Born != born || srv.saidLeavingAt.IsZero() {
+	switch {
+	case srv == nil || srv.entry.Born != born:
 		return true
+	case srv.restsFor(now) > 0:
+		return false
 	}
-	return arrived.Before(srv.saidLeavingAt.Add(lingerTime))
+	return srv.saidLeavingAt.IsZero() || arrived.Before(srv.saidLeavingAt.Add(lingerTime))
 }
 
 // NoteRest records that an incarnation of a server wants no requests from this node until a time. It returns true if it didn't
@@ -84,8 +87,8 @@
 	if srv == nil || srv.entry.Born != born || !until.After(srv.restUntil) {
 		return false
 	}
-	begun = !now.Before(srv.restUntil)
-	srv.restUntil = until
+	begun = srv.restsFor(now) == 0
+	srv.restNotedAt, srv.restUntil = now, until
 	return begun
 }
 
@@ -94,7 +97,22 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if srv := v.servers[id]; srv != nil {
-		return max(srv.restUntil.Sub(now), 0)
+		return srv.restsFor(now)
 	}
 	return 0
 }
+
+func (s *server) restsFor(now time.Time) time.Duration { return max(s.restUntil.Sub(now), 0) }
+
+// NoteSuspension records that the VM was suspended for a time after since: the clock of this view stood still, and the servers'
+// rests went on. A rest that was asked for after since may have begun after the suspension and isn't shortened.
+func (v *View) NoteSuspension(since time.Time, duration time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, srv := range v.servers {
+		if !srv.restNotedAt.After(since) {
+			srv.restUntil = srv.restUntil.Add(-duration)
+		}
+	}
+	v.notify()
+}
--- a/internal/serverview/serverview.go
+++ b/internal/serverview/serverview.go
@@ -82,8 +82,8 @@
 
 	// saidLeavingAt is when an answer of the server first said that it leaves; zero before. Only another incarnation ends it.
 	saidLeavingAt time.Time
-	// restUntil is until when the server wants no requests from this node.
-	restUntil time.Time
+	// restUntil is until when the server wants no requests from this node, and restNotedAt when it last asked for that.
+	restUntil, restNotedAt time.Time
 }
 
 // View is the aggregate of all servers.
--- a/internal/serving/server.go
+++ b/internal/serving/server.go
@@ -137,6 +137,12 @@
 	OrderUnsent
 )
 
+// OrderResult is the outcome of an order, with what the server says about itself in its answer, if it has answered.
+type OrderResult struct {
+	Outcome OrderOutcome
+	Notice  ServerNotice
+}
+
 var orderOutcomes = [...]string{"accepted", "done", "conflict", "fenced", "invalid", "misdirected", "unknown", "unsent"}
 
 // String returns the outcome's name in logs.
--- a/internal/serving/store.go
+++ b/internal/serving/store.go
@@ -112,5 +112,5 @@
 	Report(ctx context.Context, server Server) (Report, error)
 	// Order sends an order, unless allowed returns false just before the first byte; the outcome is then OrderUnsent. An
 	// error only explains the outcome.
-	Order(ctx context.Context, server Server, order Order, allowed func() bool) (OrderOutcome, error)
+	Order(ctx context.Context, server Server, order Order, allowed func() bool) (OrderResult, error)
 }
