node: A node that nobody answers confirms that a service has only one version

A node that had just lost the other nodes and the store took up streams which had begun at servers of a version that joined since, and went on with them at the older version: callers got events of two versions in one stream.

Cause: without a record of the stream a node relied on its own view of the servers up to 2 s after it was last current, and on nobody else when no node answered its question. The stream may have begun a moment ago.

Only one version now counts if all nodes that may have the record have answered, or after a read of the servers' entries that began after the resume and shows no other. Reads are shared, each 0.1 s at most, and bounded to 0.4 s; without one the resume is refused as not run. Streams with a record go on as before, also at a node that is cut off. A resume that names no attempt is always confirmed.

--- a/internal/node/originlog.go
+++ b/internal/node/originlog.go
@@ -44,21 +44,21 @@
 	several   map[string]bool
 	expiredAt time.Time
 
-	// reading has one element while a read is in progress, which guards the fields below.
-	reading  chan struct{}
-	cursor   serving.Cursor
-	readAt   time.Time
-	readFail error
+	// reads reads what was appended since this node's latest read, whose end is cursor.
+	reads  *sharedRead
+	cursor serving.Cursor
 
 	written, read, failures metrics.Counter
 }
 
 func newOriginLog(node *Node) *originLog {
-	return &originLog{
-		node: node, until: make(map[string]time.Time), several: make(map[string]bool), reading: make(chan struct{}, 1),
+	l := &originLog{
+		node: node, until: make(map[string]time.Time), several: make(map[string]bool),
 		written: metrics.GetOrRegisterCounter("origins.written", nil), read: metrics.GetOrRegisterCounter("origins.read", nil),
 		failures: metrics.GetOrRegisterCounter("origins.storeFailures", nil),
 	}
+	l.reads = newSharedRead(originReadInterval, l.readOnce)
+	return l
 }
 
 // add appends an origin to the store if its service has had several versions within the lifetime of the stream.
@@ -123,7 +123,7 @@
 		}
 		l.node.origins.sendToWriters(now, l.node.origins.live(now, service))
 		// A failure is logged, and the next resume reads again.
-		_ = l.readNew(ctx)
+		_ = l.reads.do(ctx)
 	}
 }
 
@@ -163,26 +163,10 @@
 	return encoded
 }
 
-// readNew reads what was appended since this node's latest read. Requests that arrive before a read begins share it.
-func (l *originLog) readNew(ctx context.Context) error {
-	arrivedAt := time.Now()
-	select {
-	case l.reading <- struct{}{}:
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	defer func() { <-l.reading }()
-	if l.readAt.After(arrivedAt) {
-		return l.readFail
-	}
-	delay.For(ctx, originReadInterval-time.Since(l.readAt))
-	if ctx.Err() != nil {
-		return ctx.Err()
-	}
+// readOnce reads what was appended since this node's latest read.
+func (l *originLog) readOnce() error {
 	now := time.Now()
-	// The read isn't the request's alone, so that the end of the request doesn't end it.
 	origins, next, err := l.node.store.ReadOrigins(l.node.ctx, l.cursor)
-	l.readAt, l.readFail = now, err
 	if err != nil {
 		l.logFailure(l.node.ctx, err, "read")
 		return err
--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -36,6 +36,8 @@
 	queries *pending[originReply]
 	// log keeps origins in the store.
 	log *originLog
+	// entries reads the servers' entries for resumes whose version has to be confirmed.
+	entries *sharedRead
 	// recorded receives a value when an origin was added to unsent.
 	recorded chan struct{}
 }
@@ -49,7 +51,7 @@
 func newOrigins(node *Node) *origins {
 	return &origins{
 		node: node, registry: streamorigin.NewRegistry(), queries: newPending[originReply](), log: newOriginLog(node),
-		recorded: make(chan struct{}, 1),
+		recorded: make(chan struct{}, 1), entries: newSharedRead(entriesReadInterval, node.readEntries),
 	}
 }
 
@@ -193,26 +195,57 @@
 	}
 	now := time.Now()
 	answer := o.known(now, request, service, maximumAge)
-	if answer.Basis == streamorigin.Recorded || answer.Basis != streamorigin.Unknown && request == "" {
+	if answer.Basis == streamorigin.Recorded {
 		return answer
 	}
-	holders, alive := o.nodes(now)
-	query := peerlink.OriginQuery{Request: request, Service: service, MaximumAgeMs: maximumAge.Milliseconds()}
-	answer = o.ask(ctx, query, streamorigin.Targets(request, holders, alive), answer)
+	allAnswered := false
+	if answer.Basis == streamorigin.Unknown || request != "" {
+		holders, alive := o.nodes(now)
+		query := peerlink.OriginQuery{Request: request, Service: service, MaximumAgeMs: maximumAge.Milliseconds()}
+		answer, allAnswered = o.ask(ctx, query, streamorigin.Targets(request, holders, alive), answer)
+	}
+	if answer.Basis == streamorigin.OnlyVersion && (request == "" || !allAnswered) {
+		answer = o.confirmOnlyVersion(ctx, answer, maximumAge)
+	}
 	if answer.Known() || request == "" {
 		return answer
 	}
-	if err := o.log.readNew(ctx); err != nil {
+	if err := o.log.reads.do(ctx); err != nil {
 		return answer
 	}
-	return answer.Combine(o.known(time.Now(), request, service, maximumAge))
+	// What else this node knows now isn't confirmed.
+	if stored := o.known(time.Now(), request, service, maximumAge); stored.Basis == streamorigin.Recorded {
+		return stored
+	}
+	return answer
+}
+
+// confirmOnlyVersion checks the answer that there is only one version by a read of the servers' entries. Without it the answer
+// is as old as this node's view of the servers, while the stream may have begun a moment ago at a server that joined since: a
+// node that is cut off from the others neither learns of that server nor finds the stream's record.
+func (o *origins) confirmOnlyVersion(
+	ctx context.Context, answer streamorigin.Answer, maximumAge time.Duration,
+) streamorigin.Answer {
+	arrivedAt := time.Now()
+	if err := o.entries.do(ctx); err != nil {
+		return streamorigin.Answer{}
+	}
+	for _, version := range o.node.view.VersionsSince(answer.Service, arrivedAt.Add(-maximumAge)) {
+		if version != answer.SoftwareVersion {
+			return streamorigin.Answer{Basis: streamorigin.SeveralVersions}
+		}
+	}
+	return answer
 }
 
 // ask sends a query until it has found a record, all targets have answered, or the timeout is over. It returns the most
-// reliable of the answers and this node's own.
+// reliable of the answers and this node's own, and whether there are targets and all have answered.
 func (o *origins) ask(
 	ctx context.Context, query peerlink.OriginQuery, targets []string, answer streamorigin.Answer,
-) streamorigin.Answer {
+) (best streamorigin.Answer, allAnswered bool) {
+	if len(targets) == 0 {
+		return answer, false
+	}
 	id, replies := o.queries.register(len(targets))
 	defer o.queries.unregister(id)
 	query.ID = id
@@ -234,10 +267,10 @@
 		case <-resend.C:
 			o.node.link.Send(message, targets...)
 		case <-ctx.Done():
-			return answer
+			return answer, false
 		}
 	}
-	return answer
+	return answer, len(targets) == 0
 }
 
 // known returns what this node knows about a stream without asking others.
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -143,6 +144,38 @@
 	}
 }
 
+const (
+	// entriesReadInterval is the least time between two reads of the servers' entries for requests.
+	entriesReadInterval = 100 * time.Millisecond
+	// entriesReadTimeout bounds such a read. A slow store answers within some 340 ms.
+	entriesReadTimeout = 400 * time.Millisecond
+	// maximumEntryPages bounds the calls of such a read.
+	maximumEntryPages = 8
+)
+
+var errEntriesUnread = errors.New("more entries of servers have changed than one read takes")
+
+// readEntries reads what has changed in the servers' entries since this node last applied them.
+func (n *Node) readEntries() error {
+	ctx, cancel := context.WithTimeout(n.ctx, entriesReadTimeout)
+	defer cancel()
+	offset := n.appliedEntries()
+	cursor := serving.Cursor{Known: offset > 0, Offset: offset}
+	for range maximumEntryPages {
+		batch, err := n.store.ReadServers(ctx, cursor)
+		if err != nil {
+			n.events.EmitError(event.StoreLost, err, nil)
+			return err
+		}
+		n.applyStoreServers(batch)
+		n.reconcilePending.Store(true)
+		if cursor = batch.Next; !cursor.More {
+			return nil
+		}
+	}
+	return errEntriesUnread
+}
+
 // appliedEntries returns the position in the servers' entries up to which this node has applied them.
 func (n *Node) appliedEntries() int64 {
 	n.entriesMu.Lock()
