platform, forward: Tests of answers whose head ends in its middle

Reported by operators of another system: a server stopped in the middle of its answer's head and closed, and clients got a 200 with a short body, framed as whole. The tests are kept.

--- a/internal/forward/handover_test.go
+++ b/internal/forward/handover_test.go
@@ -17,6 +17,7 @@
 	"waxwingcleat.example/waxwingcleat/internal/forward"
 	"waxwingcleat.example/waxwingcleat/internal/retrybudget"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
+	"waxwingcleat.example/waxwingcleat/internal/upstream"
 	"waxwingcleat.example/waxwingcleat/internal/usage"
 )
 
@@ -390,3 +391,29 @@
 	g.Expect(header.Get("Waxwing-Attempts")).To(gomega.Equal("1"))
 	g.Expect(header.Get("Waxwing-Sends")).To(gomega.Equal("1"))
 }
+
+// Guards against an answer of another node whose head ends in its middle, with its connection, and that looks whole or like a
+// statement that the request hasn't run.
+func TestHandedOverAnswerCutInsideItsHeadFails(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nConnection: close\r\nId: r1\r\n\r\n",
+		"HTTP/1.1 503 Busy\r\nId: r1\r\nWaxwing-Not-Taken: 1\r\nContent-Length: 0\r\n\r\n",
+	} {
+		for length := range len(head) {
+			g := gomega.NewWithT(t)
+			peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, buffered, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				_, _ = buffered.WriteString(head[:length])
+				_ = buffered.Flush()
+				_ = conn.Close()
+			}))
+			f := newFixture(serving.NonIdempotent, "a")
+			f.cutOff(&fakePeers{nodes: []string{strings.TrimPrefix(peer.URL, "http://")}}, upstream.NewTransport(time.Second, false), "a")
+			g.Expect(f.callWithID("r1").Code).To(gomega.Equal(http.StatusBadGateway), "%q", head[:length])
+			peer.Close()
+		}
+	}
+}
