forward, node: A stopping node refuses what comes late and answers what is left

Cause: a stopping node closes idle connections, but a connection on which a request has begun isn't idle, however late its rest comes; and the end of the stop closed the connections of whatever was in progress.

Once its listener is closed, a node refuses each request whose body is whole only then, as not run, and so it does for other nodes, which may choose another one. At the end, shortly before the process would be killed, requests without the beginning of an answer are answered: as not run if they still wait, else with 502. The leases are released meanwhile.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -250,6 +250,10 @@
 
 // attemptCancelled ends a request whose deadline passed or whose caller disconnected while a server was processing it.
 func (j *job) attemptCancelled(candidate serverview.Candidate) bool {
+	if j.f.ending.Err() != nil && j.r.Context().Err() == nil {
+		j.refuseOutcomeUnknown(http.StatusBadGateway, ReasonStopping)
+		return true
+	}
 	if time.Since(j.sentAt) > suspectAfter {
 		j.f.options.View.Doubt(candidate.ID)
 		j.f.recordFailure(time.Now(), candidate.ID)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -131,6 +131,11 @@
 	options  Options
 	current  atomic.Pointer[activeConfig]
 	draining atomic.Bool
+	// closed is true once requests that arrive are refused.
+	closed atomic.Bool
+	// ending is done when the requests in progress have to be answered at once; end makes it so.
+	ending context.Context
+	end    context.CancelFunc
 	// taken is the number of requests of other nodes in progress.
 	taken atomic.Int64
 
@@ -141,7 +146,9 @@
 
 // New returns a forwarder without a configuration.
 func New(options Options) *Forwarder {
-	return &Forwarder{options: options, budgets: make(map[string]*retrybudget.Budget), metrics: newMetricSet()}
+	f := &Forwarder{options: options, budgets: make(map[string]*retrybudget.Budget), metrics: newMetricSet()}
+	f.ending, f.end = context.WithCancel(context.Background())
+	return f
 }
 
 // SetConfig activates a configuration and returns true, unless one of the same or a newer version is active.
@@ -171,6 +178,13 @@
 // Drain makes every further answer carry "Connection: close".
 func (f *Forwarder) Drain() { f.draining.Store(true) }
 
+// Close makes the forwarder refuse each request whose last byte arrives from now on. A stopping node may be gone before such a
+// request is answered, and its caller would then not know whether it has run.
+func (f *Forwarder) Close() { f.closed.Store(true) }
+
+// End makes all requests in progress end at once: those without the beginning of an answer are answered.
+func (f *Forwarder) End() { f.end() }
+
 // job is one request in progress.
 type job struct {
 	f       *Forwarder
@@ -269,6 +283,10 @@
 	if !j.findRoute(current) || !j.admit(current, keyStatus) || !j.readBody(current) {
 		return
 	}
+	if f.closed.Load() {
+		j.refuseStopping()
+		return
+	}
 	ctx, cancel := j.withDeadline()
 	defer cancel()
 	j.ctx = ctx
@@ -348,12 +366,28 @@
 	return max(bound, 0)
 }
 
-// withDeadline returns the context of the request, which ends after its timeout.
+// refuseStopping answers a request that has arrived too late for this node, which stops. Other nodes can take it at once.
+func (j *job) refuseStopping() {
+	if j.fromPeer {
+		RefuseHandover(j.w, http.StatusServiceUnavailable)
+		return
+	}
+	j.refuse(http.StatusServiceUnavailable, ReasonStopping, 0)
+}
+
+// withDeadline returns the context of the request, which ends after its timeout or with the forwarder.
 func (j *job) withDeadline() (context.Context, context.CancelFunc) {
-	if j.setDeadline(); j.deadline.IsZero() {
-		return context.WithCancel(j.r.Context())
+	parent, end := context.WithCancel(j.r.Context())
+	forget := context.AfterFunc(j.f.ending, end)
+	ctx, cancel := parent, func() {}
+	if j.setDeadline(); !j.deadline.IsZero() {
+		ctx, cancel = context.WithDeadline(parent, j.deadline)
+	}
+	return ctx, func() {
+		forget()
+		cancel()
+		end()
 	}
-	return context.WithDeadline(j.r.Context(), j.deadline)
 }
 
 // setDeadline sets the deadline, if the request has one.
--- a/internal/forward/reasons.go
+++ b/internal/forward/reasons.go
@@ -4,6 +4,9 @@
 
 // Reasons of final answers, as logged in the field "reason" of the events 800 and 801.
 const (
+	// ReasonStopping means that the request came after this node had begun to stop, or that the node ends before its server
+	// has answered.
+	ReasonStopping   = "the node is stopping"
 	ReasonNoConfig   = "no configuration is known yet"
 	ReasonNoRoute    = "no route for this host and path"
 	ReasonNoService  = "the route names no service"
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -67,6 +67,8 @@
 	switch {
 	case s.callerErr != nil || j.r.Context().Err() != nil:
 		reason = "the caller left during the stream"
+	case j.f.ending.Err() != nil:
+		reason = ReasonStopping
 	case j.ctx.Err() != nil:
 		reason = "the deadline passed during the stream"
 	default:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -46,6 +46,8 @@
 	shutdownMargin = 400 * time.Millisecond
 	// memoryLimitShare is the Go memory limit as a share of the configured memory.
 	memoryLimitShare = 0.6
+	// endTimeout bounds the time for the answers to requests that are in progress at the end of a shutdown.
+	endTimeout = 150 * time.Millisecond
 	// idleCloseInterval is the time between two attempts to close idle connections during a shutdown.
 	idleCloseInterval = 20 * time.Millisecond
 	// auxiliaryShutdownTimeout bounds the shutdown of the HTTP servers for readiness, administration and peers.
@@ -301,6 +303,7 @@
 	if err := listener.Close(); err != nil {
 		n.events.EmitError(event.ProcessFailed, err, nil)
 	}
+	n.forwarder.Close()
 	for n.callers.CloseIdle() > 0 && time.Now().Before(deadline) {
 		delay.For(n.ctx, idleCloseInterval)
 	}
@@ -312,14 +315,25 @@
 	for n.forwarder.Taken() > 0 && time.Now().Before(deadline) {
 		delay.For(n.ctx, idleCloseInterval)
 	}
+	var left sync.WaitGroup
+	defer left.Wait()
 	if n.leases.isMember() {
-		n.leaveGroup()
+		left.Go(n.leaveGroup)
 	}
+	n.endRequests()
 	if err := callers.Close(); err != nil {
 		n.events.EmitError(event.ProcessFailed, err, nil)
 	}
 }
 
+// endRequests answers the requests that are still in progress, whose outcome is unknown.
+func (n *Node) endRequests() {
+	n.forwarder.End()
+	for end := time.Now().Add(endTimeout); time.Now().Before(end) && n.callers.CloseIdle()+int(n.forwarder.Taken()) > 0; {
+		delay.For(n.ctx, idleCloseInterval)
+	}
+}
+
 // leaveTimeout bounds the call that releases the leases.
 const leaveTimeout = 200 * time.Millisecond
 
