--- a/internal/node/notices_test.go
+++ b/internal/node/notices_test.go
@@ -56,6 +56,17 @@
 	}
 }
 
+// Guards against nodes that only learn it from readers, of which there are none for a moment after a restart.
+func TestNodesTellEachOtherThatAServerLeaves(t *testing.T) {
+	g := gomega.NewWithT(t)
+	nodes := newLinkedNodes(t, 2, false)
+	for _, n := range nodes {
+		n.readyServer()
+	}
+	nodes[0].notices.Observe(nodes[0].readyServer(), serving.ServerNotice{Leaving: true}, time.Now(), true)
+	g.Eventually(nodes[1].uses("s"), toldWithin).Should(gomega.BeFalse())
+}
+
 // Guards against nodes that never learn it because the message about it was lost.
 func TestReaderThatMissedThatAServerLeavesIsTold(t *testing.T) {
 	g := gomega.NewWithT(t)
