--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -23,6 +23,8 @@
 	streamWindowBefore = 15 * time.Second
 	// limitWindowBefore is how far before a refusal the limits of servers are searched; their use is logged each 5 s.
 	limitWindowBefore = 10 * time.Second
+	// noticeWindowBefore is how far before a refusal it's searched what servers said of leaving and rest.
+	noticeWindowBefore = time.Minute
 	// blockWindowBefore is how far before a refusal the block of a prompt part is searched.
 	blockWindowBefore = time.Hour
 	// correlationWindow is the time around a failure in which other requests are compared with it.
@@ -98,6 +100,10 @@
 		return l.noUsableServer(final)
 	case reason == forward.ReasonLimited:
 		return l.limited(final)
+	case reason == forward.ReasonResting:
+		return l.resting(final)
+	case reason == forward.ReasonStopping:
+		return "the node was stopping, and the request came late or its server worked for longer", nil
 	case reason == forward.ReasonBrittle:
 		return l.brittle(final)
 	case reason == forward.ReasonCrashing, reason == forward.ReasonCrashingRequest:
@@ -175,7 +181,10 @@
 		ejected := line.Event == event.ServerEjected.Number && line.text("node") == final.text("node")
 		return ejected || isDisruption(line)
 	})
-	if len(disruptions) == 0 {
+	leaving := l.around(final.At, noticeWindowBefore, 0, func(line Line) bool {
+		return line.Event == event.ServerSaysItLeaves.Number
+	})
+	if disruptions = append(leaving, disruptions...); len(disruptions) == 0 {
 		return "", nil
 	}
 	return "the servers of the service were leaving, failing or unreachable", disruptions
@@ -205,13 +214,13 @@
 // loadObstacles returns why no server could load an adapter, according to the state known to the request's node.
 func loadObstacles(final Line) string {
 	servers := final.number("servers")
-	unable := final.number("leaving") + final.number("leftAlone") + final.number("withoutHolder") + final.number("full")
+	unable := final.number("leaving") + final.number("resting") + final.number("leftAlone") + final.number("withoutHolder") + final.number("full")
 	if servers == 0 || unable < servers/2 {
 		return ""
 	}
 	return fmt.Sprintf("most servers could not load the adapter: of %.0f, "+
-		"%.0f were leaving, %.0f ejected after failures, %.0f without a holder and %.0f full",
-		servers, final.number("leaving"), final.number("leftAlone"), final.number("withoutHolder"), final.number("full"))
+		"%.0f were leaving, %.0f had asked for rest, %.0f were ejected after failures, %.0f without a holder and %.0f full",
+		servers, final.number("leaving"), final.number("resting"), final.number("leftAlone"), final.number("withoutHolder"), final.number("full"))
 }
 
 // limited returns which limits of servers left no room for a request.
@@ -224,6 +233,15 @@
 		final.number("limited"), final.number("servers"), final.number("roomInMs")), limits
 }
 
+// resting returns which servers had asked the request's node for rest.
+func (l *Log) resting(final Line) (string, []Line) {
+	rests := l.around(final.At, noticeWindowBefore, 0, func(line Line) bool {
+		return line.Event == event.ServerAsksForRest.Number && line.text("node") == final.text("node")
+	})
+	return fmt.Sprintf("%.0f of %.0f servers had asked the node for rest and the others were leaving; the first rest had %.0f ms left",
+		final.number("resting"), final.number("servers"), final.number("restEndsInMs")), rests
+}
+
 // brittle returns which servers were brittle while no coordinator assigned their room.
 func (l *Log) brittle(final Line) (string, []Line) {
 	servers := l.around(final.At, limitWindowBefore, 0, func(line Line) bool {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -118,7 +118,7 @@
 	l.add(1300, event.RequestRefused, refusal("r1", forward.ReasonNotLoaded,
 		`,"adapter":"m/a","servers":9,"leftAlone":2,"withoutHolder":5,"full":1`))
 	g.Expect(l.explain(g, "r1").Cause).To(gomega.Equal("most servers could not load the adapter: of 9, " +
-		"0 were leaving, 2 ejected after failures, 5 without a holder and 1 full"))
+		"0 were leaving, 0 had asked for rest, 2 were ejected after failures, 5 without a holder and 1 full"))
 }
 
 // Guards against a missing cause for a request that was refused at once because every server was full.
@@ -128,7 +128,7 @@
 	l.add(1300, event.RequestRefused, refusal("r1", forward.ReasonOverloaded,
 		`,"adapter":"m/a","servers":9,"leftAlone":0,"withoutHolder":1,"full":8`))
 	g.Expect(l.explain(g, "r1").Cause).To(gomega.Equal("most servers could not load the adapter: of 9, " +
-		"0 were leaving, 0 ejected after failures, 1 without a holder and 8 full"))
+		"0 were leaving, 0 had asked for rest, 0 were ejected after failures, 1 without a holder and 8 full"))
 }
 
 // Guards against a missing cause for a request that the limits of servers left no room for.
@@ -143,6 +143,24 @@
 	g.Expect(e.Evidence).To(gomega.HaveLen(1))
 }
 
+// Guards against refusals without a cause while servers rest or leave by their own word.
+func TestRefusalNamesWhatServersSay(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var l logBuilder
+	l.add(400, event.ServerAsksForRest, `"server":"s1","restMs":3000,"source":"answer"`)
+	l.add(500, event.ServerSaysItLeaves, `"server":"s2","source":"answer"`)
+	l.add(1300, event.RequestRefused, refusal("r1", forward.ReasonResting,
+		`,"servers":2,"resting":1,"leaving":1,"restEndsInMs":2100`))
+	l.add(30_000, event.RequestRefused, refusal("r2", forward.ReasonNoServer, ""))
+	e := l.explain(g, "r1")
+	g.Expect(e.Cause).To(gomega.Equal(
+		"1 of 2 servers had asked the node for rest and the others were leaving; the first rest had 2100 ms left"))
+	g.Expect(e.Evidence).To(gomega.HaveLen(1))
+	e = l.explain(g, "r2")
+	g.Expect(e.Cause).To(gomega.ContainSubstring("leaving"))
+	g.Expect(e.Evidence).To(gomega.HaveLen(1))
+}
+
 // Guards against a refusal beside brittle servers that counts as one for lack of servers.
 func TestRefusalBesideBrittleServersNamesThem(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -37,15 +37,19 @@
 
 // noticeMetrics counts the notices, and the sends to servers that have said that they leave or have asked for rest.
 type noticeMetrics struct {
-	leaving, rest, invalid   metrics.Counter
-	sentLeaving, sentResting map[forward.SendWay]metrics.Counter
+	leaving, rest, invalid metrics.Counter
+	// serversLeaving and serversResting are the servers that leave by their own word or have asked this node for rest.
+	serversLeaving, serversResting metrics.Gauge
+	sentLeaving, sentResting       map[forward.SendWay]metrics.Counter
 }
 
 func newNotices(node *Node) *notices {
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("notices."+name, nil) }
 	n := &notices{node: node, learned: make(chan struct{}, 1), metrics: noticeMetrics{
 		leaving: counter("leaving"), rest: counter("rest"), invalid: counter("invalid"),
-		sentLeaving: make(map[forward.SendWay]metrics.Counter), sentResting: make(map[forward.SendWay]metrics.Counter),
+		serversLeaving: metrics.GetOrRegisterGauge("notices.serversLeaving", nil),
+		serversResting: metrics.GetOrRegisterGauge("notices.serversResting", nil),
+		sentLeaving:    make(map[forward.SendWay]metrics.Counter), sentResting: make(map[forward.SendWay]metrics.Counter),
 	}}
 	for _, way := range []forward.SendWay{
 		forward.FirstSend, forward.AssignedSend, forward.RepeatedSend, forward.ResumingSend, forward.TakenSend,
@@ -205,6 +209,13 @@
 	n.checkedAt, n.checkedBootTime = now, boot
 }
 
+// updateGauges counts the servers that leave by their own word or rest.
+func (n *notices) updateGauges(now time.Time) {
+	leaving, resting := n.node.view.NoticeCounts(now)
+	n.metrics.serversLeaving.Update(int64(leaving))
+	n.metrics.serversResting.Update(int64(resting))
+}
+
 // Sending implements forward.Notices.
 func (n *notices) Sending(server serverview.Candidate, way forward.SendWay) {
 	leaving, resting := n.node.view.SaidLeaving(server.ID), n.node.view.RestsFor(time.Now(), server.ID) > 0
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -228,6 +228,7 @@
 		// Calls to the store may keep other callers from checking often enough.
 		n.watch.checkCurrent(time.Now(), n.view.Fingerprint())
 		n.notices.checkSuspension(time.Now(), bootTime())
+		n.notices.updateGauges(time.Now())
 		n.operatorAge.Update(n.watch.operatorAge(time.Now()).Milliseconds())
 		if !n.leases.isReader() {
 			continue
--- a/internal/serverview/notices.go
+++ b/internal/serverview/notices.go
@@ -47,6 +47,21 @@
 	return notices
 }
 
+// NoticeCounts returns the number of servers that leave by their own word, and of those that want no requests from this node.
+func (v *View) NoticeCounts(now time.Time) (leaving, resting int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, srv := range v.servers {
+		if !srv.saidLeavingAt.IsZero() && !v.removed(srv, now) {
+			leaving++
+		}
+		if srv.restsFor(now) > 0 {
+			resting++
+		}
+	}
+	return leaving, resting
+}
+
 // SaidLeaving reports whether a server has said in its answers that it leaves.
 func (v *View) SaidLeaving(id string) bool {
 	v.mu.Lock()
