--- a/internal/forward/notices_test.go
+++ b/internal/forward/notices_test.go
@@ -13,6 +13,7 @@
 	"github.com/onsi/gomega"
 
 	"waxwingcleat.example/waxwingcleat/internal/forward"
+	"waxwingcleat.example/waxwingcleat/internal/retrybudget"
 	"waxwingcleat.example/waxwingcleat/internal/serverview"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
 	"waxwingcleat.example/waxwingcleat/internal/upstream"
@@ -259,6 +260,11 @@
 			broken.ContentLength, broken.Body = 10, io.NopCloser(io.MultiReader(strings.NewReader("b"), failingReader{}))
 			return broken
 		}, false},
+		"rejection of another request": {func() *http.Response {
+			foreign := answerWith(http.StatusServiceUnavailable, "")
+			foreign.Header.Set("Id", "r2")
+			return foreign
+		}, false},
 		"without digest": {func() *http.Response {
 			odd := answerWith(http.StatusOK, "body")
 			odd.Header.Set("No-Digest", "1")
@@ -341,3 +347,39 @@
 		g.Expect(f.limits.observed[0].Rest > 0).To(gomega.Equal(c.heard), name)
 	}
 }
+
+// Guards against a refusal that names another time than the end of the rest because no repeat is allowed.
+func TestRefusalWithoutARepeatNamesTheEndOfTheRest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFixture(serving.NonIdempotent, "a")
+	f.change(false, func(o *forward.Options) {
+		o.RetryBudget = retrybudget.Options{Window: 10 * time.Second}
+	}, func(*serving.Route) {})
+	f.answer = func(server string) (*http.Response, error) {
+		f.asksForRest(server, 20*time.Second)
+		return answerWith(http.StatusServiceUnavailable, ""), nil
+	}
+	g.Expect(retryAfterOf(g, f.call())).To(gomega.BeNumerically("~", 21500*time.Millisecond, 1600*time.Millisecond))
+}
+
+// Guards against what a server says while it goes on with a stream, which nobody hears.
+func TestResumedStreamSaysThatItsServerLeaves(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFixture(serving.Stream, "a", "b")
+	f.change(false, func(o *forward.Options) { o.Origins, o.Wire = noOrigins{}, noticeWire{} }, func(r *serving.Route) {
+		r.Resumable = true
+	})
+	f.answer = func(string) (*http.Response, error) {
+		answer := answerWith(http.StatusOK, "id: 2\ndata: y\n\n")
+		answer.Header.Set("Content-Type", "text/event-stream")
+		if len(f.sent) == 1 {
+			answer.Body = io.NopCloser(io.MultiReader(strings.NewReader("id: 1\ndata: x\n\n"), failingReader{}))
+			return answer, nil
+		}
+		answer.Header.Set("Leaving", "1")
+		return answer, nil
+	}
+	g.Expect(f.callWithID("r1").Code).To(gomega.Equal(http.StatusOK))
+	g.Expect(f.limits.observed).To(gomega.HaveLen(2))
+	g.Expect(f.limits.observed[1].Leaving).To(gomega.BeTrue())
+}
--- a/internal/node/notices_test.go
+++ b/internal/node/notices_test.go
@@ -9,6 +9,8 @@
 	"github.com/onsi/gomega"
 
 	"waxwingcleat.example/waxwingcleat/internal/peerlink"
+	"waxwingcleat.example/waxwingcleat/internal/residency"
+	"waxwingcleat.example/waxwingcleat/internal/serverlease"
 	"waxwingcleat.example/waxwingcleat/internal/serverview"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
 )
@@ -159,26 +161,38 @@
 	g.Expect(n.view.MaySend(time.Now(), "s", 7, time.Now().Add(2*time.Second))).To(gomega.BeFalse())
 }
 
-// callCounter counts the calls to a server, which has demand for an adapter.
+// callCounter counts the calls to a server.
 type callCounter struct {
 	calls atomic.Int64
-	// answer is what the server says about itself.
-	answer serving.ServerNotice
+	// rest makes the server reject all calls with that time of rest.
+	rest atomic.Int64
+	// beforeOrder, if set, is called before an order is written.
+	beforeOrder func()
+}
+
+func (c *callCounter) notice() serving.ServerNotice {
+	return serving.ServerNotice{Rest: time.Duration(c.rest.Load())}
 }
 
 func (c *callCounter) Report(context.Context, serving.Server) (serving.Report, error) {
 	c.calls.Add(1)
-	if c.answer.Rest > 0 {
-		return serving.Report{Notice: c.answer}, errRefused
+	if notice := c.notice(); notice.Rest > 0 {
+		return serving.Report{Notice: notice}, errRefused
 	}
 	return serving.Report{Models: map[string]bool{"m": true}, Busy: true}, nil
 }
 
 func (c *callCounter) Order(
-	context.Context, serving.Server, serving.Order, func() bool,
+	_ context.Context, _ serving.Server, _ serving.Order, allowed func() bool,
 ) (serving.OrderResult, error) {
+	if c.beforeOrder != nil {
+		c.beforeOrder()
+	}
+	if !allowed() {
+		return serving.OrderResult{Outcome: serving.OrderUnsent}, errRefused
+	}
 	c.calls.Add(1)
-	return serving.OrderResult{Outcome: serving.OrderUnknown}, errRefused
+	return serving.OrderResult{Outcome: serving.OrderUnknown, Notice: c.notice()}, errRefused
 }
 
 // startHolder makes a node the holder of a server.
@@ -212,13 +226,16 @@
 // Guards against a rejected report whose time of rest isn't heard, or makes its server count as unreachable.
 func TestRejectedReportAsksForRest(t *testing.T) {
 	g := gomega.NewWithT(t)
-	n, counter := newCrashesNode(t), &callCounter{answer: serving.ServerNotice{Rest: time.Hour}}
+	n, counter := newCrashesNode(t), &callCounter{}
 	n.startHolder(g, counter)
+	server := func() serverview.Candidate { return n.view.Candidates(time.Now(), "x", serving.Adapter{})[0] }
+	g.Eventually(func() bool { return server().Present }).Should(gomega.BeTrue())
+	counter.rest.Store(int64(time.Hour))
 	g.Eventually(func() time.Duration { return n.view.RestsFor(time.Now(), "s") }).Should(gomega.BeNumerically(">", time.Minute))
-	g.Expect(counter.calls.Load()).To(gomega.BeNumerically("==", 1))
-	g.Eventually(func() time.Duration {
-		return n.view.Candidates(time.Now(), "x", serving.Adapter{})[0].SlotQueue.OrdersIn
-	}).Should(gomega.BeNumerically(">", time.Minute), "other nodes have to know that nothing is loaded there")
+	rejected := counter.calls.Load()
+	g.Consistently(func() bool { return server().Present && !server().Ejected }, 700*time.Millisecond).Should(gomega.BeTrue())
+	g.Expect(counter.calls.Load()).To(gomega.Equal(rejected))
+	g.Eventually(func() time.Duration { return server().SlotQueue.OrdersIn }).Should(gomega.BeNumerically(">", time.Minute), "other nodes have to know that nothing is loaded there")
 }
 
 // Guards against a rest that lasts too long as the VM was suspended, and against other differences between the clocks.
@@ -234,3 +251,41 @@
 	n.notices.checkSuspension(now.Add(2*time.Second), time.Hour+6*time.Second)
 	g.Expect(n.view.RestsFor(now, "s")).To(gomega.Equal(6 * time.Second))
 }
+
+// Guards against an order that is written after its server has asked for rest, and against a rejected order whose time of rest
+// isn't heard.
+func TestOrdersKeepToRests(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n, counter := newCrashesNode(t), &callCounter{}
+	n.leases = newLeases(serverlease.Options{Partitions: 8, TTL: leaseTTL, TurnInterval: turnInterval, Fenced: true})
+	n.becomeHolderOfAll()
+	n.servers = counter
+	server := n.readyServer()
+	h := n.holders.start(serving.Server{ID: "s", Service: "x", Address: "s:1", Slots: 4, Born: 7}, residency.Options{}, time.Second)
+	h.stop()
+	<-h.done
+	fence, may := n.leases.mayOrder("s")
+	g.Expect(may).To(gomega.BeTrue())
+	counter.rest.Store(int64(time.Minute))
+	before := counter.calls.Load()
+	h.order(t.Context(), residency.Action{Kind: residency.Order}, fence)
+	g.Expect(counter.calls.Load()).To(gomega.Equal(before + 1))
+	g.Expect(n.view.RestsFor(time.Now(), "s")).To(gomega.BeNumerically(">", 50*time.Second))
+	n.view.NoteSuspension(time.Now(), time.Hour)
+	counter.beforeOrder = func() {
+		n.notices.Observe(server, serving.ServerNotice{Rest: time.Minute}, time.Now(), false)
+	}
+	h.order(t.Context(), residency.Action{Kind: residency.Order}, fence)
+	g.Expect(counter.calls.Load()).To(gomega.Equal(before + 1))
+}
+
+// Guards against suspensions that nobody looks for.
+func TestNodesLookForSuspensions(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newCrashesNode(t)
+	n.readyServer()
+	n.view.NoteRest(time.Now().Add(-time.Second), "s", 7, time.Now().Add(time.Minute))
+	n.notices.checkSuspension(time.Now(), bootTime()-time.Hour)
+	go func() { _ = n.sendDigests(t.Context()) }()
+	g.Eventually(func() time.Duration { return n.view.RestsFor(time.Now(), "s") }, 2*time.Second).Should(gomega.BeZero())
+}
