forward: A rejection without a time of rest doesn't look at all servers

The candidates were built for each rejection, which costs time on sites of many servers; only a server that rests can be the last one that does.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -349,10 +349,12 @@
 	if info.Misdirected && !j.request.Adapter.IsZero() {
 		j.f.options.View.Lacks(candidate.ID, j.request.Adapter)
 	}
-	candidates := j.f.options.View.Candidates(time.Now(), j.service.Name, j.request.Adapter)
-	if refusal := restRefusal(candidates); refusal != nil {
-		j.refuseResting(refusal)
-		return true
+	if now := time.Now(); j.f.options.View.RestsFor(now, candidate.ID) > 0 {
+		candidates := j.f.options.View.Candidates(now, j.service.Name, j.request.Adapter)
+		if refusal := restRefusal(candidates); refusal != nil {
+			j.refuseResting(refusal)
+			return true
+		}
 	}
 	if j.sends >= maximumSends || j.ctx.Err() != nil || !j.consumeRetry() {
 		j.refuseUnserved(reason)
