serverview: The last check before a send goes by entries that say draining too

A request that waited at a gate or for a connection while its server's entry began to say draining was written to it; only those that waited for a limit were checked.

--- a/internal/forward/notices_test.go
+++ b/internal/forward/notices_test.go
@@ -34,10 +34,15 @@
 	f.forwarder.SetConfig(&config)
 }
 
-// closings are the ways in which a server makes itself unusable for new requests: it has said long ago that it leaves, or it has
-// asked for rest.
+// closings are the ways in which a server makes itself unusable for new requests: it has said long ago that it leaves, in its
+// answers or by its entry, or it has asked for rest.
 var closings = map[string]func(f *fixture, id string){
 	"leaving": func(f *fixture, id string) { f.saysLeaving(id, time.Now().Add(-time.Minute)) },
+	"draining": func(f *fixture, id string) {
+		f.view.PutEntry(time.Now().Add(-time.Minute), serving.Server{
+			ID: id, Service: service, Address: id, Slots: 4, SoftwareVersion: "v1", Draining: true,
+		})
+	},
 	"resting": func(f *fixture, id string) { f.asksForRest(id, time.Minute) },
 }
 
--- a/internal/serverview/notices.go
+++ b/internal/serverview/notices.go
@@ -90,7 +90,11 @@
 	case srv.restsFor(now) > 0:
 		return false
 	}
-	return srv.saidLeavingAt.IsZero() || arrived.Before(srv.saidLeavingAt.Add(lingerTime))
+	since := srv.saidLeavingAt
+	if srv.leaving && (since.IsZero() || srv.changedAt.Before(since)) {
+		since = srv.changedAt
+	}
+	return since.IsZero() || arrived.Before(since.Add(lingerTime))
 }
 
 // NoteRest records that an incarnation of a server wants no requests from this node until a time. It returns true if it didn't
