node: Readers list servers that leave in each tenth digest only

In each digest, as before, ten such servers would have cost a node 6 KB/s for as long as their entries say that they are ready; a node may use 3. New ones are in each digest for 2 s, all in each tenth, and a node that starts is told at once.

--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -24,6 +24,14 @@
 // maximumLeaving bounds the servers that leave in one message, of some 60 B each.
 const maximumLeaving = 40
 
+const (
+	// completeLeavingRounds is the number of a reader's digests of which one lists all servers that leave. On a site of many nodes
+	// all of them in each digest would be most of what a node receives.
+	completeLeavingRounds = 10
+	// recentLeaving is how long after the first answer that said so a server is in each digest.
+	recentLeaving = 2 * time.Second
+)
+
 // notices passes on what servers say about themselves in their answers. It implements forward.Notices.
 type notices struct {
 	node    *Node
@@ -115,7 +123,7 @@
 		listed[leaving.ServerID] = true
 		n.noteLeaving(now, leaving.Decode(now), message.From)
 	}
-	if message.Digest == nil || len(message.Leaving) >= maximumLeaving {
+	if !message.LeavingComplete || len(message.Leaving) >= maximumLeaving {
 		return
 	}
 	unlisted := slices.DeleteFunc(n.node.view.LeavingNotices(), func(notice serverview.LeavingNotice) bool {
@@ -126,9 +134,23 @@
 	}
 }
 
-// known returns what this node knows of servers that leave by their own answers, for a digest.
-func (n *notices) known(now time.Time) []peerlink.LeavingServer {
-	return encodeLeaving(now, n.node.view.LeavingNotices()...)
+// addTo adds servers that leave by their own answers to the digest of a round: all of them in each completeLeavingRounds-th
+// round, else those of which nodes may not have heard yet.
+func (n *notices) addTo(now time.Time, round int, message *peerlink.Message) {
+	known := n.node.view.LeavingNotices()
+	if message.LeavingComplete = round%completeLeavingRounds == 0; !message.LeavingComplete {
+		known = slices.DeleteFunc(known, func(notice serverview.LeavingNotice) bool {
+			return now.Sub(notice.Since) > recentLeaving
+		})
+	}
+	message.Leaving = encodeLeaving(now, known...)
+}
+
+// sendTo tells a node that has just started which servers leave.
+func (n *notices) sendTo(now time.Time, peer string) {
+	if known := n.node.view.LeavingNotices(); len(known) > 0 {
+		n.node.link.Send(peerlink.Message{Leaving: encodeLeaving(now, known...)}, peer)
+	}
 }
 
 // encodeLeaving encodes notices, the newest ones if there are more than maximumLeaving.
--- a/internal/node/notices_test.go
+++ b/internal/node/notices_test.go
@@ -69,29 +69,32 @@
 	g.Eventually(nodes[1].uses("s"), toldWithin).Should(gomega.BeFalse())
 }
 
-// Guards against nodes that never learn it because the message about it was lost.
-func TestReaderThatMissedThatAServerLeavesIsTold(t *testing.T) {
+// Guards against nodes that never learn it because the message about it was lost: readers, and those that hear of it from them.
+func TestLostNoticesAreMadeUpFor(t *testing.T) {
 	g := gomega.NewWithT(t)
-	nodes := newLinkedNodes(t, 2, true)
-	reader, heard := nodes[0], nodes[1]
+	nodes := newLinkedNodes(t, 3, true)
+	reader, heard, far := nodes[0], nodes[1], nodes[2]
 	for _, n := range nodes {
 		n.readyServer()
 	}
-	heard.view.NoteLeaving(serverview.LeavingNotice{ServerID: "s", Born: 7, Address: "s:1", Since: time.Now()})
+	heard.view.NoteLeaving(serverview.LeavingNotice{
+		ServerID: "s", Born: 7, Address: "s:1", Since: time.Now().Add(-2 * recentLeaving),
+	})
 	sendDigestsOf(t, reader)
 	g.Eventually(reader.uses("s"), toldWithin).Should(gomega.BeFalse())
+	g.Eventually(far.uses("s"), (completeLeavingRounds+1)*digestPeriod).Should(gomega.BeFalse())
 }
 
 // Guards against a node that starts while a server leaves and uses it.
-func TestDigestsListTheServersThatLeave(t *testing.T) {
+func TestStartedNodeIsToldWhichServersLeave(t *testing.T) {
 	g := gomega.NewWithT(t)
-	nodes := newLinkedNodes(t, 2, true)
-	reader, started := nodes[0], nodes[1]
-	reader.readyServer()
-	reader.view.NoteLeaving(serverview.LeavingNotice{ServerID: "s", Born: 7, Address: "s:1", Since: time.Now()})
-	sendDigestsOf(t, reader)
-	pass(digestPeriod)
-	started.readyServer()
+	known, started := newCrashesNode(t), newCrashesNode(t)
+	go func() { _ = started.link.Run(t.Context(), started.handleMessage) }()
+	for _, n := range []*Node{known, started} {
+		n.readyServer()
+	}
+	known.view.NoteLeaving(serverview.LeavingNotice{ServerID: "s", Born: 7, Address: "s:1", Since: time.Now()})
+	known.handleMessage(time.Now(), peerlink.Message{From: started.link.Address()})
 	g.Eventually(started.uses("s"), toldWithin).Should(gomega.BeFalse())
 }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -205,6 +205,7 @@
 	if n.peers.recordSeen(now, message.From, message.Zone, message.Nodes) || message.FullStatesRequested {
 		n.sendFullStates(message.From)
 		n.crashes.sendBlocks(now, message.From)
+		n.notices.sendTo(now, message.From)
 	}
 	n.peers.noteLink(message.From, message.LinkMbps)
 	n.view.Publish(now, message.Published()...)
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -238,6 +238,7 @@
 			peers := n.peers.alive(now)
 			invited := n.invitations(now, peers)
 			message.Owners = n.leases.ownersNotice(now, round, invited)
+			n.notices.addTo(now, round, &message)
 			n.link.Send(message, peers...)
 		}
 	}
@@ -252,7 +253,6 @@
 	if len(present)+len(removed) <= digestEntries(n.peers.aliveNodes(now)-1) {
 		message.Present, message.Removed = present, removed
 	}
-	message.Leaving = n.notices.known(now)
 	if changes := n.watch.recentOperatorChanges(now); len(changes.Versions) > 0 {
 		message.Operator = &changes
 	}
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -109,8 +109,10 @@
 	Present []serving.Server `json:"pr,omitempty"`
 	// Removed holds the IDs of the server entries that were removed shortly before the digest.
 	Removed []string `json:"go,omitempty"`
-	// Leaving holds servers that say in their answers that they leave: with a digest all that the sender knows, up to a bound.
-	Leaving []LeavingServer `json:"lv,omitempty"`
+	// Leaving holds servers that say in their answers that they leave, up to a bound. With LeavingComplete these are all that
+	// the sender, a reader, knows.
+	Leaving         []LeavingServer `json:"lv,omitempty"`
+	LeavingComplete bool            `json:"lc,omitempty"`
 	// Operator holds the adapter versions that operators declared shortly before the digest.
 	Operator *storewatch.OperatorChanges `json:"op,omitempty"`
 	// Owners says which nodes hold the leases, as the sender, a reader, has read it.
