--- a/internal/node/notices_test.go
+++ b/internal/node/notices_test.go
@@ -292,3 +292,13 @@
 	go func() { _ = n.sendDigests(t.Context()) }()
 	g.Eventually(func() time.Duration { return n.view.RestsFor(time.Now(), "s") }, 2*time.Second).Should(gomega.BeZero())
 }
+
+// Guards against metrics that don't show which servers leave or rest.
+func TestGaugesCountServersThatLeaveOrRest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newCrashesNode(t)
+	n.notices.Observe(n.readyServer(), serving.ServerNotice{Leaving: true, Rest: time.Minute}, time.Now(), false)
+	go func() { _ = n.sendDigests(t.Context()) }()
+	g.Eventually(n.notices.metrics.serversLeaving.Value, 2*time.Second).Should(gomega.BeNumerically("==", 1))
+	g.Eventually(n.notices.metrics.serversResting.Value, 2*time.Second).Should(gomega.BeNumerically("==", 1))
+}
