--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -143,7 +143,7 @@
 	g.Expect(e.Evidence).To(gomega.HaveLen(1))
 }
 
-// Guards against refusals without a cause while servers rest or leave by their own word.
+// Guards against refusals without a cause while servers rest or say that they leave.
 func TestRefusalNamesWhatServersSay(t *testing.T) {
 	g := gomega.NewWithT(t)
 	var l logBuilder
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -46,7 +46,7 @@
 // noticeMetrics counts the notices, and the sends to servers that have said that they leave or have asked for rest.
 type noticeMetrics struct {
 	leaving, rest, invalid metrics.Counter
-	// serversLeaving and serversResting are the servers that leave by their own word or have asked this node for rest.
+	// serversLeaving and serversResting are the servers that say that they leave or have asked this node for rest.
 	serversLeaving, serversResting metrics.Gauge
 	sentLeaving, sentResting       map[forward.SendWay]metrics.Counter
 }
@@ -203,7 +203,9 @@
 		case <-n.learned:
 		}
 		for until := time.Now().Add(relocateTime); time.Now().Before(until) && n.relocate(time.Now()); {
-			delay.For(ctx, relocatePeriod)
+			if !delay.For(ctx, relocatePeriod) {
+				return nil
+			}
 		}
 	}
 }
@@ -231,7 +233,7 @@
 	n.checkedAt, n.checkedBootTime = now, boot
 }
 
-// updateGauges counts the servers that leave by their own word or rest.
+// updateGauges counts the servers that say that they leave or rest.
 func (n *notices) updateGauges(now time.Time) {
 	leaving, resting := n.node.view.NoticeCounts(now)
 	n.metrics.serversLeaving.Update(int64(leaving))
--- a/internal/serverview/notices.go
+++ b/internal/serverview/notices.go
@@ -47,7 +47,7 @@
 	return notices
 }
 
-// NoticeCounts returns the number of servers that leave by their own word, and of those that want no requests from this node.
+// NoticeCounts returns the number of servers that say that they leave, and of those that want no requests from this node.
 func (v *View) NoticeCounts(now time.Time) (leaving, resting int) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
