forward: One answer for refusals whose time of return is known

Refusals for crashes, slots and rests each wrote the same answer, and slots and rests the same jitter: 502 if the request may have run, else not run with a Retry-After that is passed on as it is.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -39,6 +39,17 @@
 	j.refuse(http.StatusServiceUnavailable, reason, retryAfter)
 }
 
+// refuseUntil is refuseUnservedFor with a time that is known, and that neither jitter nor the caller's deadline changes.
+func (j *job) refuseUntil(reason string, retryAfter time.Duration) {
+	if j.attempts > 0 {
+		j.refuseOutcomeUnknown(http.StatusBadGateway, reason)
+		return
+	}
+	j.writeRefusal(serving.Refusal{
+		Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: retryAfter, Reason: reason,
+	})
+}
+
 // refuse answers a request that has not run and will not run.
 func (j *job) refuse(status int, reason string, retryAfter time.Duration) {
 	j.writeRefusal(j.refusal(status, reason, retryAfter, rand.Float64()))
--- a/internal/forward/crashes.go
+++ b/internal/forward/crashes.go
@@ -4,14 +4,12 @@
 	"context"
 	"errors"
 	"net"
-	"net/http"
 	"slices"
 	"time"
 
 	"waxwingcleat.example/waxwingcleat/internal/crashguard"
 	"waxwingcleat.example/waxwingcleat/internal/event"
 	"waxwingcleat.example/waxwingcleat/internal/serverview"
-	"waxwingcleat.example/waxwingcleat/internal/serving"
 )
 
 // CrashGuard keeps requests on which servers crash away from servers: those with certain parts of prompts, and single ones
@@ -69,14 +67,8 @@
 		reason = ReasonCrashingRequest
 	}
 	j.inputs = event.Fields{"part": decision.Part}
-	if j.attempts > 0 {
-		j.refuseOutcomeUnknown(http.StatusBadGateway, reason)
-		return true
-	}
 	// Retry-After isn't bounded by the caller's deadline: a repeat before the next trial would be refused as well.
-	j.writeRefusal(serving.Refusal{
-		Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: decision.RetryAfter, Reason: reason,
-	})
+	j.refuseUntil(reason, decision.RetryAfter)
 	return true
 }
 
--- a/internal/forward/notices.go
+++ b/internal/forward/notices.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
@@ -72,14 +71,7 @@
 // bounded by the caller's deadline, as an earlier repeat would be refused as well.
 func (j *job) refuseResting(refusal *unserved) {
 	j.inputs = refusal.inputs
-	if j.attempts > 0 {
-		j.refuseOutcomeUnknown(http.StatusBadGateway, refusal.reason)
-		return
-	}
-	j.writeRefusal(serving.Refusal{
-		Status: http.StatusServiceUnavailable, NotRun: true, Reason: refusal.reason,
-		RetryAfter: time.Duration((1 + turnJitter*rand.Float64()) * float64(refusal.retryAfter)),
-	})
+	j.refuseUntil(refusal.reason, spreadTurn(refusal.retryAfter))
 }
 
 // lingering chooses a server that leaves and may still get the request, which no other one can serve.
--- a/internal/forward/slots.go
+++ b/internal/forward/slots.go
@@ -164,21 +164,20 @@
 // would find no slot.
 const turnJitter = 0.15
 
+// spreadTurn adds the jitter to the time of a turn.
+func spreadTurn(in time.Duration) time.Duration {
+	return time.Duration((1 + turnJitter*rand.Float64()) * float64(in))
+}
+
 // refuseSlot answers a request that gets no slot in time, with the time at which its turn would come.
 func (j *job) refuseSlot(refusal SlotRefusal) {
 	j.inputs = event.Fields{
 		"turnInMs": refusal.TurnIn.Milliseconds(), "dispatcher": refusal.Dispatcher, "ahead": refusal.Ahead,
 		"slotsPerSecond": refusal.PerSecond,
 	}
-	if j.attempts > 0 {
-		j.refuseOutcomeUnknown(http.StatusBadGateway, ReasonSlotsInUse)
-		return
-	}
-	retryAfter := time.Duration((1 + turnJitter*rand.Float64()) * float64(refusal.TurnIn))
+	retryAfter := spreadTurn(refusal.TurnIn)
 	if !j.deadline.IsZero() {
 		retryAfter = min(retryAfter, time.Duration(retryAfterShare*float64(j.remaining())))
 	}
-	j.writeRefusal(serving.Refusal{
-		Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: retryAfter, Reason: ReasonSlotsInUse,
-	})
+	j.refuseUntil(ReasonSlotsInUse, retryAfter)
 }
