--- a/internal/event/node.go
+++ b/internal/event/node.go
@@ -79,7 +79,7 @@
 	ToleranceInvalid = register(893, logrus.WarnLevel, "server tolerance invalid",
 		"An answer names a tolerance that can't be used; what was known about the server stays in force.")
 	ServerSaysItLeaves = register(894, logrus.InfoLevel, "server says that it leaves",
-		"A server says in its answers that it is about to end; the fields show who heard it and whether its entry says so.")
+		"A server says in its answers that it is about to end; the fields show from whom it is known and how long ago an answer first said so.")
 	ServerAsksForRest = register(895, logrus.InfoLevel, "server asks for rest",
 		"A server rejected a request and wants no others from this node for a time.")
 	ServerNoticeInvalid = register(896, logrus.WarnLevel, "server notice invalid",
