--- a/internal/serverview/limits.go
+++ b/internal/serverview/limits.go
@@ -13,8 +13,8 @@
 ) (change requestlimit.Change, before float64) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	srv := v.servers[id]
-	if srv == nil || srv.entry.Born != born {
+	srv := v.incarnation(id, born)
+	if srv == nil {
 		return requestlimit.Unchanged, 0
 	}
 	before, _ = srv.limit.Limit()
--- a/internal/serverview/notices.go
+++ b/internal/serverview/notices.go
@@ -22,8 +22,8 @@
 func (v *View) NoteLeaving(notice LeavingNotice) (learned bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	srv := v.servers[notice.ServerID]
-	if srv == nil || srv.entry.Born != notice.Born || srv.entry.Address != notice.Address {
+	srv := v.incarnation(notice.ServerID, notice.Born)
+	if srv == nil || srv.entry.Address != notice.Address {
 		return false
 	}
 	if learned = srv.saidLeavingAt.IsZero(); learned || notice.Since.Before(srv.saidLeavingAt) {
@@ -83,9 +83,9 @@
 func (v *View) MaySend(now time.Time, id string, born int64, arrived time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	srv := v.servers[id]
+	srv := v.incarnation(id, born)
 	switch {
-	case srv == nil || srv.entry.Born != born:
+	case srv == nil:
 		return true
 	case srv.restsFor(now) > 0:
 		return false
@@ -102,8 +102,8 @@
 func (v *View) NoteRest(now time.Time, id string, born int64, until time.Time) (begun bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	srv := v.servers[id]
-	if srv == nil || srv.entry.Born != born || !until.After(srv.restUntil) {
+	srv := v.incarnation(id, born)
+	if srv == nil || !until.After(srv.restUntil) {
 		return false
 	}
 	begun = srv.restsFor(now) == 0
--- a/internal/serverview/serverview.go
+++ b/internal/serverview/serverview.go
@@ -210,8 +210,8 @@
 }
 
 func (v *View) apply(now time.Time, state Published) bool {
-	srv := v.servers[state.ServerID]
-	if srv == nil || srv.entry.Born != state.Born {
+	srv := v.incarnation(state.ServerID, state.Born)
+	if srv == nil {
 		return false
 	}
 	last := srv.published
@@ -375,6 +375,14 @@
 	return all
 }
 
+// incarnation returns a server if it's the one that started at born, else nil. The caller holds v.mu.
+func (v *View) incarnation(id string, born int64) *server {
+	if srv := v.servers[id]; srv != nil && srv.entry.Born == born {
+		return srv
+	}
+	return nil
+}
+
 func minTime(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/internal/serverview/tolerance.go
+++ b/internal/serverview/tolerance.go
@@ -30,8 +30,8 @@
 func (v *View) NoteTolerance(now time.Time, notice ToleranceNotice) (learned bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	srv := v.servers[notice.ServerID]
-	if srv == nil || srv.entry.Born != notice.Born {
+	srv := v.incarnation(notice.ServerID, notice.Born)
+	if srv == nil {
 		return false
 	}
 	return v.noteTolerance(now, srv, tolerance{notice.PerSecond, notice.NamedAt})
@@ -66,8 +66,8 @@
 func (v *View) NoteRejection(now time.Time, id string, born int64) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	srv := v.servers[id]
-	if srv == nil || srv.entry.Born != born || !v.toleranceOf(srv).isNamed(now) {
+	srv := v.incarnation(id, born)
+	if srv == nil || !v.toleranceOf(srv).isNamed(now) {
 		return false
 	}
 	srv.room.Rejected(now, srv.entry.Slots)
@@ -95,8 +95,8 @@
 func (v *View) NoteSound(now time.Time, id string, born int64, sentAt time.Time) (ended bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	srv := v.servers[id]
-	if srv == nil || srv.entry.Born != born || !sentAt.After(srv.tolerance.namedAt) {
+	srv := v.incarnation(id, born)
+	if srv == nil || !sentAt.After(srv.tolerance.namedAt) {
 		return false
 	}
 	ended = srv.tolerance.isNamed(now)
