upstream, forward, platform: Answers without end are bounded over all answers

A faulty server that sends bytes without end could take the memory of a node and the time of its other callers.

An answer that is passed on was read as fast as it came. The end of an event was searched from the beginning at each read. Ruled out: bytes after answers, chunk sizes, trailers, refusals.

Change: one budget for all held answers of a kind, smaller bounds, a pace for large answers on the network, one search over the bytes of an event; blank lines and comments end none.

--- a/internal/engine/vllm/control.go
+++ b/internal/engine/vllm/control.go
@@ -7,8 +7,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -16,6 +14,7 @@
 
 	"waxwingcleat.example/waxwingcleat/internal/engine"
 	"waxwingcleat.example/waxwingcleat/internal/failure"
+	"waxwingcleat.example/waxwingcleat/internal/upstream"
 )
 
 const (
@@ -28,6 +27,11 @@
 const (
 	// maximumAnswerBytes bounds the size of an answer that is read into memory.
 	maximumAnswerBytes = 4 << 20
+	// maximumHeadBytes bounds the head of an answer.
+	maximumHeadBytes = 16 << 10
+	// heldBytes bounds the answers of all engines that are read at the same time, beside exemptBytes of each.
+	heldBytes   = 16 << 20
+	exemptBytes = 64 << 10
 	// maximumErrorBytes bounds how much of an error body without a code goes into the error's message.
 	maximumErrorBytes = 512
 	// maximumClockUs is the largest reading of the engine's clock that time.Duration can hold.
@@ -35,6 +39,9 @@
 	idleTimeout    = 30 * time.Second
 )
 
+// held bounds the memory that the answers of all engines take in this process.
+var held = upstream.NewBudget(heldBytes, exemptBytes)
+
 // Control implements engine.Control for one engine.
 type Control struct {
 	address string
@@ -52,8 +59,13 @@
 	return &Control{
 		address: address,
 		timeout: timeout,
-		orders:  &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true},
-		reports: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout},
+		orders: &http.Transport{
+			DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maximumHeadBytes,
+		},
+		reports: &http.Transport{
+			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout,
+			MaxResponseHeaderBytes: maximumHeadBytes,
+		},
 	}
 }
 
@@ -137,13 +149,12 @@
 		return 0, nil, err
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maximumAnswerBytes+1))
+	holding := held.Hold()
+	defer holding.Release()
+	body, err := upstream.ReadHeld(response.Body, response.ContentLength, maximumAnswerBytes+1, holding)
 	if err != nil {
 		return 0, nil, err
 	}
-	if len(body) > maximumAnswerBytes {
-		return 0, nil, fmt.Errorf("answer is longer than %d bytes", maximumAnswerBytes)
-	}
 	return response.StatusCode, body, nil
 }
 
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -168,7 +168,7 @@
 		j.charge = charge{}
 		return nil, trace.Written(), failure.Wrap(err, failure.Unavailable, "send request", candidate.Address)
 	}
-	upstream.VerifyEnd(answer, j.expectedType(answer.StatusCode))
+	upstream.VerifyEvents(answer, j.expectedType(answer.StatusCode))
 	return answer, true, nil
 }
 
@@ -369,22 +369,30 @@
 	return false
 }
 
-var errTooLarge = errors.New("the answer is too large to hold")
-
 // forwardBuffered forwards an answer that isn't a stream. It buffers the answer, so that the request can be retried at
 // another server if the connection breaks.
 func (j *job) forwardBuffered(candidate serverview.Candidate, answer *http.Response) (done bool) {
-	body, err := readBuffered(answer)
+	holding := j.f.options.Held.Hold()
+	defer holding.Release()
+	mediaType := j.expectedType(answer.StatusCode)
+	body, err := upstream.ReadHeld(answer.Body, answer.ContentLength, bufferedAnswerLimit, holding)
+	if err == nil {
+		err = upstream.VerifyJSON(answer, mediaType, body)
+	}
+	if errors.Is(err, upstream.ErrNoMemory) && !upstream.NeedsVerifiedJSON(answer, mediaType) {
+		// The end of such an answer shows by itself whether it's complete, so it needn't be held.
+		err = upstream.ErrTooLarge
+	}
 	if err == nil {
 		j.releaseSlot()
 	}
-	if err == nil || errors.Is(err, errTooLarge) {
+	if err == nil || errors.Is(err, upstream.ErrTooLarge) {
 		j.bodyRead(candidate)
 	}
-	if errors.Is(err, errTooLarge) {
+	if errors.Is(err, upstream.ErrTooLarge) {
 		j.copyHeader(answer)
 		j.w.WriteHeader(answer.StatusCode)
-		j.forwardUnbuffered(io.MultiReader(bytes.NewReader(body), answer.Body))
+		j.forwardUnbuffered(body, holding, answer.Body)
 		j.logAnswer(candidate, answer.StatusCode, "passed on as it arrived", delimiterField(answer))
 		return true
 	}
@@ -425,18 +433,15 @@
 	return "passed on whole"
 }
 
-func readBuffered(answer *http.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, bufferedAnswerLimit))
-	if err == nil && len(body) == bufferedAnswerLimit {
-		return body, errTooLarge
+// forwardUnbuffered copies a large answer as it arrives, after the beginning that is held. If it breaks off, the caller's connection
+// is aborted, so that the answer doesn't look complete.
+func (j *job) forwardUnbuffered(beginning []byte, holding *upstream.Holding, rest io.Reader) {
+	_, err := j.w.Write(beginning)
+	holding.Release()
+	if err == nil {
+		_, err = io.Copy(j.w, rest)
 	}
-	return body, err
-}
-
-// forwardUnbuffered copies a large answer as it arrives. If it breaks off, the caller's connection is aborted, so that
-// the answer doesn't look complete.
-func (j *job) forwardUnbuffered(body io.Reader) {
-	if _, err := io.Copy(j.w, body); err != nil {
+	if err != nil {
 		j.log(event.RequestAnswered, "the answer broke off", err)
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -74,6 +74,8 @@
 	BootTime func() time.Duration
 	Crashes  CrashGuard
 	Peers    Peers
+	// Held bounds the memory of answers that are held; nil bounds nothing.
+	Held *upstream.Budget
 	// PeerTransport sends requests to other nodes.
 	PeerTransport http.RoundTripper
 	Zone          string
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -19,7 +19,7 @@
 	streamBuffer = 4 << 10
 	// maximumEventBytes bounds one event of a stream; those of the specified workloads have some 200 bytes. Bytes that go on
 	// without the end of an event are no answer.
-	maximumEventBytes = 1 << 20
+	maximumEventBytes = 64 << 10
 )
 
 var idField = []byte("id:")
@@ -32,8 +32,9 @@
 	j.w.WriteHeader(answer.StatusCode)
 	s := &stream{
 		w: j.w, flush: http.NewResponseController(j.w).Flush, resumable: j.route.Resumable, lastID: j.request.LastEventID,
-		delimiter: upstream.DelimiterOf(answer),
+		delimiter: upstream.DelimiterOf(answer), holding: j.f.options.Held.Hold(),
 	}
+	defer s.holding.Release()
 	if j.releaseGate != nil {
 		s.onFirstData = func() { j.releaseGate(true) }
 	}
@@ -166,8 +167,10 @@
 	resumed, continued bool
 	// partial is the received part of an incomplete event.
 	partial []byte
-	// eventBytes is the number of bytes since the latest end of an event.
-	eventBytes int
+	// holding is what partial takes of the node's memory for answers.
+	holding *upstream.Holding
+	// meter counts the bytes of the latest answer since the end of an event.
+	meter eventMeter
 	// delimiter is how the body of the latest answer is delimited.
 	delimiter upstream.Delimiter
 	// callerErr is the error of a write to the caller.
@@ -220,17 +223,17 @@
 // copy forwards body until it ends. It returns nil if the body is complete.
 func (s *stream) copy(body io.Reader) error {
 	s.partial = s.partial[:0]
-	s.begunAt, s.sound, s.eventBytes = time.Time{}, false, 0
+	s.begunAt, s.sound, s.meter = time.Time{}, false, eventMeter{}
 	buffer := make([]byte, streamBuffer)
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
 			s.recordArrival(time.Now())
-			if !s.countEventBytes(buffer[:n]) {
+			if s.meter.add(buffer[:n]) > maximumEventBytes {
 				return errEventTooLarge
 			}
 			err := s.forward(buffer[:n])
-			if errors.Is(err, errNoContinuation) {
+			if errors.Is(err, errNoContinuation) || errors.Is(err, upstream.ErrNoMemory) {
 				return err
 			}
 			if err != nil {
@@ -247,23 +250,16 @@
 	}
 }
 
-// countEventBytes counts data that arrived and reports whether the current event is still within its bound. An event whose end
-// is split between two arrivals counts on with the next one.
-func (s *stream) countEventBytes(data []byte) bool {
-	if end := upstream.EventsEnd(data); end > 0 {
-		s.eventBytes = len(data) - end
-	} else {
-		s.eventBytes += len(data)
-	}
-	return s.eventBytes <= maximumEventBytes
-}
-
 func (s *stream) forward(data []byte) error {
 	if !s.resumable {
 		return s.write(data)
 	}
+	searched := len(s.partial)
 	s.partial = append(s.partial, data...)
-	end := upstream.EventsEnd(s.partial)
+	if !s.holding.Grow(cap(s.partial)) {
+		return upstream.ErrNoMemory
+	}
+	end := upstream.EventsEndAfter(s.partial, searched)
 	if end == 0 {
 		return nil
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -47,6 +47,13 @@
 	shutdownMargin = 400 * time.Millisecond
 	// memoryLimitShare is the Go memory limit as a share of the configured memory.
 	memoryLimitShare = 0.6
+	// heldAnswersShare is the share of the configured memory for servers' answers that are held, beside heldPerAnswer bytes of each.
+	heldAnswersShare = 0.1
+	heldPerAnswer    = 16 << 10
+	// largeAnswersShare is the share of the network link that large answers may take, assumedLinkMbps the link's bandwidth in
+	// Mbit/s if the settings don't say it.
+	largeAnswersShare = 0.5
+	assumedLinkMbps   = 200
 	// endTimeout bounds the time for the answers to requests that are in progress at the end of a shutdown.
 	endTimeout = 150 * time.Millisecond
 	// idleCloseInterval is the time between two attempts to close idle connections during a shutdown.
@@ -169,13 +176,16 @@
 		n.eras = storeera.NewTracker()
 	}
 	n.eras.OnChange(n.applyEra)
+	pacer := newPacer(settings.LinkMbps)
+	n.connections.Pace(pacer)
 	n.connections.OnIdleDropsDetected(func() { n.events.Emit(event.IdleConnectionsReset, nil) })
 	n.forwarder = forward.New(forward.Options{
 		Wire: d.Wire, View: n.view, Usage: n.usage, Transport: d.Connections, Gate: n.admission, EventGaps: n.eventGaps,
 		Origins: n.origins, Notices: n.notices, Limits: n.limits, Tolerances: n.tolerances, Slots: n.slots, Crashes: n.crashes,
 		Peers: n.reach,
 		Keys:  n.keys.forwarderKeys(), StepTimes: n.recordEvent,
-		PeerTransport: upstream.NewTransport(connectTimeout, false), Zone: settings.Node.Zone, Events: d.Events,
+		Held:          upstream.NewBudget(int64(heldAnswersShare*float64(settings.MemoryMB)*(1<<20)), heldPerAnswer),
+		PeerTransport: upstream.NewPacedTransport(connectTimeout, false, pacer), Zone: settings.Node.Zone, Events: d.Events,
 		RetryBudget: retrybudget.Options{
 			Ratio: settings.RetryBudget.Ratio, Slack: settings.RetryBudget.Slack, Window: settings.RetryBudget.Window.Std(),
 		},
@@ -184,6 +194,15 @@
 	return n
 }
 
+// newPacer returns the pacer of large answers for a network link of such a bandwidth, 0 if it isn't known.
+func newPacer(linkMbps float64) *upstream.Pacer {
+	const bitsPerByte = 8
+	if linkMbps <= 0 {
+		linkMbps = assumedLinkMbps
+	}
+	return upstream.NewPacer(largeAnswersShare * linkMbps * 1e6 / bitsPerByte)
+}
+
 // listeners are the node's listening TCP sockets.
 type listeners struct{ callers, ready, admin, peers net.Listener }
 
--- a/internal/node/peersnapshot.go
+++ b/internal/node/peersnapshot.go
@@ -13,6 +13,7 @@
 	"waxwingcleat.example/waxwingcleat/internal/failure"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
 	"waxwingcleat.example/waxwingcleat/internal/storewatch"
+	"waxwingcleat.example/waxwingcleat/internal/upstream"
 )
 
 const (
@@ -65,7 +66,7 @@
 // fetchFromPeers requests a reader's snapshot whenever digests show changes that this node could not read from the
 // store in time. It also reconciles the holders after entries came from peers.
 func (n *Node) fetchFromPeers(ctx context.Context) error {
-	client := &http.Client{Timeout: peerSnapshotTimeout}
+	client := &http.Client{Timeout: peerSnapshotTimeout, Transport: upstream.NewTransport(connectTimeout, false)}
 	defer client.CloseIdleConnections()
 	return n.keepUpWithPeers(ctx, func(reader string) (peerSnapshot, error) {
 		return fetchPeerSnapshot(ctx, client, reader)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -18,6 +18,8 @@
 	longIdle  *http.Transport
 	shortIdle *http.Transport
 	dial      Dial
+	// pacer paces large answers; it may be nil.
+	pacer *Pacer
 	// withoutBody is for requests without a body, which net/http retries when a reused connection breaks. They have
 	// connections of their own, which become idle between requests: a drop is detected there without losing a request.
 	withoutBody *http.Transport
@@ -31,10 +33,10 @@
 
 // NewPool returns an empty pool that opens connections with dial.
 func NewPool(dial Dial) *Pool {
-	p := &Pool{
-		dial: dial, longIdle: newTransport(dial, false), shortIdle: newTransport(dial, false),
-		withoutBody: newTransport(dial, false), onSuspicion: func() {},
-	}
+	p := &Pool{dial: dial, onSuspicion: func() {}}
+	pacer := func() *Pacer { return p.pacer }
+	p.longIdle, p.shortIdle = newTransport(dial, false, pacer), newTransport(dial, false, pacer)
+	p.withoutBody = newTransport(dial, false, pacer)
 	p.shortIdle.IdleConnTimeout = connreuse.IdleLimit
 	return p
 }
@@ -53,6 +55,9 @@
 // connections. It must be called before the first request.
 func (p *Pool) OnIdleDropsDetected(onSuspicion func()) { p.onSuspicion = onSuspicion }
 
+// Pace sets the pacer of large answers. It must be called before the first request.
+func (p *Pool) Pace(pacer *Pacer) { p.pacer = pacer }
+
 // NotePeerSuspicion records that another node suspects that servers drop idle connections.
 func (p *Pool) NotePeerSuspicion(now time.Time) {
 	p.mu.Lock()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -19,7 +19,8 @@
 const (
 	maximumIdlePerServer  = 256
 	idleConnectionTimeout = 60 * time.Second
-	maximumHeaderBytes    = 64 << 10
+	// maximumHeaderBytes bounds the head of an answer. Many short fields take a multiple of it in memory.
+	maximumHeaderBytes = 16 << 10
 	// keepAliveIdle, keepAliveInterval and keepAliveCount detect an unreachable peer within 5 s, also while an answer is
 	// awaited and no data arrives.
 	keepAliveIdle     = 2 * time.Second
@@ -30,17 +31,30 @@
 // ErrNotAllowed is returned for a request that its allowed function stopped before the first byte was written.
 var ErrNotAllowed = errors.New("the permit ended before the request was written")
 
-// gatedConn checks whether a request may still be sent, just before its first write.
+// gatedConn checks whether a request may still be sent, just before its first write, and paces large answers.
 type gatedConn struct {
 	net.Conn
+	// pacer may be nil.
+	pacer   *Pacer
+	closed  chan struct{}
+	closing sync.Once
+
 	mu      sync.Mutex
 	allowed func() bool
+	// allowance is that of the answer to the current request.
+	allowance allowance
+}
+
+func newGatedConn(conn net.Conn, pacer *Pacer) *gatedConn {
+	return &gatedConn{Conn: conn, pacer: pacer, closed: make(chan struct{}), allowance: allowance{startedAt: time.Now()}}
 }
 
+// arm prepares the connection for a request.
 func (c *gatedConn) arm(allowed func() bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.allowed = allowed
+	c.allowance = allowance{startedAt: time.Now()}
 }
 
 // Write implements net.Conn.
@@ -72,17 +86,22 @@
 // NewTransport returns a transport. If fresh is set, it opens a connection for each request. As net/http retries a
 // request only after a reused connection broke, it then never sends a request twice.
 func NewTransport(connectTimeout time.Duration, fresh bool) *http.Transport {
-	return newTransport(NewDial(connectTimeout), fresh)
+	return NewPacedTransport(connectTimeout, fresh, nil)
+}
+
+// NewPacedTransport is NewTransport with a pacer of large answers.
+func NewPacedTransport(connectTimeout time.Duration, fresh bool, pacer *Pacer) *http.Transport {
+	return newTransport(NewDial(connectTimeout), fresh, func() *Pacer { return pacer })
 }
 
-func newTransport(dial Dial, fresh bool) *http.Transport {
+func newTransport(dial Dial, fresh bool, pacer func() *Pacer) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
-			return &gatedConn{Conn: conn}, nil
+			return newGatedConn(conn, pacer()), nil
 		},
 		DisableKeepAlives:   fresh,
 		DisableCompression:  true,
--- a/internal/upstream/verify.go
+++ b/internal/upstream/verify.go
@@ -21,6 +21,31 @@
 // of a larger answer isn't verified.
 const maximumVerifiedJSON = 256 << 10
 
+// VerifyEvents is VerifyEnd for event streams alone. VerifyJSON verifies other answers once they have been read.
+func VerifyEvents(answer *http.Response, defaultType string) {
+	if MediaType(answer.Header, defaultType) == EventStream {
+		VerifyEnd(answer, defaultType)
+	}
+}
+
+// NeedsVerifiedJSON reports whether an answer is JSON that is delimited by its connection, so that only its content shows whether
+// it's complete.
+func NeedsVerifiedJSON(answer *http.Response, defaultType string) bool {
+	return DelimiterOf(answer) == DelimitedByConnection && isJSON(MediaType(answer.Header, defaultType))
+}
+
+// VerifyJSON returns ErrTruncated if an answer needs verified JSON and its body isn't valid.
+func VerifyJSON(answer *http.Response, defaultType string, body []byte) error {
+	if NeedsVerifiedJSON(answer, defaultType) && !json.Valid(body) {
+		return ErrTruncated
+	}
+	return nil
+}
+
+func isJSON(mediaType string) bool {
+	return mediaType == "application/json" || strings.HasSuffix(mediaType, "+json")
+}
+
 // VerifyEnd replaces the answer's body by one that returns ErrTruncated instead of io.EOF where the content proves that
 // the server broke off. The end of the connection alone doesn't show that an answer without a length is complete: a
 // server that crashes ends its connections too.
@@ -39,7 +64,7 @@
 	switch {
 	case mediaType == EventStream:
 		answer.Body = &verifiedBody{ReadCloser: answer.Body, content: &eventContent{needsEvent: byConnection}}
-	case byConnection && (mediaType == "application/json" || strings.HasSuffix(mediaType, "+json")):
+	case byConnection && isJSON(mediaType):
 		answer.Body = &verifiedBody{ReadCloser: answer.Body, content: &jsonContent{}}
 	}
 }
