forward: Request targets reach servers as callers sent them

A request for //reports/7 reached its server as one for /7 at the host "reports": callers could choose the host that a server sees.

Cause: the path stood in the opaque part of the URL, before which net/http puts the scheme if it begins with two slashes. The same function serves repeats, resumed streams and handed over requests.

Change: one place decides what a target is. Paths with two slashes are sent raw, targets that can't be sent unchanged get 400, routes match the path as sent.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -87,7 +87,7 @@
 	switch {
 	case strings.HasPrefix(reason, forward.ReasonCallerLeft):
 		return "the caller disconnected before it got its answer", nil
-	case reason == forward.ReasonNoRoute || reason == forward.ReasonTooLarge ||
+	case reason == forward.ReasonNoRoute || reason == forward.ReasonBadTarget || reason == forward.ReasonTooLarge ||
 		final.number("status") == http.StatusBadRequest || final.number("status") == http.StatusUnauthorized:
 		return "the request isn't allowed: " + reason, nil
 	case reason == forward.ReasonNoConfig:
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"net/url"
 	"strconv"
 	"time"
 
@@ -174,13 +173,9 @@
 
 // outgoing returns the caller's request to a server or another node, with the given headers.
 func (j *job) outgoing(address string, header http.Header) *http.Request {
-	path, query, hasQuery := bytes.Cut([]byte(j.r.RequestURI), []byte("?"))
 	return &http.Request{
-		Method: j.r.Method,
-		// Opaque preserves the caller's encoding of the path.
-		URL: &url.URL{
-			Scheme: "http", Host: address, Opaque: string(path), RawQuery: string(query), ForceQuery: hasQuery,
-		},
+		Method:     j.r.Method,
+		URL:        j.target.url(address),
 		Host:       j.r.Host,
 		Header:     header,
 		Proto:      "HTTP/1.1",
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -222,6 +222,8 @@
 	reservation Reservation
 	// slot is the slot for the next or the latest send to a plain service.
 	slot heldSlot
+	// target is what the caller sent as the target of the request.
+	target requestTarget
 	// slotFields describe how the latest slot was obtained, for the log.
 	slotFields event.Fields
 	// charge is what the next send, or the latest one, has used of the customer's quota.
@@ -282,6 +284,11 @@
 		j.refuse(http.StatusBadRequest, err.Error(), 0)
 		return
 	}
+	var valid bool
+	if j.target, valid = targetOf(r); !valid {
+		j.refuse(http.StatusBadRequest, ReasonBadTarget, 0)
+		return
+	}
 	if !j.findRoute(current) || !j.admit(current, keyStatus) || !j.readBody(current) {
 		return
 	}
@@ -315,7 +322,7 @@
 }
 
 func (j *job) findRoute(current *activeConfig) bool {
-	route, found := current.table.Match(j.r.Host, j.r.URL.Path)
+	route, found := current.table.Match(j.r.Host, j.target.path)
 	if !found {
 		j.refuse(http.StatusNotFound, ReasonNoRoute, 0)
 		return false
--- a/internal/forward/reasons.go
+++ b/internal/forward/reasons.go
@@ -9,6 +9,7 @@
 	ReasonStopping   = "the node is stopping"
 	ReasonNoConfig   = "no configuration is known yet"
 	ReasonNoRoute    = "no route for this host and path"
+	ReasonBadTarget  = "the target of the request is no path that can be passed on unchanged"
 	ReasonNoService  = "the route names no service"
 	ReasonTooLarge   = "the body is larger than allowed"
 	ReasonNoServer   = modelpick.ReasonNoServer
