forward: A stream's answer is closed before the stream goes on elsewhere

A stream went on at another server while the one before still worked on it: the node had given the answer up by itself, because its bytes were no event.

Cause: the answer was closed when its attempt returned, which was after the end of the resumed stream. Other ways to give up an answer return first.

Change: the answer is closed and its place at the server freed before the next send.

TestAnswerThatIsGivenUpIsClosedBeforeTheNextSend plays 13 ways; two failed before.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"waxwingcleat.example/waxwingcleat/internal/event"
@@ -47,12 +48,15 @@
 func (j *job) attempt(candidate serverview.Candidate, version int) (done bool) {
 	j.setServer(candidate)
 	defer j.releaseSlot()
+	j.givenUp = nil
 	if reserved, done := j.reserve(candidate); !reserved {
 		return done
 	}
 	j.tried[candidate.ID] = true
 	if j.service.Engine != nil {
-		defer j.f.options.Usage.Begin(candidate.ID, j.request.Adapter)()
+		endUsage := sync.OnceFunc(j.f.options.Usage.Begin(candidate.ID, j.request.Adapter))
+		defer endUsage()
+		j.onGivenUp(endUsage)
 		release, ok := j.awaitGate(candidate)
 		if !ok {
 			j.reservation.cancel()
@@ -76,7 +80,9 @@
 		return true
 	}
 	now := time.Now()
-	defer j.f.options.View.Begin(now, candidate.ID)()
+	endView := sync.OnceFunc(j.f.options.View.Begin(now, candidate.ID))
+	defer endView()
+	j.onGivenUp(endView)
 	j.sending(candidate, j.sendWay())
 	j.sends++
 	j.sentAt = now
@@ -94,6 +100,21 @@
 	return j.answered(candidate, answer)
 }
 
+// onGivenUp registers what ends with the current attempt, also when its request goes on at another server.
+func (j *job) onGivenUp(end func()) { j.givenUp = append(j.givenUp, end) }
+
+// giveUp closes an answer that hasn't ended before its request goes on at another server, so that two servers never work on it. The
+// place that the attempt takes at its server becomes free.
+func (j *job) giveUp(answer *http.Response) {
+	// The rest of the answer is of no use, and so is an error.
+	_ = answer.Body.Close()
+	for _, end := range j.givenUp {
+		end()
+	}
+	j.givenUp = nil
+	j.releaseSlot()
+}
+
 // attemptTime returns the timeout of one send. For an idempotent request it leaves time to retry at another server when
 // this one doesn't answer.
 func (j *job) attemptTime() time.Duration {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -224,6 +224,8 @@
 	slot heldSlot
 	// target is what the caller sent as the target of the request.
 	target requestTarget
+	// givenUp ends what the current attempt takes at its server.
+	givenUp []func()
 	// slotFields describe how the latest slot was obtained, for the log.
 	slotFields event.Fields
 	// charge is what the next send, or the latest one, has used of the customer's quota.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -51,6 +51,7 @@
 		if j.releaseGate != nil {
 			j.releaseGate(false)
 		}
+		j.giveUp(answer)
 		candidate, err = j.resume(s)
 	}
 	if err != nil {
