forward: Answers that are being passed on aren't given up

Large answers of sound servers were cut in the middle when their server was silent for 0.8 s.

Cause: the time after which an idempotent request is sent elsewhere was the deadline of the whole answer, also of one that was being passed on and that no other server could continue.

Change: that time ends when an answer begins to be passed on.

TestLargeAnswerOfASilentServerIsPassedOnWhole failed before.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -86,8 +86,11 @@
 	j.sending(candidate, j.sendWay())
 	j.sends++
 	j.sentAt = now
-	ctx, cancel := context.WithTimeout(j.ctx, j.attemptTime())
+	ctx, cancel := context.WithCancel(j.ctx)
 	defer cancel()
+	patience := time.AfterFunc(j.attemptTime(), cancel)
+	defer patience.Stop()
+	j.endPatience = patience.Stop
 	answer, written, err := j.send(ctx, candidate, serving.Attempt{
 		ServerID: candidate.ID, Remaining: j.remaining(), Priority: j.priority(), AdapterVersion: version,
 		Customer: j.customerName(), Authenticated: j.authenticated,
@@ -115,8 +118,9 @@
 	j.releaseSlot()
 }
 
-// attemptTime returns the timeout of one send. For an idempotent request it leaves time to retry at another server when
-// this one doesn't answer.
+// attemptTime returns the time after which one send is given up. For an idempotent request it leaves time to retry at another server
+// when this one doesn't answer. It doesn't apply to an answer that is being passed on, which no other server can continue: endPatience
+// ends it then, and returns false if the send has been given up before.
 func (j *job) attemptTime() time.Duration {
 	remaining := j.remaining()
 	if remaining == 0 {
@@ -385,6 +389,8 @@
 	return false
 }
 
+var errGivenUp = errors.New("the server took too long")
+
 // forwardBuffered forwards an answer that isn't a stream. It buffers the answer, so that the request can be retried at
 // another server if the connection breaks.
 func (j *job) forwardBuffered(candidate serverview.Candidate, answer *http.Response) (done bool) {
@@ -405,6 +411,9 @@
 	if err == nil || errors.Is(err, upstream.ErrTooLarge) {
 		j.bodyRead(candidate)
 	}
+	if errors.Is(err, upstream.ErrTooLarge) && !j.endPatience() {
+		err = errGivenUp
+	}
 	if errors.Is(err, upstream.ErrTooLarge) {
 		j.copyHeader(answer)
 		j.w.WriteHeader(answer.StatusCode)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -224,6 +224,8 @@
 	slot heldSlot
 	// target is what the caller sent as the target of the request.
 	target requestTarget
+	// endPatience ends the time after which the current send is given up.
+	endPatience func() (ended bool)
 	// givenUp ends what the current attempt takes at its server.
 	givenUp []func()
 	// slotFields describe how the latest slot was obtained, for the log.
