--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -88,9 +88,7 @@
 	j.sentAt = now
 	ctx, cancel := context.WithCancel(j.ctx)
 	defer cancel()
-	patience := time.AfterFunc(j.attemptTime(), cancel)
-	defer patience.Stop()
-	j.endPatience = patience.Stop
+	defer j.boundAttempt(cancel)()
 	answer, written, err := j.send(ctx, candidate, serving.Attempt{
 		ServerID: candidate.ID, Remaining: j.remaining(), Priority: j.priority(), AdapterVersion: version,
 		Customer: j.customerName(), Authenticated: j.authenticated,
@@ -118,9 +116,21 @@
 	j.releaseSlot()
 }
 
+// boundAttempt calls giveUp when the time of the send that begins now is over. The time ends early by endPatience, or by the returned
+// function. The request's own deadline needs no such bound.
+func (j *job) boundAttempt(giveUp func()) (end func()) {
+	limit := j.attemptTime()
+	if !j.deadline.IsZero() && limit >= j.remaining() {
+		j.endPatience = func() bool { return true }
+		return func() {}
+	}
+	patience := time.AfterFunc(limit, giveUp)
+	j.endPatience = patience.Stop
+	return func() { patience.Stop() }
+}
+
 // attemptTime returns the time after which one send is given up. For an idempotent request it leaves time to retry at another server
-// when this one doesn't answer. It doesn't apply to an answer that is being passed on, which no other server can continue: endPatience
-// ends it then, and returns false if the send has been given up before.
+// when this one doesn't answer. It doesn't apply to an answer that is being passed on, which no other server can continue.
 func (j *job) attemptTime() time.Duration {
 	remaining := j.remaining()
 	if remaining == 0 {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -224,7 +224,7 @@
 	slot heldSlot
 	// target is what the caller sent as the target of the request.
 	target requestTarget
-	// endPatience ends the time after which the current send is given up.
+	// endPatience ends the time after which the current send is given up. It returns false if that has happened.
 	endPatience func() (ended bool)
 	// givenUp ends what the current attempt takes at its server.
 	givenUp []func()
--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -197,7 +197,7 @@
 // for other nodes.
 func (c *crashes) rank(part string) int {
 	var holders []string
-	for _, owner := range c.node.leases.copyOwners() {
+	for _, owner := range c.node.leases.copyOwners().ByPartition {
 		if !slices.Contains(holders, owner) {
 			holders = append(holders, owner)
 		}
--- a/internal/node/keys_test.go
+++ b/internal/node/keys_test.go
@@ -33,7 +33,7 @@
 	go func() {
 		_ = peer.link.Run(ctx, func(_ time.Time, message peerlink.Message) { peer.received <- message })
 	}()
-	n.leases.setOwners(map[int]string{0: peer.link.Address(), 1: n.link.Address(), 2: peer.link.Address()})
+	n.leases.setOwners(serving.Owners{ByPartition: map[int]string{0: peer.link.Address(), 1: n.link.Address(), 2: peer.link.Address()}})
 	return n, peer
 }
 
--- a/internal/node/leases.go
+++ b/internal/node/leases.go
@@ -156,17 +156,20 @@
 }
 
 // copyOwners returns a copy of the cached owners.
-func (l *leases) copyOwners() map[int]string {
+func (l *leases) copyOwners() serving.Owners {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return maps.Clone(l.owners)
+	return serving.Owners{Era: l.ownersEra, ByPartition: maps.Clone(l.owners)}
 }
 
-// setOwners replaces the cached owners by those of a peer, until the next read from the store.
-func (l *leases) setOwners(owners map[int]string) {
+// setOwners replaces the cached owners by those of a peer, until the next read from the store, unless the peer read them in an
+// earlier era.
+func (l *leases) setOwners(owners serving.Owners) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.owners = owners
+	if owners.Era >= l.ownersEra {
+		l.owners, l.ownersEra = owners.ByPartition, owners.Era
+	}
 }
 
 // isMember reports whether this node takes part in the group.
--- a/internal/node/leases_test.go
+++ b/internal/node/leases_test.go
@@ -19,7 +19,7 @@
 	l, now := testLeases(), time.Now()
 	l.applyOwnersNotice(now, "self", peerlink.OwnersNotice{Version: 5, Owners: map[int]string{0: "a", 1: "b"}})
 	l.applyOwnersNotice(now, "self", peerlink.OwnersNotice{Version: 4, Owners: map[int]string{0: "old", 1: "old"}})
-	g.Expect(l.copyOwners()).To(gomega.Equal(map[int]string{0: "a", 1: "b"}))
+	g.Expect(l.copyOwners().ByPartition).To(gomega.Equal(map[int]string{0: "a", 1: "b"}))
 	l.applyOwnersNotice(now.Add(time.Second), "self", peerlink.OwnersNotice{Version: 5})
 	_, current := l.group(now.Add(2500*time.Millisecond), "a", 9, nil, true)
 	g.Expect(current).To(gomega.BeTrue(), "a notice without owners confirms them")
@@ -29,7 +29,7 @@
 	g.Expect(l.ownersDue(now.Add(3500 * time.Millisecond))).To(gomega.BeTrue())
 	// The store may come back from a copy with an older generation.
 	l.applyOwnersNotice(now.Add(4*time.Second), "self", peerlink.OwnersNotice{Version: 3, Owners: map[int]string{0: "c"}})
-	g.Expect(l.copyOwners()).To(gomega.Equal(map[int]string{0: "c"}))
+	g.Expect(l.copyOwners().ByPartition).To(gomega.Equal(map[int]string{0: "c"}))
 }
 
 // Guards against a restarted holder that doesn't join because all partitions, its own included, have owners.
--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -132,7 +132,7 @@
 func (o *origins) writer(request string) string {
 	var holders []streamorigin.Node
 	addresses := make(map[string]bool)
-	for _, owner := range o.node.leases.copyOwners() {
+	for _, owner := range o.node.leases.copyOwners().ByPartition {
 		if !addresses[owner] {
 			addresses[owner] = true
 			holders = append(holders, streamorigin.Node{Address: owner})
@@ -172,7 +172,7 @@
 		zones[node.Address] = node.Zone
 	}
 	addresses := make(map[string]bool)
-	for _, owner := range o.node.leases.copyOwners() {
+	for _, owner := range o.node.leases.copyOwners().ByPartition {
 		if owner != o.node.link.Address() {
 			addresses[owner] = true
 		}
--- a/internal/node/peersnapshot.go
+++ b/internal/node/peersnapshot.go
@@ -35,8 +35,9 @@
 	Config   *serving.Configuration
 	Versions []serving.AdapterVersion
 	Servers  []serving.Server
-	// Owners maps each partition to the peer address of its holder.
-	Owners map[int]string
+	// Owners maps each partition to the peer address of its holder, as read in OwnersEra of the store.
+	Owners    map[int]string
+	OwnersEra serving.StoreEra
 }
 
 // peerSnapshot returns a snapshot of this node's state, if its latest read of the store is recent enough.
@@ -45,9 +46,10 @@
 	if !fresh {
 		return snapshot, false
 	}
+	owners := n.leases.copyOwners()
 	return peerSnapshot{
 		Digest: digest, Config: n.forwarder.Config(), Versions: n.view.AllDeclared(), Servers: n.view.Entries(now),
-		Owners: n.leases.copyOwners(),
+		Owners: owners.ByPartition, OwnersEra: owners.Era,
 	}, true
 }
 
@@ -128,7 +130,7 @@
 	}
 	n.applyOperator(reader, batch)
 	n.applyPeerServers(snapshot.Digest.ServersNext, snapshot.Servers)
-	n.leases.setOwners(snapshot.Owners)
+	n.leases.setOwners(serving.Owners{Era: snapshot.OwnersEra, ByPartition: snapshot.Owners})
 	n.reconcilePending.Store(true)
 	n.watch.advance(snapshot.Digest)
 	n.keys.applied(snapshot.Digest.OperatorNext)
--- a/internal/node/quotas_test.go
+++ b/internal/node/quotas_test.go
@@ -61,7 +61,7 @@
 	n.leases.core.Joined(sent, bootTime(), membership)
 	n.leases.mu.Unlock()
 	for _, node := range append(others, n) {
-		node.leases.setOwners(owners)
+		node.leases.setOwners(serving.Owners{ByPartition: owners})
 	}
 }
 
--- a/internal/node/returns_test.go
+++ b/internal/node/returns_test.go
@@ -47,13 +47,15 @@
 	before, after := map[int]string{0: "a", 1: "b"}, map[int]string{0: "b", 1: "a"}
 	l.applyOwnersNotice(now, "self", peerlink.OwnersNotice{Era: 1, Version: storeera.Token(1, 9), Owners: before})
 	l.applyOwnersNotice(now, "self", peerlink.OwnersNotice{Era: 2, Version: storeera.Token(2, 4), Owners: after})
-	g.Expect(l.copyOwners()).To(gomega.Equal(after), "the generation is lower than before the return")
+	g.Expect(l.copyOwners().ByPartition).To(gomega.Equal(after), "the generation is lower than before the return")
 	for _, late := range []time.Duration{0, time.Minute} {
 		l.applyOwnersNotice(now.Add(late), "self", peerlink.OwnersNotice{Era: 1, Version: storeera.Token(1, 10), Owners: before})
-		g.Expect(l.copyOwners()).To(gomega.Equal(after))
+		g.Expect(l.copyOwners().ByPartition).To(gomega.Equal(after))
 	}
 	l.mu.Lock()
 	l.replaceOwners(now, storeera.Token(1, 11), serving.Owners{Era: 1, ByPartition: before})
 	l.mu.Unlock()
-	g.Expect(l.copyOwners()).To(gomega.Equal(after), "a read that was answered late")
+	g.Expect(l.copyOwners().ByPartition).To(gomega.Equal(after), "a read that was answered late")
+	l.setOwners(serving.Owners{Era: 1, ByPartition: before})
+	g.Expect(l.copyOwners().ByPartition).To(gomega.Equal(after), "the snapshot of a peer")
 }
--- a/internal/node/slots_test.go
+++ b/internal/node/slots_test.go
@@ -57,7 +57,7 @@
 		n.leases.mu.Lock()
 		n.leases.core.Joined(bootTime(), bootTime(), serving.Membership{Generation: int64(i + 1), Partitions: partitions})
 		n.leases.mu.Unlock()
-		n.leases.setOwners(map[int]string{partition: dispatcher.link.Address()})
+		n.leases.setOwners(serving.Owners{ByPartition: map[int]string{partition: dispatcher.link.Address()}})
 	}
 	// The tests of the core cover the time in which a new dispatcher assumes that slots are in use.
 	dispatcher.slots.mu.Lock()
@@ -223,7 +223,7 @@
 	partition := nodes[1].leases.core.Partition(slotService)
 	// Nobody reads the messages to this address.
 	silent := closedAddress(t)
-	nodes[1].leases.setOwners(map[int]string{partition: silent})
+	nodes[1].leases.setOwners(serving.Owners{ByPartition: map[int]string{partition: silent}})
 	nodes[1].slots.silence = slotSilence
 	silences := nodes[1].slots.metrics.silent.Count()
 	var slots []forward.Slot
@@ -377,7 +377,7 @@
 				})
 			}()
 			address := dispatcher.link.Address()
-			n.leases.setOwners(map[int]string{n.leases.core.Partition(slotService): address})
+			n.leases.setOwners(serving.Owners{ByPartition: map[int]string{n.leases.core.Partition(slotService): address}})
 			n.slots.silence = slotSilence
 			if c.silent {
 				n.slots.silentUntil[address] = time.Now().Add(time.Hour)
--- a/internal/upstream/budget.go
+++ b/internal/upstream/budget.go
@@ -1,6 +1,13 @@
 package upstream
 
-import "sync"
+import (
+	"sync"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// notHeld counts the answers for which a budget had no room.
+var notHeld = metrics.GetOrRegisterCounter("upstream.notHeld", nil)
 
 // Budget bounds the memory that answers take while they are held, over all answers at the same time. What an answer needs at
 // most is far more than what a sound one takes, so that bounds of single answers don't bound their sum.
@@ -35,6 +42,7 @@
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
 	if needed > h.budget.free {
+		notHeld.Inc(1)
 		return false
 	}
 	h.budget.free -= needed
--- a/internal/upstream/pace.go
+++ b/internal/upstream/pace.go
@@ -4,9 +4,13 @@
 	"net"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"golang.org/x/time/rate"
 )
 
+// pacedBytes counts the bytes of large answers that had to wait for their turn.
+var pacedBytes = metrics.GetOrRegisterCounter("upstream.pacedBytes", nil)
+
 const (
 	// unpacedBytes and unpacedPerSecond are what each answer may bring without being paced: whole at once, and beyond that for each
 	// second that it takes. Sound streams stay far below.
@@ -34,6 +38,7 @@
 	if delay <= 0 {
 		return true
 	}
+	pacedBytes.Inc(int64(bytes))
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	select {
