--- a/internal/upstream/verify.go
+++ b/internal/upstream/verify.go
@@ -29,9 +29,10 @@
 }
 
 // NeedsVerifiedJSON reports whether an answer is JSON that is delimited by its connection, so that only its content shows whether
-// it's complete.
+// it's complete. The answer to a HEAD request has neither.
 func NeedsVerifiedJSON(answer *http.Response, defaultType string) bool {
-	return DelimiterOf(answer) == DelimitedByConnection && isJSON(MediaType(answer.Header, defaultType))
+	return answer.Body != http.NoBody && DelimiterOf(answer) == DelimitedByConnection &&
+		isJSON(MediaType(answer.Header, defaultType))
 }
 
 // VerifyJSON returns ErrTruncated if an answer needs verified JSON and its body isn't valid.
