--- a/internal/engine/vllm/control.go
+++ b/internal/engine/vllm/control.go
@@ -27,8 +27,6 @@
 const (
 	// maximumAnswerBytes bounds the size of an answer that is read into memory.
 	maximumAnswerBytes = 4 << 20
-	// maximumHeadBytes bounds the head of an answer.
-	maximumHeadBytes = 16 << 10
 	// heldBytes bounds the answers of all engines that are read at the same time, beside exemptBytes of each.
 	heldBytes   = 16 << 20
 	exemptBytes = 64 << 10
@@ -60,11 +58,11 @@
 		address: address,
 		timeout: timeout,
 		orders: &http.Transport{
-			DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maximumHeadBytes,
+			DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: upstream.MaximumHeaderBytes,
 		},
 		reports: &http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout,
-			MaxResponseHeaderBytes: maximumHeadBytes,
+			MaxResponseHeaderBytes: upstream.MaximumHeaderBytes,
 		},
 	}
 }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -6,8 +6,8 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
-	"sync"
 	"time"
 
 	"waxwingcleat.example/waxwingcleat/internal/event"
@@ -47,16 +47,13 @@
 // attempt sends the request to a server. It returns true once the caller has its final answer.
 func (j *job) attempt(candidate serverview.Candidate, version int) (done bool) {
 	j.setServer(candidate)
-	defer j.releaseSlot()
-	j.givenUp = nil
+	defer j.endAttempt()
 	if reserved, done := j.reserve(candidate); !reserved {
 		return done
 	}
 	j.tried[candidate.ID] = true
 	if j.service.Engine != nil {
-		endUsage := sync.OnceFunc(j.f.options.Usage.Begin(candidate.ID, j.request.Adapter))
-		defer endUsage()
-		j.onGivenUp(endUsage)
+		j.onEnd(j.f.options.Usage.Begin(candidate.ID, j.request.Adapter))
 		release, ok := j.awaitGate(candidate)
 		if !ok {
 			j.reservation.cancel()
@@ -80,15 +77,14 @@
 		return true
 	}
 	now := time.Now()
-	endView := sync.OnceFunc(j.f.options.View.Begin(now, candidate.ID))
-	defer endView()
-	j.onGivenUp(endView)
+	j.onEnd(j.f.options.View.Begin(now, candidate.ID))
 	j.sending(candidate, j.sendWay())
 	j.sends++
 	j.sentAt = now
 	ctx, cancel := context.WithCancel(j.ctx)
 	defer cancel()
-	defer j.boundAttempt(cancel)()
+	j.startPatience(cancel)
+	defer j.endPatience()
 	answer, written, err := j.send(ctx, candidate, serving.Attempt{
 		ServerID: candidate.ID, Remaining: j.remaining(), Priority: j.priority(), AdapterVersion: version,
 		Customer: j.customerName(), Authenticated: j.authenticated,
@@ -101,34 +97,36 @@
 	return j.answered(candidate, answer)
 }
 
-// onGivenUp registers what ends with the current attempt, also when its request goes on at another server.
-func (j *job) onGivenUp(end func()) { j.givenUp = append(j.givenUp, end) }
+// onEnd registers what ends with the current attempt.
+func (j *job) onEnd(end func()) { j.attemptEnds = append(j.attemptEnds, end) }
 
-// giveUp closes an answer that hasn't ended before its request goes on at another server, so that two servers never work on it. The
-// place that the attempt takes at its server becomes free.
-func (j *job) giveUp(answer *http.Response) {
-	// The rest of the answer is of no use, and so is an error.
-	_ = answer.Body.Close()
-	for _, end := range j.givenUp {
+// endAttempt frees the place that the current attempt takes at its server. Further calls have no effect.
+func (j *job) endAttempt() {
+	for _, end := range slices.Backward(j.attemptEnds) {
 		end()
 	}
-	j.givenUp = nil
+	j.attemptEnds = nil
 	j.releaseSlot()
 }
 
-// boundAttempt calls giveUp when the time of the send that begins now is over. The time ends early by endPatience, or by the returned
-// function. The request's own deadline needs no such bound.
-func (j *job) boundAttempt(giveUp func()) (end func()) {
-	limit := j.attemptTime()
-	if !j.deadline.IsZero() && limit >= j.remaining() {
-		j.endPatience = func() bool { return true }
-		return func() {}
-	}
-	patience := time.AfterFunc(limit, giveUp)
-	j.endPatience = patience.Stop
-	return func() { patience.Stop() }
+// giveUp closes an answer that hasn't ended before its request goes on at another server, so that two servers never work on it.
+func (j *job) giveUp(answer *http.Response) {
+	// The rest of the answer is of no use, and so is an error.
+	_ = answer.Body.Close()
+	j.endAttempt()
+}
+
+// startPatience calls giveUp when the time of the send that begins now is over. The request's own deadline needs no such bound.
+func (j *job) startPatience(giveUp func()) {
+	j.patience = nil
+	if limit := j.attemptTime(); j.deadline.IsZero() || limit < j.remaining() {
+		j.patience = time.AfterFunc(limit, giveUp)
+	}
 }
 
+// endPatience ends the time after which the current send is given up. It returns false if the send has been given up before.
+func (j *job) endPatience() (ended bool) { return j.patience == nil || j.patience.Stop() }
+
 // attemptTime returns the time after which one send is given up. For an idempotent request it leaves time to retry at another server
 // when this one doesn't answer. It doesn't apply to an answer that is being passed on, which no other server can continue.
 func (j *job) attemptTime() time.Duration {
@@ -406,31 +404,24 @@
 func (j *job) forwardBuffered(candidate serverview.Candidate, answer *http.Response) (done bool) {
 	holding := j.f.options.Held.Hold()
 	defer holding.Release()
-	mediaType := j.expectedType(answer.StatusCode)
+	needsJSON := upstream.NeedsVerifiedJSON(answer, j.expectedType(answer.StatusCode))
 	body, err := upstream.ReadHeld(answer.Body, answer.ContentLength, bufferedAnswerLimit, holding)
-	if err == nil {
-		err = upstream.VerifyJSON(answer, mediaType, body)
-	}
-	if errors.Is(err, upstream.ErrNoMemory) && !upstream.NeedsVerifiedJSON(answer, mediaType) {
-		// The end of such an answer shows by itself whether it's complete, so it needn't be held.
-		err = upstream.ErrTooLarge
+	if err == nil && needsJSON {
+		err = upstream.VerifyJSON(body)
 	}
-	if err == nil {
+	switch {
+	case err == nil:
 		j.releaseSlot()
-	}
-	if err == nil || errors.Is(err, upstream.ErrTooLarge) {
 		j.bodyRead(candidate)
-	}
-	if errors.Is(err, upstream.ErrTooLarge) && !j.endPatience() {
+	// Without memory, only an answer whose content has to show whether it's complete must be held.
+	case errors.Is(err, upstream.ErrTooLarge), errors.Is(err, upstream.ErrNoMemory) && !needsJSON:
+		j.bodyRead(candidate)
+		if j.endPatience() {
+			j.forwardUnbuffered(candidate, answer, body, holding)
+			return true
+		}
 		err = errGivenUp
 	}
-	if errors.Is(err, upstream.ErrTooLarge) {
-		j.copyHeader(answer)
-		j.w.WriteHeader(answer.StatusCode)
-		j.forwardUnbuffered(body, holding, answer.Body)
-		j.logAnswer(candidate, answer.StatusCode, "passed on as it arrived", delimiterField(answer))
-		return true
-	}
 	if err != nil && j.ctx.Err() != nil {
 		return j.attemptCancelled(candidate)
 	}
@@ -470,16 +461,21 @@
 
 // forwardUnbuffered copies a large answer as it arrives, after the beginning that is held. If it breaks off, the caller's connection
 // is aborted, so that the answer doesn't look complete.
-func (j *job) forwardUnbuffered(beginning []byte, holding *upstream.Holding, rest io.Reader) {
+func (j *job) forwardUnbuffered(
+	candidate serverview.Candidate, answer *http.Response, beginning []byte, holding *upstream.Holding,
+) {
+	j.copyHeader(answer)
+	j.w.WriteHeader(answer.StatusCode)
 	_, err := j.w.Write(beginning)
 	holding.Release()
 	if err == nil {
-		_, err = io.Copy(j.w, rest)
+		_, err = io.Copy(j.w, answer.Body)
 	}
 	if err != nil {
 		j.log(event.RequestAnswered, "the answer broke off", err)
 		panic(http.ErrAbortHandler)
 	}
+	j.logAnswer(candidate, answer.StatusCode, "passed on as it arrived", delimiterField(answer))
 }
 
 // copyHeader copies the end-to-end headers of the server's answer to the caller's.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -224,10 +224,10 @@
 	slot heldSlot
 	// target is what the caller sent as the target of the request.
 	target requestTarget
-	// endPatience ends the time after which the current send is given up. It returns false if that has happened.
-	endPatience func() (ended bool)
-	// givenUp ends what the current attempt takes at its server.
-	givenUp []func()
+	// patience gives the current send up; nil if only the request's deadline does.
+	patience *time.Timer
+	// attemptEnds end what the current attempt takes at its server.
+	attemptEnds []func()
 	// slotFields describe how the latest slot was obtained, for the log.
 	slotFields event.Fields
 	// charge is what the next send, or the latest one, has used of the customer's quota.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -260,7 +260,7 @@
 	if !s.holding.Grow(cap(s.partial)) {
 		return upstream.ErrNoMemory
 	}
-	end := upstream.EventsEndAfter(s.partial, searched)
+	end := upstream.EventsEnd(s.partial, searched)
 	if end == 0 {
 		return nil
 	}
--- a/internal/serverlease/serverlease.go
+++ b/internal/serverlease/serverlease.go
@@ -98,9 +98,10 @@
 		return nil, nil, false
 	}
 	c.era = membership.Era
+	token := storeera.Token(membership.Era, membership.Generation)
 	returned := c.joined && !c.joinedInCurrentEra()
 	if returned {
-		c.renewTokens(now, membership)
+		c.renewTokens(now, token)
 	} else if lapsed := c.joined && sent-c.joinedAt > c.validity(); lapsed && membership.Generation != c.generation {
 		// Another member may have held the partitions meanwhile, in a generation that this node hasn't seen.
 		for partition, t := range c.tenures {
@@ -116,9 +117,7 @@
 		// A partition that another member held since the last join has changed hands twice, each time in a new generation.
 		missed := t != nil && !returned && !t.confirmed && membership.Generation > c.generation+1
 		if t == nil || reassigned || missed {
-			t = &tenure{
-				fence: storeera.Token(membership.Era, membership.Generation), confirmAfter: c.ordersFrom(partition, now),
-			}
+			t = &tenure{fence: token, confirmAfter: c.ordersFrom(partition, now)}
 			c.tenures[partition] = t
 			gained = append(gained, partition)
 		} else if returned {
@@ -143,17 +142,14 @@
 // renewTokens prepares the tenures for the first join in a new era. Without a gap between the leases no other member can have sent
 // orders in between, so that a tenure continues with a token of the new era, once orders with the old one have arrived. Other
 // tenures end.
-func (c *Core) renewTokens(now time.Duration, membership serving.Membership) {
+func (c *Core) renewTokens(now time.Duration, token int64) {
 	for partition, t := range c.tenures {
 		if t.refused || now-c.joinedAt >= c.validity() {
 			delete(c.tenures, partition)
 			c.lostAt[partition] = now
 			continue
 		}
-		c.tenures[partition] = &tenure{
-			fence:        storeera.Token(membership.Era, membership.Generation),
-			confirmAfter: max(t.confirmAfter, now+orderDelayMargin),
-		}
+		c.tenures[partition] = &tenure{fence: token, confirmAfter: max(t.confirmAfter, now+orderDelayMargin)}
 	}
 }
 
--- a/internal/storeera/storeera.go
+++ b/internal/storeera/storeera.go
@@ -54,27 +54,20 @@
 
 // Answered implements serving.StoreEras. An answer of an earlier era is late, or comes from a part of the store that hasn't
 // returned. One that names no era is one of era 0.
-func (t *Tracker) Answered(era serving.StoreEra) (current bool) {
-	t.mu.Lock()
-	before, known := t.era, t.known
-	t.known = true
-	t.era = max(t.era, era)
-	t.mu.Unlock()
-	if era > before {
-		t.onChange(Change{Before: before, Now: era, Returned: known})
-	}
-	return era >= before
-}
+func (t *Tracker) Answered(era serving.StoreEra) (current bool) { return era >= t.note("", era, true) }
 
 // Told records the era that another node names. It proves that the era has begun, and nothing of what the store holds in it.
-func (t *Tracker) Told(source string, era serving.StoreEra) {
+func (t *Tracker) Told(source string, era serving.StoreEra) { t.note(source, era, false) }
+
+// note records an era and returns the newest one known before. answered is true if the store itself has named it, or names none.
+func (t *Tracker) note(source string, era serving.StoreEra, answered bool) (before serving.StoreEra) {
 	t.mu.Lock()
 	before, known := t.era, t.known
-	if era > before {
-		t.era, t.known = era, true
-	}
+	isNew := era > before
+	t.era, t.known = max(before, era), known || answered || isNew
 	t.mu.Unlock()
-	if era > before {
+	if isNew {
 		t.onChange(Change{Before: before, Now: era, Returned: known, Source: source})
 	}
+	return before
 }
--- a/internal/upstream/eventtail.go
+++ b/internal/upstream/eventtail.go
@@ -26,12 +26,9 @@
 	return !t.isEmpty() && !endsWithBlankLine(t.last)
 }
 
-// EventsEnd returns the length of the complete events at the beginning of data, 0 if there is none.
-func EventsEnd(data []byte) int { return EventsEndAfter(data, 0) }
-
-// EventsEndAfter is EventsEnd for data of which the first searched bytes are known to have no end of an event. Bytes that arrive
-// one after the other are so searched once.
-func EventsEndAfter(data []byte, searched int) int {
+// EventsEnd returns the length of the complete events at the beginning of data, 0 if there is none. The first searched bytes are
+// known to have no end of an event, so that bytes that arrive one after the other are searched once.
+func EventsEnd(data []byte, searched int) int {
 	for end := len(data); end > searched; end-- {
 		if endsWithBlankLine(data[:end]) {
 			return end
--- a/internal/upstream/eventtail_test.go
+++ b/internal/upstream/eventtail_test.go
@@ -27,8 +27,8 @@
 	g := gomega.NewWithT(t)
 	for _, end := range []string{"\n", "\r", "\r\n"} {
 		event := "id: 1" + end + "data: x" + end + end
-		g.Expect(EventsEnd([]byte(event+"id: 2"+end))).To(gomega.Equal(len(event)), "%q", end)
-		g.Expect(EventsEnd([]byte(event+event))).To(gomega.Equal(2*len(event)), "%q", end)
-		g.Expect(EventsEnd([]byte("id: 1"+end+"data: x"))).To(gomega.BeZero(), "%q", end)
+		g.Expect(EventsEnd([]byte(event+"id: 2"+end), 0)).To(gomega.Equal(len(event)), "%q", end)
+		g.Expect(EventsEnd([]byte(event+event), 0)).To(gomega.Equal(2*len(event)), "%q", end)
+		g.Expect(EventsEnd([]byte("id: 1"+end+"data: x"), 0)).To(gomega.BeZero(), "%q", end)
 	}
 }
--- a/internal/upstream/held_test.go
+++ b/internal/upstream/held_test.go
@@ -79,10 +79,10 @@
 	g := gomega.NewWithT(t)
 	for _, text := range []string{"id: 1\ndata: x\n\nid: 2\n", "data: x\r\n\r\nid", "data: x\r\ry", "data: x\n\r\n", "\n\ndata"} {
 		for split := range len(text) {
-			if EventsEnd([]byte(text[:split])) > 0 {
+			if EventsEnd([]byte(text[:split]), 0) > 0 {
 				break
 			}
-			g.Expect(EventsEndAfter([]byte(text), split)).To(gomega.Equal(EventsEnd([]byte(text))), "%q after %d", text, split)
+			g.Expect(EventsEnd([]byte(text), split)).To(gomega.Equal(EventsEnd([]byte(text), 0)), "%q after %d", text, split)
 		}
 	}
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -16,11 +16,12 @@
 	"time"
 )
 
+// MaximumHeaderBytes bounds the head of an answer. Many short fields take a multiple of it in memory.
+const MaximumHeaderBytes = 16 << 10
+
 const (
 	maximumIdlePerServer  = 256
 	idleConnectionTimeout = 60 * time.Second
-	// maximumHeaderBytes bounds the head of an answer. Many short fields take a multiple of it in memory.
-	maximumHeaderBytes = 16 << 10
 	// keepAliveIdle, keepAliveInterval and keepAliveCount detect an unreachable peer within 5 s, also while an answer is
 	// awaited and no data arrives.
 	keepAliveIdle     = 2 * time.Second
@@ -108,7 +109,7 @@
 		MaxIdleConnsPerHost: maximumIdlePerServer,
 		IdleConnTimeout:     idleConnectionTimeout,
 		// The default of 10 MB per answer is too much for a small VM.
-		MaxResponseHeaderBytes: maximumHeaderBytes,
+		MaxResponseHeaderBytes: MaximumHeaderBytes,
 	}
 }
 
--- a/internal/upstream/verify.go
+++ b/internal/upstream/verify.go
@@ -21,31 +21,33 @@
 // of a larger answer isn't verified.
 const maximumVerifiedJSON = 256 << 10
 
-// VerifyEvents is VerifyEnd for event streams alone. VerifyJSON verifies other answers once they have been read.
+// VerifyEvents is VerifyEnd for event streams alone. VerifyJSON verifies the answers of NeedsVerifiedJSON once they have been read.
 func VerifyEvents(answer *http.Response, defaultType string) {
-	if MediaType(answer.Header, defaultType) == EventStream {
-		VerifyEnd(answer, defaultType)
+	if hasBody(answer) && MediaType(answer.Header, defaultType) == EventStream {
+		needsEvent := DelimiterOf(answer) == DelimitedByConnection
+		answer.Body = &verifiedBody{ReadCloser: answer.Body, content: &eventContent{needsEvent: needsEvent}}
 	}
 }
 
 // NeedsVerifiedJSON reports whether an answer is JSON that is delimited by its connection, so that only its content shows whether
 // it's complete. The answer to a HEAD request has neither.
 func NeedsVerifiedJSON(answer *http.Response, defaultType string) bool {
-	return answer.Body != http.NoBody && DelimiterOf(answer) == DelimitedByConnection &&
-		isJSON(MediaType(answer.Header, defaultType))
+	if !hasBody(answer) || DelimiterOf(answer) != DelimitedByConnection {
+		return false
+	}
+	mediaType := MediaType(answer.Header, defaultType)
+	return mediaType == "application/json" || strings.HasSuffix(mediaType, "+json")
 }
 
-// VerifyJSON returns ErrTruncated if an answer needs verified JSON and its body isn't valid.
-func VerifyJSON(answer *http.Response, defaultType string, body []byte) error {
-	if NeedsVerifiedJSON(answer, defaultType) && !json.Valid(body) {
+// VerifyJSON returns ErrTruncated if the body of an answer isn't valid JSON.
+func VerifyJSON(body []byte) error {
+	if !json.Valid(body) {
 		return ErrTruncated
 	}
 	return nil
 }
 
-func isJSON(mediaType string) bool {
-	return mediaType == "application/json" || strings.HasSuffix(mediaType, "+json")
-}
+func hasBody(answer *http.Response) bool { return answer.Body != nil && answer.Body != http.NoBody }
 
 // VerifyEnd replaces the answer's body by one that returns ErrTruncated instead of io.EOF where the content proves that
 // the server broke off. The end of the connection alone doesn't show that an answer without a length is complete: a
@@ -57,17 +59,11 @@
 //
 // An answer without a Content-Type is taken to have defaultType, which may be empty.
 func VerifyEnd(answer *http.Response, defaultType string) {
-	if answer.Body == nil || answer.Body == http.NoBody {
-		return
-	}
-	mediaType := MediaType(answer.Header, defaultType)
-	byConnection := DelimiterOf(answer) == DelimitedByConnection
-	switch {
-	case mediaType == EventStream:
-		answer.Body = &verifiedBody{ReadCloser: answer.Body, content: &eventContent{needsEvent: byConnection}}
-	case byConnection && isJSON(mediaType):
+	if NeedsVerifiedJSON(answer, defaultType) {
 		answer.Body = &verifiedBody{ReadCloser: answer.Body, content: &jsonContent{}}
+		return
 	}
+	VerifyEvents(answer, defaultType)
 }
 
 // MediaType returns the media type of an answer without its parameters, or an empty string if it can't be read. An answer
