intake, bytelimit, forward: The bodies of all requests share one budget of memory

Callers' bodies ended a process: each had a bound (4 MB), their sum had none. A body was read with io.ReadAll and held until its request ended, also while it stood one byte short of its end, so that 72 callers took three times the memory of the smallest VM.

upstream.Budget and Pacer move to internal/bytelimit, which answers and bodies share. internal/intake takes room for a body before its first byte where the length is announced, and before its buffer grows where it isn't; heads count with an estimate of their fields.

--- a/internal/engine/vllm/control.go
+++ b/internal/engine/vllm/control.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"time"
 
+	"waxwingcleat.example/waxwingcleat/internal/bytelimit"
 	"waxwingcleat.example/waxwingcleat/internal/engine"
 	"waxwingcleat.example/waxwingcleat/internal/failure"
 	"waxwingcleat.example/waxwingcleat/internal/upstream"
@@ -38,7 +39,7 @@
 )
 
 // held bounds the memory that the answers of all engines take in this process.
-var held = upstream.NewBudget(heldBytes, exemptBytes)
+var held = bytelimit.NewBudget("engines", heldBytes, exemptBytes)
 
 // Control implements engine.Control for one engine.
 type Control struct {
--- a/internal/event/process.go
+++ b/internal/event/process.go
@@ -12,4 +12,6 @@
 		"The graceful shutdown is complete.")
 	ProcessFailed = register(103, logrus.ErrorLevel, "process failed",
 		"A task of the process failed, and the process exits.")
+	BodyRefused = register(106, logrus.WarnLevel, "body refused",
+		"A request has not run because of its body: larger than allowed, or no room beside the other bodies.")
 )
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"waxwingcleat.example/waxwingcleat/internal/bytelimit"
 	"waxwingcleat.example/waxwingcleat/internal/event"
 	"waxwingcleat.example/waxwingcleat/internal/failure"
 	"waxwingcleat.example/waxwingcleat/internal/serverview"
@@ -214,8 +215,8 @@
 		Proto:      "HTTP/1.1",
 		ProtoMajor: 1, ProtoMinor: 1,
 		// net/http can't rewind this body, so it never retries the request on its own.
-		Body:          io.NopCloser(bytes.NewReader(j.body)),
-		ContentLength: int64(len(j.body)),
+		Body:          io.NopCloser(bytes.NewReader(j.body.Bytes())),
+		ContentLength: int64(len(j.body.Bytes())),
 	}
 }
 
@@ -462,7 +463,7 @@
 // forwardUnbuffered copies a large answer as it arrives, after the beginning that is held. If it breaks off, the caller's connection
 // is aborted, so that the answer doesn't look complete.
 func (j *job) forwardUnbuffered(
-	candidate serverview.Candidate, answer *http.Response, beginning []byte, holding *upstream.Holding,
+	candidate serverview.Candidate, answer *http.Response, beginning []byte, holding *bytelimit.Holding,
 ) {
 	j.copyHeader(answer)
 	j.w.WriteHeader(answer.StatusCode)
--- a/internal/forward/crashes.go
+++ b/internal/forward/crashes.go
@@ -37,7 +37,7 @@
 func (j *job) requestKeys() []string {
 	if j.keys == nil {
 		j.keys = crashguard.RequestIdentity{
-			Method: j.r.Method, Host: j.r.Host, Target: j.r.RequestURI, Body: j.body, Caller: j.caller,
+			Method: j.r.Method, Host: j.r.Host, Target: j.r.RequestURI, Body: j.body.Bytes(), Caller: j.caller,
 		}.Keys()
 	}
 	return j.keys
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -14,10 +13,12 @@
 	"sync/atomic"
 	"time"
 
+	"waxwingcleat.example/waxwingcleat/internal/bytelimit"
 	"waxwingcleat.example/waxwingcleat/internal/crashguard"
 	"waxwingcleat.example/waxwingcleat/internal/customers"
 	"waxwingcleat.example/waxwingcleat/internal/event"
 	"waxwingcleat.example/waxwingcleat/internal/eventgap"
+	"waxwingcleat.example/waxwingcleat/internal/intake"
 	"waxwingcleat.example/waxwingcleat/internal/retrybudget"
 	"waxwingcleat.example/waxwingcleat/internal/routetable"
 	"waxwingcleat.example/waxwingcleat/internal/serverview"
@@ -74,8 +75,10 @@
 	BootTime func() time.Duration
 	Crashes  CrashGuard
 	Peers    Peers
+	// Bodies reads the bodies of requests; nil bounds only their sizes.
+	Bodies *intake.Bodies
 	// Held bounds the memory of answers that are held; nil bounds nothing.
-	Held *upstream.Budget
+	Held *bytelimit.Budget
 	// PeerTransport sends requests to other nodes.
 	PeerTransport http.RoundTripper
 	Zone          string
@@ -148,6 +151,9 @@
 
 // New returns a forwarder without a configuration.
 func New(options Options) *Forwarder {
+	if options.Bodies == nil {
+		options.Bodies = intake.New(intake.Limits{})
+	}
 	f := &Forwarder{options: options, budgets: make(map[string]*retrybudget.Budget), metrics: newMetricSet()}
 	f.ending, f.end = context.WithCancel(context.Background())
 	return f
@@ -202,11 +208,12 @@
 	// peerCustomer is the name of the customer according to the node that passed the request on.
 	peerCustomer string
 	service      serving.Service
-	body         []byte
-	arrived      time.Time
-	deadline     time.Time
-	tried        map[string]bool
-	sends        int
+	// body takes room until the request ends.
+	body     *intake.Body
+	arrived  time.Time
+	deadline time.Time
+	tried    map[string]bool
+	sends    int
 	// unsent counts the sends of which no byte was written.
 	unsent int
 	// attempts counts the sends after which the request may have run.
@@ -296,6 +303,7 @@
 	if !j.findRoute(current) || !j.admit(current, keyStatus) || !j.readBody(current) {
 		return
 	}
+	defer j.body.Release()
 	if f.closed.Load() {
 		j.refuseStopping()
 		return
@@ -351,19 +359,30 @@
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(j.w, j.r.Body, limit))
-	if err == nil {
+	body, err := j.f.options.Bodies.Read(j.w, j.r, limit)
+	switch {
+	case err == nil:
 		j.body = body
 		return true
-	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	case errors.Is(err, intake.ErrTooLarge):
 		j.refuse(http.StatusRequestEntityTooLarge, ReasonTooLarge, 0)
-		return false
+	case errors.Is(err, intake.ErrNoRoom):
+		j.refuseUntaken(http.StatusServiceUnavailable, ReasonNoRoom, intake.RetryAfter)
+	default:
+		// The request is incomplete, so there is nothing to answer.
+		j.log(event.RequestRefused, "the caller broke off its request", nil)
+		panic(http.ErrAbortHandler)
+	}
+	return false
+}
+
+// refuseUntaken answers a request that this node doesn't take for a reason that may not hold at others.
+func (j *job) refuseUntaken(status int, reason string, retryAfter time.Duration) {
+	if j.fromPeer {
+		RefuseHandover(j.w, http.StatusServiceUnavailable)
+		return
 	}
-	// The request is incomplete, so there is nothing to answer.
-	j.log(event.RequestRefused, "the caller broke off its request", nil)
-	panic(http.ErrAbortHandler)
+	j.refuse(status, reason, retryAfter)
 }
 
 // timeout returns the time that the request has from its arrival: until the caller's deadline or the route's timeout,
@@ -380,13 +399,7 @@
 }
 
 // refuseStopping answers a request that has arrived too late for this node, which stops. Other nodes can take it at once.
-func (j *job) refuseStopping() {
-	if j.fromPeer {
-		RefuseHandover(j.w, http.StatusServiceUnavailable)
-		return
-	}
-	j.refuse(http.StatusServiceUnavailable, ReasonStopping, 0)
-}
+func (j *job) refuseStopping() { j.refuseUntaken(http.StatusServiceUnavailable, ReasonStopping, 0) }
 
 // withDeadline returns the context of the request, which ends after its timeout or with the forwarder.
 func (j *job) withDeadline() (context.Context, context.CancelFunc) {
--- a/internal/forward/reasons.go
+++ b/internal/forward/reasons.go
@@ -12,6 +12,7 @@
 	ReasonBadTarget  = "the target of the request is no path that can be passed on unchanged"
 	ReasonNoService  = "the route names no service"
 	ReasonTooLarge   = "the body is larger than allowed"
+	ReasonNoRoom     = "there is no room for the body"
 	ReasonNoServer   = modelpick.ReasonNoServer
 	ReasonAllBusy    = modelpick.ReasonAllBusy
 	ReasonOverloaded = "no server can load the adapter in time"
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"waxwingcleat.example/waxwingcleat/internal/bytelimit"
 	"waxwingcleat.example/waxwingcleat/internal/event"
 	"waxwingcleat.example/waxwingcleat/internal/serverview"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
@@ -169,7 +170,7 @@
 	// partial is the received part of an incomplete event.
 	partial []byte
 	// holding is what partial takes of the node's memory for answers.
-	holding *upstream.Holding
+	holding *bytelimit.Holding
 	// meter counts the bytes of the latest answer since the end of an event.
 	meter eventMeter
 	// delimiter is how the body of the latest answer is delimited.
--- /dev/null
+++ b/internal/intake/arrival.go
@@ -0,0 +1,136 @@
+package intake
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"waxwingcleat.example/waxwingcleat/internal/bytelimit"
+)
+
+// arrival is a body that is being read.
+type arrival struct {
+	bodies    *Bodies
+	request   *http.Request
+	control   *http.ResponseController
+	holding   *bytelimit.Holding
+	headBytes int
+	limit     int64
+	startedAt time.Time
+	data      []byte
+
+	// The mutex of bodies guards the rest. progressAt is when the last progressBytes had arrived, progress how many bytes had by then.
+	progressAt time.Time
+	progress   int
+	yielded    bool
+}
+
+func (b *Bodies) newArrival(w http.ResponseWriter, r *http.Request, limit int64) *arrival {
+	now := time.Now()
+	a := &arrival{
+		bodies: b, request: r, control: http.NewResponseController(w), holding: b.budget.Hold(), headBytes: headBytes(r.Header),
+		limit: limit, startedAt: now, progressAt: now,
+	}
+	return a
+}
+
+// headBytes estimates the memory of a head.
+func headBytes(header http.Header) (bytes int) {
+	for name, values := range header {
+		bytes += len(name) + fieldBytes
+		for _, value := range values {
+			bytes += len(value)
+		}
+	}
+	return bytes
+}
+
+// reserve takes room for the head, and for a body whose length is announced, before its first byte is read.
+func (a *arrival) reserve() error {
+	announced := a.request.ContentLength
+	if announced > a.limit {
+		return ErrTooLarge
+	}
+	size := max(announced, 0)
+	if err := a.bodies.grow(a, a.headBytes+int(size)); err != nil {
+		return err
+	}
+	a.data = make([]byte, 0, size)
+	return nil
+}
+
+// read reads the body to its end.
+func (a *arrival) read() (err error) {
+	a.bodies.begin(a)
+	for err == nil {
+		err = a.readSome()
+	}
+	if a.bodies.end(a) {
+		return ErrNoRoom
+	}
+	if !errors.Is(err, io.EOF) {
+		return err
+	}
+	return nil
+}
+
+// setDeadline sets when the next byte has to be there, if the connection has deadlines.
+func (a *arrival) setDeadline(at time.Time) error {
+	if err := a.control.SetReadDeadline(at); !errors.Is(err, http.ErrNotSupported) {
+		return err
+	}
+	return nil
+}
+
+// readSome reads what has arrived, at least one byte. It returns io.EOF at the end of the body.
+func (a *arrival) readSome() error {
+	space, err := a.space()
+	if err != nil {
+		return err
+	}
+	n, err := a.request.Body.Read(space)
+	if len(a.data)+n > cap(a.data) {
+		return ErrTooLarge
+	}
+	a.data = a.data[:len(a.data)+n]
+	if err != nil {
+		return err
+	}
+	a.noteProgress()
+	return nil
+}
+
+// space returns where the next bytes go. It grows the buffer of a body in chunks; one with a length has its whole buffer, and only its
+// end is still to be read.
+func (a *arrival) space() ([]byte, error) {
+	if len(a.data) < cap(a.data) {
+		return a.data[len(a.data):cap(a.data)], nil
+	}
+	if a.request.ContentLength >= 0 || int64(len(a.data)) >= a.limit {
+		return make([]byte, 1), nil
+	}
+	size := int(min(int64(max(2*cap(a.data), firstChunkedBytes)), a.limit))
+	if err := a.bodies.grow(a, a.headBytes+size); err != nil {
+		return nil, err
+	}
+	grown := make([]byte, len(a.data), size)
+	copy(grown, a.data)
+	a.data = grown
+	return a.data[len(a.data):size], nil
+}
+
+// noteProgress records that enough bytes have arrived for the body to keep its room.
+func (a *arrival) noteProgress() {
+	a.bodies.mu.Lock()
+	defer a.bodies.mu.Unlock()
+	if len(a.data)-a.progress >= progressBytes {
+		a.progress, a.progressAt = len(a.data), time.Now()
+	}
+}
+
+// interrupt ends the read in progress. The caller holds the mutex of bodies.
+func (a *arrival) interrupt() {
+	// The read has ended already if the connection has.
+	_ = a.setDeadline(time.Now())
+}
--- /dev/null
+++ b/internal/intake/intake.go
@@ -0,0 +1,182 @@
+// Package intake reads the bodies of callers' requests within bounds on the memory that all of them take together.
+package intake
+
+import (
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"waxwingcleat.example/waxwingcleat/internal/bytelimit"
+	"waxwingcleat.example/waxwingcleat/internal/event"
+)
+
+// Errors of Read. None of the requests has run. Any other error means that the caller has broken off its request.
+var (
+	ErrTooLarge = errors.New("the body is larger than allowed")
+	ErrNoRoom   = errors.New("there is no room for the body")
+)
+
+// RetryAfter is the time after which a request for which there was no room should come again: bodies that make no progress have
+// yielded by then.
+const RetryAfter = stalledAfter
+
+const (
+	// exemptBytes is the memory that each request may hold in any case: the body and the head of an ordinary one.
+	exemptBytes = 16 << 10
+	// fieldBytes estimates the memory of a header field beside its name and value.
+	fieldBytes = 128
+	// firstChunkedBytes is the first size of the buffer of a body in chunks.
+	firstChunkedBytes = 4 << 10
+	// stalledAfter is the time without progressBytes after which a body yields its room to others.
+	stalledAfter  = time.Second
+	progressBytes = 16 << 10
+)
+
+// Metrics of all bodies of a process.
+var (
+	tooLarge  = metrics.GetOrRegisterCounter("callers.bodiesTooLarge", nil)
+	noRoom    = metrics.GetOrRegisterCounter("callers.bodiesWithoutRoom", nil)
+	yielded   = metrics.GetOrRegisterCounter("callers.bodiesYielded", nil)
+	budgetTag = "callers"
+)
+
+// Limits bound the bodies of a process.
+type Limits struct {
+	// Bytes bounds the memory of all bodies, and of heads with many fields, beside a few KB of each request; 0 for no bound. One
+	// body is held in any case.
+	Bytes int64
+	// Events may be nil.
+	Events *event.Log
+}
+
+// Bodies reads the bodies of all requests of a process.
+type Bodies struct {
+	limits  Limits
+	budget  *bytelimit.Budget
+	refused event.Repeated
+
+	mu sync.Mutex
+	// arriving holds the bodies that are being read.
+	arriving map[*arrival]struct{}
+}
+
+// New returns a reader of bodies.
+func New(limits Limits) *Bodies {
+	b := &Bodies{limits: limits, arriving: make(map[*arrival]struct{})}
+	if b.limits.Events == nil {
+		b.limits.Events = event.Discard()
+	}
+	if limits.Bytes > 0 {
+		b.budget = bytelimit.NewBudget(budgetTag, limits.Bytes, exemptBytes)
+	}
+	return b
+}
+
+// Body is a request's body, which takes room until it is released.
+type Body struct {
+	data    []byte
+	holding *bytelimit.Holding
+}
+
+// Bytes returns the body; nil for a nil body.
+func (b *Body) Bytes() []byte {
+	if b == nil {
+		return nil
+	}
+	return b.data
+}
+
+// Release returns the room. Further calls have no effect; a nil body takes none.
+func (b *Body) Release() {
+	if b != nil {
+		b.holding.Release()
+	}
+}
+
+// Read reads the body of a request, which may have limit bytes.
+func (b *Bodies) Read(w http.ResponseWriter, r *http.Request, limit int64) (*Body, error) {
+	a := b.newArrival(w, r, limit)
+	err := a.reserve()
+	if err == nil && r.ContentLength != 0 {
+		err = a.read()
+	}
+	if err != nil {
+		b.end(a)
+		a.holding.Release()
+		b.note(a, err)
+		// What is left of the body must not be taken for another request, nor be waited for.
+		w.Header().Set("Connection", "close")
+		return nil, err
+	}
+	return &Body{data: a.data, holding: a.holding}, nil
+}
+
+// note counts and logs a body that was refused.
+func (b *Bodies) note(a *arrival, err error) {
+	switch {
+	case errors.Is(err, ErrTooLarge):
+		tooLarge.Inc(1)
+	case errors.Is(err, ErrNoRoom):
+		noRoom.Inc(1)
+	default:
+		return
+	}
+	b.refused.Emit(b.limits.Events, event.BodyRefused, event.Fields{
+		"caller": a.request.RemoteAddr, "reason": err.Error(), "announced": a.request.ContentLength, "read": len(a.data),
+		"ms": time.Since(a.startedAt).Milliseconds(),
+	})
+}
+
+// begin registers a body that is being read.
+func (b *Bodies) begin(a *arrival) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.arriving[a] = struct{}{}
+}
+
+// end removes a body that is no longer being read, so that it doesn't yield. Further calls have no effect.
+func (b *Bodies) end(a *arrival) (hasYielded bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.arriving, a)
+	return a.yielded
+}
+
+// grow takes room for so many bytes in all. Bodies that make no progress yield if there is too little.
+func (b *Bodies) grow(a *arrival, bytes int) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if a.yielded {
+		return ErrNoRoom
+	}
+	for !a.holding.GrowAlone(bytes) {
+		if !b.yieldOne(a, time.Now()) {
+			return ErrNoRoom
+		}
+	}
+	return nil
+}
+
+// yieldOne takes the room of the body that has made no progress for longest. It returns false if all others make progress. The caller
+// holds b.mu.
+func (b *Bodies) yieldOne(asking *arrival, now time.Time) bool {
+	var slowest *arrival
+	for a := range b.arriving {
+		if a != asking && a.holding.Taken() > 0 && now.Sub(a.progressAt) >= stalledAfter &&
+			(slowest == nil || a.progressAt.Before(slowest.progressAt)) {
+			slowest = a
+		}
+	}
+	if slowest == nil {
+		return false
+	}
+	delete(b.arriving, slowest)
+	slowest.yielded = true
+	slowest.holding.Release()
+	slowest.interrupt()
+	yielded.Inc(1)
+	return true
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,11 +14,13 @@
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
+	"waxwingcleat.example/waxwingcleat/internal/bytelimit"
 	"waxwingcleat.example/waxwingcleat/internal/connset"
 	"waxwingcleat.example/waxwingcleat/internal/delay"
 	"waxwingcleat.example/waxwingcleat/internal/event"
 	"waxwingcleat.example/waxwingcleat/internal/eventgap"
 	"waxwingcleat.example/waxwingcleat/internal/forward"
+	"waxwingcleat.example/waxwingcleat/internal/intake"
 	"waxwingcleat.example/waxwingcleat/internal/peerlink"
 	"waxwingcleat.example/waxwingcleat/internal/process"
 	"waxwingcleat.example/waxwingcleat/internal/retrybudget"
@@ -115,6 +117,8 @@
 
 	// callers tracks the open connections of callers.
 	callers *connset.Set
+	// bodies reads the bodies of the requests of callers and other nodes.
+	bodies *intake.Bodies
 
 	connections *upstream.Pool
 	// publishNow receives a value when a state has to be published without waiting for the end of the batch period.
@@ -152,7 +156,8 @@
 		settings: settings, store: d.Store, eras: d.StoreEras, servers: d.Servers, events: d.Events, reload: d.Reload,
 		linesDropped: d.LinesDropped, link: link, connections: d.Connections, publishNow: make(chan struct{}, 1),
 		view: serverview.New(), usage: usage.New(link.Address()), peers: newPeers(), callers: connset.New(),
-		watch: newWatch(), startedAt: time.Now(), eventGaps: eventgap.New(), stepTimes: steptime.NewObserver(),
+		bodies: intake.New(settings.bodyLimits(d.Events)),
+		watch:  newWatch(), startedAt: time.Now(), eventGaps: eventgap.New(), stepTimes: steptime.NewObserver(),
 		operatorAge: metrics.GetOrRegisterGauge("watch.operatorAgeMs", nil),
 	}
 	n.leases = newLeases(serverlease.Options{
@@ -183,8 +188,8 @@
 		Wire: d.Wire, View: n.view, Usage: n.usage, Transport: d.Connections, Gate: n.admission, EventGaps: n.eventGaps,
 		Origins: n.origins, Notices: n.notices, Limits: n.limits, Tolerances: n.tolerances, Slots: n.slots, Crashes: n.crashes,
 		Peers: n.reach,
-		Keys:  n.keys.forwarderKeys(), StepTimes: n.recordEvent,
-		Held:          upstream.NewBudget(int64(heldAnswersShare*float64(settings.MemoryMB)*(1<<20)), heldPerAnswer),
+		Keys:  n.keys.forwarderKeys(), StepTimes: n.recordEvent, Bodies: n.bodies,
+		Held:          bytelimit.NewBudget("upstream", int64(heldAnswersShare*float64(settings.MemoryMB)*(1<<20)), heldPerAnswer),
 		PeerTransport: upstream.NewPacedTransport(connectTimeout, false, pacer), Zone: settings.Node.Zone, Events: d.Events,
 		RetryBudget: retrybudget.Options{
 			Ratio: settings.RetryBudget.Ratio, Slack: settings.RetryBudget.Slack, Window: settings.RetryBudget.Window.Std(),
@@ -195,12 +200,12 @@
 }
 
 // newPacer returns the pacer of large answers for a network link of such a bandwidth, 0 if it isn't known.
-func newPacer(linkMbps float64) *upstream.Pacer {
+func newPacer(linkMbps float64) *bytelimit.Pacer {
 	const bitsPerByte = 8
 	if linkMbps <= 0 {
 		linkMbps = assumedLinkMbps
 	}
-	return upstream.NewPacer(largeAnswersShare * linkMbps * 1e6 / bitsPerByte)
+	return bytelimit.NewPacer("upstream", largeAnswersShare*linkMbps*1e6/bitsPerByte)
 }
 
 // listeners are the node's listening TCP sockets.
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -38,6 +38,14 @@
 	ShutdownTimeout settings.Duration `json:"shutdownTimeout"`
 	// MemoryMB is the VM's memory that this process may use.
 	MemoryMB int `json:"memoryMB"`
+	// Callers bounds what callers can make the process hold.
+	Callers CallerSettings `json:"callers"`
+}
+
+// CallerSettings bound what callers can make the process hold.
+type CallerSettings struct {
+	// BodiesMB is the memory for the bodies of all requests; 0 for a share of the process's memory.
+	BodiesMB int `json:"bodiesMB"`
 }
 
 // StoreSettings locate the platform's store.
@@ -107,6 +115,11 @@
 	c.Require(s.Quota.Over >= 0 && s.Quota.Slack >= 0, "quota", s.Quota, "numbers of 0 or more")
 	c.DurationBetween("shutdownTimeout", s.ShutdownTimeout, time.Second, time.Hour)
 	c.Between("memoryMB", s.MemoryMB, 1, maximumMemoryMB)
+	s.Callers.check(c)
 	_, err := logrus.ParseLevel(s.LogLevel)
 	c.Require(err == nil, "logLevel", s.LogLevel, "error, warning, info or debug")
 }
+
+func (s *CallerSettings) check(c *settings.Check) {
+	c.Between("callers.bodiesMB", s.BodiesMB, 0, maximumMemoryMB)
+}
--- a/internal/upstream/held.go
+++ b/internal/upstream/held.go
@@ -4,6 +4,8 @@
 	"errors"
 	"io"
 	"slices"
+
+	"waxwingcleat.example/waxwingcleat/internal/bytelimit"
 )
 
 // Errors of ReadHeld.
@@ -17,7 +19,7 @@
 
 // ReadHeld reads the body of an answer of the given length, -1 if it isn't known. It returns what it has read with ErrTooLarge if
 // the body has limit bytes or more, and with ErrNoMemory if the holding allows no more.
-func ReadHeld(body io.Reader, length int64, limit int, holding *Holding) (data []byte, err error) {
+func ReadHeld(body io.Reader, length int64, limit int, holding *bytelimit.Holding) (data []byte, err error) {
 	size := min(minimumBuffer, limit)
 	if 0 <= length && length < int64(limit) {
 		// One more byte, so that the end is read without growing.
--- a/internal/upstream/held_test.go
+++ b/internal/upstream/held_test.go
@@ -10,25 +10,9 @@
 	"time"
 
 	"github.com/onsi/gomega"
-)
 
-// Guards against answers that take more than the budget together, and against bytes that are never returned to it.
-func TestHeldAnswersKeepToTheBudget(t *testing.T) {
-	g := gomega.NewWithT(t)
-	budget := NewBudget(100, 10)
-	first, second := budget.Hold(), budget.Hold()
-	g.Expect(first.Grow(80)).To(gomega.BeTrue())
-	g.Expect(second.Grow(10)).To(gomega.BeTrue(), "each answer may hold a little")
-	g.Expect(second.Grow(41)).To(gomega.BeFalse())
-	g.Expect(second.Grow(40)).To(gomega.BeTrue())
-	g.Expect(first.Grow(50)).To(gomega.BeTrue(), "an answer that doesn't grow needs nothing")
-	first.Release()
-	first.Release()
-	g.Expect(second.Grow(110)).To(gomega.BeTrue())
-	g.Expect(first.Grow(11)).To(gomega.BeFalse())
-	second.Release()
-	g.Expect(first.Grow(110)).To(gomega.BeTrue())
-}
+	"waxwingcleat.example/waxwingcleat/internal/bytelimit"
+)
 
 // Guards against answers that are cut at a bound or at the end of a buffer, and against larger ones that count as whole.
 func TestReadHeldReturnsWholeAnswersUpToTheLimit(t *testing.T) {
@@ -37,19 +21,19 @@
 		body := strings.Repeat("x", size)
 		for _, length := range []int64{-1, int64(size)} {
 			g := gomega.NewWithT(t)
-			data, err := ReadHeld(iotest.OneByteReader(strings.NewReader(body)), length, limit, NewBudget(0, limit).Hold())
+			data, err := ReadHeld(iotest.OneByteReader(strings.NewReader(body)), length, limit, bytelimit.NewBudget("test", 0, limit).Hold())
 			g.Expect(err).NotTo(gomega.HaveOccurred())
 			g.Expect(string(data)).To(gomega.Equal(body))
 		}
 	}
 	g := gomega.NewWithT(t)
 	endless := io.MultiReader(bytes.NewReader(make([]byte, limit)), iotest.ErrReader(errors.New("read beyond the limit")))
-	data, err := ReadHeld(endless, -1, limit, NewBudget(0, limit).Hold())
+	data, err := ReadHeld(endless, -1, limit, bytelimit.NewBudget("test", 0, limit).Hold())
 	g.Expect(err).To(gomega.MatchError(ErrTooLarge))
 	g.Expect(data).To(gomega.HaveLen(limit))
-	_, err = ReadHeld(bytes.NewReader(make([]byte, limit)), -1, limit, NewBudget(0, 10<<10).Hold())
+	_, err = ReadHeld(bytes.NewReader(make([]byte, limit)), -1, limit, bytelimit.NewBudget("test", 0, 10<<10).Hold())
 	g.Expect(err).To(gomega.MatchError(ErrNoMemory))
-	_, err = ReadHeld(iotest.ErrReader(iotest.ErrTimeout), -1, limit, NewBudget(0, limit).Hold())
+	_, err = ReadHeld(iotest.ErrReader(iotest.ErrTimeout), -1, limit, bytelimit.NewBudget("test", 0, limit).Hold())
 	g.Expect(err).To(gomega.MatchError(iotest.ErrTimeout))
 }
 
@@ -65,10 +49,10 @@
 	for range 10 {
 		g.Expect(flood.exceededBy(now, maximumRead)).To(gomega.Equal(maximumRead))
 	}
-	pacer, paced := NewPacer(1), make(chan bool, 1)
+	pacer, paced := bytelimit.NewPacer("test", 1), make(chan bool, 1)
 	closed := make(chan struct{})
-	g.Expect(pacer.wait(paceBurst, closed)).To(gomega.BeTrue())
-	go func() { paced <- pacer.wait(maximumRead, closed) }()
+	g.Expect(pacer.Wait(bytelimit.PacerBurst, closed)).To(gomega.BeTrue())
+	go func() { paced <- pacer.Wait(maximumRead, closed) }()
 	g.Consistently(paced, 50*time.Millisecond).ShouldNot(gomega.Receive())
 	close(closed)
 	g.Eventually(paced).Should(gomega.Receive(gomega.BeFalse()), "a read waits after its connection was closed")
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"waxwingcleat.example/waxwingcleat/internal/bytelimit"
 	"waxwingcleat.example/waxwingcleat/internal/connreuse"
 	"waxwingcleat.example/waxwingcleat/internal/failure"
 )
@@ -19,7 +20,7 @@
 	shortIdle *http.Transport
 	dial      Dial
 	// pacer paces large answers; it may be nil.
-	pacer *Pacer
+	pacer *bytelimit.Pacer
 	// withoutBody is for requests without a body, which net/http retries when a reused connection breaks. They have
 	// connections of their own, which become idle between requests: a drop is detected there without losing a request.
 	withoutBody *http.Transport
@@ -34,7 +35,7 @@
 // NewPool returns an empty pool that opens connections with dial.
 func NewPool(dial Dial) *Pool {
 	p := &Pool{dial: dial, onSuspicion: func() {}}
-	pacer := func() *Pacer { return p.pacer }
+	pacer := func() *bytelimit.Pacer { return p.pacer }
 	p.longIdle, p.shortIdle = newTransport(dial, false, pacer), newTransport(dial, false, pacer)
 	p.withoutBody = newTransport(dial, false, pacer)
 	p.shortIdle.IdleConnTimeout = connreuse.IdleLimit
@@ -56,7 +57,7 @@
 func (p *Pool) OnIdleDropsDetected(onSuspicion func()) { p.onSuspicion = onSuspicion }
 
 // Pace sets the pacer of large answers. It must be called before the first request.
-func (p *Pool) Pace(pacer *Pacer) { p.pacer = pacer }
+func (p *Pool) Pace(pacer *bytelimit.Pacer) { p.pacer = pacer }
 
 // NotePeerSuspicion records that another node suspects that servers drop idle connections.
 func (p *Pool) NotePeerSuspicion(now time.Time) {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -14,6 +14,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"waxwingcleat.example/waxwingcleat/internal/bytelimit"
 )
 
 // MaximumHeaderBytes bounds the head of an answer. Many short fields take a multiple of it in memory.
@@ -36,7 +38,7 @@
 type gatedConn struct {
 	net.Conn
 	// pacer may be nil.
-	pacer   *Pacer
+	pacer   *bytelimit.Pacer
 	closed  chan struct{}
 	closing sync.Once
 
@@ -46,7 +48,7 @@
 	allowance allowance
 }
 
-func newGatedConn(conn net.Conn, pacer *Pacer) *gatedConn {
+func newGatedConn(conn net.Conn, pacer *bytelimit.Pacer) *gatedConn {
 	return &gatedConn{Conn: conn, pacer: pacer, closed: make(chan struct{}), allowance: allowance{startedAt: time.Now()}}
 }
 
@@ -91,11 +93,11 @@
 }
 
 // NewPacedTransport is NewTransport with a pacer of large answers.
-func NewPacedTransport(connectTimeout time.Duration, fresh bool, pacer *Pacer) *http.Transport {
-	return newTransport(NewDial(connectTimeout), fresh, func() *Pacer { return pacer })
+func NewPacedTransport(connectTimeout time.Duration, fresh bool, pacer *bytelimit.Pacer) *http.Transport {
+	return newTransport(NewDial(connectTimeout), fresh, func() *bytelimit.Pacer { return pacer })
 }
 
-func newTransport(dial Dial, fresh bool, pacer func() *Pacer) *http.Transport {
+func newTransport(dial Dial, fresh bool, pacer func() *bytelimit.Pacer) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dial(ctx, network, address)
