process, intake: Bodies over the limit leave no megabytes unread in the kernel

Bodies far over the limit were refused with 413 and still took the machine: the announced length was looked at only after 4 MB had been read, and between its answer and the close net/http leaves half a second in which the kernel lets the receive buffer of each connection grow to megabytes. Not reading is no bound by itself.

The same listener serves the gateway, the scheduler and the API server.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -8,6 +8,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"waxwingcleat.example/waxwingcleat/internal/event"
+	"waxwingcleat.example/waxwingcleat/internal/intake"
 	"waxwingcleat.example/waxwingcleat/internal/modelpick"
 	"waxwingcleat.example/waxwingcleat/internal/serverview"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
@@ -77,6 +78,9 @@
 	j.log(event.RequestRefused, refusal.Reason, nil, event.Fields{
 		"status": refusal.Status, "notRun": refusal.NotRun, "retryAfterMs": refusal.RetryAfter.Milliseconds(),
 	}, j.inputs)
+	if j.body == nil {
+		intake.CloseUnread(j.w, j.r)
+	}
 	j.f.options.Wire.WriteRefusal(j.w, j.request, refusal)
 }
 
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -96,6 +96,14 @@
 	}
 }
 
+// CloseUnread makes the connection close after the answer to a request if its body is large and unread, so that the answer doesn't wait
+// for it.
+func CloseUnread(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength > exemptBytes {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // Read reads the body of a request, which may have limit bytes.
 func (b *Bodies) Read(w http.ResponseWriter, r *http.Request, limit int64) (*Body, error) {
 	a := b.newArrival(w, r, limit)
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -8,6 +8,7 @@
 const (
 	// callerBodiesShare is the share of the configured memory for the bodies of callers' requests.
 	callerBodiesShare = 0.15
+	kilobyte          = 1 << 10
 	megabyte          = 1 << 20
 )
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -219,7 +219,7 @@
 		{n.settings.Listen, &l.callers}, {n.settings.ReadyListen, &l.ready}, {n.settings.AdminListen, &l.admin},
 		{n.settings.PeerListen, &l.peers},
 	} {
-		if *endpoint.listener, err = net.Listen("tcp", endpoint.address); err != nil {
+		if *endpoint.listener, err = process.ListenTCP(endpoint.address, n.settings.Callers.BufferKB*kilobyte); err != nil {
 			return l, err
 		}
 	}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -46,6 +46,8 @@
 type CallerSettings struct {
 	// BodiesMB is the memory for the bodies of all requests; 0 for a share of the process's memory.
 	BodiesMB int `json:"bodiesMB"`
+	// BufferKB is the size of the kernel's buffers of a connection, in each direction.
+	BufferKB int `json:"bufferKB"`
 }
 
 // StoreSettings locate the platform's store.
@@ -92,6 +94,9 @@
 		RetryBudget:     RetryBudgetSettings{Ratio: 0.1, Window: settings.Duration(10 * time.Second)},
 		Keys:            KeySettings{Strict: true, Revocation: settings.Duration(5 * time.Second)},
 		Quota:           QuotaSettings{Window: settings.Duration(8 * time.Second), Over: 0.1},
+		Callers: CallerSettings{
+			BufferKB: 32,
+		},
 	}
 }
 
@@ -122,4 +127,5 @@
 
 func (s *CallerSettings) check(c *settings.Check) {
 	c.Between("callers.bodiesMB", s.BodiesMB, 0, maximumMemoryMB)
+	c.Between("callers.bufferKB", s.BufferKB, 4, 4096)
 }
--- a/internal/process/listen.go
+++ b/internal/process/listen.go
@@ -1,21 +1,48 @@
 package process
 
 import (
+	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"errors"
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"waxwingcleat.example/waxwingcleat/internal/failure"
 	"waxwingcleat.example/waxwingcleat/internal/settings"
 )
 
+// DefaultBufferBytes is the size of the receive buffer and of the send buffer of a caller's connection. A connection whose bytes
+// nobody reads takes no more of the kernel's memory, which would let the buffers grow to megabytes. Linux doubles the size for its
+// own bookkeeping.
+const DefaultBufferBytes = 32 << 10
+
+// ListenTCP listens on a TCP address, with buffers of so many bytes for each connection and direction, 0 for the default.
+func ListenTCP(address string, bufferBytes int) (net.Listener, error) {
+	if bufferBytes <= 0 {
+		bufferBytes = DefaultBufferBytes
+	}
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var err error
+		// Accepted connections inherit the sizes, which must be set before the windows are negotiated.
+		controlErr := raw.Control(func(descriptor uintptr) {
+			err = errors.Join(
+				syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bufferBytes),
+				syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_SNDBUF, bufferBytes),
+			)
+		})
+		return errors.Join(controlErr, err)
+	}}
+	return config.Listen(context.Background(), "tcp", address)
+}
+
 // Listen listens on a TCP address, with TLS if it is configured. The certificate is reloaded when its file changes, so
 // that a renewal requires no restart.
 func Listen(address string, config settings.TLS) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
+	listener, err := ListenTCP(address, 0)
 	if err != nil || !config.Enabled() {
 		return listener, err
 	}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -179,7 +179,7 @@
 
 // Serve serves HTTP on address until ctx ends. Then it waits up to the duration shutdown for the requests in progress.
 func Serve(ctx context.Context, address string, handler http.Handler, shutdown time.Duration) error {
-	listener, err := net.Listen("tcp", address)
+	listener, err := ListenTCP(address, 0)
 	if err != nil {
 		return err
 	}
