connset, node: The connections of callers are bounded

6,000 connections with a request each were all accepted: nothing bounded their number, and a node needs descriptors of its own for servers, the store and other nodes.

A set of connections has a limit. When it is reached, the connection yields that its caller is least likely to miss: the one that is idle for longest, else the one whose request has arrived no further for longest, 200 ms at least; connections with a request in progress never do. If none yields, the new one is closed unread, so that its caller knows that nothing of it has run. Other listeners take 1,024.

--- /dev/null
+++ b/internal/connset/conn.go
@@ -0,0 +1,165 @@
+package connset
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// phase is what the server does with a connection.
+type phase int
+
+const (
+	// idle means that no byte of a next request was read.
+	idle phase = iota
+	// arriving means that a request has begun to arrive and isn't complete.
+	arriving
+	// processing means that a complete request is being processed, or its head if no one reads its body.
+	processing
+)
+
+const (
+	// stalledAfter is the time without a byte after which a connection with a request that arrives may yield. Nothing yields before
+	// the limit is reached.
+	stalledAfter = 200 * time.Millisecond
+)
+
+type conn struct {
+	net.Conn
+	set *Set
+
+	mu    sync.Mutex
+	phase phase
+	// activeAt is when the connection was accepted, became idle, or brought its latest byte.
+	activeAt time.Time
+	// closed is true after closeIfIdle has half-closed the connection, or yield has closed it.
+	closed, yielded bool
+}
+
+// claim says how much a connection is worth keeping.
+type claim struct {
+	phase    phase
+	activeAt time.Time
+}
+
+// less reports whether a connection with claim c yields before one with claim other: idle ones before others, then those that were
+// active least recently.
+func (c claim) less(other claim) bool {
+	if c.phase != other.phase {
+		return c.phase < other.phase
+	}
+	return c.activeAt.Before(other.activeAt)
+}
+
+// claim returns the connection's claim, and whether it yields to a new one.
+func (c *conn) claim(now time.Time) (current claim, yields bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return claim{phase: c.phase, activeAt: c.activeAt}, c.yields(now)
+}
+
+// yields reports whether the connection yields to a new one. The caller holds c.mu.
+func (c *conn) yields(now time.Time) bool {
+	switch c.phase {
+	case idle:
+		return !c.closed
+	case arriving:
+		return !c.closed && now.Sub(c.activeAt) >= stalledAfter
+	default:
+		return false
+	}
+}
+
+// yield closes the connection. It returns false if a request has begun to arrive, or goes on, since it was chosen.
+func (c *conn) yield(now time.Time) bool {
+	c.mu.Lock()
+	if !c.yields(now) {
+		c.mu.Unlock()
+		return false
+	}
+	c.closed, c.yielded = true, true
+	c.mu.Unlock()
+	yieldedConnections.Inc(1)
+	// The caller may have closed the connection already.
+	_ = c.Conn.Close()
+	return true
+}
+
+// setPhase changes the phase. It returns false if the connection has yielded.
+func (c *conn) setPhase(next phase) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if next == arriving && c.phase != arriving {
+		c.activeAt = time.Now()
+	}
+	c.phase = next
+	return !c.yielded
+}
+
+// Read implements net.Conn. It discards bytes that arrive after closeIfIdle or yield, so that no new request can start.
+func (c *conn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return 0, net.ErrClosed
+	}
+	if n > 0 {
+		c.activeAt = time.Now()
+		if c.phase == idle {
+			c.phase = arriving
+		}
+	}
+	return n, err
+}
+
+// Close implements net.Conn. A lingering connection is closed after lingerTime instead.
+func (c *conn) Close() error {
+	c.untrack()
+	c.mu.Lock()
+	closed := c.closed
+	c.mu.Unlock()
+	if closed {
+		return nil
+	}
+	return c.Conn.Close()
+}
+
+func (c *conn) untrack() {
+	c.set.mu.Lock()
+	defer c.set.mu.Unlock()
+	c.set.remove(c)
+}
+
+// NetConn returns the connection below.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
+// CloseWrite half-closes the connection. net/http calls it before Close, so that the caller still gets the last answer.
+func (c *conn) CloseWrite() error {
+	if closer, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return closer.CloseWrite()
+	}
+	return nil
+}
+
+// closeIfIdle half-closes the connection unless a request has started on it, and reports whether it is closed.
+func (c *conn) closeIfIdle() bool {
+	c.mu.Lock()
+	if c.phase != idle || c.closed {
+		isIdle := c.phase == idle
+		c.mu.Unlock()
+		return isIdle
+	}
+	c.closed = true
+	c.mu.Unlock()
+	c.untrack()
+	if err := c.CloseWrite(); err != nil {
+		// The caller has already closed the connection.
+		_ = c.Conn.Close()
+		return true
+	}
+	time.AfterFunc(lingerTime, func() { _ = c.Conn.Close() })
+	// Unblocks the server's read of a next request.
+	_ = c.Conn.SetReadDeadline(time.Now())
+	return true
+}
--- a/internal/connset/connset.go
+++ b/internal/connset/connset.go
@@ -1,41 +1,78 @@
-// Package connset tracks the callers' connections of a server, so that idle ones can be closed without losing a
-// request. net/http's own shutdown closes an idle connection even if a request was just read from it.
+// Package connset tracks the callers' connections of a server: it bounds their number and closes idle ones without
+// losing a request. net/http's own shutdown closes an idle connection even if a request was just read from it.
 package connset
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"waxwingcleat.example/waxwingcleat/internal/event"
 )
 
 // lingerTime is how long a connection stays half-closed before it is closed. Closing a connection with unread bytes
 // resets it, and the caller may then lose the end of the last answer.
 const lingerTime = 500 * time.Millisecond
 
+// Metrics of all sets of a process.
+var (
+	openConnections    = metrics.GetOrRegisterCounter("callers.connections", nil)
+	yieldedConnections = metrics.GetOrRegisterCounter("callers.connectionsYielded", nil)
+	refusedConnections = metrics.GetOrRegisterCounter("callers.connectionsRefused", nil)
+)
+
+// Options bound the connections of a set. The zero value bounds nothing.
+type Options struct {
+	// Limit is the number of open connections; 0 for no limit.
+	Limit int
+	// Events may be nil.
+	Events *event.Log
+}
+
 // Set is the set of open connections of a listener.
 type Set struct {
+	options Options
+	refused event.Repeated
+
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
 	draining bool
 }
 
 // New returns an empty set.
-func New() *Set { return &Set{conns: make(map[*conn]struct{})} }
+func New(options Options) *Set {
+	if options.Events == nil {
+		options.Events = event.Discard()
+	}
+	return &Set{options: options, conns: make(map[*conn]struct{})}
+}
 
-// Listener returns a listener whose connections are tracked by the set. The server's ConnState must be the set's
-// NoteState.
+// Listener returns a listener whose connections are tracked by the set. The set must be attached to the server that serves it.
 func (s *Set) Listener(inner net.Listener) net.Listener { return &listener{Listener: inner, set: s} }
 
-// NoteState records a change of a connection's state. It must be the ConnState of the http.Server that serves the
-// listener.
+// Attach makes a server report its connections' states and requests to the set.
+func (s *Set) Attach(server *http.Server) {
+	server.ConnState = s.NoteState
+	server.ConnContext = withConn
+	next := server.Handler
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ResumeRequest(r.Context())
+		next.ServeHTTP(w, r)
+	})
+}
+
+// NoteState records a change of a connection's state.
 func (s *Set) NoteState(c net.Conn, state http.ConnState) {
 	tracked, ok := c.(*conn)
 	if !ok || state != http.StateIdle {
 		return
 	}
 	tracked.mu.Lock()
-	tracked.idle = true
+	tracked.phase, tracked.activeAt = idle, time.Now()
 	tracked.mu.Unlock()
 	s.mu.Lock()
 	draining := s.draining
@@ -73,91 +110,93 @@
 	set *Set
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. A connection beyond the limit for which no other one yields is closed unread, so that its caller
+// knows that no request of it has run.
 func (l *listener) Accept() (net.Conn, error) {
-	inner, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		inner, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &conn{Conn: inner, set: l.set, activeAt: time.Now()}
+		if l.set.add(c) {
+			return c, nil
+		}
+		refusedConnections.Inc(1)
+		l.set.refused.Emit(l.set.options.Events, event.ConnectionRefused, event.Fields{
+			"caller": inner.RemoteAddr().String(), "limit": l.set.options.Limit,
+		})
+		if err := inner.Close(); err != nil {
+			l.set.options.Events.EmitError(event.ConnectionRefused, err, nil)
+		}
 	}
-	c := &conn{Conn: inner, set: l.set, idle: true}
-	l.set.mu.Lock()
-	defer l.set.mu.Unlock()
-	l.set.conns[c] = struct{}{}
-	return c, nil
 }
 
-type conn struct {
-	net.Conn
-	set *Set
-
-	mu sync.Mutex
-	// idle is true while the server has not read any byte of a next request.
-	idle bool
-	// closed is true after closeIfIdle has half-closed the connection.
-	closed bool
+// add adds a connection, in place of another one if the set is full. It returns false if none yields.
+func (s *Set) add(c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.options.Limit > 0 && len(s.conns) >= s.options.Limit && !s.yieldOne(c.activeAt) {
+		return false
+	}
+	s.conns[c] = struct{}{}
+	openConnections.Inc(1)
+	return true
 }
 
-// Read implements net.Conn. It discards bytes that arrive after closeIfIdle, so that no new request can start.
-func (c *conn) Read(data []byte) (int, error) {
-	n, err := c.Conn.Read(data)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed {
-		return 0, net.ErrClosed
-	}
-	if n > 0 {
-		c.idle = false
+// remove removes a connection. Further calls have no effect. The caller holds s.mu.
+func (s *Set) remove(c *conn) {
+	if _, found := s.conns[c]; found {
+		delete(s.conns, c)
+		openConnections.Dec(1)
 	}
-	return n, err
 }
 
-// Close implements net.Conn. A lingering connection is closed after lingerTime instead.
-func (c *conn) Close() error {
-	c.untrack()
-	c.mu.Lock()
-	lingering := c.closed
-	c.mu.Unlock()
-	if lingering {
-		return nil
+// yieldOne closes the connection that its caller is least likely to miss. It returns false if there is none. The caller holds s.mu.
+func (s *Set) yieldOne(now time.Time) bool {
+	for {
+		var least *conn
+		var leastClaim claim
+		for c := range s.conns {
+			if current, yields := c.claim(now); yields && (least == nil || current.less(leastClaim)) {
+				least, leastClaim = c, current
+			}
+		}
+		if least == nil {
+			return false
+		}
+		if least.yield(now) {
+			s.remove(least)
+			return true
+		}
 	}
-	return c.Conn.Close()
 }
 
-func (c *conn) untrack() {
-	c.set.mu.Lock()
-	defer c.set.mu.Unlock()
-	delete(c.set.conns, c)
+// contextKey is the key of a request's connection in its context.
+type contextKey struct{}
+
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	if tracked, ok := c.(*conn); ok {
+		return context.WithValue(ctx, contextKey{}, tracked)
+	}
+	return ctx
 }
 
-// NetConn returns the connection below.
-func (c *conn) NetConn() net.Conn { return c.Conn }
+func connOf(ctx context.Context) *conn {
+	tracked, _ := ctx.Value(contextKey{}).(*conn)
+	return tracked
+}
 
-// CloseWrite half-closes the connection. net/http calls it before Close, so that the caller still gets the last answer.
-func (c *conn) CloseWrite() error {
-	if closer, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return closer.CloseWrite()
+// AwaitRequest records that the server waits for the rest of a request, so that its connection may yield if the caller stops.
+func AwaitRequest(ctx context.Context) {
+	if c := connOf(ctx); c != nil {
+		c.setPhase(arriving)
 	}
-	return nil
 }
 
-// closeIfIdle half-closes the connection unless a request has started on it, and reports whether it is closed.
-func (c *conn) closeIfIdle() bool {
-	c.mu.Lock()
-	if !c.idle || c.closed {
-		idle := c.idle
-		c.mu.Unlock()
-		return idle
-	}
-	c.closed = true
-	c.mu.Unlock()
-	c.untrack()
-	if err := c.CloseWrite(); err != nil {
-		// The caller has already closed the connection.
-		_ = c.Conn.Close()
-		return true
-	}
-	time.AfterFunc(lingerTime, func() { _ = c.Conn.Close() })
-	// Unblocks the server's read of a next request.
-	_ = c.Conn.SetReadDeadline(time.Now())
-	return true
+// ResumeRequest records that a request is being processed. It returns false if its connection has yielded, so that the request must
+// not run.
+func ResumeRequest(ctx context.Context) (ok bool) {
+	c := connOf(ctx)
+	return c == nil || c.setPhase(processing)
 }
--- a/internal/connset/connset_test.go
+++ b/internal/connset/connset_test.go
@@ -29,7 +29,7 @@
 // (haneul-ad fresh-a31f) this lost a request that was sent 1 ms after SIGTERM.
 func TestConnectionWithARequestStaysOpen(t *testing.T) {
 	g := gomega.NewWithT(t)
-	set := connset.New()
+	set := connset.New(connset.Options{})
 	client, server := connect(g, set)
 	set.NoteState(server, http.StateIdle)
 
@@ -49,7 +49,7 @@
 // Guards against a request that starts after its connection was closed as idle.
 func TestClosedConnectionDeliversNothing(t *testing.T) {
 	g := gomega.NewWithT(t)
-	set := connset.New()
+	set := connset.New(connset.Options{})
 	client, server := connect(g, set)
 	_, err := client.Write([]byte("x"))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -65,7 +65,7 @@
 // Guards against connections of a server that are never detected as idle.
 func TestServerClosesIdleConnections(t *testing.T) {
 	g := gomega.NewWithT(t)
-	set := connset.New()
+	set := connset.New(connset.Options{})
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	server := &http.Server{
@@ -86,7 +86,7 @@
 // kept open.
 func TestDrainingSetTakesNoNextRequest(t *testing.T) {
 	g := gomega.NewWithT(t)
-	set := connset.New()
+	set := connset.New(connset.Options{})
 	client, server := connect(g, set)
 	_, err := client.Write([]byte("1"))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
--- a/internal/event/process.go
+++ b/internal/event/process.go
@@ -12,6 +12,8 @@
 		"The graceful shutdown is complete.")
 	ProcessFailed = register(103, logrus.ErrorLevel, "process failed",
 		"A task of the process failed, and the process exits.")
+	ConnectionRefused = register(104, logrus.WarnLevel, "caller's connection refused",
+		"All connections that callers may open are in use and none yields; new ones are closed unread.")
 	BodyRefused = register(106, logrus.WarnLevel, "body refused",
 		"A request has not run because of its body: larger than allowed, or no room beside the other bodies.")
 )
--- a/internal/intake/arrival.go
+++ b/internal/intake/arrival.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"waxwingcleat.example/waxwingcleat/internal/bytelimit"
+	"waxwingcleat.example/waxwingcleat/internal/connset"
 )
 
 // arrival is a body that is being read.
@@ -62,6 +63,7 @@
 
 // read reads the body to its end.
 func (a *arrival) read() (err error) {
+	connset.AwaitRequest(a.request.Context())
 	a.bodies.begin(a)
 	for err == nil {
 		err = a.readSome()
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -10,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"waxwingcleat.example/waxwingcleat/internal/bytelimit"
+	"waxwingcleat.example/waxwingcleat/internal/connset"
 	"waxwingcleat.example/waxwingcleat/internal/event"
 )
 
@@ -111,6 +112,9 @@
 	if err == nil && r.ContentLength != 0 {
 		err = a.read()
 	}
+	if err == nil && !connset.ResumeRequest(r.Context()) {
+		err = ErrNoRoom
+	}
 	if err != nil {
 		b.end(a)
 		a.holding.Release()
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"waxwingcleat.example/waxwingcleat/internal/connset"
 	"waxwingcleat.example/waxwingcleat/internal/event"
 	"waxwingcleat.example/waxwingcleat/internal/intake"
 )
@@ -8,10 +9,37 @@
 const (
 	// callerBodiesShare is the share of the configured memory for the bodies of callers' requests.
 	callerBodiesShare = 0.15
-	kilobyte          = 1 << 10
-	megabyte          = 1 << 20
+	// callerConnectionsShare is the share of the configured memory for the buffers of callers' connections.
+	callerConnectionsShare = 1.0 / 6
+	// callerDescriptorsShare is the share of the descriptors for callers' connections, peerDescriptorsShare for those of other nodes.
+	// The rest is for servers, the store and files.
+	callerDescriptorsShare = 0.45
+	peerDescriptorsShare   = 0.1
+	kilobyte               = 1 << 10
+	megabyte               = 1 << 20
 )
 
+// callerConnections returns how many connections callers may open.
+func (s *Settings) callerConnections() int {
+	if s.Callers.Connections > 0 {
+		return s.Callers.Connections
+	}
+	byMemory := callerConnectionsShare * float64(s.MemoryMB) * megabyte / float64(s.Callers.BufferKB*kilobyte)
+	return max(1, int(min(byMemory, callerDescriptorsShare*float64(s.Descriptors))))
+}
+
+// connectionLimits returns the limits of the callers' connections.
+func (s *Settings) connectionLimits(events *event.Log) connset.Options {
+	return connset.Options{Limit: s.callerConnections(), Events: events}
+}
+
+// peerConnectionLimits returns the limits of the other nodes' connections.
+func (s *Settings) peerConnectionLimits(events *event.Log) connset.Options {
+	return connset.Options{
+		Limit: int(peerDescriptorsShare * float64(s.Descriptors)), Events: events,
+	}
+}
+
 // bodyLimits returns the limits of the bodies of all requests.
 func (s *Settings) bodyLimits(events *event.Log) intake.Limits {
 	bytes := int64(s.Callers.BodiesMB) * megabyte
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -155,7 +155,7 @@
 	n := &Node{
 		settings: settings, store: d.Store, eras: d.StoreEras, servers: d.Servers, events: d.Events, reload: d.Reload,
 		linesDropped: d.LinesDropped, link: link, connections: d.Connections, publishNow: make(chan struct{}, 1),
-		view: serverview.New(), usage: usage.New(link.Address()), peers: newPeers(), callers: connset.New(),
+		view: serverview.New(), usage: usage.New(link.Address()), peers: newPeers(), callers: connset.New(settings.connectionLimits(d.Events)),
 		bodies: intake.New(settings.bodyLimits(d.Events)),
 		watch:  newWatch(), startedAt: time.Now(), eventGaps: eventgap.New(), stepTimes: steptime.NewObserver(),
 		operatorAge: metrics.GetOrRegisterGauge("watch.operatorAgeMs", nil),
@@ -234,8 +234,9 @@
 	n.ctx = tasks
 	callers := &http.Server{
 		Handler: process.ResetOnAbort(n.forwarder), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: headerBytes, ConnState: n.callers.NoteState,
+		MaxHeaderBytes: headerBytes,
 	}
+	n.callers.Attach(callers)
 	n.start(group, callers, l)
 	group.Go(func() error { return n.watchSettings(n.ctx, reloads) })
 	select {
@@ -274,7 +275,7 @@
 	group.Go(func() error { return n.fetchFromPeers(n.ctx) })
 	group.Go(func() error {
 		peers := process.ResetOnAbort(n.servePeer(n.peerSnapshotHandler()))
-		return process.ServeListener(n.ctx, l.peers, peers, auxiliaryShutdownTimeout)
+		return process.ServeLimited(n.ctx, l.peers, peers, auxiliaryShutdownTimeout, n.settings.peerConnectionLimits(n.events))
 	})
 	group.Go(func() error { return n.reportDropped(n.ctx) })
 	group.Go(func() error {
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -38,12 +38,16 @@
 	ShutdownTimeout settings.Duration `json:"shutdownTimeout"`
 	// MemoryMB is the VM's memory that this process may use.
 	MemoryMB int `json:"memoryMB"`
+	// Descriptors is the number of files and sockets that this process may open.
+	Descriptors int `json:"descriptors"`
 	// Callers bounds what callers can make the process hold.
 	Callers CallerSettings `json:"callers"`
 }
 
 // CallerSettings bound what callers can make the process hold.
 type CallerSettings struct {
+	// Connections is the number of callers' connections; 0 for what the descriptors and the memory allow.
+	Connections int `json:"connections"`
 	// BodiesMB is the memory for the bodies of all requests; 0 for a share of the process's memory.
 	BodiesMB int `json:"bodiesMB"`
 	// BufferKB is the size of the kernel's buffers of a connection, in each direction.
@@ -84,6 +88,9 @@
 const (
 	maximumPartitions = 1024
 	maximumMemoryMB   = 1 << 20
+	// minimumDescriptors leaves some connections to callers beside those to servers, the store and other nodes.
+	minimumDescriptors = 1024
+	maximumDescriptors = 1 << 20
 )
 
 // DefaultSettings returns the settings that apply where the settings file sets nothing.
@@ -94,6 +101,7 @@
 		RetryBudget:     RetryBudgetSettings{Ratio: 0.1, Window: settings.Duration(10 * time.Second)},
 		Keys:            KeySettings{Strict: true, Revocation: settings.Duration(5 * time.Second)},
 		Quota:           QuotaSettings{Window: settings.Duration(8 * time.Second), Over: 0.1},
+		Descriptors:     4096,
 		Callers: CallerSettings{
 			BufferKB: 32,
 		},
@@ -120,12 +128,14 @@
 	c.Require(s.Quota.Over >= 0 && s.Quota.Slack >= 0, "quota", s.Quota, "numbers of 0 or more")
 	c.DurationBetween("shutdownTimeout", s.ShutdownTimeout, time.Second, time.Hour)
 	c.Between("memoryMB", s.MemoryMB, 1, maximumMemoryMB)
+	c.Between("descriptors", s.Descriptors, minimumDescriptors, maximumDescriptors)
 	s.Callers.check(c)
 	_, err := logrus.ParseLevel(s.LogLevel)
 	c.Require(err == nil, "logLevel", s.LogLevel, "error, warning, info or debug")
 }
 
 func (s *CallerSettings) check(c *settings.Check) {
+	c.Between("callers.connections", s.Connections, 0, maximumDescriptors)
 	c.Between("callers.bodiesMB", s.BodiesMB, 0, maximumMemoryMB)
 	c.Between("callers.bufferKB", s.BufferKB, 4, 4096)
 }
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -29,6 +29,8 @@
 const (
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 90 * time.Second
+	// headerBytes bounds the head of a request.
+	headerBytes = 32 << 10
 )
 
 // Main runs the command and exits with status 0 on success, settings.InvalidSettingsExitCode if the settings or flags
@@ -186,12 +188,23 @@
 	return ServeListener(ctx, listener, handler, shutdown)
 }
 
-// ServeListener is like Serve, but uses an open listener.
+// DefaultConnections bounds the connections of a listener that serves operators, monitoring and other processes of the site.
+const DefaultConnections = 1024
+
+// ServeListener is like Serve, but uses an open listener. It serves DefaultConnections at the same time.
 func ServeListener(ctx context.Context, listener net.Listener, handler http.Handler, shutdown time.Duration) error {
-	connections := connset.New()
+	return ServeLimited(ctx, listener, handler, shutdown, connset.Options{Limit: DefaultConnections})
+}
+
+// ServeLimited is like ServeListener, with other limits on the connections.
+func ServeLimited(
+	ctx context.Context, listener net.Listener, handler http.Handler, shutdown time.Duration, limits connset.Options,
+) error {
+	connections := connset.New(limits)
 	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: connections.NoteState,
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
 	}
+	connections.Attach(server)
 	// net/http waits for connections on which no request has come yet, and may close others just as one comes.
 	server.RegisterOnShutdown(func() {
 		connections.Drain()
