intake, node: A body that stops is given up, also without a deadline

A body whose caller stopped in its middle was waited for as long as the caller liked: neither the deadline of the request nor any other bound applied before the body was whole. A refusal for another reason, such as 404, waited for the rest of the body as well, since net/http reads up to 256 KB of it before it answers.

A body ends with 408, which says that the request has not run, at the request's deadline, after 10 s without a byte (callers.bodyStall), and after a minute (callers.bodyTimeout). The same time without a byte bounds the bodies that no handler reads.

--- a/internal/event/process.go
+++ b/internal/event/process.go
@@ -15,5 +15,5 @@
 	ConnectionRefused = register(104, logrus.WarnLevel, "caller's connection refused",
 		"All connections that callers may open are in use and none yields; new ones are closed unread.")
 	BodyRefused = register(106, logrus.WarnLevel, "body refused",
-		"A request has not run because of its body: larger than allowed, or no room beside the other bodies.")
+		"A request has not run because of its body: larger than allowed, too slow, or no room beside the other bodies.")
 )
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -64,7 +64,8 @@
 			retryAfter = min(retryAfter, time.Duration(retryAfterShare*float64(j.remaining())))
 		}
 	}
-	notRun := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+	notRun := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests ||
+		status == http.StatusRequestTimeout
 	return serving.Refusal{Status: status, NotRun: notRun, RetryAfter: retryAfter, Reason: reason}
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -359,7 +359,11 @@
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
-	body, err := j.f.options.Bodies.Read(j.w, j.r, limit)
+	var deadline time.Time
+	if bound := j.timeout(); bound > 0 {
+		deadline = j.arrived.Add(bound)
+	}
+	body, err := j.f.options.Bodies.Read(j.w, j.r, limit, deadline)
 	switch {
 	case err == nil:
 		j.body = body
@@ -368,6 +372,8 @@
 		j.refuse(http.StatusRequestEntityTooLarge, ReasonTooLarge, 0)
 	case errors.Is(err, intake.ErrNoRoom):
 		j.refuseUntaken(http.StatusServiceUnavailable, ReasonNoRoom, intake.RetryAfter)
+	case errors.Is(err, intake.ErrTooSlow):
+		j.refuseUntaken(http.StatusRequestTimeout, ReasonBodyTooSlow, 0)
 	default:
 		// The request is incomplete, so there is nothing to answer.
 		j.log(event.RequestRefused, "the caller broke off its request", nil)
--- a/internal/forward/reasons.go
+++ b/internal/forward/reasons.go
@@ -6,19 +6,21 @@
 const (
 	// ReasonStopping means that the request came after this node had begun to stop, or that the node ends before its server
 	// has answered.
-	ReasonStopping   = "the node is stopping"
-	ReasonNoConfig   = "no configuration is known yet"
-	ReasonNoRoute    = "no route for this host and path"
-	ReasonBadTarget  = "the target of the request is no path that can be passed on unchanged"
-	ReasonNoService  = "the route names no service"
-	ReasonTooLarge   = "the body is larger than allowed"
-	ReasonNoRoom     = "there is no room for the body"
-	ReasonNoServer   = modelpick.ReasonNoServer
-	ReasonAllBusy    = modelpick.ReasonAllBusy
-	ReasonOverloaded = "no server can load the adapter in time"
-	ReasonNotLoaded  = modelpick.ReasonNotLoaded
-	ReasonLimited    = modelpick.ReasonLimited
-	ReasonResting    = modelpick.ReasonResting
+	ReasonStopping  = "the node is stopping"
+	ReasonNoConfig  = "no configuration is known yet"
+	ReasonNoRoute   = "no route for this host and path"
+	ReasonBadTarget = "the target of the request is no path that can be passed on unchanged"
+	ReasonNoService = "the route names no service"
+	ReasonTooLarge  = "the body is larger than allowed"
+	ReasonNoRoom    = "there is no room for the body"
+	// ReasonBodyTooSlow means that the rest of the body wasn't there by the deadline, or that nothing arrived for too long.
+	ReasonBodyTooSlow = "the body arrives too slowly"
+	ReasonNoServer    = modelpick.ReasonNoServer
+	ReasonAllBusy     = modelpick.ReasonAllBusy
+	ReasonOverloaded  = "no server can load the adapter in time"
+	ReasonNotLoaded   = modelpick.ReasonNotLoaded
+	ReasonLimited     = modelpick.ReasonLimited
+	ReasonResting     = modelpick.ReasonResting
 	// ReasonPermitEnded means that a reservation, a charge or the use of the server ended before the request was written.
 	ReasonPermitEnded = "the permit to send ended before the request was written"
 	ReasonSlotsInUse  = "all slots of the servers are in use"
--- a/internal/intake/arrival.go
+++ b/internal/intake/arrival.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"waxwingcleat.example/waxwingcleat/internal/bytelimit"
@@ -19,7 +20,9 @@
 	headBytes int
 	limit     int64
 	startedAt time.Time
-	data      []byte
+	// endsAt is when the body has to be there; zero for no bound.
+	endsAt time.Time
+	data   []byte
 
 	// The mutex of bodies guards the rest. progressAt is when the last progressBytes had arrived, progress how many bytes had by then.
 	progressAt time.Time
@@ -27,11 +30,14 @@
 	yielded    bool
 }
 
-func (b *Bodies) newArrival(w http.ResponseWriter, r *http.Request, limit int64) *arrival {
+func (b *Bodies) newArrival(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) *arrival {
 	now := time.Now()
 	a := &arrival{
 		bodies: b, request: r, control: http.NewResponseController(w), holding: b.budget.Hold(), headBytes: headBytes(r.Header),
-		limit: limit, startedAt: now, progressAt: now,
+		limit: limit, startedAt: now, endsAt: deadline, progressAt: now,
+	}
+	if timeout := b.limits.Timeout; timeout > 0 && (deadline.IsZero() || now.Add(timeout).Before(deadline)) {
+		a.endsAt = now.Add(timeout)
 	}
 	return a
 }
@@ -72,9 +78,10 @@
 		return ErrNoRoom
 	}
 	if !errors.Is(err, io.EOF) {
-		return err
+		return a.failed(err)
 	}
-	return nil
+	// net/http goes on reading from the connection to notice that the caller leaves, which an expired deadline would look like.
+	return a.setDeadline(time.Time{})
 }
 
 // setDeadline sets when the next byte has to be there, if the connection has deadlines.
@@ -85,12 +92,27 @@
 	return nil
 }
 
+// failed returns the error of Read for an error of the connection.
+func (a *arrival) failed(err error) error {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return ErrTooSlow
+	}
+	return err
+}
+
 // readSome reads what has arrived, at least one byte. It returns io.EOF at the end of the body.
 func (a *arrival) readSome() error {
 	space, err := a.space()
 	if err != nil {
 		return err
 	}
+	if err := a.setDeadline(a.nextDeadline(time.Now())); err != nil {
+		return err
+	}
+	if a.hasYielded() {
+		// The deadline above may have replaced the one that interrupts this read.
+		return ErrNoRoom
+	}
 	n, err := a.request.Body.Read(space)
 	if len(a.data)+n > cap(a.data) {
 		return ErrTooLarge
@@ -122,6 +144,21 @@
 	return a.data[len(a.data):size], nil
 }
 
+// nextDeadline returns when the next byte has to be there; zero for no bound.
+func (a *arrival) nextDeadline(now time.Time) time.Time {
+	stall := a.bodies.limits.Stall
+	if stall <= 0 || !a.endsAt.IsZero() && a.endsAt.Before(now.Add(stall)) {
+		return a.endsAt
+	}
+	return now.Add(stall)
+}
+
+func (a *arrival) hasYielded() bool {
+	a.bodies.mu.Lock()
+	defer a.bodies.mu.Unlock()
+	return a.yielded
+}
+
 // noteProgress records that enough bytes have arrived for the body to keep its room.
 func (a *arrival) noteProgress() {
 	a.bodies.mu.Lock()
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -1,4 +1,5 @@
-// Package intake reads the bodies of callers' requests within bounds on the memory that all of them take together.
+// Package intake reads the bodies of callers' requests within bounds on the memory that all of them take together and on the time that one
+// takes.
 package intake
 
 import (
@@ -18,6 +19,7 @@
 var (
 	ErrTooLarge = errors.New("the body is larger than allowed")
 	ErrNoRoom   = errors.New("there is no room for the body")
+	ErrTooSlow  = errors.New("the body arrives too slowly")
 )
 
 // RetryAfter is the time after which a request for which there was no room should come again: bodies that make no progress have
@@ -40,6 +42,7 @@
 var (
 	tooLarge  = metrics.GetOrRegisterCounter("callers.bodiesTooLarge", nil)
 	noRoom    = metrics.GetOrRegisterCounter("callers.bodiesWithoutRoom", nil)
+	stalled   = metrics.GetOrRegisterCounter("callers.bodiesStalled", nil)
 	yielded   = metrics.GetOrRegisterCounter("callers.bodiesYielded", nil)
 	budgetTag = "callers"
 )
@@ -49,6 +52,8 @@
 	// Bytes bounds the memory of all bodies, and of heads with many fields, beside a few KB of each request; 0 for no bound. One
 	// body is held in any case.
 	Bytes int64
+	// Stall is the time without a byte after which a body is given up, Timeout bounds the time for a whole body. 0 for no bound.
+	Stall, Timeout time.Duration
 	// Events may be nil.
 	Events *event.Log
 }
@@ -97,6 +102,17 @@
 	}
 }
 
+// Handler bounds the time that net/http waits for a body that next doesn't read.
+func (b *Bodies) Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 && b.limits.Stall > 0 {
+			// An error means that the caller has gone, which next finds out.
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(b.limits.Stall))
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // CloseUnread makes the connection close after the answer to a request if its body is large and unread, so that the answer doesn't wait
 // for it.
 func CloseUnread(w http.ResponseWriter, r *http.Request) {
@@ -105,15 +121,15 @@
 	}
 }
 
-// Read reads the body of a request, which may have limit bytes.
-func (b *Bodies) Read(w http.ResponseWriter, r *http.Request, limit int64) (*Body, error) {
-	a := b.newArrival(w, r, limit)
+// Read reads the body of a request, which may have limit bytes and has to be there by the deadline, if there is one.
+func (b *Bodies) Read(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) (*Body, error) {
+	a := b.newArrival(w, r, limit, deadline)
 	err := a.reserve()
 	if err == nil && r.ContentLength != 0 {
 		err = a.read()
 	}
 	if err == nil && !connset.ResumeRequest(r.Context()) {
-		err = ErrNoRoom
+		err = ErrTooSlow
 	}
 	if err != nil {
 		b.end(a)
@@ -133,6 +149,8 @@
 		tooLarge.Inc(1)
 	case errors.Is(err, ErrNoRoom):
 		noRoom.Inc(1)
+	case errors.Is(err, ErrTooSlow):
+		stalled.Inc(1)
 	default:
 		return
 	}
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -47,6 +47,7 @@
 		bytes = int64(callerBodiesShare * float64(s.MemoryMB) * megabyte)
 	}
 	return intake.Limits{
-		Bytes: bytes, Events: events,
+		Bytes: bytes, Stall: s.Callers.BodyStall.Std(), Timeout: s.Callers.BodyTimeout.Std(),
+		Events: events,
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -233,7 +233,7 @@
 	group, tasks := errgroup.WithContext(tasks)
 	n.ctx = tasks
 	callers := &http.Server{
-		Handler: process.ResetOnAbort(n.forwarder), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Handler: n.bodies.Handler(process.ResetOnAbort(n.forwarder)), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: headerBytes,
 	}
 	n.callers.Attach(callers)
@@ -274,7 +274,7 @@
 	group.Go(func() error { return n.sendDigests(n.ctx) })
 	group.Go(func() error { return n.fetchFromPeers(n.ctx) })
 	group.Go(func() error {
-		peers := process.ResetOnAbort(n.servePeer(n.peerSnapshotHandler()))
+		peers := n.bodies.Handler(process.ResetOnAbort(n.servePeer(n.peerSnapshotHandler())))
 		return process.ServeLimited(n.ctx, l.peers, peers, auxiliaryShutdownTimeout, n.settings.peerConnectionLimits(n.events))
 	})
 	group.Go(func() error { return n.reportDropped(n.ctx) })
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -52,6 +52,10 @@
 	BodiesMB int `json:"bodiesMB"`
 	// BufferKB is the size of the kernel's buffers of a connection, in each direction.
 	BufferKB int `json:"bufferKB"`
+	// BodyStall is the time without a byte after which a body is given up, BodyTimeout bounds the time for a body whose request has no
+	// deadline.
+	BodyStall   settings.Duration `json:"bodyStall"`
+	BodyTimeout settings.Duration `json:"bodyTimeout"`
 }
 
 // StoreSettings locate the platform's store.
@@ -103,7 +107,9 @@
 		Quota:           QuotaSettings{Window: settings.Duration(8 * time.Second), Over: 0.1},
 		Descriptors:     4096,
 		Callers: CallerSettings{
-			BufferKB: 32,
+			BufferKB:    32,
+			BodyStall:   settings.Duration(10 * time.Second),
+			BodyTimeout: settings.Duration(time.Minute),
 		},
 	}
 }
@@ -138,4 +144,6 @@
 	c.Between("callers.connections", s.Connections, 0, maximumDescriptors)
 	c.Between("callers.bodiesMB", s.BodiesMB, 0, maximumMemoryMB)
 	c.Between("callers.bufferKB", s.BufferKB, 4, 4096)
+	c.DurationBetween("callers.bodyStall", s.BodyStall, 100*time.Millisecond, 10*time.Minute)
+	c.DurationBetween("callers.bodyTimeout", s.BodyTimeout, 100*time.Millisecond, time.Hour)
 }
