connset: A caller that reads nothing loses its connection

A write to a caller had no bound, since the end of a request's context doesn't interrupt it: a caller that didn't read its answer kept its connection, the one to the server and the server's slot as long as it liked.

A write of 16 KB fails when the caller accepts nothing of it for 15 s (callers.answerStall), which closes both connections.

--- a/internal/connset/conn.go
+++ b/internal/connset/conn.go
@@ -1,9 +1,13 @@
 package connset
 
 import (
+	"errors"
 	"net"
+	"os"
 	"sync"
 	"time"
+
+	"waxwingcleat.example/waxwingcleat/internal/event"
 )
 
 // phase is what the server does with a connection.
@@ -22,6 +26,8 @@
 	// stalledAfter is the time without a byte after which a connection with a request that arrives may yield. Nothing yields before
 	// the limit is reached.
 	stalledAfter = 200 * time.Millisecond
+	// writeBytes bounds what is written at once, so that a slow caller makes progress within the time for a write.
+	writeBytes = 16 << 10
 )
 
 type conn struct {
@@ -122,6 +128,31 @@
 	return n, err
 }
 
+// Write implements net.Conn. It fails when the caller accepts nothing for the set's write timeout.
+func (c *conn) Write(data []byte) (written int, err error) {
+	timeout := c.set.options.WriteTimeout
+	if timeout <= 0 {
+		return c.Conn.Write(data)
+	}
+	for written < len(data) {
+		if err := c.Conn.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(data[written:min(written+writeBytes, len(data))])
+		written += n
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			unreadAnswers.Inc(1)
+			c.set.unread.Emit(c.set.options.Events, event.AnswerUnread, event.Fields{
+				"caller": c.RemoteAddr().String(), "timeout": timeout.String(),
+			})
+		}
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
 // Close implements net.Conn. A lingering connection is closed after lingerTime instead.
 func (c *conn) Close() error {
 	c.untrack()
--- a/internal/connset/connset.go
+++ b/internal/connset/connset.go
@@ -1,5 +1,5 @@
-// Package connset tracks the callers' connections of a server: it bounds their number and closes idle ones without
-// losing a request. net/http's own shutdown closes an idle connection even if a request was just read from it.
+// Package connset tracks the callers' connections of a server: it bounds their number, ends those whose callers don't read, and closes
+// idle ones without losing a request. net/http's own shutdown closes an idle connection even if a request was just read from it.
 package connset
 
 import (
@@ -23,12 +23,15 @@
 	openConnections    = metrics.GetOrRegisterCounter("callers.connections", nil)
 	yieldedConnections = metrics.GetOrRegisterCounter("callers.connectionsYielded", nil)
 	refusedConnections = metrics.GetOrRegisterCounter("callers.connectionsRefused", nil)
+	unreadAnswers      = metrics.GetOrRegisterCounter("callers.answersUnread", nil)
 )
 
 // Options bound the connections of a set. The zero value bounds nothing.
 type Options struct {
 	// Limit is the number of open connections; 0 for no limit.
 	Limit int
+	// WriteTimeout is the time for which a caller may accept no byte of an answer; 0 for no limit.
+	WriteTimeout time.Duration
 	// Events may be nil.
 	Events *event.Log
 }
@@ -37,6 +40,7 @@
 type Set struct {
 	options Options
 	refused event.Repeated
+	unread  event.Repeated
 
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
--- a/internal/event/process.go
+++ b/internal/event/process.go
@@ -14,6 +14,8 @@
 		"A task of the process failed, and the process exits.")
 	ConnectionRefused = register(104, logrus.WarnLevel, "caller's connection refused",
 		"All connections that callers may open are in use and none yields; new ones are closed unread.")
+	AnswerUnread = register(105, logrus.WarnLevel, "answer not read",
+		"A caller accepted no byte of its answer for too long; its connection is closed.")
 	BodyRefused = register(106, logrus.WarnLevel, "body refused",
 		"A request has not run because of its body: larger than allowed, too slow, or no room beside the other bodies.")
 )
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -30,13 +30,13 @@
 
 // connectionLimits returns the limits of the callers' connections.
 func (s *Settings) connectionLimits(events *event.Log) connset.Options {
-	return connset.Options{Limit: s.callerConnections(), Events: events}
+	return connset.Options{Limit: s.callerConnections(), WriteTimeout: s.Callers.AnswerStall.Std(), Events: events}
 }
 
 // peerConnectionLimits returns the limits of the other nodes' connections.
 func (s *Settings) peerConnectionLimits(events *event.Log) connset.Options {
 	return connset.Options{
-		Limit: int(peerDescriptorsShare * float64(s.Descriptors)), Events: events,
+		Limit: int(peerDescriptorsShare * float64(s.Descriptors)), WriteTimeout: s.Callers.AnswerStall.Std(), Events: events,
 	}
 }
 
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -56,6 +56,8 @@
 	// deadline.
 	BodyStall   settings.Duration `json:"bodyStall"`
 	BodyTimeout settings.Duration `json:"bodyTimeout"`
+	// AnswerStall is the time for which a caller may accept no byte of its answer.
+	AnswerStall settings.Duration `json:"answerStall"`
 	// DelimiterKBps bounds the sizes and ends of chunks that are read, in KB per second.
 	DelimiterKBps int `json:"delimiterKBps"`
 }
@@ -112,6 +114,7 @@
 			BufferKB:      32,
 			BodyStall:     settings.Duration(10 * time.Second),
 			BodyTimeout:   settings.Duration(time.Minute),
+			AnswerStall:   settings.Duration(15 * time.Second),
 			DelimiterKBps: 2048,
 		},
 	}
@@ -149,5 +152,6 @@
 	c.Between("callers.bufferKB", s.BufferKB, 4, 4096)
 	c.DurationBetween("callers.bodyStall", s.BodyStall, 100*time.Millisecond, 10*time.Minute)
 	c.DurationBetween("callers.bodyTimeout", s.BodyTimeout, 100*time.Millisecond, time.Hour)
+	c.DurationBetween("callers.answerStall", s.AnswerStall, 100*time.Millisecond, 10*time.Minute)
 	c.Between("callers.delimiterKBps", s.DelimiterKBps, 1, 1<<20)
 }
