process, node: Connections that wait to be accepted take no more memory than accepted ones

With 32 KB, Linux kept up to 64 KB of each connection, and up to 4,096 connections wait for a process that is busy: 98 MB lay unread before an API server at 1,552 descriptors and 72 MB before a gateway.

Buffers are 16 KB by default, a node counts them with the factor by which Linux enlarges them, and a listener queues 1,024 connections. The same crowds: 2 and 20 MB unread.

--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -15,8 +15,10 @@
 	// The rest is for servers, the store and files.
 	callerDescriptorsShare = 0.45
 	peerDescriptorsShare   = 0.1
-	kilobyte               = 1 << 10
-	megabyte               = 1 << 20
+	// bufferFactor is how much larger Linux makes a buffer than its configured size.
+	bufferFactor = 2
+	kilobyte     = 1 << 10
+	megabyte     = 1 << 20
 )
 
 // callerConnections returns how many connections callers may open.
@@ -24,7 +26,7 @@
 	if s.Callers.Connections > 0 {
 		return s.Callers.Connections
 	}
-	byMemory := callerConnectionsShare * float64(s.MemoryMB) * megabyte / float64(s.Callers.BufferKB*kilobyte)
+	byMemory := callerConnectionsShare * float64(s.MemoryMB) * megabyte / float64(bufferFactor*s.Callers.BufferKB*kilobyte)
 	return max(1, int(min(byMemory, callerDescriptorsShare*float64(s.Descriptors))))
 }
 
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -111,7 +111,7 @@
 		Quota:           QuotaSettings{Window: settings.Duration(8 * time.Second), Over: 0.1},
 		Descriptors:     4096,
 		Callers: CallerSettings{
-			BufferKB:      32,
+			BufferKB:      16,
 			BodyStall:     settings.Duration(10 * time.Second),
 			BodyTimeout:   settings.Duration(time.Minute),
 			AnswerStall:   settings.Duration(15 * time.Second),
--- a/internal/process/listen.go
+++ b/internal/process/listen.go
@@ -18,7 +18,10 @@
 // DefaultBufferBytes is the size of the receive buffer and of the send buffer of a caller's connection. A connection whose bytes
 // nobody reads takes no more of the kernel's memory, which would let the buffers grow to megabytes. Linux doubles the size for its
 // own bookkeeping.
-const DefaultBufferBytes = 32 << 10
+const DefaultBufferBytes = 16 << 10
+
+// queuedConnections bounds the connections that the kernel keeps until they are accepted, which have buffers as well.
+const queuedConnections = 1024
 
 // ListenTCP listens on a TCP address, with buffers of so many bytes for each connection and direction, 0 for the default.
 func ListenTCP(address string, bufferBytes int) (net.Listener, error) {
@@ -36,7 +39,24 @@
 		})
 		return errors.Join(controlErr, err)
 	}}
-	return config.Listen(context.Background(), "tcp", address)
+	listener, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if err := setQueueLength(listener, queuedConnections); err != nil {
+		return nil, errors.Join(err, listener.Close())
+	}
+	return listener, nil
+}
+
+// setQueueLength changes the number of connections that the kernel keeps until they are accepted.
+func setQueueLength(listener net.Listener, length int) error {
+	raw, err := listener.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		return err
+	}
+	controlErr := raw.Control(func(descriptor uintptr) { err = syscall.Listen(int(descriptor), length) })
+	return errors.Join(controlErr, err)
 }
 
 // Listen listens on a TCP address, with TLS if it is configured. The certificate is reloaded when its file changes, so
