gateway: Bodies take room before they are read, and connections are bounded

The gateway counted bodies against maximumBodiesBytes once they were whole, so that bodies that stopped short of their end counted nothing until their time-out; each was held twice over while its buffer grew, and a whole one in the copy for an engine and in several more while it was parsed. Nothing bounded its connections, and a refusal before the body waited for the rest of it.

The gateway reads bodies with internal/intake: room is taken before the first byte, with that of the copy, bodies are parsed a few at a time, and maximumConnections bounds the callers' connections, with callerWriteTimeout for all writes. maximumBodiesBytes is 64 MB by default instead of 256 MB, which no VM of the sites has, and counts what a request holds beyond a few KB, so that ordinary requests never meet it.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,7 @@
 	"waxwingcleat.example/waxwingcleat/internal/admission"
 	"waxwingcleat.example/waxwingcleat/internal/decision"
 	"waxwingcleat.example/waxwingcleat/internal/event"
+	"waxwingcleat.example/waxwingcleat/internal/intake"
 	"waxwingcleat.example/waxwingcleat/internal/ledger"
 	"waxwingcleat.example/waxwingcleat/internal/permits"
 	"waxwingcleat.example/waxwingcleat/internal/relay"
@@ -36,6 +38,9 @@
 // load from eviction.
 const settleTimeout = 10 * time.Second
 
+// bodyCopies is the number of copies of a body: the one that was received, and the one that names the load to an engine.
+const bodyCopies = 2
+
 // Gateway serves the requests of callers.
 type Gateway struct {
 	settings   Settings
@@ -46,8 +51,10 @@
 	stopping   atomic.Bool
 	// inProgress counts the requests that are queued or running.
 	inProgress atomic.Int64
-	// bodyBytes is the total size of the bodies of these requests.
-	bodyBytes atomic.Int64
+	// bodies reads the bodies of these requests.
+	bodies *intake.Bodies
+	// parsing holds one element for each body that is being parsed.
+	parsing chan struct{}
 
 	budgetMu sync.Mutex
 	budget   *admission.RetryBudget
@@ -58,6 +65,11 @@
 // New returns a gateway. Its handler serves requests while Dispatch runs.
 func New(settings Settings, components Components) *Gateway {
 	g := &Gateway{settings: settings, components: components, budget: admission.NewRetryBudget()}
+	g.bodies = intake.New(intake.Limits{
+		Bytes: int64(settings.MaximumBodiesBytes), Copies: bodyCopies, Stall: settings.BodyTimeout.Std(),
+		Timeout: settings.BodyTimeout.Std(), DelimiterRate: settings.DelimiterRate, Events: components.Events,
+	})
+	g.parsing = make(chan struct{}, runtime.GOMAXPROCS(0))
 	g.endpoints = newEndpoints(components.Config, settings.ServiceConcurrency)
 	g.dispatcher = newDispatcher(g, components.Random)
 	g.relay = relay.NewClient(relay.Options{
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -79,28 +79,16 @@
 func (g *Gateway) completions(path, required string) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		c, p := g.modelCall(w, r, path, required)
+		defer c.release()
 		if p != nil {
 			p.write(w, requestID(w))
 			return
 		}
-		g.serveWithinBodyLimit(w, r, c)
+		g.serve(w, r, c)
 	}
 }
 
-// serveWithinBodyLimit serves a request unless the bodies of all requests together exceed their limit.
-func (g *Gateway) serveWithinBodyLimit(w http.ResponseWriter, r *http.Request, c *call) {
-	size := int64(len(c.body))
-	total := g.bodyBytes.Add(size)
-	defer g.bodyBytes.Add(-size)
-	if total > int64(g.settings.MaximumBodiesBytes) {
-		p := refusal(http.StatusServiceUnavailable, codeOverloaded, "the gateway holds %d bytes of requests already", total-size)
-		p.retryAfter = g.jitteredRetryDelay()
-		p.write(w, c.id)
-		return
-	}
-	g.serve(w, r, c)
-}
-
+// modelCall reads and checks a model call. The call is to be released, also if there is a problem.
 func (g *Gateway) modelCall(w http.ResponseWriter, r *http.Request, path, required string) (*call, *problem) {
 	c := &call{id: requestID(w), arrived: g.components.Now(), method: http.MethodPost, path: path, header: http.Header{}}
 	if p := checkJSONType(r.Header); p != nil {
@@ -110,22 +98,23 @@
 	if p != nil {
 		return nil, p
 	}
-	parsed, p := parseModelCall(body, required)
+	c.setBody(body)
+	parsed, p := g.parse(c.body, required)
 	if p != nil {
-		return nil, p
+		return c, p
 	}
 	view, p := g.view()
 	if p != nil {
-		return nil, p
+		return c, p
 	}
 	adapter, target, p := parsed.resolve(view)
 	if p != nil {
-		return nil, p
+		return c, p
 	}
 	c.target, c.baseModel = target, adapter.Spec.BaseModel
-	c.body, c.model, c.modelField, c.stream = body, parsed.model, parsed.field, parsed.stream
+	c.model, c.modelField, c.stream = parsed.model, parsed.field, parsed.stream
 	if p := g.parseCommonHeaders(c, view, r.Header, adapter.Spec.PriorityClass); p != nil {
-		return nil, p
+		return c, p
 	}
 	c.header.Set("Content-Type", contentTypeJSON)
 	c.header.Set("X-Priority", fmt.Sprint(c.class.Rank))
@@ -137,6 +126,13 @@
 	return c, p
 }
 
+// parse is parseModelCall, a few at a time: what it allocates is a multiple of the body.
+func (g *Gateway) parse(body []byte, required string) (modelCall, *problem) {
+	g.parsing <- struct{}{}
+	defer func() { <-g.parsing }()
+	return parseModelCall(body, required)
+}
+
 // view returns the configuration, or a problem if none has been received yet.
 func (g *Gateway) view() (*resource.View, *problem) {
 	view := g.components.Config.View()
@@ -165,11 +161,12 @@
 // service handles a call of a plain service.
 func (g *Gateway) service(w http.ResponseWriter, r *http.Request) {
 	c, p := g.serviceCall(w, r)
+	defer c.release()
 	if p != nil {
 		p.write(w, requestID(w))
 		return
 	}
-	g.serveWithinBodyLimit(w, r, c)
+	g.serve(w, r, c)
 }
 
 // serviceMethods are the methods that are forwarded to plain services.
@@ -206,8 +203,12 @@
 		c.header = r.Header.Clone()
 		c.header.Set("X-Request-Key", r.Header.Get(headerKey))
 	}
-	c.body, p = g.readBody(w, r)
-	return c, p
+	body, p := g.readBody(w, r)
+	if p != nil {
+		return nil, p
+	}
+	c.setBody(body)
+	return c, nil
 }
 
 // servicePath returns the escaped path after the service's name, with the query.
--- a/internal/gateway/parse.go
+++ b/internal/gateway/parse.go
@@ -3,13 +3,12 @@
 import (
 	"encoding/json"
 	"errors"
-	"io"
 	"mime"
 	"net/http"
-	"os"
 	"strings"
 	"time"
 
+	"waxwingcleat.example/waxwingcleat/internal/intake"
 	"waxwingcleat.example/waxwingcleat/internal/relay"
 	"waxwingcleat.example/waxwingcleat/internal/resource"
 	"waxwingcleat.example/waxwingcleat/internal/routing"
@@ -94,24 +93,20 @@
 	return adapter, routing.Target{Adapter: m.adapter, Version: version.Name}, nil
 }
 
-// readBody reads a caller's body within the limits on its size and duration.
-func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *problem) {
+// readBody reads a caller's body within the limits on its size and duration, and on the memory of all bodies.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) (*intake.Body, *problem) {
 	limit := int64(g.settings.MaximumBodyBytes)
-	if r.ContentLength > limit {
-		return nil, refusal(http.StatusRequestEntityTooLarge, codeBodyTooLarge, "the body exceeds %d bytes", limit)
-	}
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(g.settings.BodyTimeout.Std()))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	_ = control.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
+	body, err := g.bodies.Read(w, r, limit, time.Time{})
 	switch {
 	case err == nil:
 		return body, nil
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, intake.ErrTooLarge):
 		return nil, refusal(http.StatusRequestEntityTooLarge, codeBodyTooLarge, "the body exceeds %d bytes", limit)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		w.Header().Set("Connection", "close")
+	case errors.Is(err, intake.ErrNoRoom):
+		p := refusal(http.StatusServiceUnavailable, codeOverloaded, "there is no room for the body")
+		p.retryAfter = max(intake.RetryAfter, g.jitteredRetryDelay())
+		return nil, p
+	case errors.Is(err, intake.ErrTooSlow):
 		return nil, refusal(http.StatusRequestTimeout, codeBodyTimeout, "the body did not arrive within %s", g.settings.BodyTimeout.Std())
 	default:
 		return nil, refusal(http.StatusBadRequest, codeInvalidRequest, "the body could not be read")
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"waxwingcleat.example/waxwingcleat/internal/connset"
 	"waxwingcleat.example/waxwingcleat/internal/decision"
 	"waxwingcleat.example/waxwingcleat/internal/delay"
 	"waxwingcleat.example/waxwingcleat/internal/event"
@@ -78,6 +79,7 @@
 	gateway      *Gateway
 	recorder     *decision.Recorder
 	callers      *http.Server
+	connections  *connset.Set
 }
 
 // Run serves until ctx ends, and then shuts down gracefully.
@@ -165,9 +167,13 @@
 		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	s.callers = &http.Server{
-		Handler: process.ResetOnAbort(s.gateway.Handler()), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Handler: s.gateway.bodies.Handler(process.ResetOnAbort(s.gateway.Handler())), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: callerHeaderBytes,
 	}
+	s.connections = connset.New(connset.Options{
+		Limit: settings.MaximumConnections, WriteTimeout: settings.CallerWriteTimeout.Std(), Events: dependencies.Events,
+	})
+	s.connections.Attach(s.callers)
 	return s
 }
 
@@ -180,7 +186,7 @@
 	group.Go(func() error { return process.ServeListener(ctx, listeners[1], s.peerHandler(), peerShutdownTimeout) })
 	group.Go(func() error { return process.ServeListener(ctx, listeners[2], s.adminHandler(), peerShutdownTimeout) })
 	group.Go(func() error {
-		err := s.callers.Serve(listeners[0])
+		err := s.callers.Serve(s.connections.Listener(listeners[0]))
 		if errors.Is(err, http.ErrServerClosed) {
 			return nil
 		}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -38,8 +38,13 @@
 	// MaximumBodyBytes bounds a caller's body, and MaximumAnswerBytes an answer that is not a stream.
 	MaximumBodyBytes   int `json:"maximumBodyBytes"`
 	MaximumAnswerBytes int `json:"maximumAnswerBytes"`
-	// MaximumBodiesBytes bounds the total size of the bodies of all requests, queued or running.
+	// MaximumBodiesBytes bounds the memory for the bodies of all requests, queued or running, each with the copy that is sent, beside
+	// a few KB of each request.
 	MaximumBodiesBytes int `json:"maximumBodiesBytes"`
+	// MaximumConnections bounds the callers' connections.
+	MaximumConnections int `json:"maximumConnections"`
+	// DelimiterRate bounds the sizes and ends of chunks that are read, in bytes per second.
+	DelimiterRate int `json:"delimiterRate"`
 	// MaximumRequests bounds the number of concurrent requests, queued or running.
 	MaximumRequests int `json:"maximumRequests"`
 	// ServiceConcurrency is the maximum number of concurrent requests from this gateway to one endpoint of a plain
@@ -75,7 +80,9 @@
 		CallerWriteTimeout: settings.Duration(30 * time.Second),
 		MaximumBodyBytes:   1 << 20,
 		MaximumAnswerBytes: 4 << 20,
-		MaximumBodiesBytes: 256 << 20,
+		MaximumBodiesBytes: 64 << 20,
+		MaximumConnections: 2048,
+		DelimiterRate:      2 << 20,
 		MaximumRequests:    4096,
 		ServiceConcurrency: 64,
 		BatchWeight:        30,
@@ -106,6 +113,8 @@
 	c.Between("maximumBodyBytes", s.MaximumBodyBytes, 1<<10, 64<<20)
 	c.Between("maximumAnswerBytes", s.MaximumAnswerBytes, 1<<10, 64<<20)
 	c.Between("maximumBodiesBytes", s.MaximumBodiesBytes, 1<<20, 1<<30)
+	c.Between("maximumConnections", s.MaximumConnections, 1, 1<<20)
+	c.Between("delimiterRate", s.DelimiterRate, 1<<10, 1<<30)
 	c.Between("maximumRequests", s.MaximumRequests, 1, 1<<16)
 	c.Between("serviceConcurrency", s.ServiceConcurrency, 1, 1<<16)
 	c.Between("batchWeight", s.BatchWeight, 0, 1000)
--- a/internal/intake/arrival.go
+++ b/internal/intake/arrival.go
@@ -64,13 +64,18 @@
 		return ErrTooLarge
 	}
 	size := max(announced, 0)
-	if err := a.bodies.grow(a, a.headBytes+int(size)); err != nil {
+	if err := a.grow(int(size)); err != nil {
 		return err
 	}
 	a.data = make([]byte, 0, size)
 	return nil
 }
 
+// grow takes room for the head and a body of so many bytes.
+func (a *arrival) grow(size int) error {
+	return a.bodies.grow(a, a.headBytes+a.bodies.limits.Copies*size)
+}
+
 // read reads the body to its end.
 func (a *arrival) read() (err error) {
 	ctx := a.request.Context()
@@ -141,7 +146,7 @@
 		return make([]byte, 1), nil
 	}
 	size := int(min(int64(max(2*cap(a.data), firstChunkedBytes)), a.limit))
-	if err := a.bodies.grow(a, a.headBytes+size); err != nil {
+	if err := a.grow(size); err != nil {
 		return nil, err
 	}
 	grown := make([]byte, len(a.data), size)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -3,7 +3,9 @@
 package intake
 
 import (
+	"bytes"
 	"errors"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -54,6 +56,8 @@
 	// Bytes bounds the memory of all bodies, and of heads with many fields, beside a few KB of each request; 0 for no bound. One
 	// body is held in any case.
 	Bytes int64
+	// Copies is the number of copies of a body that are held at the same time, 0 for one.
+	Copies int
 	// Stall is the time without a byte after which a body is given up, Timeout bounds the time for a whole body. 0 for no bound.
 	Stall, Timeout time.Duration
 	// DelimiterRate bounds the bytes a second that are neither bodies nor heads, over all bodies: sizes of chunks and trailers. 0 for
@@ -78,6 +82,7 @@
 // New returns a reader of bodies.
 func New(limits Limits) *Bodies {
 	b := &Bodies{limits: limits, arriving: make(map[*arrival]struct{})}
+	b.limits.Copies = max(b.limits.Copies, 1)
 	if b.limits.Events == nil {
 		b.limits.Events = event.Discard()
 	}
@@ -122,6 +127,35 @@
 	})
 }
 
+// Buffer returns a handler that reads bodies of at most limit bytes before it calls next, whose own reading has no bounds.
+func (b *Bodies) Buffer(limit int64, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := b.Read(w, r, limit, time.Time{})
+		if err != nil {
+			http.Error(w, err.Error(), StatusOf(err))
+			return
+		}
+		defer body.Release()
+		buffered := r.WithContext(r.Context())
+		buffered.Body = io.NopCloser(bytes.NewReader(body.Bytes()))
+		next.ServeHTTP(w, buffered)
+	})
+}
+
+// StatusOf returns the status of the answer to a request for an error of Read.
+func StatusOf(err error) int {
+	switch {
+	case errors.Is(err, ErrTooLarge):
+		return http.StatusRequestEntityTooLarge
+	case errors.Is(err, ErrNoRoom):
+		return http.StatusServiceUnavailable
+	case errors.Is(err, ErrTooSlow):
+		return http.StatusRequestTimeout
+	default:
+		return http.StatusBadRequest
+	}
+}
+
 // CloseUnread makes the connection close after the answer to a request if its body is large and unread, so that the answer doesn't wait
 // for it.
 func CloseUnread(w http.ResponseWriter, r *http.Request) {
