apiserver: Bodies, their decoded form and connections are bounded

The API server read bodies of up to 16 MB each without a bound over all of them, and decoded them without one for the result: a batch of 4 MB that consists of empty operations ended a process by memory (the number of operations was looked at afterwards). The feed of the configuration, on the same address, read bodies of any size. Nothing bounded the connections.

Bodies take room with their decoded form before they are read (limits.bodiesBytes) until the request ends, one is decoded at a time, and its values are counted first (limits.values, 250,000; a batch of 5,000 adapters has 55,000). Requests to the feed have 64 KB at most. limits.connections bounds the connections. A request without room is answered 503 overloaded, a body that stops 408 body_timeout.

--- a/internal/apiserver/batch.go
+++ b/internal/apiserver/batch.go
@@ -31,7 +31,9 @@
 // batch writes many operations in few records. Each operation is accepted or rejected independently.
 func (s *Server) batch(w http.ResponseWriter, request *http.Request) {
 	var body batchRequest
-	if err := s.readBody(w, request, s.settings.Limits.BatchBytes, &body); err != nil {
+	held, err := s.readBody(w, request, s.settings.Limits.BatchBytes, &body)
+	defer held.Release()
+	if err != nil {
 		writeError(w, bodyError(err))
 		return
 	}
--- a/internal/apiserver/errors.go
+++ b/internal/apiserver/errors.go
@@ -4,8 +4,10 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"strconv"
 
 	"waxwingcleat.example/waxwingcleat/internal/configlog"
+	"waxwingcleat.example/waxwingcleat/internal/intake"
 	"waxwingcleat.example/waxwingcleat/internal/platform"
 	"waxwingcleat.example/waxwingcleat/internal/resource"
 )
@@ -19,6 +21,8 @@
 	codeTooLarge   = "too_large"
 	codeTooMany    = "too_many_watches"
 	codeNotReady   = "not_ready"
+	codeOverloaded = "overloaded"
+	codeTooSlow    = "body_timeout"
 	codeNotWritten = "not_written"
 	codeUnknown    = "unknown"
 	codeInternal   = "internal"
@@ -35,6 +39,8 @@
 	codeTooLarge:   http.StatusRequestEntityTooLarge,
 	codeTooMany:    http.StatusServiceUnavailable,
 	codeNotReady:   http.StatusServiceUnavailable,
+	codeOverloaded: http.StatusServiceUnavailable,
+	codeTooSlow:    http.StatusRequestTimeout,
 	codeNotWritten: http.StatusServiceUnavailable,
 	codeUnknown:    http.StatusGatewayTimeout,
 	codeInternal:   http.StatusInternalServerError,
@@ -56,6 +62,9 @@
 }
 
 func writeError(w http.ResponseWriter, failure *apiError) {
+	if failure.Code == codeOverloaded {
+		w.Header().Set("Retry-After", strconv.Itoa(int(intake.RetryAfter.Seconds())))
+	}
 	writeJSON(w, statusOf[failure.Code], errorBody{Error: failure})
 }
 
@@ -71,9 +80,14 @@
 
 // bodyError classifies a failure to read or decode a request's body.
 func bodyError(err error) *apiError {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	var tooMany *tooManyValuesError
+	switch {
+	case errors.Is(err, intake.ErrTooLarge) || errors.As(err, &tooMany):
 		return &apiError{Code: codeTooLarge, Message: err.Error()}
+	case errors.Is(err, intake.ErrNoRoom):
+		return &apiError{Code: codeOverloaded, Message: err.Error() + "; this request wrote nothing"}
+	case errors.Is(err, intake.ErrTooSlow):
+		return &apiError{Code: codeTooSlow, Message: err.Error() + "; this request wrote nothing"}
 	}
 	var fieldErr *resource.FieldError
 	if errors.As(err, &fieldErr) {
--- a/internal/apiserver/resources.go
+++ b/internal/apiserver/resources.go
@@ -4,11 +4,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
 	"waxwingcleat.example/waxwingcleat/internal/ident"
+	"waxwingcleat.example/waxwingcleat/internal/intake"
 	"waxwingcleat.example/waxwingcleat/internal/platform"
 	"waxwingcleat.example/waxwingcleat/internal/resource"
 )
@@ -74,7 +74,9 @@
 
 func (s *Server) changeOne(w http.ResponseWriter, request *http.Request, deletion bool) {
 	var body change
-	if err := s.readBody(w, request, s.settings.Limits.BodyBytes, &body); err != nil {
+	held, err := s.readBody(w, request, s.settings.Limits.BodyBytes, &body)
+	defer held.Release()
+	if err != nil {
 		writeError(w, bodyError(err))
 		return
 	}
@@ -131,18 +133,30 @@
 	return context.WithTimeout(request.Context(), s.settings.Config.WriteTimeout.Std())
 }
 
-// readBody reads and decodes a request body. Its size is bounded by limit and its arrival by the body timeout.
-func (s *Server) readBody(w http.ResponseWriter, request *http.Request, limit int, target any) error {
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(s.settings.Limits.BodyTimeout.Std()))
-	data, err := io.ReadAll(http.MaxBytesReader(w, request.Body, int64(limit)))
+// bodyCopies is the number of copies of a body: the one that was received, and the decoded one.
+const bodyCopies = 2
+
+// readBody reads and decodes a request body. Its size is bounded by limit and its arrival by the body timeout. The body takes room
+// until it is released, also if it can't be decoded.
+func (s *Server) readBody(w http.ResponseWriter, request *http.Request, limit int, target any) (*intake.Body, error) {
+	body, err := s.bodies.Read(w, request, int64(limit), time.Time{})
 	if err != nil {
-		return err
+		return nil, err
+	}
+	s.decoding.Lock()
+	defer s.decoding.Unlock()
+	if values := resource.CountValues(body.Bytes()); values > s.settings.Limits.Values {
+		return body, &tooManyValuesError{values: values, limit: s.settings.Limits.Values}
 	}
-	// The server reads from the connection while the handler runs, so an expiring read deadline would cancel the
-	// request.
-	_ = control.SetReadDeadline(time.Time{})
-	return resource.DecodeStrict(data, target)
+	return body, resource.DecodeStrict(body.Bytes(), target)
+}
+
+// tooManyValuesError means that the decoded form of a body would take too much memory.
+type tooManyValuesError struct{ values, limit int }
+
+// Error implements error.
+func (e *tooManyValuesError) Error() string {
+	return fmt.Sprintf("the body has %d JSON values; allowed: %d", e.values, e.limit)
 }
 
 func kindOf(request *http.Request) (resource.Kind, *apiError) {
--- a/internal/apiserver/server.go
+++ b/internal/apiserver/server.go
@@ -5,12 +5,15 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 
 	"golang.org/x/sync/errgroup"
 
 	"waxwingcleat.example/waxwingcleat/internal/configlog"
+	"waxwingcleat.example/waxwingcleat/internal/connset"
 	"waxwingcleat.example/waxwingcleat/internal/event"
+	"waxwingcleat.example/waxwingcleat/internal/intake"
 	"waxwingcleat.example/waxwingcleat/internal/platform"
 	"waxwingcleat.example/waxwingcleat/internal/process"
 	"waxwingcleat.example/waxwingcleat/internal/rpc/peerpb"
@@ -24,6 +27,9 @@
 	writer   *configlog.Writer
 	nodes    *nodeTable
 	watches  atomic.Int64
+	bodies   *intake.Bodies
+	// decoding is held while a body is being decoded, which takes a multiple of it.
+	decoding sync.Mutex
 	// stopping is closed when the graceful shutdown begins.
 	stopping chan struct{}
 }
@@ -31,6 +37,10 @@
 // New returns a server that stores the configuration in log. Run starts it.
 func New(settings Settings, log platform.Log, events *event.Log) *Server {
 	s := &Server{settings: settings, events: events, stopping: make(chan struct{})}
+	s.bodies = intake.New(intake.Limits{
+		Bytes: int64(settings.Limits.BodiesBytes), Copies: bodyCopies, Stall: settings.Limits.BodyTimeout.Std(),
+		Timeout: settings.Limits.BodyTimeout.Std(), DelimiterRate: settings.Limits.DelimiterRate, Events: events,
+	})
 	s.nodes = newNodeTable(s)
 	s.replica = configlog.NewReplica(configlog.Options{Log: log, Peers: s.nodes.configPeers, Events: events})
 	s.writer = configlog.NewWriter(s.replica, configlog.WriterOptions{RecordBytes: settings.Config.RecordBytes})
@@ -67,7 +77,9 @@
 	defer stopServing()
 	context.AfterFunc(groupCtx, stopServing)
 	context.AfterFunc(serving, s.beginShutdown)
-	err := process.ServeListener(serving, listener, s.Handler(), s.settings.ShutdownTimeout.Std())
+	err := process.ServeLimited(serving, listener, s.Handler(), s.settings.ShutdownTimeout.Std(), connset.Options{
+		Limit: s.settings.Limits.Connections, WriteTimeout: s.settings.Limits.BodyTimeout.Std(), Events: s.events,
+	})
 	stopBackground()
 	err = errors.Join(err, group.Wait())
 	s.events.Emit(event.ProcessStopped, nil)
@@ -102,13 +114,16 @@
 	mux.HandleFunc("DELETE /apis/v1/{kind}/{name}", s.requireConfiguration(s.remove))
 	mux.HandleFunc("POST /apis/v1/batch", s.requireConfiguration(s.batch))
 	mux.HandleFunc("GET /apis/v1/status", s.requireConfiguration(s.status))
-	mux.Handle(peerpb.ConfigFeedPathPrefix, s.replica.Feed())
+	mux.Handle(peerpb.ConfigFeedPathPrefix, s.bodies.Buffer(feedRequestBytes, s.replica.Feed()))
 	mux.HandleFunc("/", func(w http.ResponseWriter, request *http.Request) {
 		writeError(w, &apiError{Code: codeNotFound, Message: "no endpoint " + request.Method + " " + request.URL.Path})
 	})
-	return mux
+	return s.bodies.Handler(mux)
 }
 
+// feedRequestBytes bounds a request for the configuration by another process, which holds two numbers.
+const feedRequestBytes = 64 << 10
+
 // requireConfiguration wraps a handler to reject requests until the configuration is known.
 func (s *Server) requireConfiguration(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, request *http.Request) {
--- a/internal/apiserver/settings.go
+++ b/internal/apiserver/settings.go
@@ -43,6 +43,14 @@
 	BodyBytes int `json:"bodyBytes"`
 	// BatchBytes bounds the body of a batch.
 	BatchBytes int `json:"batchBytes"`
+	// BodiesBytes bounds the memory for the bodies of all requests, each with its decoded form, beside a few KB of each.
+	BodiesBytes int `json:"bodiesBytes"`
+	// Values bounds the JSON values of a body: objects, members and elements.
+	Values int `json:"values"`
+	// Connections bounds the clients' connections, open watches included.
+	Connections int `json:"connections"`
+	// DelimiterRate bounds the sizes and ends of chunks that are read, in bytes per second.
+	DelimiterRate int `json:"delimiterRate"`
 	// BatchOperations bounds the operations of a batch.
 	BatchOperations int `json:"batchOperations"`
 	// BodyTimeout bounds the time for a client to send a body or to receive one watch event.
@@ -70,6 +78,10 @@
 		Limits: LimitSettings{
 			BodyBytes:        1 << 20,
 			BatchBytes:       16 << 20,
+			BodiesBytes:      64 << 20,
+			Values:           250_000,
+			Connections:      1536,
+			DelimiterRate:    2 << 20,
 			BatchOperations:  5000,
 			BodyTimeout:      settings.Duration(30 * time.Second),
 			Watches:          1000,
@@ -101,6 +113,10 @@
 func (s *LimitSettings) check(c *settings.Check) {
 	c.Between("limits.bodyBytes", s.BodyBytes, 1<<10, 64<<20)
 	c.Between("limits.batchBytes", s.BatchBytes, 1<<10, 256<<20)
+	c.Between("limits.bodiesBytes", s.BodiesBytes, 1<<20, 1<<30)
+	c.Between("limits.values", s.Values, 1000, 1<<30)
+	c.Between("limits.connections", s.Connections, 1, 1<<20)
+	c.Between("limits.delimiterRate", s.DelimiterRate, 1<<10, 1<<30)
 	c.Between("limits.batchOperations", s.BatchOperations, 1, 100_000)
 	c.DurationBetween("limits.bodyTimeout", s.BodyTimeout, 10*time.Millisecond, 10*time.Minute)
 	c.Between("limits.watches", s.Watches, 0, 100_000)
--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -22,13 +23,15 @@
 	// memoryBytes is the memory of the smallest VMs of all sites, descriptors the number of their sockets.
 	memoryBytes = 144 << 20
 	descriptors = 3075 - 200
-	// bodyBytes is the limit of a body at the gateway. The bodies of the callers take
+	// bodyBytes is the limit of a body at the gateway, batchBytes that of a batch at the API server. The bodies of the callers take
 	// twice the memory of a VM.
-	bodyBytes   = 1 << 20
-	bodyCallers = 288
-	connections = 3200
-	playTime    = 8 * time.Second
-	waitTimeout = 20 * time.Second
+	bodyBytes    = 1 << 20
+	bodyCallers  = 288
+	batchBytes   = 4 << 20
+	batchCallers = 72
+	connections  = 3200
+	playTime     = 8 * time.Second
+	waitTimeout  = 20 * time.Second
 )
 
 type object = map[string]any
@@ -64,7 +67,7 @@
 		"services": []object{{"name": "records-1", "zone": "a", "address": s.address["service"], "work": "1ms"}},
 	})
 	s.start("scheduler", s.common("scheduler", object{}))
-	s.start("apiserver", s.common("apiserver", object{}))
+	s.start("apiserver", s.common("apiserver", object{"limits": object{"batchBytes": batchBytes}}))
 	s.start("gateway", s.common("gateway", object{"peerListen": s.address["gatewayPeer"], "maximumBodiesBytes": 16 << 20}))
 	s.g.Eventually(s.declare, waitTimeout).Should(gomega.BeTrue())
 	s.g.Eventually(func() int { return s.status("POST", "gateway", "/services/records/x", "body") }, waitTimeout).Should(gomega.Equal(200))
@@ -246,8 +249,42 @@
 	}
 }
 
+// Guards against callers whose bodies take the memory of the API server together, or whose decoded form does, and against connections
+// without bound.
+func TestCrowdAtTheAPIServer(t *testing.T) {
+	binaries := build(t)
+	const path = "/apis/v1/batch"
+	for name, script := range bodies(path, batchBytes) {
+		t.Run(name, func(t *testing.T) { startSite(t, binaries).endure("apiserver", batchCallers, script) })
+	}
+	for name, repeated := range map[string]string{"operations": `{},`, "values": `{"spec":[` + strings.Repeat(`{},`, 1000) + `{}]},`} {
+		body := `{"operations":[` + strings.Repeat(repeated, (batchBytes-100)/len(repeated)) + `{}]}`
+		t.Run("many "+name, func(t *testing.T) {
+			startSite(t, binaries).endure("apiserver", batchCallers, send(path, crowd.ContentLength(len(body)), func(conn io.Writer) error {
+				_, err := io.WriteString(conn, body)
+				return err
+			}))
+		})
+	}
+	feed := "/twirp/waxwingcleat.peer.ConfigFeed/Fetch"
+	t.Run("configuration feed", func(t *testing.T) {
+		script := sendAs("application/protobuf", feed, crowd.ContentLength(batchBytes), fill(batchBytes-1))
+		startSite(t, binaries).endure("apiserver", batchCallers, script)
+	})
+	for name, script := range idleConnections(path) {
+		t.Run(name, func(t *testing.T) { startSite(t, binaries).endure("apiserver", connections, script) })
+	}
+}
+
 // Guards against limits that sound callers meet in calm.
 func TestSoundCallersAreServedInCalm(t *testing.T) {
 	s := startSite(t, build(t))
 	s.g.Expect(s.status("POST", "gateway", "/services/records/x", strings.Repeat("x", bodyBytes))).To(gomega.Equal(200))
+	operations := make([]string, 0, 5000)
+	for n := range cap(operations) {
+		operations = append(operations, fmt.Sprintf(`{"kind":"adapters","name":"a%d","resourceVersion":0,`+
+			`"spec":{"baseModel":"base","versions":[{"name":"v1","path":"weights/a%d/v1"}],"defaultVersion":"v1"}}`, n, n))
+	}
+	batch := `{"operations":[` + strings.Join(operations, ",") + `]}`
+	s.g.Expect(s.status("POST", "apiserver", "/apis/v1/batch", batch)).To(gomega.Equal(200))
 }
