node, intake, connset: Limits of the other addresses, and tests of each bound by itself

The addresses for readiness and administration took 1,024 connections each, so that a crowd at all addresses had more descriptors than a VM; a probe with a body that stops kept its connection. They take 64 and bound unread bodies now. The time-out of a body applies to requests without a deadline only, as its setting says.

--- a/internal/connset/connset_test.go
+++ b/internal/connset/connset_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 
@@ -106,3 +109,93 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(string(answer)).To(gomega.Equal("answer"))
 }
+
+// Guards against connections beyond the limit, and against ones whose callers would miss them being closed for others.
+func TestIdleConnectionsYieldAtTheLimit(t *testing.T) {
+	g := gomega.NewWithT(t)
+	set := connset.New(connset.Options{Limit: 2})
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	release := make(chan struct{})
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			<-release
+		}
+		_, _ = io.WriteString(w, "ok")
+	})}
+	set.Attach(server)
+	go func() { _ = server.Serve(set.Listener(inner)) }()
+	defer server.Close()
+	dial := func(text string) net.Conn {
+		conn, err := net.Dial("tcp", inner.Addr().String())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = io.WriteString(conn, text)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		return conn
+	}
+	isClosed := func(conn net.Conn) bool {
+		_, err := conn.Read(make([]byte, 1))
+		return err != nil
+	}
+	request := func(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n" }
+	busy := dial(request("/wait"))
+	defer busy.Close()
+	g.Eventually(set.CloseIdle).Should(gomega.Equal(1))
+	idle := dial("")
+	defer idle.Close()
+
+	third := dial(request("/wait"))
+	defer third.Close()
+	g.Expect(isClosed(idle)).To(gomega.BeTrue(), "the idle connection yields")
+	g.Eventually(set.CloseIdle).Should(gomega.Equal(2))
+	fourth := dial(request("/"))
+	defer fourth.Close()
+	g.Expect(isClosed(fourth)).To(gomega.BeTrue(), "no connection with a request yields")
+	close(release)
+	for _, conn := range []net.Conn{busy, third} {
+		answer, err := bufio.NewReader(conn).ReadString('\n')
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(answer).To(gomega.HavePrefix("HTTP/1.1 200"))
+	}
+}
+
+// Guards against a request that goes on over a connection which has yielded because it stopped arriving.
+func TestStoppedRequestYieldsAndDoesNotRun(t *testing.T) {
+	g := gomega.NewWithT(t)
+	set := connset.New(connset.Options{Limit: 1})
+	client, server := connect(g, set)
+	defer client.Close()
+	_, err := client.Write([]byte("x"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = server.Read(make([]byte, 1))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Eventually(func() bool {
+		inner, err := net.Listen("tcp", "127.0.0.1:0")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		accepted := make(chan struct{})
+		go func() {
+			defer close(accepted)
+			_, _ = set.Listener(inner).Accept()
+		}()
+		next, err := net.Dial("tcp", inner.Addr().String())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		defer next.Close()
+		_ = next.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+		_, err = next.Read(make([]byte, 1))
+		_ = inner.Close()
+		<-accepted
+		return errors.Is(err, os.ErrDeadlineExceeded)
+	}, "10s").Should(gomega.BeTrue())
+	_, err = server.Read(make([]byte, 1))
+	g.Expect(err).To(gomega.HaveOccurred())
+}
+
+// Guards against answers that nobody reads and that are written without end.
+func TestWriteEndsWhenNothingIsRead(t *testing.T) {
+	g := gomega.NewWithT(t)
+	set := connset.New(connset.Options{WriteTimeout: 50 * time.Millisecond})
+	client, server := connect(g, set)
+	defer client.Close()
+	_, err := server.Write(make([]byte, 64<<20))
+	g.Expect(err).To(gomega.MatchError(os.ErrDeadlineExceeded))
+}
--- a/internal/intake/arrival.go
+++ b/internal/intake/arrival.go
@@ -40,8 +40,8 @@
 		bodies: b, request: r, control: http.NewResponseController(w), holding: b.budget.Hold(), headBytes: headBytes(r.Header),
 		limit: limit, startedAt: now, endsAt: deadline, interrupted: make(chan struct{}), progressAt: now,
 	}
-	if timeout := b.limits.Timeout; timeout > 0 && (deadline.IsZero() || now.Add(timeout).Before(deadline)) {
-		a.endsAt = now.Add(timeout)
+	if deadline.IsZero() && b.limits.Timeout > 0 {
+		a.endsAt = now.Add(b.limits.Timeout)
 	}
 	return a
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -58,7 +58,8 @@
 	Bytes int64
 	// Copies is the number of copies of a body that are held at the same time, 0 for one.
 	Copies int
-	// Stall is the time without a byte after which a body is given up, Timeout bounds the time for a whole body. 0 for no bound.
+	// Stall is the time without a byte after which a body is given up, Timeout bounds the time for a body that has no
+	// deadline. 0 for no bound.
 	Stall, Timeout time.Duration
 	// DelimiterRate bounds the bytes a second that are neither bodies nor heads, over all bodies: sizes of chunks and trailers. 0 for
 	// no bound.
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -15,6 +15,8 @@
 	// The rest is for servers, the store and files.
 	callerDescriptorsShare = 0.45
 	peerDescriptorsShare   = 0.1
+	// auxiliaryConnections bounds the connections for readiness probes, and those for administration.
+	auxiliaryConnections = 64
 	// bufferFactor is how much larger Linux makes a buffer than its configured size.
 	bufferFactor = 2
 	kilobyte     = 1 << 10
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -285,9 +285,15 @@
 		}
 		return err
 	})
-	ready := http.HandlerFunc(n.serveReady)
-	group.Go(func() error { return process.ServeListener(n.ctx, l.ready, ready, auxiliaryShutdownTimeout) })
-	group.Go(func() error { return process.ServeListener(n.ctx, l.admin, n.adminHandler(), auxiliaryShutdownTimeout) })
+	group.Go(func() error { return n.serveAuxiliary(l.ready, http.HandlerFunc(n.serveReady)) })
+	group.Go(func() error { return n.serveAuxiliary(l.admin, n.adminHandler()) })
+}
+
+// serveAuxiliary serves the platform's probes or operators.
+func (n *Node) serveAuxiliary(listener net.Listener, handler http.Handler) error {
+	return process.ServeLimited(n.ctx, listener, n.bodies.Handler(handler), auxiliaryShutdownTimeout, connset.Options{
+		Limit: auxiliaryConnections, WriteTimeout: n.settings.Callers.AnswerStall.Std(), Events: n.events,
+	})
 }
 
 // adminHandler returns the handler of the admin address.
