--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -97,7 +97,7 @@
 	maximumPartitions = 1024
 	maximumMemoryMB   = 1 << 20
 	// minimumDescriptors leaves some connections to callers beside those to servers, the store and other nodes.
-	minimumDescriptors = 1024
+	minimumDescriptors = 256
 	maximumDescriptors = 1 << 20
 )
 
