--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -44,13 +44,15 @@
 
 // Metrics of all bodies of a process.
 var (
-	tooLarge  = metrics.GetOrRegisterCounter("callers.bodiesTooLarge", nil)
-	noRoom    = metrics.GetOrRegisterCounter("callers.bodiesWithoutRoom", nil)
-	stalled   = metrics.GetOrRegisterCounter("callers.bodiesStalled", nil)
-	yielded   = metrics.GetOrRegisterCounter("callers.bodiesYielded", nil)
-	budgetTag = "callers"
+	tooLarge = metrics.GetOrRegisterCounter("callers.bodiesTooLarge", nil)
+	noRoom   = metrics.GetOrRegisterCounter("callers.bodiesWithoutRoom", nil)
+	stalled  = metrics.GetOrRegisterCounter("callers.bodiesStalled", nil)
+	yielded  = metrics.GetOrRegisterCounter("callers.bodiesYielded", nil)
 )
 
+// metricsName begins the names of the metrics of the budget and the pacer.
+const metricsName = "callers"
+
 // Limits bound the bodies of a process.
 type Limits struct {
 	// Bytes bounds the memory of all bodies, and of heads with many fields, beside a few KB of each request; 0 for no bound. One
@@ -88,10 +90,10 @@
 		b.limits.Events = event.Discard()
 	}
 	if limits.Bytes > 0 {
-		b.budget = bytelimit.NewBudget(budgetTag, limits.Bytes, exemptBytes)
+		b.budget = bytelimit.NewBudget(metricsName, limits.Bytes, exemptBytes)
 	}
 	if limits.DelimiterRate > 0 {
-		b.delimiters = bytelimit.NewPacer(budgetTag, float64(limits.DelimiterRate))
+		b.delimiters = bytelimit.NewPacer(metricsName, float64(limits.DelimiterRate))
 	}
 	return b
 }
@@ -173,6 +175,7 @@
 		err = a.read()
 	}
 	if err == nil && !connset.ResumeRequest(r.Context()) {
+		// The connection yielded as the last bytes arrived. Its caller takes the request for one that wasn't read.
 		err = ErrTooSlow
 	}
 	if err != nil {
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -211,3 +211,16 @@
 		g.Expect(recorder.Code).To(gomega.Equal(status))
 	}
 }
+
+// Guards against chunks of a few bytes that take the processor, and against a pace that sound chunks meet.
+func TestDelimitersOfTinyChunksArePaced(t *testing.T) {
+	const size = 300_000
+	s := startServer(t, intake.Limits{Stall: time.Hour, Timeout: time.Second, DelimiterRate: 64 << 10}, 0)
+	sound := s.send("Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("400\r\n"+strings.Repeat("x", 1024)+"\r\n", size/1024) + "0\r\n\r\n")
+	defer sound.Close()
+	s.expectHeld()
+	tiny := s.send("Transfer-Encoding: chunked\r\n\r\n")
+	defer tiny.Close()
+	go func() { _, _ = io.WriteString(tiny, strings.Repeat("1\r\nx\r\n", size)+"0\r\n\r\n") }()
+	s.expectResult(intake.ErrTooSlow)
+}
--- a/internal/process/listen_test.go
+++ b/internal/process/listen_test.go
@@ -80,3 +80,28 @@
 	_, err := process.Listen("127.0.0.1:0", settings.TLS{CertificateFile: "/nonexistent", KeyFile: "/nonexistent"})
 	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("nonexistent")))
 }
+
+// Guards against the kernel's buffers, which grow to megabytes while nobody reads.
+func TestUnreadBytesOfAConnectionAreBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	listener, err := process.ListenTCP("127.0.0.1:0", 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer listener.Close()
+	client, err := net.Dial("tcp", listener.Addr().String())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer client.Close()
+	server, err := listener.Accept()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer server.Close()
+	// What the client's own buffer takes is bounded as well, so that only the server's can grow.
+	g.Expect(client.(*net.TCPConn).SetWriteBuffer(process.DefaultBufferBytes)).To(gomega.Succeed())
+	for name, ends := range map[string][2]net.Conn{"received": {client, server}, "sent": {server, client}} {
+		if name == "sent" {
+			g.Expect(client.(*net.TCPConn).SetReadBuffer(process.DefaultBufferBytes)).To(gomega.Succeed())
+		}
+		g.Expect(ends[0].SetWriteDeadline(time.Now().Add(500 * time.Millisecond))).To(gomega.Succeed())
+		written, err := ends[0].Write(make([]byte, 64<<20))
+		g.Expect(err).To(gomega.MatchError(os.ErrDeadlineExceeded), name)
+		g.Expect(written).To(gomega.BeNumerically("<", 16*process.DefaultBufferBytes), name)
+	}
+}
