--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -45,8 +45,12 @@
 			return
 		}
 		defer body.Release()
-		<-s.release
-		_, _ = fmt.Fprint(w, len(body.Bytes()))
+		select {
+		case <-s.release:
+			_, _ = fmt.Fprint(w, len(body.Bytes()))
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
+		}
 	})))
 	httpServer.Listener = set.Listener(httpServer.Listener)
 	set.Attach(httpServer.Config)
@@ -168,6 +172,17 @@
 	}
 }
 
+// Guards against room that a body keeps after it was given up.
+func TestBodyThatIsGivenUpReturnsItsRoom(t *testing.T) {
+	s := startServer(t, intake.Limits{Bytes: 300 << 10, Stall: 50 * time.Millisecond}, 0)
+	stopped := s.send(announce(200<<10, 10))
+	defer stopped.Close()
+	s.expectResult(intake.ErrTooSlow)
+	next := s.send(announce(200<<10, 200<<10))
+	defer next.Close()
+	s.expectHeld()
+}
+
 // Guards against a deadline of the body that ends a request which is being processed.
 func TestDeadlineOfTheBodyEndsWithIt(t *testing.T) {
 	s := startServer(t, intake.Limits{Stall: 50 * time.Millisecond}, 0)
