connset: A test doesn't close the connection that it waits for

It waited for the start of a request with CloseIdle, which closes a connection that was accepted and whose request the server hasn't read yet.

--- a/internal/connset/connset_test.go
+++ b/internal/connset/connset_test.go
@@ -116,9 +116,10 @@
 	set := connset.New(connset.Options{Limit: 2})
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	release := make(chan struct{})
+	started, release := make(chan struct{}), make(chan struct{})
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/wait" {
+			started <- struct{}{}
 			<-release
 		}
 		_, _ = io.WriteString(w, "ok")
@@ -140,14 +141,14 @@
 	request := func(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n" }
 	busy := dial(request("/wait"))
 	defer busy.Close()
-	g.Eventually(set.CloseIdle).Should(gomega.Equal(1))
+	<-started
 	idle := dial("")
 	defer idle.Close()
 
 	third := dial(request("/wait"))
 	defer third.Close()
 	g.Expect(isClosed(idle)).To(gomega.BeTrue(), "the idle connection yields")
-	g.Eventually(set.CloseIdle).Should(gomega.Equal(2))
+	<-started
 	fourth := dial(request("/"))
 	defer fourth.Close()
 	g.Expect(isClosed(fourth)).To(gomega.BeTrue(), "no connection with a request yields")
