connset: A TLS connection that yields keeps the set locked for no caller

Closing a TLS connection sends an alert and waits up to 5 s for a caller whose buffers are full. A connection yields while its set is locked, so that such a caller delayed the accepting of all others at the gateway and the API server. The connection below is closed instead. Found by reading the change; TestYieldingWaitsForNoCaller failed before (10 s) and passes now.

--- a/internal/connset/conn.go
+++ b/internal/connset/conn.go
@@ -89,10 +89,18 @@
 	c.mu.Unlock()
 	yieldedConnections.Inc(1)
 	// The caller may have closed the connection already.
-	_ = c.Conn.Close()
+	_ = transportOf(c.Conn).Close()
 	return true
 }
 
+// transportOf returns the connection below a TLS connection, whose own Close waits for a caller that reads nothing.
+func transportOf(c net.Conn) net.Conn {
+	if layered, ok := c.(interface{ NetConn() net.Conn }); ok {
+		return layered.NetConn()
+	}
+	return c
+}
+
 // setPhase changes the phase. It returns false if the connection has yielded.
 func (c *conn) setPhase(next phase) bool {
 	c.mu.Lock()
--- a/internal/connset/connset.go
+++ b/internal/connset/connset.go
@@ -130,7 +130,7 @@
 		l.set.refused.Emit(l.set.options.Events, event.ConnectionRefused, event.Fields{
 			"caller": inner.RemoteAddr().String(), "limit": l.set.options.Limit,
 		})
-		if err := inner.Close(); err != nil {
+		if err := transportOf(inner).Close(); err != nil {
 			l.set.options.Events.EmitError(event.ConnectionRefused, err, nil)
 		}
 	}
--- a/internal/connset/connset_test.go
+++ b/internal/connset/connset_test.go
@@ -200,3 +200,52 @@
 	_, err := server.Write(make([]byte, 64<<20))
 	g.Expect(err).To(gomega.MatchError(os.ErrDeadlineExceeded))
 }
+
+// layered is a connection whose Close waits for its caller, as that of TLS does to send an alert.
+type layered struct {
+	net.Conn
+	waits chan struct{}
+}
+
+func (l layered) NetConn() net.Conn { return l.Conn }
+
+func (l layered) Close() error {
+	<-l.waits
+	return l.Conn.Close()
+}
+
+type layeredListener struct {
+	net.Listener
+	waits chan struct{}
+}
+
+func (l layeredListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return layered{Conn: c, waits: l.waits}, err
+}
+
+// Guards against a connection that yields and keeps the set locked until its caller reads.
+func TestYieldingWaitsForNoCaller(t *testing.T) {
+	g := gomega.NewWithT(t)
+	set := connset.New(connset.Options{Limit: 1})
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer inner.Close()
+	listener := set.Listener(layeredListener{Listener: inner, waits: make(chan struct{})})
+	accepted := make(chan net.Conn)
+	go func() {
+		for range 2 {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- c
+		}
+	}()
+	for range 2 {
+		client, err := net.Dial("tcp", inner.Addr().String())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		defer client.Close()
+		g.Eventually(accepted, "10s").Should(gomega.Receive())
+	}
+}
