--- a/internal/upstream/held.go
+++ b/internal/upstream/held.go
@@ -14,6 +14,14 @@
 	ErrNoMemory = errors.New("too many large answers are held")
 )
 
+// Budget bounds the memory of answers that are held. The packages that translate a protocol take it from here, with the connections.
+type Budget = bytelimit.Budget
+
+// NewBudget returns a budget of so many bytes, beside exempt bytes of each answer. Its metrics begin with name.
+func NewBudget(name string, bytes int64, exempt int) *Budget {
+	return bytelimit.NewBudget(name, bytes, exempt)
+}
+
 // minimumBuffer is the first size of the buffer of an answer whose length isn't known.
 const minimumBuffer = 4 << 10
 
