crowd: Ports of the tests' processes are below the ephemeral range

Ports came from the ephemeral range, where an outgoing connection can take one before its process listens, as platform's tests avoid. That this was the cause is suspected, not shown: the site's logs were gone. Crowd, bounds and checks are unchanged.

--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -5,12 +5,14 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -74,12 +76,29 @@
 	return s
 }
 
-// freeAddress returns a loopback address whose port was free.
+// Ports are below the system's ephemeral range, so that no outgoing connection can occupy one before its process listens.
+const (
+	firstPort = 10_000
+	portCount = 9_000
+)
+
+// nextPort is the offset of the next port to assign.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(rand.Int64N(portCount)) }
+
+// freeAddress returns a loopback address whose port is free.
 func (s *site) freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	s.g.Expect(err).NotTo(gomega.HaveOccurred())
-	defer listener.Close()
-	return listener.Addr().String()
+	for range portCount {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portCount)
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			s.g.Expect(listener.Close()).To(gomega.Succeed())
+			return address
+		}
+	}
+	s.g.Expect(portCount).To(gomega.BeZero(), "no port is free")
+	return ""
 }
 
 func (s *site) common(role string, settings object) object {
