process, gateway, scheduler, apiserver: Bodies at internal addresses are bounded

What was seen: 288 requests to a gateway's address for peers or to a scheduler took 344 MB with bodies of 1 MB that stop, 1,615 MB with bodies of 4 MB, and 12.4 GB with bodies of 64 MB. A body that stopped was kept for good.

Change: process.Internal serves all addresses for other processes, operators and monitoring. It takes room for a body before it reads it, as the addresses for callers do, and heads have a budget there too. Settings internal.*. The test of process keeps its check; it calls ServeLimited, which has the shutdown that it tests. The stand-ins, which serve callers' bodies, stay without these bounds.

--- a/cmd/waxwing-scheduler/main.go
+++ b/cmd/waxwing-scheduler/main.go
@@ -46,8 +46,13 @@
 	for _, task := range coordination.tasks {
 		group.Go(func() error { return task(groupCtx) })
 	}
-	group.Go(func() error { return serveRPC(groupCtx, settings, driver, replica, coordination) })
-	group.Go(func() error { return serveAdmin(groupCtx, settings, driver, replica) })
+	internal := process.NewInternal(settings.Internal, events)
+	group.Go(func() error {
+		return internal.Serve(groupCtx, settings.Listen, rpcHandler(driver, replica, coordination), settings.ShutdownTimeout.Std())
+	})
+	group.Go(func() error {
+		return internal.Serve(groupCtx, settings.AdminListen, adminHandler(driver, replica), settings.ShutdownTimeout.Std())
+	})
 	group.Go(func() error {
 		defer stop()
 		defer coordination.leave()
@@ -70,10 +75,8 @@
 	return joined
 }
 
-func serveRPC(
-	ctx context.Context, settings scheduler.Settings, driver *scheduler.Scheduler, replica *configlog.Replica,
-	coordination *coordination,
-) error {
+// rpcHandler returns the handler of the calls of other processes.
+func rpcHandler(driver *scheduler.Scheduler, replica *configlog.Replica, coordination *coordination) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(peerpb.PermitsPathPrefix, driver.Handler())
 	if feed := replica.Feed(); feed != nil {
@@ -82,11 +85,11 @@
 	if coordination.membership != nil {
 		mux.Handle(peerpb.MembershipPathPrefix, coordination.membership)
 	}
-	return process.Serve(ctx, settings.Listen, mux, settings.ShutdownTimeout.Std())
+	return mux
 }
 
-func serveAdmin(ctx context.Context, settings scheduler.Settings, driver *scheduler.Scheduler, replica *configlog.Replica) error {
+func adminHandler(driver *scheduler.Scheduler, replica *configlog.Replica) http.Handler {
 	admin := process.NewAdmin(replica.Ready)
 	admin.Mux.Handle("GET /debug/decisions", driver.Decisions())
-	return process.Serve(ctx, settings.AdminListen, admin.Mux, settings.ShutdownTimeout.Std())
+	return admin.Mux
 }
--- a/internal/apiserver/server.go
+++ b/internal/apiserver/server.go
@@ -94,7 +94,8 @@
 
 func (s *Server) serveAdmin(ctx context.Context, listener net.Listener) error {
 	admin := process.NewAdmin(s.ready)
-	return process.ServeListener(ctx, listener, admin.Mux, s.settings.ShutdownTimeout.Std())
+	internal := process.NewInternal(s.settings.Internal, s.events)
+	return internal.ServeListener(ctx, listener, admin.Mux, s.settings.ShutdownTimeout.Std())
 }
 
 func (s *Server) ready() error {
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -184,8 +184,9 @@
 	group.Go(func() error { return s.dependencies.Ledger.Run(ctx) })
 	group.Go(func() error { return s.permits.Run(ctx) })
 	group.Go(func() error { return s.gateway.Dispatch(ctx) })
-	group.Go(func() error { return process.ServeListener(ctx, listeners[1], s.peerHandler(), peerShutdownTimeout) })
-	group.Go(func() error { return process.ServeListener(ctx, listeners[2], s.adminHandler(), peerShutdownTimeout) })
+	internal := process.NewInternal(s.settings.Internal, s.dependencies.Events)
+	group.Go(func() error { return internal.ServeListener(ctx, listeners[1], s.peerHandler(), peerShutdownTimeout) })
+	group.Go(func() error { return internal.ServeListener(ctx, listeners[2], s.adminHandler(), peerShutdownTimeout) })
 	group.Go(func() error {
 		err := s.callers.Serve(s.connections.Listener(listeners[0]))
 		if errors.Is(err, http.ErrServerClosed) {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -48,11 +48,13 @@
 	yielded  = metrics.GetOrRegisterCounter("callers.bodiesYielded", nil)
 )
 
-// metricsName begins the names of the metrics of the budget and the pacer.
-const metricsName = "callers"
+// defaultName begins the names of the metrics of the budget and the pacer where the limits name no other.
+const defaultName = "callers"
 
 // Limits bound the bodies of a process.
 type Limits struct {
+	// Name begins the names of the metrics of the budget and the pacer; empty for that of callers.
+	Name string
 	// Bytes bounds the memory of all bodies, beside a few KB of each request; 0 for no bound. One body is held in any case.
 	Bytes int64
 	// Copies is the number of copies of a body that are held at the same time, 0 for one.
@@ -86,11 +88,14 @@
 	if b.limits.Events == nil {
 		b.limits.Events = event.Discard()
 	}
+	if limits.Name == "" {
+		limits.Name = defaultName
+	}
 	if limits.Bytes > 0 {
-		b.budget = bytelimit.NewBudget(metricsName, limits.Bytes, exemptBytes)
+		b.budget = bytelimit.NewBudget(limits.Name, limits.Bytes, exemptBytes)
 	}
 	if limits.DelimiterRate > 0 {
-		b.delimiters = bytelimit.NewPacer(metricsName, float64(limits.DelimiterRate))
+		b.delimiters = bytelimit.NewPacer(limits.Name, float64(limits.DelimiterRate))
 	}
 	return b
 }
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -12,7 +12,6 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
-	"sync"
 	"syscall"
 	"time"
 
@@ -21,7 +20,6 @@
 	"github.com/spf13/cobra"
 	"golang.org/x/sync/errgroup"
 
-	"waxwingcleat.example/waxwingcleat/internal/bytelimit"
 	"waxwingcleat.example/waxwingcleat/internal/connset"
 	"waxwingcleat.example/waxwingcleat/internal/event"
 	"waxwingcleat.example/waxwingcleat/internal/settings"
@@ -181,30 +179,10 @@
 	return &Admin{Mux: mux}
 }
 
-// Serve serves HTTP on address until ctx ends. Then it waits up to the duration shutdown for the requests in progress.
-func Serve(ctx context.Context, address string, handler http.Handler, shutdown time.Duration) error {
-	listener, err := ListenTCP(address, 0)
-	if err != nil {
-		return err
-	}
-	return ServeListener(ctx, listener, handler, shutdown)
-}
-
 // DefaultConnections bounds the connections of a listener that serves operators, monitoring and other processes of the site.
 const DefaultConnections = 1024
 
-// internalHeadsBytes bounds the heads of the requests of all listeners of a process that ServeListener serves.
-const internalHeadsBytes = 16 << 20
-
-// internalHeads returns the budget of these heads.
-var internalHeads = sync.OnceValue(func() *bytelimit.Budget { return connset.NewHeadBudget("internal.heads", internalHeadsBytes) })
-
-// ServeListener is like Serve, but uses an open listener. It serves DefaultConnections at the same time.
-func ServeListener(ctx context.Context, listener net.Listener, handler http.Handler, shutdown time.Duration) error {
-	return ServeLimited(ctx, listener, handler, shutdown, connset.Options{Limit: DefaultConnections, Heads: internalHeads()})
-}
-
-// ServeLimited is like ServeListener, with other limits on the connections.
+// ServeLimited serves HTTP on a listener until ctx ends. Then it waits up to the duration shutdown for the requests in progress.
 func ServeLimited(
 	ctx context.Context, listener net.Listener, handler http.Handler, shutdown time.Duration, limits connset.Options,
 ) error {
--- a/internal/settings/common.go
+++ b/internal/settings/common.go
@@ -59,6 +59,29 @@
 	LogLevel   string   `json:"logLevel"`
 	// ShutdownTimeout limits the duration of a graceful shutdown.
 	ShutdownTimeout Duration `json:"shutdownTimeout"`
+	// Internal applies to all addresses but Listen of processes that callers or operators' clients call.
+	Internal InternalLimits `json:"internal"`
+}
+
+// InternalLimits bound what requests of other processes of the site, operators and monitoring can make a process hold.
+type InternalLimits struct {
+	// BodyBytes bounds a body, and BodiesBytes the memory for the bodies of all requests, beside a few KB of each.
+	BodyBytes   int `json:"bodyBytes"`
+	BodiesBytes int `json:"bodiesBytes"`
+	// HeadsBytes bounds the memory for the heads of all requests, beside a few KB of each.
+	HeadsBytes int `json:"headsBytes"`
+	// DelimiterRate bounds the sizes and ends of chunks that are read, in bytes per second.
+	DelimiterRate int `json:"delimiterRate"`
+	// BodyTimeout bounds the time to read a body, and each write of an answer.
+	BodyTimeout Duration `json:"bodyTimeout"`
+}
+
+func (l *InternalLimits) check(c *Check) {
+	c.Between("internal.bodyBytes", l.BodyBytes, 1<<10, 256<<20)
+	c.Between("internal.bodiesBytes", l.BodiesBytes, 1<<20, 1<<30)
+	c.Between("internal.headsBytes", l.HeadsBytes, 1<<20, 1<<30)
+	c.Between("internal.delimiterRate", l.DelimiterRate, 1<<10, 1<<30)
+	c.DurationBetween("internal.bodyTimeout", l.BodyTimeout, 100*time.Millisecond, 5*time.Minute)
 }
 
 // DefaultCommon returns the default settings.
@@ -67,6 +90,13 @@
 		Platform:        Platform{Timeout: Duration(2 * time.Second)},
 		LogLevel:        logrus.InfoLevel.String(),
 		ShutdownTimeout: Duration(5 * time.Minute),
+		Internal: InternalLimits{
+			BodyBytes:     8 << 20,
+			BodiesBytes:   32 << 20,
+			HeadsBytes:    16 << 20,
+			DelimiterRate: 2 << 20,
+			BodyTimeout:   Duration(30 * time.Second),
+		},
 	}
 }
 
@@ -81,6 +111,7 @@
 	c.NotEmpty("platform.logURL", s.Platform.LogURL)
 	c.DurationBetween("platform.timeout", s.Platform.Timeout, 50*time.Millisecond, time.Minute)
 	c.DurationBetween("shutdownTimeout", s.ShutdownTimeout, time.Second, time.Hour)
+	s.Internal.check(c)
 	for _, address := range s.Schedulers {
 		c.HostPort("schedulers", address)
 	}
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"waxwingcleat.example/waxwingcleat/internal/connset"
 	"waxwingcleat.example/waxwingcleat/internal/event"
 	"waxwingcleat.example/waxwingcleat/internal/platform"
 	"waxwingcleat.example/waxwingcleat/internal/platform/httplog"
@@ -227,7 +228,7 @@
 
 func serve(ctx context.Context, s server) error {
 	defer s.listener.Break()
-	err := process.ServeListener(ctx, s.listener, s.handler, shutdownTimeout)
+	err := process.ServeLimited(ctx, s.listener, s.handler, shutdownTimeout, connset.Options{Limit: process.DefaultConnections})
 	if errors.Is(err, context.DeadlineExceeded) {
 		return nil
 	}
