apiserver: The admin address has fixed receive buffers

What was seen: 288 callers at the admin address left 114 to 184 MB unread in the kernel, 135 to 204 MB in all, while the process stayed at 20 MB.

Cause: this listener was the only one that didn't come from process.ListenTCP, so that its receive buffers grew.

Evidence: TestCrowdAtInternalAddresses (apiserverAdmin, 4 MB in chunks) failed with 185 and 204 MB; 80 MB now. Change: it comes from process.ListenTCP.

--- a/internal/apiserver/server.go
+++ b/internal/apiserver/server.go
@@ -53,7 +53,7 @@
 	if err != nil {
 		return err
 	}
-	admin, err := net.Listen("tcp", s.settings.AdminListen)
+	admin, err := process.ListenTCP(s.settings.AdminListen, 0)
 	if err != nil {
 		return errors.Join(err, listener.Close())
 	}
--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -339,6 +339,7 @@
 	"gatewayPeer":    "/twirp/waxwingcleat.peer.Claims/Lookup",
 	"scheduler":      "/twirp/waxwingcleat.peer.Permits/Sync",
 	"schedulerAdmin": "/metrics",
+	"apiserverAdmin": "/metrics",
 	"gatewayAdmin":   "/metrics",
 }
 
