connset: A connection returns the room of its head before it is idle

Traced: the caller reads the answer before the server has ended the request, whose room is still taken then; the test waits for it now, with the same demand on both connections. The trace showed a fault beside it: a connection became idle before it returned its room, so that another one could close it for room that was about to be free.

--- a/internal/connset/connset.go
+++ b/internal/connset/connset.go
@@ -82,11 +82,12 @@
 	if !ok || state != http.StateIdle {
 		return
 	}
-	headSize := tracked.becomeIdle()
+	// An idle connection yields its room, so that this one returns it before.
 	s.mu.Lock()
 	tracked.headRoom.Release()
 	draining := s.draining
 	s.mu.Unlock()
+	headSize := tracked.becomeIdle()
 	if draining {
 		tracked.closeIfIdle()
 		return
--- a/internal/connset/head_test.go
+++ b/internal/connset/head_test.go
@@ -116,8 +116,12 @@
 	s := startHeadServer(t, oneHead)
 	first := s.send(nextHead + manyFields(1000) + "\r\n")
 	s.g.Expect(s.isServed(first)).To(gomega.BeTrue())
-	second := s.send(nextHead + manyFields(1000) + "\r\n")
-	s.g.Expect(s.isServed(second)).To(gomega.BeTrue())
+	// The answer arrives before the server has ended the request.
+	var second net.Conn
+	s.g.Eventually(func() bool {
+		second = s.send(nextHead + manyFields(1000) + "\r\n")
+		return s.isServed(second)
+	}, 20*time.Second).Should(gomega.BeTrue())
 	s.write(first, nextHead+"\r\n")
 	s.g.Expect(s.isServed(first)).To(gomega.BeTrue(), "the first connection had no room to yield")
 	s.write(second, waitHead+manyFields(1000)+"\r\n")
