intake: The test of a stalled body waits until it had to yield

Traced by the stacks of its goroutines: the chunked body had not arrived so far when the next one asked, both had room (112 and 184 of 300 KB), and nothing had to yield; the test then read the refusal of the stalled body without a deadline. The product is unchanged.

--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -116,15 +116,21 @@
 		s := startServer(t, intake.Limits{Bytes: 300 << 10}, 0)
 		stalled := s.send(field)
 		defer stalled.Close()
+		answer := make([]byte, len("HTTP/1.1 503"))
+		answered := make(chan error, 1)
+		go func() {
+			_, err := io.ReadFull(stalled, answer)
+			answered <- err
+		}()
+		// While the stalled body has not arrived so far, there is room for the next one beside it.
 		s.g.Eventually(func() bool {
 			next := s.send(announce(200<<10, 200<<10))
 			defer next.Close()
 			first := <-s.results
-			return first == nil || errors.Is(first, intake.ErrNoRoom) && len(s.results) > 0 && <-s.results == nil
+			isHeld := first == nil || errors.Is(first, intake.ErrNoRoom) && len(s.results) > 0 && <-s.results == nil
+			return isHeld && len(answered) > 0
 		}, timeout, 300*time.Millisecond).Should(gomega.BeTrue())
-		answer := make([]byte, len("HTTP/1.1 503"))
-		_, err := io.ReadFull(stalled, answer)
-		s.g.Expect(err).NotTo(gomega.HaveOccurred())
+		s.g.Expect(<-answered).NotTo(gomega.HaveOccurred())
 		s.g.Expect(string(answer)).To(gomega.Equal("HTTP/1.1 503"))
 	}
 }
