crowd, settings: One function plays a crowd at any address

endure only called endureAt with the same arguments. The comment on the limits of internal addresses left out the scheduler, whose Listen is one. Checks and behaviour are unchanged.

--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -177,14 +177,9 @@
 	return answer.StatusCode
 }
 
-// endure plays a crowd at a process and checks that it stays within its VM and answers an ordinary request while the crowd's
-// connections are open.
-func (s *site) endure(role string, callers int, script crowd.Script) {
-	s.endureAt(role, callers, script)
-}
-
-// endureAt is endure at an address, whose name begins with the role of its process.
-func (s *site) endureAt(name string, callers int, script crowd.Script) {
+// endure plays a crowd at an address, whose name begins with the role of its process. It checks that the process stays within its VM and
+// answers an ordinary request while the crowd's connections are open.
+func (s *site) endure(name string, callers int, script crowd.Script) {
 	role := strings.TrimSuffix(strings.TrimSuffix(name, "Peer"), "Admin")
 	watch := crowd.Process{PID: s.process[role], Addresses: []string{s.address[name]}}.Watch()
 	crowded := crowd.Start(crowd.Options{Address: s.address[name], Callers: callers, Script: script, Reads: true})
@@ -334,7 +329,7 @@
 	}
 	for name, path := range internalPaths {
 		t.Run(name+" heads that stop", func(t *testing.T) {
-			startSite(t, binaries).endureAt(name, headCallers, manyFields(path)["heads that stop"])
+			startSite(t, binaries).endure(name, headCallers, manyFields(path)["heads that stop"])
 		})
 	}
 }
@@ -358,7 +353,7 @@
 			// Few enough bytes for a machine without a bound.
 			"far over any sound message": sendAs("application/protobuf", path, crowd.Chunked, chunks(4*bodyBytes, 16<<10)),
 		} {
-			t.Run(name+" "+way, func(t *testing.T) { startSite(t, binaries).endureAt(name, bodyCallers, script) })
+			t.Run(name+" "+way, func(t *testing.T) { startSite(t, binaries).endure(name, bodyCallers, script) })
 		}
 	}
 }
--- a/internal/settings/common.go
+++ b/internal/settings/common.go
@@ -59,7 +59,7 @@
 	LogLevel   string   `json:"logLevel"`
 	// ShutdownTimeout limits the duration of a graceful shutdown.
 	ShutdownTimeout Duration `json:"shutdownTimeout"`
-	// Internal applies to all addresses but Listen of processes that callers or operators' clients call.
+	// Internal applies to the addresses that other processes of the site, operators and monitoring use.
 	Internal InternalLimits `json:"internal"`
 }
 
