--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -131,6 +131,9 @@
 		"request": j.request.ID, "server": j.server, "reason": reason, "sends": j.sends,
 		"ms": time.Since(j.arrived).Milliseconds(),
 	}
+	if kind == event.RequestRefused {
+		j.f.addConfig(time.Now(), fields)
+	}
 	if j.route != nil {
 		fields["route"] = j.route.Name
 	}
@@ -156,6 +159,18 @@
 	j.f.options.Events.Emit(kind, fields)
 }
 
+// addConfig adds the configuration in force to the fields of a log line, and how old that knowledge is.
+func (f *Forwarder) addConfig(now time.Time, fields event.Fields) {
+	config := f.Config()
+	if config == nil {
+		return
+	}
+	fields["config"] = config.Version
+	if f.options.ConfigAge != nil {
+		fields["configAgeMs"] = f.options.ConfigAge(now).Milliseconds()
+	}
+}
+
 // pickResident chooses a server that can resume a stream without waiting for a load.
 func (j *job) pickResident(candidates []serverview.Candidate) (serverview.Candidate, bool) {
 	if j.service.Engine == nil {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -86,6 +86,8 @@
 	// RetryBudget is the site-wide bound on retries; its Nodes field is overridden by the result of Nodes.
 	RetryBudget retrybudget.Options
 	Nodes       func() int
+	// ConfigAge returns how long ago the configuration in force was known to be the newest, for the log; it may be nil.
+	ConfigAge func(now time.Time) time.Duration
 }
 
 // Gate paces the prompts sent to each model server.
--- a/internal/node/keys_test.go
+++ b/internal/node/keys_test.go
@@ -73,7 +73,7 @@
 func TestReadersAnswerRenewsTheProof(t *testing.T) {
 	g := gomega.NewWithT(t)
 	n, peer := newKeysNode(t, nil)
-	n.applyOperator(sourceStore, customersBatch(2))
+	n.applyOperator(provenance{source: sourceStore}, customersBatch(2))
 	n.keys.applied(5)
 	g.Expect(n.keys.Status().Accept).To(gomega.BeFalse())
 	before := bootTime()
@@ -99,7 +99,7 @@
 func TestOnlyReadsAndAnswersRenewTheProof(t *testing.T) {
 	g := gomega.NewWithT(t)
 	n, peer := newKeysNode(t, nil)
-	n.applyOperator(sourceStore, customersBatch(2))
+	n.applyOperator(provenance{source: sourceStore}, customersBatch(2))
 	n.keys.readOperator(bootTime(), serving.Cursor{Known: true, Offset: 5, More: true})
 	g.Expect(n.keys.Status()).To(gomega.Equal(forward.KeyStatus{Age: unknownProofAge}))
 	n.watch.recordOperatorRead(time.Now(), serving.OperatorBatch{Next: serving.Cursor{Known: true, Offset: 5}}, true)
@@ -119,7 +119,7 @@
 func TestReaderAnswersWithTheAgeOfItsProof(t *testing.T) {
 	g := gomega.NewWithT(t)
 	n, peer := newKeysNode(t, nil)
-	n.applyOperator(sourceStore, customersBatch(2))
+	n.applyOperator(provenance{source: sourceStore}, customersBatch(2))
 	n.keys.readOperator(bootTime()-time.Minute, serving.Cursor{Known: true, Offset: 7})
 	n.handleMessage(time.Now(), peer.from(peerlink.Message{KeyChallenge: &peerlink.KeyChallenge{Nonce: 1 << 63}}))
 	var message peerlink.Message
@@ -144,7 +144,7 @@
 	} {
 		g := gomega.NewWithT(t)
 		n, peer := newKeysNode(t, c.change)
-		n.applyOperator(sourceStore, serving.OperatorBatch{Configurations: []*serving.Configuration{c.config}})
+		n.applyOperator(provenance{source: sourceStore}, serving.OperatorBatch{Configurations: []*serving.Configuration{c.config}})
 		n.keys.step(time.Now())
 		g.Expect(n.keys.readDue()).To(gomega.BeFalse(), name)
 		n.link.Send(peerlink.Message{Nodes: 1}, peer.link.Address())
@@ -159,7 +159,7 @@
 func TestNodeReadsTheStoreWhenNoReaderAnswers(t *testing.T) {
 	g := gomega.NewWithT(t)
 	n, peer := newKeysNode(t, nil)
-	n.applyOperator(sourceStore, customersBatch(2))
+	n.applyOperator(provenance{source: sourceStore}, customersBatch(2))
 	n.watch.recordOperatorRead(time.Now(), serving.OperatorBatch{Next: serving.Cursor{Known: true, Offset: 5}}, true)
 	digest := func() { n.watch.recordDigest(time.Now(), peer.link.Address(), storewatch.Digest{OperatorNext: 5}) }
 	digest()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -197,7 +197,7 @@
 		RetryBudget: retrybudget.Options{
 			Ratio: settings.RetryBudget.Ratio, Slack: settings.RetryBudget.Slack, Window: settings.RetryBudget.Window.Std(),
 		},
-		Nodes: n.peers.count, Quotas: n.quotas, BootTime: bootTime,
+		ConfigAge: n.watch.operatorAge, Nodes: n.peers.count, Quotas: n.quotas, BootTime: bootTime,
 	})
 	return n
 }
--- a/internal/node/peersnapshot.go
+++ b/internal/node/peersnapshot.go
@@ -128,8 +128,8 @@
 	if snapshot.Config != nil {
 		batch.Configurations = append(batch.Configurations, snapshot.Config)
 	}
-	n.applyOperator(reader, batch)
-	n.applyPeerServers(snapshot.Digest.ServersNext, snapshot.Servers)
+	n.applyOperator(n.readFrom(reader, snapshot.Digest.OperatorNext), batch)
+	n.applyPeerServers(reader, snapshot.Digest.ServersNext, snapshot.Servers)
 	n.leases.setOwners(serving.Owners{Era: snapshot.OwnersEra, ByPartition: snapshot.Owners})
 	n.reconcilePending.Store(true)
 	n.watch.advance(snapshot.Digest)
--- a/internal/node/returns.go
+++ b/internal/node/returns.go
@@ -23,5 +23,8 @@
 	}
 	storeReturns.Inc(1)
 	n.view.StoreFailed(time.Now())
-	n.events.Emit(event.StoreReturned, event.Fields{"before": change.Before, "era": change.Now, "peer": change.Source})
+	operator, servers := n.watch.offsets()
+	n.events.Emit(event.StoreReturned, event.Fields{
+		"before": change.Before, "era": change.Now, "peer": change.Source, "operatorOffset": operator, "serversOffset": servers,
+	})
 }
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -58,7 +58,7 @@
 		for _, invalid := range batch.Invalid {
 			n.events.EmitError(event.ConfigRefused, invalid, nil)
 		}
-		n.applyOperator(sourceStore, batch)
+		n.applyOperator(n.readFrom(sourceStore, batch.Next.Offset), batch)
 		n.keys.readOperator(sentAt, batch.Next)
 		n.watch.recordOperatorRead(time.Now(), batch, contiguous)
 		n.watch.waitForOperator(ctx)
@@ -92,20 +92,36 @@
 // sourceStore is the source in the log of what was read from the store itself. Other sources are addresses of peers.
 const sourceStore = "store"
 
-func (n *Node) applyOperator(source string, batch serving.OperatorBatch) {
+// provenance says where records were read, for the log.
+type provenance struct {
+	source string
+	// era is the newest known era of the store, offset the position up to which the source had read.
+	era    serving.StoreEra
+	offset int64
+}
+
+func (n *Node) readFrom(source string, offset int64) provenance {
+	return provenance{source: source, era: n.eras.Current(), offset: offset}
+}
+
+func (p provenance) addTo(fields event.Fields) event.Fields {
+	fields["source"], fields["era"], fields["offset"] = p.source, p.era, p.offset
+	return fields
+}
+
+func (n *Node) applyOperator(from provenance, batch serving.OperatorBatch) {
 	for _, config := range batch.Configurations {
 		if n.forwarder.SetConfig(config) {
-			n.events.Emit(event.ConfigInForce, event.Fields{
+			n.events.Emit(event.ConfigInForce, from.addTo(event.Fields{
 				"version": config.Version, "routes": len(config.Routes), "services": len(config.Services),
-				"source": source,
-			})
+			}))
 		}
 	}
 	for _, version := range batch.Versions {
 		if n.view.Declare(time.Now(), version) {
-			n.events.Emit(event.VersionDeclared, event.Fields{
-				"adapter": version.Adapter.String(), "version": version.Version, "source": source,
-			})
+			n.events.Emit(event.VersionDeclared, from.addTo(event.Fields{
+				"adapter": version.Adapter.String(), "version": version.Version,
+			}))
 			n.holders.declare(version)
 		}
 	}
@@ -140,7 +156,7 @@
 	defer n.entriesMu.Unlock()
 	if batch.Next.Offset >= n.entriesOffset || batch.Complete {
 		n.entriesOffset = batch.Next.Offset
-		n.applyServers(batch)
+		n.applyServers(n.readFrom(sourceStore, batch.Next.Offset), batch)
 	}
 }
 
@@ -185,13 +201,13 @@
 
 // applyDigestServers applies the entries that came with a reader's digest. If this node then has the same entries as
 // the reader, it needn't read the store.
-func (n *Node) applyDigestServers(digest storewatch.Digest, changes serving.ServerBatch) {
+func (n *Node) applyDigestServers(reader string, digest storewatch.Digest, changes serving.ServerBatch) {
 	n.entriesMu.Lock()
 	defer n.entriesMu.Unlock()
 	if digest.ServersNext <= n.entriesOffset || len(changes.Present)+len(changes.Gone) == 0 {
 		return
 	}
-	n.applyServers(changes)
+	n.applyServers(n.readFrom(reader, digest.ServersNext), changes)
 	if n.view.Fingerprint() == digest.Servers {
 		n.entriesOffset = digest.ServersNext
 		n.watch.advance(storewatch.Digest{ServersNext: digest.ServersNext})
@@ -207,23 +223,23 @@
 	if !n.watch.hasReadOperator(changes.From) {
 		return
 	}
-	n.applyOperator(reader, serving.OperatorBatch{Versions: changes.Versions})
+	n.applyOperator(n.readFrom(reader, digest.OperatorNext), serving.OperatorBatch{Versions: changes.Versions})
 	n.watch.advance(storewatch.Digest{OperatorNext: digest.OperatorNext})
 	n.keys.applied(digest.OperatorNext)
 }
 
-// applyPeerServers replaces the entries by those that a peer read up to an offset of the store's log, if that's later
+// applyPeerServers replaces the entries by those that a reader read up to an offset of the store's log, if that's later
 // than what this node has applied.
-func (n *Node) applyPeerServers(offset int64, servers []serving.Server) {
+func (n *Node) applyPeerServers(reader string, offset int64, servers []serving.Server) {
 	n.entriesMu.Lock()
 	defer n.entriesMu.Unlock()
 	if offset > n.entriesOffset {
 		n.entriesOffset = offset
-		n.applyServers(serving.ServerBatch{Complete: true, Present: servers})
+		n.applyServers(n.readFrom(reader, offset), serving.ServerBatch{Complete: true, Present: servers})
 	}
 }
 
-func (n *Node) applyServers(batch serving.ServerBatch) {
+func (n *Node) applyServers(from provenance, batch serving.ServerBatch) {
 	now := time.Now()
 	present := make(map[string]bool, len(batch.Present))
 	for _, server := range batch.Present {
@@ -231,11 +247,11 @@
 		if n.view.PutEntry(now, server) {
 			notify(n.sightings.changed)
 			n.crashes.registered(server)
-			n.events.Emit(event.ServerEntryChanged, event.Fields{
+			n.events.Emit(event.ServerEntryChanged, from.addTo(event.Fields{
 				"server": server.ID, "service": server.Service, "address": server.Address, "zone": server.Zone,
 				"softwareVersion": server.SoftwareVersion, "draining": server.Draining,
 				"leavesInMs": server.LeavesIn.Milliseconds(), "born": server.Born,
-			})
+			}))
 		}
 	}
 	removed := batch.Gone
@@ -245,18 +261,21 @@
 	}
 	for _, id := range removed {
 		if n.view.RemoveEntry(now, id) {
-			n.logRemovedEntry(id)
+			n.logRemovedEntry(from, id)
 		}
 	}
 	if batch.Complete {
 		for _, id := range n.view.KeepOnly(now, present) {
-			n.logRemovedEntry(id)
+			n.logRemovedEntry(from, id)
 		}
 	}
 }
 
-func (n *Node) logRemovedEntry(id string) {
-	n.events.Emit(event.ServerEntryChanged, event.Fields{"server": id, "removed": true})
+// logRemovedEntry logs that an entry is gone, and whether the server may get requests nevertheless.
+func (n *Node) logRemovedEntry(from provenance, id string) {
+	n.events.Emit(event.ServerEntryChanged, from.addTo(event.Fields{
+		"server": id, "removed": true, "inUse": n.view.InUse(time.Now(), id),
+	}))
 }
 
 // recordStoreCall records whether a call to the store succeeded and logs when the store becomes unavailable or
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -205,6 +205,13 @@
 	return w.own.ServersNext
 }
 
+// offsets returns the positions up to which this node has read the operators' records and the servers' entries.
+func (w *watch) offsets() (operator, servers int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.own.OperatorNext, w.own.ServersNext
+}
+
 // operatorAge returns how long ago this node, or a reader whose digests it gets, last read the operators' records.
 func (w *watch) operatorAge(now time.Time) time.Duration {
 	w.mu.Lock()
@@ -265,7 +272,7 @@
 // applyDigest applies a message with the digest of a reader.
 func (n *Node) applyDigest(now time.Time, message peerlink.Message) {
 	n.eras.Told(message.From, message.StoreEra)
-	n.applyDigestServers(*message.Digest, serving.ServerBatch{Present: message.Present, Gone: message.Removed})
+	n.applyDigestServers(message.From, *message.Digest, serving.ServerBatch{Present: message.Present, Gone: message.Removed})
 	if message.Operator != nil {
 		n.applyDigestOperator(message.From, *message.Digest, *message.Operator)
 	}
