storewatch, node, platform, keyproof: Positions in the store's logs are ordered by era

What callers saw: after the store returned from a copy, nodes that follow readers refused requests for added routes (404) for as long as the operators' log was shorter than before the return, and sent requests to servers whose entries said that they leave.

A return gives offsets out again. Besides, a cursor of before the return was read on from once the log had grown past it, so that the records below it were missed.

Change: a cursor, a digest and a proof name the era of their offset. With a new era a node forgets what readers and itself had read (Core.EnterEra), so that it reads anew from the newest records; a digest of an earlier era counts for nothing, not even as a sign that its reader reads the store; a reader sends none until it has read the store in the new era. Readers of older builds name no era: where the store names one, newer nodes read by themselves beside them.

--- a/internal/keyproof/keyproof.go
+++ b/internal/keyproof/keyproof.go
@@ -4,7 +4,11 @@
 // passed.
 package keyproof
 
-import "time"
+import (
+	"time"
+
+	"waxwingcleat.example/waxwingcleat/internal/serving"
+)
 
 const (
 	// challengeInterval is the time between two challenges, maximumChallengeShare bounds it to a share of the lifetime of a
@@ -20,9 +24,12 @@
 	maximumOpen = 16
 )
 
-// Position says how far a node has read the operators' records. The version is needed besides the offset because offsets
-// begin anew when the log is replaced, while versions in force never go back.
+// Position says how far a node has read the operators' records. The version is needed besides era and offset because a store that has
+// returned from a copy may hold less than before, and because offsets begin anew when the log is replaced, while versions in force never
+// go back.
 type Position struct {
+	// Era is the era of the store to which the offset belongs.
+	Era serving.StoreEra
 	// Offset is the offset up to which the node has read.
 	Offset int64
 	// Version is that of the configuration in force; 0 without one.
@@ -31,7 +38,20 @@
 
 // covers reports whether a node at this position has applied everything that one at the other position has.
 func (p Position) covers(other Position) bool {
-	return p.Offset >= other.Offset && p.Version >= other.Version
+	return !other.log().After(p.log()) && p.Version >= other.Version
+}
+
+// log returns the position in the log.
+func (p Position) log() serving.Position { return serving.Position{Era: p.Era, Offset: p.Offset} }
+
+// reached returns the later of two positions in the log, with the newest version.
+func (p Position) reached(next Position) Position {
+	version := max(p.Version, next.Version)
+	if p.log().After(next.log()) {
+		next = p
+	}
+	next.Version = version
+	return next
 }
 
 // challenge is a challenge that was sent.
@@ -80,8 +100,12 @@
 // Read records the node's own read of all operators' records, sent at a time, once they are applied. The store had no
 // records beyond the position when it answered.
 func (c *Core) Read(sentAt time.Duration, position Position) {
+	if position.Era < c.own.Era {
+		// What the store held in an earlier era may not be what it holds now.
+		return
+	}
 	// The offset may go back when the log was replaced.
-	c.own = Position{Offset: position.Offset, Version: max(position.Version, c.own.Version)}
+	c.own = Position{Era: position.Era, Offset: position.Offset, Version: max(position.Version, c.own.Version)}
 	c.read, c.readAt = true, max(sentAt, c.readAt)
 	c.prove(proof{at: sentAt, position: c.own})
 	c.proveWaiting()
@@ -89,7 +113,7 @@
 
 // Applied records that the node has applied the operators' records up to a position, wherever it got them.
 func (c *Core) Applied(position Position) {
-	c.own = Position{Offset: max(position.Offset, c.own.Offset), Version: max(position.Version, c.own.Version)}
+	c.own = c.own.reached(position)
 	c.proveWaiting()
 }
 
--- a/internal/keyproof/keyproof_test.go
+++ b/internal/keyproof/keyproof_test.go
@@ -119,3 +119,23 @@
 	c.Read(14*time.Second, position(6, 2))
 	g.Expect(c.ReadDue(15 * time.Second)).To(gomega.BeFalse())
 }
+
+// Guards against proofs that never count after the store has returned from a copy, as offsets are lower, and against a read of the
+// earlier era that sets the position back.
+func TestPositionsOfDifferentErasAreOrderedByEra(t *testing.T) {
+	g := gomega.NewWithT(t)
+	after := func(offset, version int64) keyproof.Position {
+		return keyproof.Position{Era: 2, Offset: offset, Version: version}
+	}
+	c := challenged(g, position(900, 2))
+	c.Answered(10*time.Second, 7, time.Second, after(5, 2))
+	g.Expect(c.AcceptsKeys(10*time.Second)).To(gomega.BeFalse(), "the records of the new era aren't applied")
+	c.Applied(after(5, 2))
+	g.Expect(c.AcceptsKeys(10 * time.Second)).To(gomega.BeTrue())
+	c.Read(11*time.Second, position(901, 2))
+	_, needed, _ := c.Answer(11 * time.Second)
+	g.Expect(needed).To(gomega.Equal(after(5, 2)), "a read of the earlier era proves nothing")
+	c = challenged(g, after(5, 2))
+	c.Answered(10*time.Second, 7, time.Second, position(900, 2))
+	g.Expect(c.AcceptsKeys(10*time.Second)).To(gomega.BeTrue(), "what was the newest in the earlier era is applied")
+}
--- a/internal/node/changes_test.go
+++ b/internal/node/changes_test.go
@@ -52,6 +52,33 @@
 	}
 }
 
+// Guards against nodes that miss changes because the store has returned from a copy and gives out offsets again.
+func TestChangesAreKnownInTimeAfterTheStoreReturns(t *testing.T) {
+	for _, age := range []time.Duration{time.Second, 3 * time.Second, 8 * time.Second} {
+		for _, away := range []time.Duration{200 * time.Millisecond, 2 * time.Second} {
+			t.Run(fmt.Sprintf("copy of %s ago, away for %s", age, away), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s := newSimulation(t)
+					s.setReaders(0, 1, 2)
+					s.run(func() {
+						for version := range int64(3) {
+							s.store.put(2 + version)
+							s.store.leave(int(version))
+							pass(age / 4)
+						}
+						s.storeReturns(age, away)
+						pass(settledAfter)
+						s.store.put(5)
+						s.store.leave(3)
+						pass(changeDue)
+					})
+					s.check()
+				})
+			})
+		}
+	}
+}
+
 // step is one disruption, or a change of the configuration, and the pause until the next one.
 type step struct {
 	kind     string
@@ -68,7 +95,7 @@
 	node := rapid.IntRange(0, simulatedNodes-1)
 	return step{
 		kind: rapid.SampledFrom([]string{
-			"change", "leave", "silent", "refuse", "hang", "lose", "cut", "restart", "readers",
+			"change", "leave", "silent", "refuse", "hang", "lose", "cut", "restart", "readers", "return",
 		}).Draw(t, "kind"),
 		number:   node.Draw(t, "node"),
 		some:     rapid.SliceOfNDistinct(node, 1, 3, rapid.ID).Draw(t, "nodes"),
@@ -97,6 +124,8 @@
 		running.Go(func() { s.cutOff(step.number, step.duration) })
 	case "restart":
 		running.Go(func() { s.restart(step.number, step.duration) })
+	case "return":
+		running.Go(func() { s.storeReturns(step.duration, step.pause/4) })
 	case "readers":
 		s.setReaders(step.some...)
 	}
--- a/internal/node/keys.go
+++ b/internal/node/keys.go
@@ -85,9 +85,9 @@
 	}
 }
 
-// position returns the position of this node if it has applied the records up to an offset.
-func (k *keys) position(offset int64) keyproof.Position {
-	position := keyproof.Position{Offset: offset}
+// position returns the position of this node if it has applied the records before next.
+func (k *keys) position(next serving.Position) keyproof.Position {
+	position := keyproof.Position{Era: next.Era, Offset: next.Offset}
 	if config := k.node.forwarder.Config(); config != nil {
 		position.Version = config.Version
 	}
@@ -97,7 +97,7 @@
 // readOperator records this node's read of the operators' records, sent at the given reading of bootTime, after they were
 // applied.
 func (k *keys) readOperator(sentAt time.Duration, next serving.Cursor) {
-	position := k.position(next.Offset)
+	position := k.position(next.Position())
 	k.update(func(core *keyproof.Core) {
 		if next.More {
 			core.Applied(position)
@@ -107,9 +107,9 @@
 	})
 }
 
-// applied records that the operators' records up to an offset were applied that another node had read.
-func (k *keys) applied(offset int64) {
-	position := k.position(offset)
+// applied records that the operators' records before next were applied, which another node had read.
+func (k *keys) applied(next serving.Position) {
+	position := k.position(next)
 	k.update(func(core *keyproof.Core) { core.Applied(position) })
 }
 
--- a/internal/node/keys_test.go
+++ b/internal/node/keys_test.go
@@ -74,7 +74,7 @@
 	g := gomega.NewWithT(t)
 	n, peer := newKeysNode(t, nil)
 	n.applyOperator(provenance{source: sourceStore}, customersBatch(2))
-	n.keys.applied(5)
+	n.keys.applied(serving.Position{Offset: 5})
 	g.Expect(n.keys.Status().Accept).To(gomega.BeFalse())
 	before := bootTime()
 	n.keys.step(time.Now())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -130,8 +130,8 @@
 	ctx              context.Context
 	storeUnavailable atomic.Bool
 	entriesMu        sync.Mutex
-	// entriesOffset is the offset in the servers' topic up to which the entries were applied.
-	entriesOffset int64
+	// entriesNext is the position in the servers' topic up to which the entries were applied.
+	entriesNext serving.Position
 	// reconcilePending is true when entries have changed and the holders have not been reconciled yet.
 	reconcilePending atomic.Bool
 	stopping         atomic.Bool
--- a/internal/node/notices_test.go
+++ b/internal/node/notices_test.go
@@ -30,7 +30,7 @@
 	n.becomeReader()
 	go func() {
 		for t.Context().Err() == nil {
-			n.watch.recordServersRead(time.Now(), 0, n.view.Fingerprint())
+			n.watch.recordServersRead(time.Now(), serving.Position{Offset: 0}, n.view.Fingerprint())
 			pass(digestPeriod)
 		}
 	}()
--- a/internal/node/origins_test.go
+++ b/internal/node/origins_test.go
@@ -76,7 +76,7 @@
 	go func() { _ = o.other.link.Run(t.Context(), o.other.handleMessage) }()
 	for _, n := range []*Node{o.Node, o.other} {
 		n.view.PutEntry(time.Now(), entryOf("s1", "v1"))
-		n.watch.recordServersRead(time.Now(), 1, n.view.Fingerprint())
+		n.watch.recordServersRead(time.Now(), serving.Position{Offset: 1}, n.view.Fingerprint())
 		n.watch.checkCurrent(time.Now(), n.view.Fingerprint())
 	}
 	o.peers.recordSeen(time.Now(), o.other.link.Address(), "a", 2)
--- a/internal/node/peersnapshot.go
+++ b/internal/node/peersnapshot.go
@@ -128,12 +128,12 @@
 	if snapshot.Config != nil {
 		batch.Configurations = append(batch.Configurations, snapshot.Config)
 	}
-	n.applyOperator(n.readFrom(reader, snapshot.Digest.OperatorNext), batch)
-	n.applyPeerServers(reader, snapshot.Digest.ServersNext, snapshot.Servers)
+	n.applyOperator(provenance{reader, snapshot.Digest.OperatorPosition()}, batch)
+	n.applyPeerServers(reader, snapshot.Digest.ServersPosition(), snapshot.Servers)
 	n.leases.setOwners(serving.Owners{Era: snapshot.OwnersEra, ByPartition: snapshot.Owners})
 	n.reconcilePending.Store(true)
 	n.watch.advance(snapshot.Digest)
-	n.keys.applied(snapshot.Digest.OperatorNext)
+	n.keys.applied(snapshot.Digest.OperatorPosition())
 }
 
 // peerSnapshotHandler returns the handler for requests of peers.
--- a/internal/node/provenance_test.go
+++ b/internal/node/provenance_test.go
@@ -22,16 +22,18 @@
 	n := newCrashesNode(t)
 	n.events = event.NewLog(&log, logrus.DebugLevel, nil)
 	n.eras.Answered(2)
-	n.applyOperator(n.readFrom(sourceStore, 7), serving.OperatorBatch{Configurations: []*serving.Configuration{{Version: 3}}})
+	n.applyOperator(provenance{sourceStore, serving.Position{Era: 2, Offset: 7}}, serving.OperatorBatch{Configurations: []*serving.Configuration{{Version: 3}}})
 	g.Expect(log.String()).To(gomega.And(
 		gomega.ContainSubstring(`"event":810`), gomega.ContainSubstring(`"era":2`), gomega.ContainSubstring(`"offset":7`),
 		gomega.ContainSubstring(`"source":"store"`),
 	))
 	log.Reset()
-	n.applyStoreServers(serving.ServerBatch{Complete: true, Present: []serving.Server{{ID: "s"}}})
+	n.applyStoreServers(serving.ServerBatch{
+		Complete: true, Present: []serving.Server{{ID: "s"}}, Next: serving.Cursor{Known: true, Era: 2, Offset: 8},
+	})
 	log.Reset()
 	n.applyDigest(time.Now(), peerlink.Message{
-		From: "10.0.0.1:7000", StoreEra: 2, Digest: &storewatch.Digest{ServersNext: 9}, Removed: []string{"s"},
+		From: "10.0.0.1:7000", StoreEra: 2, Digest: &storewatch.Digest{Era: 2, ServersNext: 9}, Removed: []string{"s"},
 	})
 	g.Expect(log.String()).To(gomega.And(
 		gomega.ContainSubstring(`"event":812`), gomega.ContainSubstring(`"removed":true`), gomega.ContainSubstring(`"offset":9`),
--- a/internal/node/returns.go
+++ b/internal/node/returns.go
@@ -12,18 +12,21 @@
 var (
 	storeEraGauge = metrics.GetOrRegisterGauge("store.era", nil)
 	storeReturns  = metrics.GetOrRegisterCounter("store.returns", nil)
+	// outdatedDigests counts the digests of readers that had not read the store in its present era.
+	outdatedDigests = metrics.GetOrRegisterCounter("store.outdatedDigests", nil)
 )
 
 // applyEra applies a new era of the store, in which the store may hold less than before.
 func (n *Node) applyEra(change storeera.Change) {
 	storeEraGauge.Update(int64(n.eras.Current()))
+	operator, servers := n.watch.offsets()
+	n.watch.eraBegun(change.Now)
 	n.leases.noteEra(change.Now)
 	if !change.Returned {
 		return
 	}
 	storeReturns.Inc(1)
 	n.view.StoreFailed(time.Now())
-	operator, servers := n.watch.offsets()
 	n.events.Emit(event.StoreReturned, event.Fields{
 		"before": change.Before, "era": change.Now, "peer": change.Source, "operatorOffset": operator, "serversOffset": servers,
 	})
--- a/internal/node/returns_test.go
+++ b/internal/node/returns_test.go
@@ -22,7 +22,7 @@
 	n.becomeHolderOfAll()
 	_, may := n.leases.mayOrder("s")
 	g.Expect(may).To(gomega.BeTrue())
-	n.handleMessage(time.Now(), peerlink.Message{From: "10.0.0.1:7000", Digest: &storewatch.Digest{}, StoreEra: 2})
+	n.handleMessage(time.Now(), peerlink.Message{From: readerAt, Digest: &storewatch.Digest{}, StoreEra: 2})
 	_, may = n.leases.mayOrder("s")
 	g.Expect(may).To(gomega.BeFalse())
 	g.Expect(n.leases.rejoin).To(gomega.Receive(), "the node waits for its next regular join")
@@ -33,10 +33,11 @@
 	g := gomega.NewWithT(t)
 	n := newCrashesNode(t)
 	n.eras.Answered(3)
-	n.watch.recordServersRead(time.Now(), 1, n.view.Fingerprint())
+	n.watch.recordServersRead(time.Now(), serving.Position{Era: 3, Offset: 1}, n.view.Fingerprint())
 	message, fresh := n.digestMessage(time.Now())
 	g.Expect(fresh).To(gomega.BeTrue())
 	g.Expect(message.StoreEra).To(gomega.Equal(serving.StoreEra(3)))
+	g.Expect(message.Digest.Era).To(gomega.Equal(serving.StoreEra(3)))
 }
 
 // Guards against owners of before a return that replace those of after it because their generation is higher, or because nobody
@@ -59,3 +60,48 @@
 	l.setOwners(serving.Owners{Era: 1, ByPartition: before})
 	g.Expect(l.copyOwners().ByPartition).To(gomega.Equal(after), "the snapshot of a peer")
 }
+
+// readerAt is the address of a reader in tests.
+const readerAt = "10.0.0.1:7000"
+
+// digestOf is a reader's message with a digest of an era, and what has changed shortly before it.
+func digestOf(era serving.StoreEra, offset int64, changed ...serving.Server) peerlink.Message {
+	return peerlink.Message{From: readerAt, StoreEra: era, Present: changed, Digest: &storewatch.Digest{
+		Era: era, OperatorNext: offset, ServersNext: offset, Servers: 1,
+	}}
+}
+
+// Guards against a node that relies on what readers had read before the store returned, although it knows itself that it has.
+func TestDigestsOfAnEarlierEraCountForNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n, now := newCrashesNode(t), time.Now()
+	n.applyDigest(now, digestOf(1, 900))
+	g.Expect(n.watch.followsOperator(now)).To(gomega.BeTrue())
+	n.eras.Answered(2)
+	g.Expect(n.watch.followsOperator(now)).To(gomega.BeFalse())
+	n.applyDigest(now, digestOf(1, 901, serving.Server{ID: "s", Service: "x"}))
+	g.Expect(n.watch.followsOperator(now)).To(gomega.BeFalse())
+	g.Expect(n.view.Entries(now)).To(gomega.BeEmpty())
+	n.applyDigest(now, digestOf(2, 5))
+	g.Expect(n.watch.followsOperator(now)).To(gomega.BeTrue())
+}
+
+// Guards against a node that ignores the changes that a reader tells of because their offsets are lower than before the return.
+func TestChangesOfANewEraHaveLowerOffsets(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n, now := newCrashesNode(t), time.Now()
+	entry := serving.Server{ID: "s", Service: "x", Address: "s:1", Born: 7}
+	n.applyStoreServers(serving.ServerBatch{
+		Complete: true, Present: []serving.Server{entry}, Next: serving.Cursor{Known: true, Era: 1, Offset: 900},
+	})
+	leaving := entry
+	leaving.Draining = true
+	n.applyDigest(now, digestOf(2, 10, leaving))
+	g.Expect(n.view.InUse(now, "s")).To(gomega.BeFalse(), "a digest")
+	n.applyPeerSnapshot(readerAt, peerSnapshot{Digest: *digestOf(2, 11).Digest, Servers: []serving.Server{entry}})
+	g.Expect(n.view.InUse(now, "s")).To(gomega.BeTrue(), "a snapshot")
+	n.applyStoreServers(serving.ServerBatch{
+		Complete: true, Present: []serving.Server{leaving}, Next: serving.Cursor{Known: true, Era: 1, Offset: 901},
+	})
+	g.Expect(n.view.InUse(now, "s")).To(gomega.BeTrue(), "a late answer of the earlier era")
+}
--- a/internal/node/sightings.go
+++ b/internal/node/sightings.go
@@ -63,8 +63,8 @@
 type proofAttempt struct {
 	viewSince time.Time
 	startedAt time.Time
-	// offset is the position in the servers' entries from which on the view has all.
-	offset int64
+	// from is the position in the servers' entries from which on the view has all.
+	from serving.Position
 }
 
 func newSightings(node *Node) *sightings {
@@ -144,18 +144,23 @@
 func (s *sightings) prove(
 	ctx context.Context, now, viewSince time.Time, coverages []serving.VersionCoverage,
 ) (since time.Time, found bool, err error) {
-	if s.attempt.viewSince != viewSince {
-		s.attempt = proofAttempt{viewSince: viewSince, startedAt: now, offset: s.node.appliedEntries()}
+	applied := s.node.appliedEntries()
+	if s.attempt.viewSince != viewSince || s.attempt.from.Era != applied.Era {
+		s.attempt = proofAttempt{viewSince: viewSince, startedAt: now, from: applied}
 	}
 	waits := !s.node.leases.isReader() && now.Sub(s.attempt.startedAt) < coveragePatience
 	for _, coverage := range longestFirst(coverages) {
+		if coverage.Next.Era != 0 && coverage.Next.Era != s.attempt.from.Era {
+			// The entries at its offset are others now.
+			continue
+		}
 		var versions []serving.ServiceVersion
-		if coverage.Offset < s.attempt.offset || coverage.Offset == 0 {
+		if coverage.Next.Offset < s.attempt.from.Offset || coverage.Next.Offset == 0 {
 			if waits {
 				continue
 			}
 			var complete bool
-			if versions, complete, err = s.node.store.ReadServerVersions(ctx, coverage.Offset); err != nil {
+			if versions, complete, err = s.node.store.ReadServerVersions(ctx, coverage.Next.Offset); err != nil {
 				return since, false, err
 			}
 			if !complete {
@@ -186,10 +191,10 @@
 
 // record records the versions in use that this node has not recorded within sightingRefresh, and its coverage if that's due.
 func (s *sightings) record(ctx context.Context, now, viewSince time.Time) {
-	// The offset is taken before the versions, so that these include all entries before it.
-	offset := s.node.watch.serversOffset()
+	// The position is taken before the versions, so that these include all entries before it.
+	next := s.node.watch.serversPosition()
 	due := s.due(now)
-	coverage := s.coverage(now, viewSince, offset, len(due) > 0)
+	coverage := s.coverage(now, viewSince, next, len(due) > 0)
 	if len(due) == 0 && coverage == nil {
 		return
 	}
@@ -209,10 +214,10 @@
 
 // coverage returns the coverage to record, or nil if none is due or this node hasn't read the one before it. changed is true
 // if a version is to be recorded.
-func (s *sightings) coverage(now, viewSince time.Time, offset int64, changed bool) *serving.VersionCoverage {
+func (s *sightings) coverage(now, viewSince time.Time, next serving.Position, changed bool) *serving.VersionCoverage {
 	since, found := s.provenSince(viewSince)
 	partition, holds := s.node.leases.readerPartition()
-	if !found || !holds {
+	if !found || !holds || next.Era != s.node.eras.Current() {
 		return nil
 	}
 	period := coveragePeriod
@@ -225,7 +230,7 @@
 		return nil
 	}
 	return &serving.VersionCoverage{
-		Partition: partition, Covered: min(now.Sub(since), maximumCoverage), Offset: offset,
+		Partition: partition, Covered: min(now.Sub(since), maximumCoverage), Next: next,
 		Seen: s.node.view.VersionAges(now, maximumCoverage),
 	}
 }
--- a/internal/node/simulatedstore_test.go
+++ b/internal/node/simulatedstore_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"waxwingcleat.example/waxwingcleat/internal/serving"
+	"waxwingcleat.example/waxwingcleat/internal/storeera"
 )
 
 const (
@@ -32,6 +33,9 @@
 type simulatedStore struct {
 	mu        sync.Mutex
 	records   []serving.OperatorBatch
+	writtenAt []time.Time
+	// newest is the record that operators wrote last.
+	newest    serving.OperatorBatch
 	changed   chan struct{}
 	startedAt time.Time
 	// pending holds the configurations that are acknowledged at the end of an outage.
@@ -46,6 +50,10 @@
 	silent, refusing map[int]int
 	// lost counts the disruptions by which the open connections of a node became silent.
 	lost map[int]int
+	// era counts the returns of the store from older copies, takenBack is by how much they have lowered the offsets of the servers'
+	// topic.
+	era       serving.StoreEra
+	takenBack int64
 }
 
 // leaveRecord is the record by which a server begins to leave.
@@ -81,8 +89,13 @@
 }
 
 func (s *simulatedStore) append(config *serving.Configuration) {
-	s.records = append(s.records, serving.OperatorBatch{Configurations: []*serving.Configuration{config}})
+	s.newest = serving.OperatorBatch{Configurations: []*serving.Configuration{config}}
+	s.appendRecord(s.newest)
 	s.acked = append(s.acked, acknowledged{config.Version, time.Now()})
+}
+
+func (s *simulatedStore) appendRecord(record serving.OperatorBatch) {
+	s.records, s.writtenAt = append(s.records, record), append(s.writtenAt, time.Now())
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -104,10 +117,34 @@
 	}
 }
 
+// rewriteDelay is how long after a return the operators and the servers write again what the copy lacks.
+const rewriteDelay = 300 * time.Millisecond
+
+// returnFrom refuses all calls for a time, and goes on from a copy that was made a time before, in a new era. Operators write their
+// newest configuration again, and servers their entries.
+func (s *simulatedStore) returnFrom(age, away time.Duration) {
+	s.disrupt(s.refusing, allNodes, away)
+	s.mu.Lock()
+	s.era++
+	copied := time.Now().Add(-age - away)
+	for len(s.records) > 1 && s.writtenAt[len(s.records)-1].After(copied) {
+		s.records, s.writtenAt = s.records[:len(s.records)-1], s.writtenAt[:len(s.records)-1]
+	}
+	s.takenBack += (age + away).Milliseconds() * simulatedServers
+	s.mu.Unlock()
+	pass(rewriteDelay)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.appendRecord(s.newest)
+	for server, record := range s.left {
+		s.left[server] = leaveRecord{record.at, s.nextOffset()}
+	}
+}
+
 // nextOffset returns the offset of the next record in the servers' topic. Servers write there all the time, so that it rises
 // with the time as well as with each record.
 func (s *simulatedStore) nextOffset() int64 {
-	return time.Since(s.startedAt).Milliseconds()*simulatedServers + int64(len(s.left))
+	return time.Since(s.startedAt).Milliseconds()*simulatedServers + int64(len(s.left)) - s.takenBack
 }
 
 // disrupt applies a disruption of a node, or of all, for a time. A silent store also loses the calls in progress.
@@ -188,6 +225,13 @@
 	serving.Store
 	store *simulatedStore
 	node  int
+	eras  *storeera.Tracker
+}
+
+// isOf reports whether a cursor is one of the store's present era, which the answer names. The caller holds the store's mutex.
+func (c simulatedClient) isOf(after serving.Cursor) bool {
+	c.eras.Answered(c.store.era)
+	return after.Known && after.Era == c.store.era
 }
 
 func (c simulatedClient) ReadOperator(
@@ -196,17 +240,20 @@
 	err = c.store.call(ctx, c.node, wait, func() bool {
 		c.store.mu.Lock()
 		defer c.store.mu.Unlock()
-		return int64(len(c.store.records)) > after.Offset
+		return !c.isOf(after) || int64(len(c.store.records)) > after.Offset
 	})
 	if err != nil {
 		return batch, err
 	}
 	c.store.mu.Lock()
 	defer c.store.mu.Unlock()
+	if !c.isOf(after) {
+		after.Offset = 0
+	}
 	for _, record := range c.store.records[after.Offset:] {
 		batch.Configurations = append(batch.Configurations, record.Configurations...)
 	}
-	batch.Next = serving.Cursor{Known: true, Offset: int64(len(c.store.records))}
+	batch.Next = serving.Cursor{Known: true, Era: c.store.era, Offset: int64(len(c.store.records))}
 	return batch, nil
 }
 
@@ -216,17 +263,17 @@
 	}
 	c.store.mu.Lock()
 	defer c.store.mu.Unlock()
-	batch := serving.ServerBatch{Complete: !after.Known}
+	batch := serving.ServerBatch{Complete: !c.isOf(after)}
 	for number := range simulatedServers {
 		leave, draining := c.store.left[number]
-		if !after.Known || draining && leave.offset >= after.Offset {
+		if batch.Complete || draining && leave.offset >= after.Offset {
 			id := serverID(number)
 			batch.Present = append(batch.Present, serving.Server{
 				ID: id, Service: "s", Address: id, Slots: 1, SoftwareVersion: "v1", Draining: draining,
 			})
 		}
 	}
-	batch.Next = serving.Cursor{Known: true, Offset: c.store.nextOffset()}
+	batch.Next = serving.Cursor{Known: true, Era: c.store.era, Offset: c.store.nextOffset()}
 	return batch, nil
 }
 
--- a/internal/node/simulation_test.go
+++ b/internal/node/simulation_test.go
@@ -11,6 +11,7 @@
 
 	"waxwingcleat.example/waxwingcleat/internal/event"
 	"waxwingcleat.example/waxwingcleat/internal/peerlink"
+	"waxwingcleat.example/waxwingcleat/internal/storeera"
 )
 
 // simulatedNode is a node without listeners and leases. Its reads, digests and fetches are those of a real one.
@@ -55,8 +56,10 @@
 	settings := DefaultSettings()
 	settings.Store.Partitions = 8
 	ctx, cancel := context.WithCancel(context.Background())
+	eras := storeera.NewTracker()
 	node := &simulatedNode{number: number, stop: cancel, Node: newNode(settings, Dependencies{
-		Store: simulatedClient{store: s.store, node: number}, Connections: NewConnections(), Events: event.Discard(),
+		Store: simulatedClient{store: s.store, node: number, eras: eras}, StoreEras: eras, Connections: NewConnections(),
+		Events: event.Discard(),
 	}, s.links[number])}
 	node.ctx = ctx
 	s.disturbed(number, 0)
@@ -236,6 +239,12 @@
 	s.store.disrupt(s.store.silent, allNodes, duration)
 }
 
+// storeReturns makes the store return from a copy that was made a time before.
+func (s *simulation) storeReturns(age, away time.Duration) {
+	s.disturbed(allNodes, away+rewriteDelay)
+	s.store.returnFrom(age, away)
+}
+
 // refuseSome makes the store refuse some nodes for a time, with errors or by silence.
 func (s *simulation) refuseSome(nodes []int, counts map[int]int, duration time.Duration) {
 	s.disturbed(allNodes, duration)
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -53,12 +53,12 @@
 			continue
 		}
 		patience = minimumPatience
-		contiguous := cursor.Known
+		contiguous := cursor.Known && cursor.Era == batch.Next.Era
 		cursor = batch.Next
 		for _, invalid := range batch.Invalid {
 			n.events.EmitError(event.ConfigRefused, invalid, nil)
 		}
-		n.applyOperator(n.readFrom(sourceStore, batch.Next.Offset), batch)
+		n.applyOperator(provenance{sourceStore, batch.Next.Position()}, batch)
 		n.keys.readOperator(sentAt, batch.Next)
 		n.watch.recordOperatorRead(time.Now(), batch, contiguous)
 		n.watch.waitForOperator(ctx)
@@ -95,17 +95,12 @@
 // provenance says where records were read, for the log.
 type provenance struct {
 	source string
-	// era is the newest known era of the store, offset the position up to which the source had read.
-	era    serving.StoreEra
-	offset int64
-}
-
-func (n *Node) readFrom(source string, offset int64) provenance {
-	return provenance{source: source, era: n.eras.Current(), offset: offset}
+	// position is the position up to which the source had read.
+	position serving.Position
 }
 
 func (p provenance) addTo(fields event.Fields) event.Fields {
-	fields["source"], fields["era"], fields["offset"] = p.source, p.era, p.offset
+	fields["source"], fields["era"], fields["offset"] = p.source, p.position.Era, p.position.Offset
 	return fields
 }
 
@@ -140,7 +135,7 @@
 		n.applyStoreServers(batch)
 		n.view.Prune(time.Now(), removedEntryRetention)
 		n.holders.reconcile()
-		n.watch.recordServersRead(time.Now(), cursor.Offset, n.view.Fingerprint())
+		n.watch.recordServersRead(time.Now(), cursor.Position(), n.view.Fingerprint())
 		if batch.Complete {
 			notify(n.sightings.changed)
 		}
@@ -149,14 +144,15 @@
 	return nil
 }
 
-// applyStoreServers applies a batch from the store, unless a peer has already sent a later state. A complete batch is
-// always applied, as the log may have been replaced by one with lower offsets.
+// applyStoreServers applies a batch from the store, unless a peer has already sent a later state. A complete batch of the same era is
+// always applied, as a store that names no eras may have replaced the log by one with lower offsets.
 func (n *Node) applyStoreServers(batch serving.ServerBatch) {
 	n.entriesMu.Lock()
 	defer n.entriesMu.Unlock()
-	if batch.Next.Offset >= n.entriesOffset || batch.Complete {
-		n.entriesOffset = batch.Next.Offset
-		n.applyServers(n.readFrom(sourceStore, batch.Next.Offset), batch)
+	next := batch.Next.Position()
+	if !n.entriesNext.After(next) || batch.Complete && next.Era == n.entriesNext.Era {
+		n.entriesNext = next
+		n.applyServers(provenance{sourceStore, next}, batch)
 	}
 }
 
@@ -175,8 +171,8 @@
 func (n *Node) readEntries() error {
 	ctx, cancel := context.WithTimeout(n.ctx, entriesReadTimeout)
 	defer cancel()
-	offset := n.appliedEntries()
-	cursor := serving.Cursor{Known: offset > 0, Offset: offset}
+	applied := n.appliedEntries()
+	cursor := serving.Cursor{Known: applied.Offset > 0, Era: applied.Era, Offset: applied.Offset}
 	for range maximumEntryPages {
 		batch, err := n.store.ReadServers(ctx, cursor)
 		if err != nil {
@@ -193,10 +189,10 @@
 }
 
 // appliedEntries returns the position in the servers' entries up to which this node has applied them.
-func (n *Node) appliedEntries() int64 {
+func (n *Node) appliedEntries() serving.Position {
 	n.entriesMu.Lock()
 	defer n.entriesMu.Unlock()
-	return n.entriesOffset
+	return n.entriesNext
 }
 
 // applyDigestServers applies the entries that came with a reader's digest. If this node then has the same entries as
@@ -204,13 +200,14 @@
 func (n *Node) applyDigestServers(reader string, digest storewatch.Digest, changes serving.ServerBatch) {
 	n.entriesMu.Lock()
 	defer n.entriesMu.Unlock()
-	if digest.ServersNext <= n.entriesOffset || len(changes.Present)+len(changes.Gone) == 0 {
+	next := digest.ServersPosition()
+	if !next.After(n.entriesNext) || len(changes.Present)+len(changes.Gone) == 0 {
 		return
 	}
-	n.applyServers(n.readFrom(reader, digest.ServersNext), changes)
+	n.applyServers(provenance{reader, next}, changes)
 	if n.view.Fingerprint() == digest.Servers {
-		n.entriesOffset = digest.ServersNext
-		n.watch.advance(storewatch.Digest{ServersNext: digest.ServersNext})
+		n.entriesNext = next
+		n.watch.advance(storewatch.Digest{Era: digest.Era, ServersNext: digest.ServersNext})
 	}
 	n.reconcilePending.Store(true)
 }
@@ -220,22 +217,23 @@
 func (n *Node) applyDigestOperator(
 	reader string, digest storewatch.Digest, changes storewatch.OperatorChanges,
 ) {
-	if !n.watch.hasReadOperator(changes.From) {
+	if !n.watch.hasReadOperator(serving.Position{Era: digest.Era, Offset: changes.From}) {
 		return
 	}
-	n.applyOperator(n.readFrom(reader, digest.OperatorNext), serving.OperatorBatch{Versions: changes.Versions})
-	n.watch.advance(storewatch.Digest{OperatorNext: digest.OperatorNext})
-	n.keys.applied(digest.OperatorNext)
+	next := digest.OperatorPosition()
+	n.applyOperator(provenance{reader, next}, serving.OperatorBatch{Versions: changes.Versions})
+	n.watch.advance(storewatch.Digest{Era: digest.Era, OperatorNext: digest.OperatorNext})
+	n.keys.applied(next)
 }
 
-// applyPeerServers replaces the entries by those that a reader read up to an offset of the store's log, if that's later
+// applyPeerServers replaces the entries by those that a reader read up to a position of the store's log, if that's later
 // than what this node has applied.
-func (n *Node) applyPeerServers(reader string, offset int64, servers []serving.Server) {
+func (n *Node) applyPeerServers(reader string, next serving.Position, servers []serving.Server) {
 	n.entriesMu.Lock()
 	defer n.entriesMu.Unlock()
-	if offset > n.entriesOffset {
-		n.entriesOffset = offset
-		n.applyServers(n.readFrom(reader, offset), serving.ServerBatch{Complete: true, Present: servers})
+	if next.After(n.entriesNext) {
+		n.entriesNext = next
+		n.applyServers(provenance{reader, next}, serving.ServerBatch{Complete: true, Present: servers})
 	}
 }
 
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -33,10 +33,12 @@
 	own  storewatch.Digest
 	// history holds this node's recent reads of the operators' records.
 	history storewatch.OperatorHistory
-	// readAt is when this node's latest read of the servers' entries succeeded, operatorReadAt that of the operators'
-	// records.
+	// readAt is when this node's latest read of the servers' entries in the present era of the store succeeded, operatorReadAt that
+	// of the operators' records.
 	readAt         time.Time
 	operatorReadAt time.Time
+	// entriesRead is true once the servers' entries have been read in any era.
+	entriesRead bool
 	// proofDue, if set, reports whether the operators' records have to be read although readers show nothing new.
 	proofDue func() bool
 	// checkedAt is when checkCurrent was last called, checkedBootTime the reading of bootTime then.
@@ -56,7 +58,7 @@
 func (w *watch) serversKnown() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return !w.readAt.IsZero()
+	return w.entriesRead
 }
 
 // notify sends to a channel with a buffer of one, unless the buffer is full.
@@ -104,18 +106,39 @@
 	return w.history.Changes(now)
 }
 
-func (w *watch) hasReadOperator(offset int64) bool {
+func (w *watch) hasReadOperator(position serving.Position) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.core.HasRead(offset)
+	return position.Era == w.own.Era && w.core.HasRead(position.Offset)
 }
 
-// recordOperatorRead records a read of the operators' records. contiguous is true if the read started from a known
-// cursor.
+// enterEra forgets what was read if it belongs to an earlier era of the store than the given one. It returns false if the given era is
+// an earlier one. The caller holds w.mu.
+func (w *watch) enterEra(era serving.StoreEra) (current bool) {
+	if era > w.own.Era {
+		w.own, w.history = storewatch.Digest{Era: era}, storewatch.OperatorHistory{}
+		w.readAt, w.operatorReadAt = time.Time{}, time.Time{}
+	}
+	return w.core.EnterEra(era) && era == w.own.Era
+}
+
+// eraBegun records that an era of the store has begun.
+func (w *watch) eraBegun(era serving.StoreEra) {
+	w.mu.Lock()
+	w.enterEra(era)
+	w.mu.Unlock()
+	notify(w.digestReceived)
+}
+
+// recordOperatorRead records a read of the operators' records, unless it was one in an earlier era. contiguous is true if the read
+// started from a known cursor.
 func (w *watch) recordOperatorRead(now time.Time, batch serving.OperatorBatch, contiguous bool) {
 	next := batch.Next.Offset
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if !w.enterEra(batch.Next.Era) {
+		return
+	}
 	w.history.Add(now, batch, contiguous)
 	w.core.ReadOperator(next)
 	w.operatorReadAt = now
@@ -125,12 +148,17 @@
 	}
 }
 
-func (w *watch) recordServersRead(now time.Time, next int64, fingerprint uint64) {
+// recordServersRead records a read of the servers' entries up to a position, unless it was one in an earlier era.
+func (w *watch) recordServersRead(now time.Time, next serving.Position, fingerprint uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.core.ReadServers(now, next)
+	w.entriesRead = true
+	if !w.enterEra(next.Era) {
+		return
+	}
+	w.core.ReadServers(now, next.Offset)
 	w.readAt = now
-	w.own.ServersNext = next
+	w.own.ServersNext = next.Offset
 	if fingerprint != w.own.Servers {
 		w.own.Servers = fingerprint
 		notify(w.digestChanged)
@@ -198,11 +226,11 @@
 	return w.core.CheckCurrent(now, fingerprint)
 }
 
-// serversOffset returns the position in the servers' entries up to which this node has read the store.
-func (w *watch) serversOffset() int64 {
+// serversPosition returns the position in the servers' entries up to which this node has read the store.
+func (w *watch) serversPosition() serving.Position {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.own.ServersNext
+	return w.own.ServersPosition()
 }
 
 // offsets returns the positions up to which this node has read the operators' records and the servers' entries.
@@ -219,7 +247,7 @@
 	return min(now.Sub(w.operatorReadAt), w.core.ReadersOperatorAge(now))
 }
 
-// digest returns this node's digest, and whether its latest read is recent enough to send it.
+// digest returns this node's digest, and whether its latest read of the present era is recent enough to send it.
 func (w *watch) digest(now time.Time) (storewatch.Digest, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -252,6 +280,13 @@
 	return nil
 }
 
+// isCurrent reports whether a digest belongs to the present era of the store, or to one that this node doesn't know yet.
+func (w *watch) isCurrent(digest storewatch.Digest) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return digest.Era >= w.own.Era
+}
+
 // digestMessage returns the message with this node's digest, and whether its latest read is recent enough to send it.
 func (n *Node) digestMessage(now time.Time) (message peerlink.Message, fresh bool) {
 	digest, fresh := n.watch.digest(now)
@@ -269,15 +304,21 @@
 // digestEntries returns the largest number of entries in a digest to so many nodes.
 func digestEntries(nodes int) int { return min(digestEntryLimit, digestEntriesAtOnce/max(nodes, 1)) }
 
-// applyDigest applies a message with the digest of a reader.
+// applyDigest applies a message with the digest of a reader. What the reader has read in an earlier era of the store than the present
+// one counts for nothing, nor does it show that the reader reads the store now.
 func (n *Node) applyDigest(now time.Time, message peerlink.Message) {
 	n.eras.Told(message.From, message.StoreEra)
-	n.applyDigestServers(message.From, *message.Digest, serving.ServerBatch{Present: message.Present, Gone: message.Removed})
-	if message.Operator != nil {
-		n.applyDigestOperator(message.From, *message.Digest, *message.Operator)
-	}
 	if message.Owners != nil {
 		n.leases.applyOwnersNotice(now, n.link.Address(), *message.Owners)
 	}
-	n.watch.recordDigest(now, message.From, *message.Digest)
+	digest := *message.Digest
+	if !n.watch.isCurrent(digest) {
+		outdatedDigests.Inc(1)
+		return
+	}
+	n.applyDigestServers(message.From, digest, serving.ServerBatch{Present: message.Present, Gone: message.Removed})
+	if message.Operator != nil {
+		n.applyDigestOperator(message.From, digest, *message.Operator)
+	}
+	n.watch.recordDigest(now, message.From, digest)
 }
--- a/internal/serving/store.go
+++ b/internal/serving/store.go
@@ -19,14 +19,31 @@
 	Current() StoreEra
 }
 
+// Position is a position in one of the store's logs. After a return the store gives offsets out again, so that positions are ordered
+// by era first.
+type Position struct {
+	Era    StoreEra
+	Offset int64
+}
+
+// After reports whether p is behind q in the log, or of a later era.
+func (p Position) After(q Position) bool {
+	return p.Era > q.Era || p.Era == q.Era && p.Offset > q.Offset
+}
+
 // Cursor is a position in one of the store's streams. The zero value is before the first record.
 type Cursor struct {
-	Known  bool
+	Known bool
+	// Era is the era of the store in which the cursor was read. In any other one it's meaningless.
+	Era    StoreEra
 	Offset int64
 	// More is true when the stream had further records after this position at the time of the read.
 	More bool
 }
 
+// Position returns the position of the cursor.
+func (c Cursor) Position() Position { return Position{Era: c.Era, Offset: c.Offset} }
+
 // OperatorBatch holds the operators' declarations since a cursor.
 type OperatorBatch struct {
 	// Configurations is in the order of the records.
@@ -72,9 +89,9 @@
 	Partition int
 	// Covered is the time before the record for which the statement holds.
 	Covered time.Duration
-	// Offset is the position in the servers' entries up to which it holds.
-	Offset int64
-	Seen   []VersionAge
+	// Next is the position in the servers' entries up to which it holds. Its era is 0 if an older build recorded it.
+	Next Position
+	Seen []VersionAge
 }
 
 // StreamOrigin is where a stream began.
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -3,7 +3,11 @@
 // change, or when digests stop arriving.
 package storewatch
 
-import "time"
+import (
+	"time"
+
+	"waxwingcleat.example/waxwingcleat/internal/serving"
+)
 
 // digestTimeout is the time without a digest after which a reader counts as silent. Readers send a digest every 300 ms.
 const digestTimeout = 900 * time.Millisecond
@@ -28,6 +32,8 @@
 
 // Digest summarizes a reader's latest reads.
 type Digest struct {
+	// Era is the era of the store to which the offsets belong. Builds that don't know eras leave it out.
+	Era serving.StoreEra `json:",omitempty"`
 	// OperatorNext and ServersNext are the offsets up to which the reader has read.
 	OperatorNext int64
 	ServersNext  int64
@@ -39,9 +45,21 @@
 	ServersAge  time.Duration
 }
 
+// ServersPosition returns the position in the servers' entries up to which the reader has read.
+func (d Digest) ServersPosition() serving.Position {
+	return serving.Position{Era: d.Era, Offset: d.ServersNext}
+}
+
+// OperatorPosition is ServersPosition for the operators' records.
+func (d Digest) OperatorPosition() serving.Position {
+	return serving.Position{Era: d.Era, Offset: d.OperatorNext}
+}
+
 // Core is the state of one node. It isn't safe for concurrent use.
 type Core struct {
 	reader bool
+	// era is the era of the store to which all offsets belong.
+	era serving.StoreEra
 	// digestAt is when the latest digest arrived.
 	digestAt time.Time
 	// readersReadOperator and readersReadServers are when a reader last read the operators' records and the servers'
@@ -69,8 +87,20 @@
 // SetReader sets whether this node is a reader.
 func (c *Core) SetReader(reader bool) { c.reader = reader }
 
-// DigestReceived applies the digest of a reader, which is identified by its peer address.
+// EnterEra forgets the offsets, and when they were read, if an era is newer than the one to which they belong: the store gives offsets
+// out again, and what was read before says nothing about what it holds now. It returns false if the era is an earlier one.
+func (c *Core) EnterEra(era serving.StoreEra) (current bool) {
+	if era > c.era {
+		*c = Core{reader: c.reader, era: era, currentAt: c.currentAt, currentSince: c.currentSince}
+	}
+	return era == c.era
+}
+
+// DigestReceived applies the digest of a reader, which is identified by its peer address, unless it belongs to an earlier era.
 func (c *Core) DigestReceived(now time.Time, reader string, digest Digest) {
+	if !c.EnterEra(digest.Era) {
+		return
+	}
 	c.digestAt = now
 	c.readersReadOperator = later(c.readersReadOperator, now.Add(-max(digest.OperatorAge, 0)))
 	c.readersReadServers = later(c.readersReadServers, now.Add(-max(digest.ServersAge, 0)))
@@ -90,13 +120,13 @@
 	return a
 }
 
-// HasRead reports whether this node has read the operators' records up to an offset.
+// HasRead reports whether this node has read the operators' records up to an offset of the present era.
 func (c *Core) HasRead(operator int64) bool { return c.operatorNext > 0 && c.operatorNext >= operator }
 
-// ReadOperator records a read of the operators' records up to an offset.
+// ReadOperator records a read of the operators' records up to an offset of the present era.
 func (c *Core) ReadOperator(next int64) { c.operatorNext = next }
 
-// ReadServers records a read of the servers' entries up to an offset.
+// ReadServers records a read of the servers' entries up to an offset of the present era.
 func (c *Core) ReadServers(now time.Time, next int64) { c.serversNext, c.readAt = next, now }
 
 // readersKnowServers reports whether a reader has read the servers' entries recently.
@@ -133,8 +163,11 @@
 	return c.source
 }
 
-// Fetched records that this node has the data that a digest covers.
+// Fetched records that this node has the data that a digest covers, unless the digest belongs to an earlier era.
 func (c *Core) Fetched(digest Digest) {
+	if !c.EnterEra(digest.Era) {
+		return
+	}
 	c.operatorNext = max(c.operatorNext, digest.OperatorNext)
 	c.serversNext = max(c.serversNext, digest.ServersNext)
 }
