--- a/internal/node/changes_test.go
+++ b/internal/node/changes_test.go
@@ -79,6 +79,34 @@
 	}
 }
 
+// Guards against requests to a server whose entry was removed, because a call of the node to the store has failed while the store
+// served others, so that the removal is taken for an entry that lapsed in an outage.
+func TestRemovalIsNotTakenForALapse(t *testing.T) {
+	scripts := map[string]func(s *simulation){
+		"calls of some nodes fail": func(s *simulation) {
+			go s.failCalls(3, 2*settledAfter)
+			go s.failCalls(4, 2*settledAfter)
+			pass(300 * time.Millisecond)
+		},
+		"calls of a reader fail after the removal": func(s *simulation) {
+			time.AfterFunc(700*time.Millisecond, func() { s.store.disrupt(s.store.refusing, 0, time.Second) })
+		},
+	}
+	for name, script := range scripts {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSimulation(t)
+				s.setReaders(0, 1, 2)
+				s.run(func() {
+					script(s)
+					s.store.remove(3)
+				})
+				s.check()
+			})
+		})
+	}
+}
+
 // step is one disruption, or a change of the configuration, and the pause until the next one.
 type step struct {
 	kind     string
--- a/internal/node/simulatedstore_test.go
+++ b/internal/node/simulatedstore_test.go
@@ -45,7 +45,7 @@
 	// left holds the records by which servers begin to leave, by the server's number; pendingLeaves holds the servers whose
 	// records are acknowledged at the end of an outage.
 	left          map[int]leaveRecord
-	pendingLeaves []int
+	pendingLeaves []leave
 	// silent and refusing count the running disruptions by node; -1 stands for all.
 	silent, refusing map[int]int
 	// lost counts the disruptions by which the open connections of a node became silent.
@@ -56,10 +56,17 @@
 	takenBack int64
 }
 
-// leaveRecord is the record by which a server begins to leave.
+// leaveRecord is the record by which a server begins to leave. With removed its entry goes without having said so.
 type leaveRecord struct {
-	at     time.Time
-	offset int64
+	at      time.Time
+	offset  int64
+	removed bool
+}
+
+// leave is a server that begins to leave.
+type leave struct {
+	server  int
+	removed bool
 }
 
 type acknowledged struct {
@@ -101,19 +108,24 @@
 }
 
 // leave records that a server begins to leave, at the end of the outage if all nodes get no answers.
-func (s *simulatedStore) leave(server int) {
+func (s *simulatedStore) leave(server int) { s.begin(leave{server: server}) }
+
+// remove is leave for a server whose entry is removed.
+func (s *simulatedStore) remove(server int) { s.begin(leave{server: server, removed: true}) }
+
+func (s *simulatedStore) begin(l leave) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.silent[allNodes] > 0 {
-		s.pendingLeaves = append(s.pendingLeaves, server)
+		s.pendingLeaves = append(s.pendingLeaves, l)
 		return
 	}
-	s.appendLeave(server)
+	s.appendLeave(l)
 }
 
-func (s *simulatedStore) appendLeave(server int) {
-	if _, leaves := s.left[server]; !leaves {
-		s.left[server] = leaveRecord{time.Now(), s.nextOffset()}
+func (s *simulatedStore) appendLeave(l leave) {
+	if _, leaves := s.left[l.server]; !leaves {
+		s.left[l.server] = leaveRecord{time.Now(), s.nextOffset(), l.removed}
 	}
 }
 
@@ -137,7 +149,7 @@
 	defer s.mu.Unlock()
 	s.appendRecord(s.newest)
 	for server, record := range s.left {
-		s.left[server] = leaveRecord{record.at, s.nextOffset()}
+		s.left[server] = leaveRecord{record.at, s.nextOffset(), record.removed}
 	}
 }
 
@@ -160,8 +172,8 @@
 		for _, config := range s.pending {
 			s.append(config)
 		}
-		for _, server := range s.pendingLeaves {
-			s.appendLeave(server)
+		for _, pending := range s.pendingLeaves {
+			s.appendLeave(pending)
 		}
 		s.pending, s.pendingLeaves = nil, nil
 	}
@@ -265,11 +277,15 @@
 	defer c.store.mu.Unlock()
 	batch := serving.ServerBatch{Complete: !c.isOf(after)}
 	for number := range simulatedServers {
-		leave, draining := c.store.left[number]
-		if batch.Complete || draining && leave.offset >= after.Offset {
-			id := serverID(number)
+		id := serverID(number)
+		record, leaves := c.store.left[number]
+		switch {
+		case !batch.Complete && (!leaves || record.offset < after.Offset):
+		case record.removed:
+			batch.Gone = append(batch.Gone, id)
+		default:
 			batch.Present = append(batch.Present, serving.Server{
-				ID: id, Service: "s", Address: id, Slots: 1, SoftwareVersion: "v1", Draining: draining,
+				ID: id, Service: "s", Address: id, Slots: 1, SoftwareVersion: "v1", Draining: leaves,
 			})
 		}
 	}
--- a/internal/node/simulation_test.go
+++ b/internal/node/simulation_test.go
@@ -261,6 +261,16 @@
 	s.store.disrupt(s.store.silent, number, duration)
 }
 
+// failCalls makes calls of a node fail for a time that have nothing to do with its reads, such as joins of the group.
+func (s *simulation) failCalls(number int, duration time.Duration) {
+	for end := time.Now().Add(duration); time.Now().Before(end); pass(retryPause) {
+		s.mu.Lock()
+		node := s.nodes[number]
+		s.mu.Unlock()
+		node.recordStoreCall(node.ctx, errRefused)
+	}
+}
+
 // restart kills a node and starts it again after a time, unless that is going on already.
 func (s *simulation) restart(number int, duration time.Duration) {
 	if !s.kill(number) {
