storewatch, serverview, node: Removals are told from lapses by outages of the store, not by failed calls

What servers and callers saw: requests reached servers whose entry had been removed for over 2 s, from nodes that the store had refused or whose calls had failed, while other nodes had stopped in time.

Cause: a removal counted 2.2 s later than it was seen once any call of this node to the store had failed, before or after it, for whatever reason. That was meant for entries that lapse while servers can't write; but a failed call says something about the way between this node and the store, and nothing about the servers'.

Change: an outage is a time without any sign that the store serves, from this node's calls or the reads of which readers tell, in which a call has failed or the process stood still (storewatch.Outages). The grace counts from its end; as lost calls show only when they time out, it's bounded from the last call that fell into the outage, so that it ends before the 3 s after which nodes are judged again. Readers tell in their digests which servers count as gone, for nodes that have lost the store alone. Weighed: a removal that always counts at once (all servers whose entries lapse in an outage would be dropped for some two seconds); the readers' word alone (none may be left).

--- a/internal/node/changes_test.go
+++ b/internal/node/changes_test.go
@@ -107,6 +107,40 @@
 	}
 }
 
+// Guards against nodes that drop a server that lives because its entry has lapsed in an outage of the store, and against readers that
+// tell them to.
+func TestServersWhoseEntriesLapseInAnOutageStayInUse(t *testing.T) {
+	const lapsed = 5
+	for name, outage := range map[string]func(s *simulation, duration time.Duration){
+		"silent": (*simulation).storeSilent,
+		"refusing": func(s *simulation, duration time.Duration) {
+			s.refuseSome([]int{allNodes}, s.store.refusing, duration)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSimulation(t)
+				s.setReaders(0, 1, 2)
+				dropped := map[int]bool{}
+				s.run(func() {
+					time.AfterFunc(3900*time.Millisecond, func() { s.store.lapse(lapsed, 2*time.Second) })
+					outage(s, 4*time.Second)
+					for end := time.Now().Add(3 * time.Second); time.Now().Before(end); pass(20 * time.Millisecond) {
+						for number, node := range s.nodes {
+							dropped[number] = dropped[number] || !node.view.InUse(time.Now(), serverID(lapsed))
+						}
+					}
+				})
+				for number, wasDropped := range dropped {
+					if wasDropped {
+						t.Errorf("node %d dropped the server", number)
+					}
+				}
+			})
+		})
+	}
+}
+
 // step is one disruption, or a change of the configuration, and the pause until the next one.
 type step struct {
 	kind     string
--- a/internal/node/leases.go
+++ b/internal/node/leases.go
@@ -307,9 +307,9 @@
 	l.mu.Lock()
 	generation := l.core.Generation()
 	l.mu.Unlock()
-	sent := bootTime()
+	sent, sentAt := bootTime(), time.Now()
 	membership, err := n.store.Join(ctx, n.link.Address(), generation, leaseTTL)
-	ok = n.recordStoreCall(ctx, err)
+	ok = n.recordStoreCall(ctx, sentAt, err)
 	l.mu.Lock()
 	var gained, lost []int
 	if ok {
@@ -334,7 +334,8 @@
 	l.mu.Lock()
 	surplus := l.candidacy.Joined(bootTime(), l.core.PartitionCount(), group) && current
 	l.mu.Unlock()
-	if !surplus || !n.recordStoreCall(ctx, n.store.Leave(ctx, n.link.Address())) {
+	sentAt := time.Now()
+	if !surplus || !n.recordStoreCall(ctx, sentAt, n.store.Leave(ctx, n.link.Address())) {
 		return false
 	}
 	l.mu.Lock()
@@ -370,10 +371,11 @@
 	l := n.leases
 	l.mu.Lock()
 	version := l.core.GroupVersion()
-	l.ownersReadAt = time.Now()
+	sentAt := time.Now()
+	l.ownersReadAt = sentAt
 	l.mu.Unlock()
 	owners, err := n.store.Owners(ctx)
-	if !n.recordStoreCall(ctx, err) {
+	if !n.recordStoreCall(ctx, sentAt, err) {
 		return
 	}
 	now := time.Now()
--- a/internal/node/returns.go
+++ b/internal/node/returns.go
@@ -26,7 +26,7 @@
 		return
 	}
 	storeReturns.Inc(1)
-	n.view.StoreFailed(time.Now())
+	n.watch.storeReturned(time.Now())
 	n.events.Emit(event.StoreReturned, event.Fields{
 		"before": change.Before, "era": change.Now, "peer": change.Source, "operatorOffset": operator, "serversOffset": servers,
 	})
--- a/internal/node/returns_test.go
+++ b/internal/node/returns_test.go
@@ -105,3 +105,37 @@
 	})
 	g.Expect(n.view.InUse(now, "s")).To(gomega.BeTrue(), "a late answer of the earlier era")
 }
+
+// Guards against a node that keeps a server in use since it has lost the store alone, although a reader knows that it's gone.
+func TestReadersTellWhichServersAreGone(t *testing.T) {
+	g := gomega.NewWithT(t)
+	reader, follower, now := newCrashesNode(t), newCrashesNode(t), time.Now()
+	for _, n := range []*Node{reader, follower} {
+		n.readyServer()
+	}
+	gone := serving.ServerBatch{Gone: []string{"s"}, Next: serving.Cursor{Known: true, Offset: 9}}
+	follower.watch.storeReturned(now)
+	reader.applyStoreServers(gone)
+	reader.watch.recordServersRead(now, gone.Next.Position(), reader.view.Fingerprint())
+	message, _ := reader.digestMessage(time.Now())
+	message.From = readerAt
+	withoutWord := message
+	withoutWord.Gone = nil
+	follower.applyDigest(now, withoutWord)
+	g.Expect(follower.view.InUse(now, "s")).To(gomega.BeTrue())
+	follower.applyDigest(now, message)
+	g.Expect(follower.view.InUse(time.Now(), "s")).To(gomega.BeFalse())
+}
+
+// Guards against a time without calls that is taken for one in which the process stood still, so that a removed server stays in use.
+func TestTimeWithoutCallsIsNoOutage(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newCrashesNode(t)
+	n.watch.storeServed(time.Now(), 0)
+	n.watch.storeServed(time.Now(), 0)
+	before := n.watch.goneAt(time.Now())
+	go func() { _ = n.sendDigests(t.Context()) }()
+	pass(1300 * time.Millisecond)
+	n.watch.storeServed(time.Now(), 0)
+	g.Expect(n.watch.goneAt(time.Now())).To(gomega.Equal(before), "the grace of the start")
+}
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -8,6 +8,7 @@
 
 	"waxwingcleat.example/waxwingcleat/internal/delay"
 	"waxwingcleat.example/waxwingcleat/internal/event"
+	"waxwingcleat.example/waxwingcleat/internal/serverview"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
 	"waxwingcleat.example/waxwingcleat/internal/storewatch"
 )
@@ -46,7 +47,7 @@
 	for ctx.Err() == nil {
 		startedAt, sentAt := time.Now(), bootTime()
 		batch, err := n.readOperator(ctx, cursor, patience)
-		if !n.recordStoreCall(ctx, err) {
+		if !n.recordStoreCall(ctx, startedAt, err) {
 			n.logFailedOperatorRead(ctx, err, startedAt)
 			patience = min(2*patience, maximumPatience)
 			waitToRetry(ctx, func() bool { return n.watch.operatorIdle(time.Now()) })
@@ -126,8 +127,9 @@
 func (n *Node) syncServers(ctx context.Context) error {
 	var cursor serving.Cursor
 	for ctx.Err() == nil {
+		sentAt := time.Now()
 		batch, err := n.store.ReadServers(ctx, cursor)
-		if !n.recordStoreCall(ctx, err) {
+		if !n.recordStoreCall(ctx, sentAt, err) {
 			waitToRetry(ctx, func() bool { return n.watch.serversIdle(time.Now(), n.view.Fingerprint()) })
 			continue
 		}
@@ -152,7 +154,7 @@
 	next := batch.Next.Position()
 	if !n.entriesNext.After(next) || batch.Complete && next.Era == n.entriesNext.Era {
 		n.entriesNext = next
-		n.applyServers(provenance{sourceStore, next}, batch)
+		n.applyServers(provenance{sourceStore, next}, batch, n.watch.goneAt(time.Now()))
 	}
 }
 
@@ -179,6 +181,7 @@
 			n.events.EmitError(event.StoreLost, err, nil)
 			return err
 		}
+		n.watch.storeServed(time.Now(), 0)
 		n.applyStoreServers(batch)
 		n.reconcilePending.Store(true)
 		if cursor = batch.Next; !cursor.More {
@@ -196,15 +199,22 @@
 }
 
 // applyDigestServers applies the entries that came with a reader's digest. If this node then has the same entries as
-// the reader, it needn't read the store.
-func (n *Node) applyDigestServers(reader string, digest storewatch.Digest, changes serving.ServerBatch) {
+// the reader, it needn't read the store. The reader's word that a server is gone counts besides what this node knows of outages: it may
+// have lost the store alone.
+func (n *Node) applyDigestServers(reader string, digest storewatch.Digest, changes serverview.Changes) {
 	n.entriesMu.Lock()
 	defer n.entriesMu.Unlock()
 	next := digest.ServersPosition()
-	if !next.After(n.entriesNext) || len(changes.Present)+len(changes.Gone) == 0 {
+	if n.entriesNext.After(next) {
 		return
 	}
-	n.applyServers(provenance{reader, next}, changes)
+	now := time.Now()
+	defer n.view.Gone(now, changes.Gone)
+	if next == n.entriesNext || len(changes.Present)+len(changes.Removed) == 0 {
+		return
+	}
+	batch := serving.ServerBatch{Present: changes.Present, Gone: changes.Removed}
+	n.applyServers(provenance{reader, next}, batch, n.watch.goneAt(now))
 	if n.view.Fingerprint() == digest.Servers {
 		n.entriesNext = next
 		n.watch.advance(storewatch.Digest{Era: digest.Era, ServersNext: digest.ServersNext})
@@ -233,11 +243,13 @@
 	defer n.entriesMu.Unlock()
 	if next.After(n.entriesNext) {
 		n.entriesNext = next
-		n.applyServers(provenance{reader, next}, serving.ServerBatch{Complete: true, Present: servers})
+		// The reader's list has the servers whose entries may reappear.
+		n.applyServers(provenance{reader, next}, serving.ServerBatch{Complete: true, Present: servers}, time.Now())
 	}
 }
 
-func (n *Node) applyServers(from provenance, batch serving.ServerBatch) {
+// applyServers applies a batch. Servers without an entry count as removed from goneAt on.
+func (n *Node) applyServers(from provenance, batch serving.ServerBatch, goneAt time.Time) {
 	now := time.Now()
 	present := make(map[string]bool, len(batch.Present))
 	for _, server := range batch.Present {
@@ -258,37 +270,38 @@
 		removed = append(removed, id)
 	}
 	for _, id := range removed {
-		if n.view.RemoveEntry(now, id) {
-			n.logRemovedEntry(from, id)
+		if n.view.RemoveEntry(now, id, goneAt) {
+			n.logRemovedEntry(from, id, goneAt.Sub(now))
 		}
 	}
 	if batch.Complete {
-		for _, id := range n.view.KeepOnly(now, present) {
-			n.logRemovedEntry(from, id)
+		for _, id := range n.view.KeepOnly(now, present, goneAt) {
+			n.logRemovedEntry(from, id, goneAt.Sub(now))
 		}
 	}
 }
 
-// logRemovedEntry logs that an entry is gone, and whether the server may get requests nevertheless.
-func (n *Node) logRemovedEntry(from provenance, id string) {
+// logRemovedEntry logs that an entry is missing, and how long the server may get requests nevertheless.
+func (n *Node) logRemovedEntry(from provenance, id string, goneIn time.Duration) {
 	n.events.Emit(event.ServerEntryChanged, from.addTo(event.Fields{
-		"server": id, "removed": true, "inUse": n.view.InUse(time.Now(), id),
+		"server": id, "removed": true, "goneInMs": max(goneIn, 0).Milliseconds(),
 	}))
 }
 
-// recordStoreCall records whether a call to the store succeeded and logs when the store becomes unavailable or
-// available again. It returns true on success, and false when the call failed or ctx has ended.
-func (n *Node) recordStoreCall(ctx context.Context, err error) bool {
+// recordStoreCall records whether a call to the store that was sent at a time succeeded, and logs when the store becomes unavailable
+// or available again. It returns true on success, and false when the call failed or ctx has ended.
+func (n *Node) recordStoreCall(ctx context.Context, sentAt time.Time, err error) bool {
 	if ctx.Err() != nil {
 		return false
 	}
 	if err == nil {
+		n.watch.storeServed(time.Now(), 0)
 		if n.storeUnavailable.CompareAndSwap(true, false) {
 			n.events.Emit(event.StoreRegained, nil)
 		}
 		return true
 	}
-	n.view.StoreFailed(time.Now())
+	n.watch.storeFailed(sentAt)
 	if n.storeUnavailable.CompareAndSwap(false, true) {
 		n.events.EmitError(event.StoreLost, err, nil)
 	}
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -7,6 +7,7 @@
 
 	"waxwingcleat.example/waxwingcleat/internal/delay"
 	"waxwingcleat.example/waxwingcleat/internal/peerlink"
+	"waxwingcleat.example/waxwingcleat/internal/serverview"
 	"waxwingcleat.example/waxwingcleat/internal/serving"
 	"waxwingcleat.example/waxwingcleat/internal/storewatch"
 )
@@ -31,6 +32,8 @@
 	mu   sync.Mutex
 	core storewatch.Core
 	own  storewatch.Digest
+	// outages shows when the store was away.
+	outages storewatch.Outages
 	// history holds this node's recent reads of the operators' records.
 	history storewatch.OperatorHistory
 	// readAt is when this node's latest read of the servers' entries in the present era of the store succeeded, operatorReadAt that
@@ -76,6 +79,41 @@
 	notify(w.digestReceived)
 }
 
+// storeServed records that the store served a call some time ago.
+func (w *watch) storeServed(now time.Time, ago time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.outages.Served(now.Add(-ago), now, bootTime())
+}
+
+// running records that this process runs, so that a time in which it stood still is noticed.
+func (w *watch) running(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.outages.Running(now, bootTime())
+}
+
+// storeFailed records that a call to the store failed that was sent at a time.
+func (w *watch) storeFailed(sentAt time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.outages.Failed(sentAt)
+}
+
+// storeReturned records that the store has returned from an older copy.
+func (w *watch) storeReturned(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.outages.Returned(now)
+}
+
+// goneAt returns when an entry that is found to be missing now counts as removed.
+func (w *watch) goneAt(now time.Time) time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.outages.GoneAt(now)
+}
+
 func (w *watch) setReader(reader bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -262,6 +300,7 @@
 		delay.Until(ctx, digestPeriod, n.watch.digestChanged)
 		// Calls to the store may keep other callers from checking often enough.
 		n.watch.checkCurrent(time.Now(), n.view.Fingerprint())
+		n.watch.running(time.Now())
 		n.notices.checkSuspension(time.Now(), bootTime())
 		n.notices.updateGauges(time.Now())
 		n.operatorAge.Update(n.watch.operatorAge(time.Now()).Milliseconds())
@@ -291,9 +330,9 @@
 func (n *Node) digestMessage(now time.Time) (message peerlink.Message, fresh bool) {
 	digest, fresh := n.watch.digest(now)
 	message.Digest, message.StoreEra = &digest, n.eras.Current()
-	present, removed := n.view.ChangedSince(now.Add(-storewatch.ChangeRetention))
-	if len(present)+len(removed) <= digestEntries(n.peers.aliveNodes(now)-1) {
-		message.Present, message.Removed = present, removed
+	changes := n.view.ChangedSince(now.Add(-storewatch.ChangeRetention), now)
+	if changes.Count() <= digestEntries(n.peers.aliveNodes(now)-1) {
+		message.Present, message.Removed, message.Gone = changes.Present, changes.Removed, changes.Gone
 	}
 	if changes := n.watch.recentOperatorChanges(now); len(changes.Versions) > 0 {
 		message.Operator = &changes
@@ -316,7 +355,10 @@
 		outdatedDigests.Inc(1)
 		return
 	}
-	n.applyDigestServers(message.From, digest, serving.ServerBatch{Present: message.Present, Gone: message.Removed})
+	n.watch.storeServed(now, max(min(digest.ServersAge, digest.OperatorAge), 0))
+	n.applyDigestServers(message.From, digest, serverview.Changes{
+		Present: message.Present, Removed: message.Removed, Gone: message.Gone,
+	})
 	if message.Operator != nil {
 		n.applyDigestOperator(message.From, digest, *message.Operator)
 	}
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -109,6 +109,8 @@
 	Present []serving.Server `json:"pr,omitempty"`
 	// Removed holds the IDs of the server entries that were removed shortly before the digest.
 	Removed []string `json:"go,omitempty"`
+	// Gone holds the IDs of the servers that count as removed since shortly before the digest, as their entries can't reappear.
+	Gone []string `json:"gn,omitempty"`
 	// Leaving holds servers that say in their answers that they leave, up to a bound. With LeavingComplete these are all that
 	// the sender, a reader, knows.
 	Leaving         []LeavingServer `json:"lv,omitempty"`
--- a/internal/serverview/candidates.go
+++ b/internal/serverview/candidates.go
@@ -89,7 +89,7 @@
 	defer v.mu.Unlock()
 	servers := make([]*server, 0, len(v.servers))
 	for _, srv := range v.servers {
-		if srv.entry.Service == service && !v.removed(srv, now) {
+		if srv.entry.Service == service && !srv.isGone(now) {
 			servers = append(servers, srv)
 		}
 	}
@@ -157,7 +157,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	srv := v.servers[id]
-	return srv != nil && !srv.isLeaving() && !v.removed(srv, now)
+	return srv != nil && !srv.isLeaving() && !srv.isGone(now)
 }
 
 func (s *server) candidate(now time.Time, adapter serving.Adapter, named tolerance) Candidate {
--- a/internal/serverview/notices.go
+++ b/internal/serverview/notices.go
@@ -52,7 +52,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, srv := range v.servers {
-		if !srv.saidLeavingAt.IsZero() && !v.removed(srv, now) {
+		if !srv.saidLeavingAt.IsZero() && !srv.isGone(now) {
 			leaving++
 		}
 		if srv.restsFor(now) > 0 {
--- a/internal/serverview/reach.go
+++ b/internal/serverview/reach.go
@@ -75,7 +75,7 @@
 // lostServers returns the servers in use that this node can't reach. The caller holds v.mu.
 func (v *View) lostServers(now time.Time) (lost []*server) {
 	for _, srv := range v.servers {
-		if srv.reach.isLost() && !v.removed(srv, now) {
+		if srv.reach.isLost() && !srv.isGone(now) {
 			lost = append(lost, srv)
 		}
 	}
@@ -88,7 +88,7 @@
 	defer v.mu.Unlock()
 	linkProbes, period, lostProbes := v.linkProbes(now), v.unreachableProbePeriod(now), 0
 	for id, srv := range v.servers {
-		if v.removed(srv, now) {
+		if srv.isGone(now) {
 			continue
 		}
 		if !srv.probeDue(now, period, v.reachedAt) {
--- a/internal/serverview/serverview.go
+++ b/internal/serverview/serverview.go
@@ -21,9 +21,6 @@
 	publishedLifetime = 1500 * time.Millisecond
 	// holderSilentAfter is the age of the latest publication above which a holder gets no more load requests.
 	holderSilentAfter = 800 * time.Millisecond
-	// outageGrace is how long after an outage of the store a missing entry may reappear; the platform promises about
-	// two seconds.
-	outageGrace = 2200 * time.Millisecond
 	// ejectThreshold is the number of consecutive failures after which a server is ejected for ejectTime. The time
 	// doubles with each ejection, up to maximumEjectTime.
 	ejectThreshold   = 2
@@ -42,8 +39,8 @@
 
 type server struct {
 	entry serving.Server
-	// removedAt is when the entry disappeared; zero while it is present.
-	removedAt time.Time
+	// removedAt is when the entry disappeared; zero while it is present. goneAt is when the server counts as removed then.
+	removedAt, goneAt time.Time
 	// leaving is true when the entry says that the server leaves.
 	leaving bool
 	// changedAt is when the entry last changed or disappeared.
@@ -92,10 +89,8 @@
 	servers map[string]*server
 	// reachedAt is when an unreachable server was last reached again.
 	reachedAt time.Time
-	// storeFailedAt is when the store was last unreachable.
-	storeFailedAt time.Time
-	changed       chan struct{}
-	declared      map[serving.Adapter]declaration
+	changed   chan struct{}
+	declared  map[serving.Adapter]declaration
 	// tolerances holds the latest named tolerance of each service's servers.
 	tolerances map[string]tolerance
 	versions   versionHistory
@@ -151,36 +146,46 @@
 	return changed
 }
 
-// RemoveEntry records that a server's entry disappeared. It returns false when the server had no entry.
-func (v *View) RemoveEntry(now time.Time, id string) (removed bool) {
+// RemoveEntry records that a server's entry disappeared. The server stays in use until goneAt, as an entry that lapsed in an outage of
+// the store reappears. It returns false when the server had no entry.
+func (v *View) RemoveEntry(now time.Time, id string, goneAt time.Time) (removed bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	srv := v.servers[id]
-	if srv == nil || !srv.removedAt.IsZero() {
-		return false
-	}
-	srv.removedAt, srv.changedAt = now, now
-	return true
+	return srv != nil && srv.remove(now, goneAt)
 }
 
-// KeepOnly removes the entry of every server outside ids. It returns the IDs of those that had one.
-func (v *View) KeepOnly(now time.Time, ids map[string]bool) (removed []string) {
+// KeepOnly is RemoveEntry for every server outside ids. It returns the IDs of those that had an entry.
+func (v *View) KeepOnly(now time.Time, ids map[string]bool, goneAt time.Time) (removed []string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for id, srv := range v.servers {
-		if !ids[id] && srv.removedAt.IsZero() {
-			srv.removedAt, srv.changedAt = now, now
+		if !ids[id] && srv.remove(now, goneAt) {
 			removed = append(removed, id)
 		}
 	}
 	return removed
 }
 
-// StoreFailed records that the store was unreachable. Entries that expire around an outage may reappear.
-func (v *View) StoreFailed(now time.Time) {
+// remove records that the entry disappeared, or that it's known by now to count as removed earlier than it did.
+func (s *server) remove(now, goneAt time.Time) (removed bool) {
+	if s.removedAt.IsZero() {
+		s.removedAt, s.changedAt, s.goneAt = now, now, goneAt
+		return true
+	}
+	s.goneAt = minTime(s.goneAt, goneAt)
+	return false
+}
+
+// Gone records that servers without an entry don't come back, as another node knows.
+func (v *View) Gone(now time.Time, ids []string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.storeFailedAt = now
+	for _, id := range ids {
+		if srv := v.servers[id]; srv != nil && !srv.removedAt.IsZero() {
+			srv.goneAt = minTime(srv.goneAt, now)
+		}
+	}
 }
 
 // Prune deletes servers whose entry has been missing for longer than after and which have no request in flight.
@@ -300,7 +305,7 @@
 	defer v.mu.Unlock()
 	entries := make([]serving.Server, 0, len(v.servers))
 	for _, srv := range v.servers {
-		if !v.removed(srv, now) {
+		if !srv.isGone(now) {
 			entry := srv.entry
 			entry.Draining = srv.leaving
 			entries = append(entries, entry)
@@ -309,30 +314,36 @@
 	return entries
 }
 
-// removed reports whether a server counts as removed. Around an outage of the store, entries expire and reappear, so a
-// missing entry counts only after outageGrace.
-func (v *View) removed(srv *server, now time.Time) bool {
-	if srv.removedAt.IsZero() {
-		return false
-	}
-	return !now.Before(minTime(v.storeFailedAt, srv.removedAt).Add(outageGrace))
+// isGone reports whether a server counts as removed.
+func (s *server) isGone(now time.Time) bool { return !s.removedAt.IsZero() && !now.Before(s.goneAt) }
+
+// Changes are the changes of entries in some time.
+type Changes struct {
+	Present []serving.Server
+	// Removed holds the IDs of the servers whose entries disappeared, Gone of those that count as removed since.
+	Removed, Gone []string
 }
 
-// ChangedSince returns the entries that changed since a time, and the IDs of the servers whose entries disappeared
-// since then.
-func (v *View) ChangedSince(since time.Time) (present []serving.Server, removed []string) {
+// Count returns the number of changes.
+func (c Changes) Count() int { return len(c.Present) + len(c.Removed) + len(c.Gone) }
+
+// ChangedSince returns the changes from a time until now.
+func (v *View) ChangedSince(since, now time.Time) (changes Changes) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for id, srv := range v.servers {
+		changed := !srv.changedAt.Before(since)
 		switch {
-		case srv.changedAt.Before(since):
-		case srv.removedAt.IsZero():
-			present = append(present, srv.entry)
-		default:
-			removed = append(removed, id)
+		case changed && srv.removedAt.IsZero():
+			changes.Present = append(changes.Present, srv.entry)
+		case changed:
+			changes.Removed = append(changes.Removed, id)
+		}
+		if srv.isGone(now) && (changed || !srv.goneAt.Before(since)) {
+			changes.Gone = append(changes.Gone, id)
 		}
 	}
-	return present, removed
+	return changes
 }
 
 // Fingerprint returns a hash of all present entries, which is equal on nodes that have the same entries.
--- a/internal/serverview/tolerance.go
+++ b/internal/serverview/tolerance.go
@@ -112,7 +112,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for id, srv := range v.servers {
-		if srv.entry.Service == service && srv.tolerance.isNamed(now) && !v.removed(srv, now) {
+		if srv.entry.Service == service && srv.tolerance.isNamed(now) && !srv.isGone(now) {
 			notices = append(notices, ToleranceNotice{id, srv.entry.Born, srv.tolerance.perSecond, srv.tolerance.namedAt})
 		}
 	}
