--- a/internal/node/changes_test.go
+++ b/internal/node/changes_test.go
@@ -157,7 +157,7 @@
 	node := rapid.IntRange(0, simulatedNodes-1)
 	return step{
 		kind: rapid.SampledFrom([]string{
-			"change", "leave", "silent", "refuse", "hang", "lose", "cut", "restart", "readers", "return",
+			"change", "leave", "remove", "silent", "refuse", "hang", "lose", "cut", "restart", "readers", "return",
 		}).Draw(t, "kind"),
 		number:   node.Draw(t, "node"),
 		some:     rapid.SliceOfNDistinct(node, 1, 3, rapid.ID).Draw(t, "nodes"),
@@ -173,6 +173,8 @@
 		s.store.put(version)
 	case "leave":
 		s.store.leave(int(version) % simulatedServers)
+	case "remove":
+		s.store.remove(int(version) % simulatedServers)
 	case "silent":
 		running.Go(func() { s.storeSilent(step.duration) })
 	case "refuse":
--- a/internal/node/peersnapshot.go
+++ b/internal/node/peersnapshot.go
@@ -48,7 +48,7 @@
 	}
 	owners := n.leases.copyOwners()
 	return peerSnapshot{
-		Digest: digest, Config: n.forwarder.Config(), Versions: n.view.AllDeclared(), Servers: n.view.Entries(now),
+		Digest: digest, Config: n.forwarder.Config(), Versions: n.view.AllDeclared(), Servers: n.view.Registered(),
 		Owners: owners.ByPartition, OwnersEra: owners.Era,
 	}, true
 }
--- a/internal/node/returns_test.go
+++ b/internal/node/returns_test.go
@@ -106,6 +106,21 @@
 	g.Expect(n.view.InUse(now, "s")).To(gomega.BeTrue(), "a late answer of the earlier era")
 }
 
+// Guards against a node that takes a server for present because a reader that still uses it lists it, although its entry is missing and
+// may not reappear.
+func TestSnapshotListsOnlyServersWithAnEntry(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n, now := newCrashesNode(t), time.Now()
+	n.readyServer()
+	n.watch.storeReturned(now)
+	n.watch.recordServersRead(now, serving.Position{Offset: 1}, 0)
+	n.applyStoreServers(serving.ServerBatch{Complete: true, Next: serving.Cursor{Known: true, Offset: 1}})
+	g.Expect(n.view.InUse(now, "s")).To(gomega.BeTrue())
+	snapshot, fresh := n.peerSnapshot(now)
+	g.Expect(fresh).To(gomega.BeTrue())
+	g.Expect(snapshot.Servers).To(gomega.BeEmpty())
+}
+
 // Guards against a node that keeps a server in use since it has lost the store alone, although a reader knows that it's gone.
 func TestReadersTellWhichServersAreGone(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -243,8 +243,8 @@
 	defer n.entriesMu.Unlock()
 	if next.After(n.entriesNext) {
 		n.entriesNext = next
-		// The reader's list has the servers whose entries may reappear.
-		n.applyServers(provenance{reader, next}, serving.ServerBatch{Complete: true, Present: servers}, time.Now())
+		batch := serving.ServerBatch{Complete: true, Present: servers}
+		n.applyServers(provenance{reader, next}, batch, n.watch.goneAt(time.Now()))
 	}
 }
 
--- a/internal/serverview/serverview.go
+++ b/internal/serverview/serverview.go
@@ -314,6 +314,19 @@
 	return entries
 }
 
+// Registered returns the entries of all servers that have one. Those that may reappear are left out.
+func (v *View) Registered() []serving.Server {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	entries := make([]serving.Server, 0, len(v.servers))
+	for _, srv := range v.servers {
+		if srv.removedAt.IsZero() {
+			entries = append(entries, srv.entry)
+		}
+	}
+	return entries
+}
+
 // isGone reports whether a server counts as removed.
 func (s *server) isGone(now time.Time) bool { return !s.removedAt.IsZero() && !now.Before(s.goneAt) }
 
