serverview: Requests that waited aren't written to a server that has left

The last check before the first byte asked when the request had arrived, and knew nothing of removed entries: a request that was chosen for a server in time and then waited for a connection or for credit could be written to it over 2 s after the store's acknowledgement. It now asks for how long this node has known that the entry says so, and whether the server counts as gone; the request is chosen for another server then.

TestRequestsThatWaitedAreNotWrittenToAServerThatHasLeft failed before.

--- a/internal/serverview/notices.go
+++ b/internal/serverview/notices.go
@@ -6,6 +6,11 @@
 // wants it to get no request that is sent 2 s or more after the first such answer.
 const lingerTime = time.Second
 
+// sendSlack is how long after this node has learned from a server's entry that it leaves a request that was chosen for it before may
+// still be written to it. The platform wants it to get none 2 s after the store has acknowledged the entry, of which this node may have
+// learned 1.2 s later.
+const sendSlack = 500 * time.Millisecond
+
 // LeavingNotice says that one incarnation of a server is about to end, according to the server itself.
 type LeavingNotice struct {
 	ServerID string
@@ -87,14 +92,10 @@
 	switch {
 	case srv == nil:
 		return true
-	case srv.restsFor(now) > 0:
+	case srv.restsFor(now) > 0, srv.isGone(now), srv.leaving && !now.Before(srv.leavingAt.Add(sendSlack)):
 		return false
 	}
-	since := srv.saidLeavingAt
-	if srv.leaving && (since.IsZero() || srv.changedAt.Before(since)) {
-		since = srv.changedAt
-	}
-	return since.IsZero() || arrived.Before(since.Add(lingerTime))
+	return srv.saidLeavingAt.IsZero() || arrived.Before(srv.saidLeavingAt.Add(lingerTime))
 }
 
 // NoteRest records that an incarnation of a server wants no requests from this node until a time. It returns true if it didn't
--- a/internal/serverview/notices_test.go
+++ b/internal/serverview/notices_test.go
@@ -101,3 +101,23 @@
 	g.Expect(v.RestsFor(now, "s")).To(gomega.Equal(2 * time.Second))
 	g.Expect(v.RestsFor(now, "t")).To(gomega.Equal(5 * time.Second))
 }
+
+// Guards against requests that reach a server over 2 s after its entry has said that it leaves, or was removed, since they were chosen
+// for it before and waited for a connection or a credit.
+func TestRequestsThatWaitedAreNotWrittenToAServerThatHasLeft(t *testing.T) {
+	g := gomega.NewWithT(t)
+	v, now := serverview.New(), time.Unix(1000, 0)
+	at := func(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+	v.PutEntry(now, plainServer(7, "a:1"))
+	leaving := plainServer(7, "a:1")
+	leaving.Draining = true
+	v.PutEntry(at(100), leaving)
+	v.PutEntry(at(500), leaving)
+	g.Expect(v.MaySend(at(400), "s", 7, now)).To(gomega.BeTrue())
+	g.Expect(v.MaySend(at(700), "s", 7, now)).To(gomega.BeFalse(), "its entry says that it leaves")
+	v.PutEntry(at(1000), plainServer(7, "a:1"))
+	g.Expect(v.MaySend(at(1000), "s", 7, now)).To(gomega.BeTrue())
+	v.RemoveEntry(at(1000), "s", at(2000))
+	g.Expect(v.MaySend(at(1900), "s", 7, now)).To(gomega.BeTrue(), "the entry may reappear")
+	g.Expect(v.MaySend(at(2000), "s", 7, now)).To(gomega.BeFalse(), "its entry was removed")
+}
--- a/internal/serverview/serverview.go
+++ b/internal/serverview/serverview.go
@@ -41,8 +41,9 @@
 	entry serving.Server
 	// removedAt is when the entry disappeared; zero while it is present. goneAt is when the server counts as removed then.
 	removedAt, goneAt time.Time
-	// leaving is true when the entry says that the server leaves.
-	leaving bool
+	// leaving is true when the entry says that the server leaves, leavingAt is since when.
+	leaving   bool
+	leavingAt time.Time
 	// changedAt is when the entry last changed or disappeared.
 	changedAt time.Time
 
@@ -136,6 +137,9 @@
 	}
 	leaving := entry.Draining || entry.LeavesIn > 0
 	changed = changed || srv.leaving != leaving || !srv.removedAt.IsZero()
+	if leaving && !srv.leaving {
+		srv.leavingAt = now
+	}
 	srv.entry = entry
 	srv.leaving = leaving
 	srv.removedAt = time.Time{}
