serverview: An older entry doesn't undo that a server leaves

What servers would see: requests after they had begun to leave, because the store had returned from a copy in which their entry still said ready, until they wrote it again.

An incarnation that has begun to leave, by its start time and address, goes on leaving; only a new one gets requests. Servers that name no start time are taken at their word as before. TestOlderEntryDoesNotUndoThatAServerLeaves failed before.

--- a/internal/serverview/serverview.go
+++ b/internal/serverview/serverview.go
@@ -123,7 +123,8 @@
 }
 
 // PutEntry stores a server's entry. It returns true when the server is new or restarted, changed its address or whether
-// it is leaving, or had no entry before.
+// it is leaving, or had no entry before. An incarnation that has begun to leave goes on leaving: an entry that says otherwise is an older
+// one, of a store that has returned from a copy.
 func (v *View) PutEntry(now time.Time, entry serving.Server) (changed bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -135,7 +136,7 @@
 		v.servers[entry.ID] = srv
 		changed = true
 	}
-	leaving := entry.Draining || entry.LeavesIn > 0
+	leaving := entry.Draining || entry.LeavesIn > 0 || srv.leaving && entry.Born != 0
 	changed = changed || srv.leaving != leaving || !srv.removedAt.IsZero()
 	if leaving && !srv.leaving {
 		srv.leavingAt = now
--- a/internal/serverview/serverview_test.go
+++ b/internal/serverview/serverview_test.go
@@ -129,3 +129,19 @@
 	state.Sequence = 2
 	g.Expect(v.Publish(start, state)).To(gomega.BeFalse())
 }
+
+// Guards against requests to a server that leaves, since the store has returned from a copy in which its entry doesn't say so yet.
+func TestOlderEntryDoesNotUndoThatAServerLeaves(t *testing.T) {
+	g := gomega.NewWithT(t)
+	v := serverview.New()
+	ready := entry("s1")
+	ready.Born = 7
+	leaving, next := ready, ready
+	leaving.Draining, next.Born = true, 8
+	v.PutEntry(start, ready)
+	v.PutEntry(start, leaving)
+	v.PutEntry(start, ready)
+	g.Expect(inUse(v, start)).To(gomega.BeEmpty())
+	v.PutEntry(start, next)
+	g.Expect(inUse(v, start)).To(gomega.ConsistOf("s1"), "a new incarnation")
+}
