node, KNOWN-RED: Entries that lapse while only the servers' topic is away are taken for removals

What servers' callers would see: no server for some two seconds, after the store has refused the topic of the servers' entries for seconds and served the others, as it may be down in part.

--- a/internal/node/changes_test.go
+++ b/internal/node/changes_test.go
@@ -116,6 +116,7 @@
 		"refusing": func(s *simulation, duration time.Duration) {
 			s.refuseSome([]int{allNodes}, s.store.refusing, duration)
 		},
+		"refusing the servers alone": func(s *simulation, duration time.Duration) { s.store.refuseServers(duration) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/node/simulatedstore_test.go
+++ b/internal/node/simulatedstore_test.go
@@ -50,6 +50,8 @@
 	lapsedUntil map[int]time.Time
 	// silent and refusing count the running disruptions by node; -1 stands for all.
 	silent, refusing map[int]int
+	// serversAway is true while the store refuses the servers' topic alone.
+	serversAway bool
 	// lost counts the disruptions by which the open connections of a node became silent.
 	lost map[int]int
 	// era counts the returns of the store from older copies, takenBack is by how much they have lowered the offsets of the servers'
@@ -188,6 +190,18 @@
 	}
 }
 
+// refuseServers refuses the servers' topic for a time, and serves everything else.
+func (s *simulatedStore) refuseServers(duration time.Duration) {
+	set := func(away bool) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.serversAway = away
+	}
+	set(true)
+	pass(duration)
+	set(false)
+}
+
 // loseOpenConnections makes the calls in progress of all nodes get no answer, while new ones do.
 func (s *simulatedStore) loseOpenConnections() {
 	s.mu.Lock()
@@ -284,6 +298,9 @@
 	}
 	c.store.mu.Lock()
 	defer c.store.mu.Unlock()
+	if c.store.serversAway {
+		return serving.ServerBatch{}, errRefused
+	}
 	batch := serving.ServerBatch{Complete: !c.isOf(after)}
 	for number := range simulatedServers {
 		id := serverID(number)
