node, platform, KNOWN-RED: An older copy of the store takes back that a server has left

What servers see: requests from nodes that knew for over 2 s that they leave or were removed, as soon as the store has returned from a copy that lists them as ready: until they write again that they leave, or until their entries lapse. Rule DRAIN binds a node by what it has acknowledged itself also while the store is disturbed.

--- a/internal/node/returns_test.go
+++ b/internal/node/returns_test.go
@@ -154,3 +154,31 @@
 	n.watch.storeServed(time.Now(), 0)
 	g.Expect(n.watch.goneAt(time.Now())).To(gomega.Equal(before), "the grace of the start")
 }
+
+// Guards against requests to a server that leaves, or that was removed for good, because a store that has returned from an older copy
+// lists its entry as it was before.
+func TestOlderCopyDoesNotTakeBackADeparture(t *testing.T) {
+	entry := serving.Server{ID: "s", Service: "x", Address: "s:1", Slots: 4, Born: 7}
+	leaving := entry
+	leaving.Draining = true
+	for name, departure := range map[string]serving.ServerBatch{
+		"draining": {Present: []serving.Server{leaving}, Next: serving.Cursor{Known: true, Era: 1, Offset: 9}},
+		"removed":  {Gone: []string{"s"}, Next: serving.Cursor{Known: true, Era: 1, Offset: 9}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			n := newCrashesNode(t)
+			n.eras.Answered(1)
+			n.applyStoreServers(serving.ServerBatch{
+				Complete: true, Present: []serving.Server{entry}, Next: serving.Cursor{Known: true, Era: 1, Offset: 8},
+			})
+			n.applyStoreServers(departure)
+			g.Expect(n.view.InUse(time.Now(), "s")).To(gomega.BeFalse())
+			n.eras.Answered(2)
+			n.applyStoreServers(serving.ServerBatch{
+				Complete: true, Present: []serving.Server{entry}, Next: serving.Cursor{Known: true, Era: 2, Offset: 8},
+			})
+			g.Expect(n.view.InUse(time.Now(), "s")).To(gomega.BeFalse())
+		})
+	}
+}
