--- a/internal/node/returns_test.go
+++ b/internal/node/returns_test.go
@@ -182,3 +182,47 @@
 		})
 	}
 }
+
+// Guards against dropping servers that the copy lacks, by a node that learns of the return from a reader's snapshot alone.
+func TestSnapshotOfANewEraTellsOfTheReturn(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newCrashesNode(t)
+	n.eras.Answered(1)
+	n.applyStoreServers(serving.ServerBatch{
+		Complete: true, Next: serving.Cursor{Known: true, Era: 1, Offset: 8},
+		Present: []serving.Server{{ID: "s", Service: "x", Address: "s:1", Slots: 4, Born: 7}},
+	})
+	n.applyPeerSnapshot(readerAt, peerSnapshot{Digest: *digestOf(2, 5).Digest})
+	g.Expect(n.view.InUse(time.Now(), "s")).To(gomega.BeTrue())
+	g.Expect(n.eras.Current()).To(gomega.Equal(serving.StoreEra(2)))
+}
+
+// Guards against a server that gets requests again because a complete read that began before it left is answered after a reader has
+// told of it.
+func TestLateCompleteReadTakesNoDepartureBack(t *testing.T) {
+	entry := serving.Server{ID: "s", Service: "x", Address: "s:1", Slots: 4, Born: 7}
+	leaving := entry
+	leaving.Draining = true
+	departed, removed := digestOf(1, 10, leaving), digestOf(1, 10)
+	removed.Removed, removed.Gone = []string{"s"}, []string{"s"}
+	for name, message := range map[string]peerlink.Message{"draining": departed, "removed": removed} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			n := newCrashesNode(t)
+			late := serving.ServerBatch{
+				Complete: true, Present: []serving.Server{entry}, Next: serving.Cursor{Known: true, Era: 1, Offset: 9},
+			}
+			n.eras.Answered(1)
+			n.applyStoreServers(late)
+			if message.Digest.Servers = 0; name == "draining" {
+				v := newCrashesNode(t).view
+				v.PutEntry(time.Now(), leaving)
+				message.Digest.Servers = v.Fingerprint()
+			}
+			n.applyDigest(time.Now(), message)
+			g.Expect(n.view.InUse(time.Now(), "s")).To(gomega.BeFalse())
+			n.applyStoreServers(late)
+			g.Expect(n.view.InUse(time.Now(), "s")).To(gomega.BeFalse())
+		})
+	}
+}
