node, KNOWN-RED: Records of before a removal take it back

A node that applies the changes of a reader's digest without having all that the reader has (lost digests) doesn't advance its position. A record with a lower offset than the removal, in its own read or in a digest of a reader that has read less, then makes it use the server again, until the next digest or read.

TestOlderRecordTakesNoRemovalBack fails on in both cases.

--- a/internal/node/returns_test.go
+++ b/internal/node/returns_test.go
@@ -226,3 +226,31 @@
 		})
 	}
 }
+
+// Guards against a removed server that gets requests again, because a record of before its removal arrives after a reader has told of
+// that, while this node lacks another of the reader's changes.
+func TestOlderRecordTakesNoRemovalBack(t *testing.T) {
+	entry := serving.Server{ID: "s", Service: "x", Address: "s:1", Slots: 4, Born: 7}
+	older := digestOf(1, 11, entry)
+	for name, arrive := range map[string]func(n *Node){
+		"another reader's digest": func(n *Node) { n.applyDigest(time.Now(), older) },
+		"its own read": func(n *Node) {
+			n.applyStoreServers(serving.ServerBatch{Present: older.Present, Next: serving.Cursor{Known: true, Era: 1, Offset: 11}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			n := newCrashesNode(t)
+			n.eras.Answered(1)
+			n.applyStoreServers(serving.ServerBatch{
+				Complete: true, Present: []serving.Server{entry}, Next: serving.Cursor{Known: true, Era: 1, Offset: 8},
+			})
+			removed := digestOf(1, 12)
+			removed.Removed, removed.Gone = []string{"s"}, []string{"s"}
+			n.applyDigest(time.Now(), removed)
+			g.Expect(n.view.InUse(time.Now(), "s")).To(gomega.BeFalse())
+			arrive(n)
+			g.Expect(n.view.InUse(time.Now(), "s")).To(gomega.BeFalse())
+		})
+	}
+}
