--- a/internal/node/returns_test.go
+++ b/internal/node/returns_test.go
@@ -154,3 +154,103 @@
 	n.watch.storeServed(time.Now(), 0)
 	g.Expect(n.watch.goneAt(time.Now())).To(gomega.Equal(before), "the grace of the start")
 }
+
+// Guards against requests to a server that leaves, or that was removed for good, because a store that has returned from an older copy
+// lists its entry as it was before.
+func TestOlderCopyDoesNotTakeBackADeparture(t *testing.T) {
+	entry := serving.Server{ID: "s", Service: "x", Address: "s:1", Slots: 4, Born: 7}
+	leaving := entry
+	leaving.Draining = true
+	for name, departure := range map[string]serving.ServerBatch{
+		"draining": {Present: []serving.Server{leaving}, Next: serving.Cursor{Known: true, Era: 1, Offset: 9}},
+		"removed":  {Gone: []string{"s"}, Next: serving.Cursor{Known: true, Era: 1, Offset: 9}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			n := newCrashesNode(t)
+			n.eras.Answered(1)
+			n.applyStoreServers(serving.ServerBatch{
+				Complete: true, Present: []serving.Server{entry}, Next: serving.Cursor{Known: true, Era: 1, Offset: 8},
+			})
+			n.applyStoreServers(departure)
+			g.Expect(n.view.InUse(time.Now(), "s")).To(gomega.BeFalse())
+			n.eras.Answered(2)
+			n.applyStoreServers(serving.ServerBatch{
+				Complete: true, Present: []serving.Server{entry}, Next: serving.Cursor{Known: true, Era: 2, Offset: 8},
+			})
+			g.Expect(n.view.InUse(time.Now(), "s")).To(gomega.BeFalse())
+		})
+	}
+}
+
+// Guards against dropping servers that the copy lacks, by a node that learns of the return from a reader's snapshot alone.
+func TestSnapshotOfANewEraTellsOfTheReturn(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newCrashesNode(t)
+	n.eras.Answered(1)
+	n.applyStoreServers(serving.ServerBatch{
+		Complete: true, Next: serving.Cursor{Known: true, Era: 1, Offset: 8},
+		Present: []serving.Server{{ID: "s", Service: "x", Address: "s:1", Slots: 4, Born: 7}},
+	})
+	n.applyPeerSnapshot(readerAt, peerSnapshot{Digest: *digestOf(2, 5).Digest})
+	g.Expect(n.view.InUse(time.Now(), "s")).To(gomega.BeTrue())
+	g.Expect(n.eras.Current()).To(gomega.Equal(serving.StoreEra(2)))
+}
+
+// Guards against a server that gets requests again because a complete read that began before it left is answered after a reader has
+// told of it.
+func TestLateCompleteReadTakesNoDepartureBack(t *testing.T) {
+	entry := serving.Server{ID: "s", Service: "x", Address: "s:1", Slots: 4, Born: 7}
+	leaving := entry
+	leaving.Draining = true
+	departed, removed := digestOf(1, 10, leaving), digestOf(1, 10)
+	removed.Removed, removed.Gone = []string{"s"}, []string{"s"}
+	for name, message := range map[string]peerlink.Message{"draining": departed, "removed": removed} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			n := newCrashesNode(t)
+			late := serving.ServerBatch{
+				Complete: true, Present: []serving.Server{entry}, Next: serving.Cursor{Known: true, Era: 1, Offset: 9},
+			}
+			n.eras.Answered(1)
+			n.applyStoreServers(late)
+			if message.Digest.Servers = 0; name == "draining" {
+				v := newCrashesNode(t).view
+				v.PutEntry(time.Now(), leaving)
+				message.Digest.Servers = v.Fingerprint()
+			}
+			n.applyDigest(time.Now(), message)
+			g.Expect(n.view.InUse(time.Now(), "s")).To(gomega.BeFalse())
+			n.applyStoreServers(late)
+			g.Expect(n.view.InUse(time.Now(), "s")).To(gomega.BeFalse())
+		})
+	}
+}
+
+// Guards against a removed server that gets requests again, because a record of before its removal arrives after a reader has told of
+// that, while this node lacks another of the reader's changes.
+func TestOlderRecordTakesNoRemovalBack(t *testing.T) {
+	entry := serving.Server{ID: "s", Service: "x", Address: "s:1", Slots: 4, Born: 7}
+	older := digestOf(1, 11, entry)
+	for name, arrive := range map[string]func(n *Node){
+		"another reader's digest": func(n *Node) { n.applyDigest(time.Now(), older) },
+		"its own read": func(n *Node) {
+			n.applyStoreServers(serving.ServerBatch{Present: older.Present, Next: serving.Cursor{Known: true, Era: 1, Offset: 11}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			n := newCrashesNode(t)
+			n.eras.Answered(1)
+			n.applyStoreServers(serving.ServerBatch{
+				Complete: true, Present: []serving.Server{entry}, Next: serving.Cursor{Known: true, Era: 1, Offset: 8},
+			})
+			removed := digestOf(1, 12)
+			removed.Removed, removed.Gone = []string{"s"}, []string{"s"}
+			n.applyDigest(time.Now(), removed)
+			g.Expect(n.view.InUse(time.Now(), "s")).To(gomega.BeFalse())
+			arrive(n)
+			g.Expect(n.view.InUse(time.Now(), "s")).To(gomega.BeFalse())
+		})
+	}
+}
