storewatch, node: Only reads of the servers' entries end an outage

Outages counts reads of the servers' entries alone, by this node and by the ages of theirs in digests. The case 'refusing the servers alone' of TestServersWhoseEntriesLapseInAnOutageStayInUse failed before and passes.

--- a/internal/node/returns_test.go
+++ b/internal/node/returns_test.go
@@ -146,12 +146,12 @@
 func TestTimeWithoutCallsIsNoOutage(t *testing.T) {
 	g := gomega.NewWithT(t)
 	n := newCrashesNode(t)
-	n.watch.storeServed(time.Now(), 0)
-	n.watch.storeServed(time.Now(), 0)
+	n.watch.entriesServed(time.Now(), 0)
+	n.watch.entriesServed(time.Now(), 0)
 	before := n.watch.goneAt(time.Now())
 	go func() { _ = n.sendDigests(t.Context()) }()
 	pass(1300 * time.Millisecond)
-	n.watch.storeServed(time.Now(), 0)
+	n.watch.entriesServed(time.Now(), 0)
 	g.Expect(n.watch.goneAt(time.Now())).To(gomega.Equal(before), "the grace of the start")
 }
 
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -134,6 +134,7 @@
 			continue
 		}
 		cursor = batch.Next
+		n.watch.entriesServed(time.Now(), 0)
 		n.applyStoreServers(batch)
 		n.view.Prune(time.Now(), removedEntryRetention)
 		n.holders.reconcile()
@@ -181,7 +182,7 @@
 			n.events.EmitError(event.StoreLost, err, nil)
 			return err
 		}
-		n.watch.storeServed(time.Now(), 0)
+		n.watch.entriesServed(time.Now(), 0)
 		n.applyStoreServers(batch)
 		n.reconcilePending.Store(true)
 		if cursor = batch.Next; !cursor.More {
@@ -295,7 +296,6 @@
 		return false
 	}
 	if err == nil {
-		n.watch.storeServed(time.Now(), 0)
 		if n.storeUnavailable.CompareAndSwap(true, false) {
 			n.events.Emit(event.StoreRegained, nil)
 		}
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -79,8 +79,8 @@
 	notify(w.digestReceived)
 }
 
-// storeServed records that the store served a call some time ago.
-func (w *watch) storeServed(now time.Time, ago time.Duration) {
+// entriesServed records that the store served a read of the servers' entries some time ago.
+func (w *watch) entriesServed(now time.Time, ago time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.outages.Served(now.Add(-ago), now, bootTime())
@@ -355,7 +355,7 @@
 		outdatedDigests.Inc(1)
 		return
 	}
-	n.watch.storeServed(now, max(min(digest.ServersAge, digest.OperatorAge), 0))
+	n.watch.entriesServed(now, max(digest.ServersAge, 0))
 	n.applyDigestServers(message.From, digest, serverview.Changes{
 		Present: message.Present, Removed: message.Removed, Gone: message.Gone,
 	})
--- a/internal/storewatch/outages.go
+++ b/internal/storewatch/outages.go
@@ -13,10 +13,10 @@
 	failureGrace = 2900 * time.Millisecond
 )
 
-// Outages tells entries that lapsed while the store was away from those that were removed. An outage is a time without any sign that the
-// store serves, from the calls of this node or the reads of which readers tell, in which a call has failed or this process stood still.
-// Failed calls alone show none, as the store may refuse one node and serve the others; nor does a time in which nobody has asked.
-// Outages isn't safe for concurrent use.
+// Outages tells entries that lapsed while the store was away from those that were removed. An outage is a time without any read of the
+// servers' entries, by this node or by readers that tell of it, in which a call has failed or this process stood still. Other calls that
+// are served show nothing, as the store may be away in part. Failed calls alone show no outage, as it may refuse one node and serve the
+// others; nor does a time in which nobody has asked. Outages isn't safe for concurrent use.
 type Outages struct {
 	servedAt time.Time
 	// failedAt is when the last call that failed was sent; failed is true if one has failed since servedAt.
@@ -42,7 +42,7 @@
 // Failed records that a call failed that was sent at a time.
 func (o *Outages) Failed(sentAt time.Time) { o.failedAt, o.failed = later(o.failedAt, sentAt), true }
 
-// Served records that the store served a call at a time up to now, and what Running records.
+// Served records that the store served a read of the servers' entries at a time up to now, and what Running records.
 func (o *Outages) Served(at, now time.Time, boot time.Duration) {
 	o.Running(now, boot)
 	if at.Before(o.servedAt) {
