node, serverview: An older record doesn't undo what a node knows of a server

What servers would see: requests although nodes knew for over 2 s that they leave or are gone.

- The store returns from an older copy that lists a server as ready which had left, until the server writes again or its entry lapses.
Within 3 s of a return, an entry doesn't bring back an incarnation that leaves or is gone; a server that lives writes again.
- A complete read of the same era with a lower offset was applied, for stores that name no eras.
Now only where they name none.
- A record with a lower offset than a change that a digest has told of was applied, while other changes of the digest were missing.
Such changes are remembered by server until all before them are known.

TestChangesOfANewEraHaveLowerOffsets expected an incarnation to come back that had begun to leave, against the rule; it uses a new incarnation now.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -132,6 +132,11 @@
 	entriesMu        sync.Mutex
 	// entriesNext is the position in the servers' topic up to which the entries were applied.
 	entriesNext serving.Position
+	// rewrittenBy is when servers have written again what the store lacks since it returned from a copy.
+	rewrittenBy time.Time
+	// appliedAhead holds, by server, the position of a digest whose change of the entry was applied while others up to it may be
+	// missing.
+	appliedAhead map[string]serving.Position
 	// reconcilePending is true when entries have changed and the holders have not been reconciled yet.
 	reconcilePending atomic.Bool
 	stopping         atomic.Bool
@@ -159,7 +164,7 @@
 		linesDropped: d.LinesDropped, link: link, connections: d.Connections, publishNow: make(chan struct{}, 1),
 		view: serverview.New(), usage: usage.New(link.Address()), peers: newPeers(),
 		bodies: intake.New(settings.bodyLimits(d.Events)), heads: settings.headBudget(),
-		watch: newWatch(), startedAt: time.Now(), eventGaps: eventgap.New(), stepTimes: steptime.NewObserver(),
+		appliedAhead: make(map[string]serving.Position), watch: newWatch(), startedAt: time.Now(), eventGaps: eventgap.New(), stepTimes: steptime.NewObserver(),
 		operatorAge: metrics.GetOrRegisterGauge("watch.operatorAgeMs", nil),
 	}
 	n.leases = newLeases(serverlease.Options{
--- a/internal/node/peersnapshot.go
+++ b/internal/node/peersnapshot.go
@@ -124,11 +124,12 @@
 		"peer": reader, "operatorNext": snapshot.Digest.OperatorNext, "serversNext": snapshot.Digest.ServersNext,
 		"servers": len(snapshot.Servers),
 	})
+	n.eras.Told(reader, snapshot.Digest.Era)
 	batch := serving.OperatorBatch{Versions: snapshot.Versions}
 	if snapshot.Config != nil {
 		batch.Configurations = append(batch.Configurations, snapshot.Config)
 	}
-	n.applyOperator(provenance{reader, snapshot.Digest.OperatorPosition()}, batch)
+	n.applyOperator(provenance{source: reader, position: snapshot.Digest.OperatorPosition()}, batch)
 	n.applyPeerServers(reader, snapshot.Digest.ServersPosition(), snapshot.Servers)
 	n.leases.setOwners(serving.Owners{Era: snapshot.OwnersEra, ByPartition: snapshot.Owners})
 	n.reconcilePending.Store(true)
--- a/internal/node/provenance_test.go
+++ b/internal/node/provenance_test.go
@@ -22,7 +22,7 @@
 	n := newCrashesNode(t)
 	n.events = event.NewLog(&log, logrus.DebugLevel, nil)
 	n.eras.Answered(2)
-	n.applyOperator(provenance{sourceStore, serving.Position{Era: 2, Offset: 7}}, serving.OperatorBatch{Configurations: []*serving.Configuration{{Version: 3}}})
+	n.applyOperator(provenance{source: sourceStore, position: serving.Position{Era: 2, Offset: 7}}, serving.OperatorBatch{Configurations: []*serving.Configuration{{Version: 3}}})
 	g.Expect(log.String()).To(gomega.And(
 		gomega.ContainSubstring(`"event":810`), gomega.ContainSubstring(`"era":2`), gomega.ContainSubstring(`"offset":7`),
 		gomega.ContainSubstring(`"source":"store"`),
--- a/internal/node/returns.go
+++ b/internal/node/returns.go
@@ -16,6 +16,10 @@
 	outdatedDigests = metrics.GetOrRegisterCounter("store.outdatedDigests", nil)
 )
 
+// rewriteTime is how long after a return of the store entries may be older than what is known, those that another node tells too; the
+// platform promises that they are written again within about two seconds.
+const rewriteTime = 3 * time.Second
+
 // applyEra applies a new era of the store, in which the store may hold less than before.
 func (n *Node) applyEra(change storeera.Change) {
 	storeEraGauge.Update(int64(n.eras.Current()))
@@ -26,6 +30,9 @@
 		return
 	}
 	storeReturns.Inc(1)
+	n.entriesMu.Lock()
+	n.rewrittenBy = time.Now().Add(rewriteTime)
+	n.entriesMu.Unlock()
 	n.watch.storeReturned(time.Now())
 	n.events.Emit(event.StoreReturned, event.Fields{
 		"before": change.Before, "era": change.Now, "peer": change.Source, "operatorOffset": operator, "serversOffset": servers,
--- a/internal/node/returns_test.go
+++ b/internal/node/returns_test.go
@@ -98,10 +98,12 @@
 	leaving.Draining = true
 	n.applyDigest(now, digestOf(2, 10, leaving))
 	g.Expect(n.view.InUse(now, "s")).To(gomega.BeFalse(), "a digest")
-	n.applyPeerSnapshot(readerAt, peerSnapshot{Digest: *digestOf(2, 11).Digest, Servers: []serving.Server{entry}})
+	next, left := entry, entry
+	next.Born, left.Born, left.Draining = 8, 8, true
+	n.applyPeerSnapshot(readerAt, peerSnapshot{Digest: *digestOf(2, 11).Digest, Servers: []serving.Server{next}})
 	g.Expect(n.view.InUse(now, "s")).To(gomega.BeTrue(), "a snapshot")
 	n.applyStoreServers(serving.ServerBatch{
-		Complete: true, Present: []serving.Server{leaving}, Next: serving.Cursor{Known: true, Era: 1, Offset: 901},
+		Complete: true, Present: []serving.Server{left}, Next: serving.Cursor{Known: true, Era: 1, Offset: 901},
 	})
 	g.Expect(n.view.InUse(now, "s")).To(gomega.BeTrue(), "a late answer of the earlier era")
 }
--- a/internal/node/sightings.go
+++ b/internal/node/sightings.go
@@ -160,7 +160,9 @@
 				continue
 			}
 			var complete bool
-			if versions, complete, err = s.node.store.ReadServerVersions(ctx, coverage.Next.Offset); err != nil {
+			if versions, complete, err = s.node.store.ReadServerVersions(ctx, serving.Position{
+				Era: s.attempt.from.Era, Offset: coverage.Next.Offset,
+			}); err != nil {
 				return since, false, err
 			}
 			if !complete {
--- a/internal/node/simulatedstore_test.go
+++ b/internal/node/simulatedstore_test.go
@@ -58,6 +58,13 @@
 	// topic.
 	era       serving.StoreEra
 	takenBack int64
+	// copiedAt is when the copy was made from which the store last returned, rewrittenAt when servers write again what it lacks.
+	copiedAt, rewrittenAt time.Time
+}
+
+// isForgotten reports whether a record is missing in the copy from which the store has just returned. The caller holds s.mu.
+func (s *simulatedStore) isForgotten(record leaveRecord) bool {
+	return record.at.After(s.copiedAt) && time.Now().Before(s.rewrittenAt)
 }
 
 // leaveRecord is the record by which a server begins to leave. With removed its entry goes without having said so.
@@ -142,8 +149,8 @@
 	s.disrupt(s.refusing, allNodes, away)
 	s.mu.Lock()
 	s.era++
-	copied := time.Now().Add(-age - away)
-	for len(s.records) > 1 && s.writtenAt[len(s.records)-1].After(copied) {
+	s.copiedAt, s.rewrittenAt = time.Now().Add(-age-away), time.Now().Add(rewriteDelay)
+	for len(s.records) > 1 && s.writtenAt[len(s.records)-1].After(s.copiedAt) {
 		s.records, s.writtenAt = s.records[:len(s.records)-1], s.writtenAt[:len(s.records)-1]
 	}
 	s.takenBack += (age + away).Milliseconds() * simulatedServers
@@ -305,13 +312,14 @@
 	for number := range simulatedServers {
 		id := serverID(number)
 		record, leaves := c.store.left[number]
+		leaves = leaves && !c.store.isForgotten(record)
 		switch {
 		case c.store.lapsedUntil[number].After(time.Now()):
 			batch.Gone = append(batch.Gone, id)
 		case !c.store.lapsedUntil[number].IsZero():
 			batch.Present = append(batch.Present, serving.Server{ID: id, Service: "s", Address: id, Slots: 1, SoftwareVersion: "v1"})
 		case !batch.Complete && (!leaves || record.offset < after.Offset):
-		case record.removed:
+		case leaves && record.removed:
 			batch.Gone = append(batch.Gone, id)
 		default:
 			batch.Present = append(batch.Present, serving.Server{
--- a/internal/node/simulation_test.go
+++ b/internal/node/simulation_test.go
@@ -38,6 +38,8 @@
 	// late and lateLeave are the longest times after an acknowledgement after which a settled node lacked a configuration or
 	// used a server that leaves.
 	late, lateLeave time.Duration
+	// used holds the servers that a running node has used, departed those of them that have begun to leave and that it no longer uses.
+	used, departed [simulatedNodes]map[int]bool
 }
 
 func newSimulation(t rapid.TB) *simulation {
@@ -65,7 +67,7 @@
 	s.disturbed(number, 0)
 	s.mu.Lock()
 	s.nodes[number] = node
-	s.inForce[number] = 0
+	s.inForce[number], s.used[number], s.departed[number] = 0, map[int]bool{}, map[int]bool{}
 	node.watch.setReader(s.readers[number])
 	s.mu.Unlock()
 	node.ended.Go(func() { _ = node.syncOperator(ctx) })
@@ -175,6 +177,7 @@
 				s.t.Errorf("node %d went back from version %d to %d", number, s.inForce[number], version)
 			}
 			s.inForce[number] = version
+			s.judgeDepartures(now, node)
 			if now.Sub(s.settledAt[number]) < settledAfter || now.Sub(s.settledAt[allNodes]) < settledAfter {
 				continue
 			}
@@ -184,6 +187,22 @@
 	}
 }
 
+// judgeDepartures checks that a process that doesn't use a server any more which leaves never uses it again.
+func (s *simulation) judgeDepartures(now time.Time, node *simulatedNode) {
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	used, departed := s.used[node.number], s.departed[node.number]
+	for server := range simulatedServers {
+		_, leaves := s.store.left[server]
+		inUse := node.view.InUse(now, serverID(server))
+		if departed[server] && inUse {
+			s.t.Errorf("node %d uses server %d again", node.number, server)
+		}
+		used[server] = used[server] || inUse
+		departed[server] = departed[server] || leaves && used[server] && !inUse
+	}
+}
+
 // judgeNode compares what a settled node knows with what the store has acknowledged. version is that of its configuration.
 func (s *simulation) judgeNode(now time.Time, node *simulatedNode, version int64) {
 	s.store.mu.Lock()
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -59,7 +60,7 @@
 		for _, invalid := range batch.Invalid {
 			n.events.EmitError(event.ConfigRefused, invalid, nil)
 		}
-		n.applyOperator(provenance{sourceStore, batch.Next.Position()}, batch)
+		n.applyOperator(provenance{source: sourceStore, position: batch.Next.Position()}, batch)
 		n.keys.readOperator(sentAt, batch.Next)
 		n.watch.recordOperatorRead(time.Now(), batch, contiguous)
 		n.watch.waitForOperator(ctx)
@@ -147,18 +148,30 @@
 	return nil
 }
 
-// applyStoreServers applies a batch from the store, unless a peer has already sent a later state. A complete batch of the same era is
-// always applied, as a store that names no eras may have replaced the log by one with lower offsets.
+// applyStoreServers applies a batch from the store, unless a peer has already sent a later state. A complete batch of a store that names
+// no eras is always applied, as the log may have been replaced by one with lower offsets.
 func (n *Node) applyStoreServers(batch serving.ServerBatch) {
 	n.entriesMu.Lock()
 	defer n.entriesMu.Unlock()
 	next := batch.Next.Position()
-	if !n.entriesNext.After(next) || batch.Complete && next.Era == n.entriesNext.Era {
-		n.entriesNext = next
-		n.applyServers(provenance{sourceStore, next}, batch, n.watch.goneAt(time.Now()))
+	replaced := batch.Complete && next.Era == 0 && n.entriesNext.Era == 0
+	if !n.entriesNext.After(next) || replaced {
+		n.applyAllServers(provenance{source: sourceStore, position: next}, batch)
 	}
 }
 
+// applyAllServers applies a batch that holds all changes up to the position of its source. The caller holds n.entriesMu.
+func (n *Node) applyAllServers(from provenance, batch serving.ServerBatch) {
+	n.applyServers(from, batch, n.watch.goneAt(time.Now()))
+	n.noteApplied(from.position)
+}
+
+// noteApplied records that all changes up to a position are applied. The caller holds n.entriesMu.
+func (n *Node) noteApplied(next serving.Position) {
+	n.entriesNext = next
+	maps.DeleteFunc(n.appliedAhead, func(_ string, at serving.Position) bool { return !at.After(next) })
+}
+
 const (
 	// entriesReadInterval is the least time between two reads of the servers' entries for requests.
 	entriesReadInterval = 100 * time.Millisecond
@@ -215,9 +228,16 @@
 		return
 	}
 	batch := serving.ServerBatch{Present: changes.Present, Gone: changes.Removed}
-	n.applyServers(provenance{reader, next}, batch, n.watch.goneAt(now))
+	from := provenance{source: reader, position: next}
+	n.applyServers(from, batch, n.watch.goneAt(now))
+	for _, server := range batch.Present {
+		n.appliedAhead[server.ID] = next
+	}
+	for _, id := range batch.Gone {
+		n.appliedAhead[id] = next
+	}
 	if n.view.Fingerprint() == digest.Servers {
-		n.entriesNext = next
+		n.noteApplied(next)
 		n.watch.advance(storewatch.Digest{Era: digest.Era, ServersNext: digest.ServersNext})
 	}
 	n.reconcilePending.Store(true)
@@ -232,7 +252,7 @@
 		return
 	}
 	next := digest.OperatorPosition()
-	n.applyOperator(provenance{reader, next}, serving.OperatorBatch{Versions: changes.Versions})
+	n.applyOperator(provenance{source: reader, position: next}, serving.OperatorBatch{Versions: changes.Versions})
 	n.watch.advance(storewatch.Digest{Era: digest.Era, OperatorNext: digest.OperatorNext})
 	n.keys.applied(next)
 }
@@ -243,9 +263,7 @@
 	n.entriesMu.Lock()
 	defer n.entriesMu.Unlock()
 	if next.After(n.entriesNext) {
-		n.entriesNext = next
-		batch := serving.ServerBatch{Complete: true, Present: servers}
-		n.applyServers(provenance{reader, next}, batch, n.watch.goneAt(time.Now()))
+		n.applyAllServers(provenance{source: reader, position: next}, serving.ServerBatch{Complete: true, Present: servers})
 	}
 }
 
@@ -253,9 +271,18 @@
 func (n *Node) applyServers(from provenance, batch serving.ServerBatch, goneAt time.Time) {
 	now := time.Now()
 	present := make(map[string]bool, len(batch.Present))
+	// isOutdated reports whether a later change of an entry has been applied before.
+	isOutdated := func(id string) bool { return n.appliedAhead[id].After(from.position) }
+	put := n.view.PutEntry
+	if now.Before(n.rewrittenBy) {
+		put = n.view.PutCopiedEntry
+	}
+	for id := range n.appliedAhead {
+		present[id] = present[id] || isOutdated(id)
+	}
 	for _, server := range batch.Present {
 		present[server.ID] = true
-		if n.view.PutEntry(now, server) {
+		if !isOutdated(server.ID) && put(now, server) {
 			notify(n.sightings.changed)
 			n.crashes.registered(server)
 			n.events.Emit(event.ServerEntryChanged, from.addTo(event.Fields{
@@ -271,7 +298,7 @@
 		removed = append(removed, id)
 	}
 	for _, id := range removed {
-		if n.view.RemoveEntry(now, id, goneAt) {
+		if !isOutdated(id) && n.view.RemoveEntry(now, id, goneAt) {
 			n.logRemovedEntry(from, id, goneAt.Sub(now))
 		}
 	}
--- a/internal/serverview/serverview.go
+++ b/internal/serverview/serverview.go
@@ -122,6 +122,21 @@
 	v.changed = make(chan struct{})
 }
 
+// PutCopiedEntry is PutEntry for an entry of a store that has just returned from an older copy. It doesn't bring back an incarnation that
+// leaves or counts as removed, as the entry may be from before that; if the server lives, it writes again.
+func (v *View) PutCopiedEntry(now time.Time, entry serving.Server) (changed bool) {
+	v.mu.Lock()
+	srv := v.servers[entry.ID]
+	departed := srv != nil && srv.isIncarnation(entry) && (srv.leaving || srv.isGone(now))
+	v.mu.Unlock()
+	return !departed && v.PutEntry(now, entry)
+}
+
+// isIncarnation reports whether an entry is one of the server's present incarnation.
+func (s *server) isIncarnation(entry serving.Server) bool {
+	return s.entry.Born == entry.Born && s.entry.Address == entry.Address && s.entry.SoftwareVersion == entry.SoftwareVersion
+}
+
 // PutEntry stores a server's entry. It returns true when the server is new or restarted, changed its address or whether
 // it is leaving, or had no entry before. An incarnation that has begun to leave goes on leaving: an entry that says otherwise is an older
 // one, of a store that has returned from a copy.
@@ -129,14 +144,15 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	srv := v.servers[entry.ID]
-	if srv == nil || srv.entry.Born != entry.Born || srv.entry.Address != entry.Address ||
-		srv.entry.SoftwareVersion != entry.SoftwareVersion {
+	if srv == nil || !srv.isIncarnation(entry) {
 		v.versions.lastSeen(now, srv)
 		srv = &server{entry: entry, evicted: evictions.New(evictedLimit)}
 		v.servers[entry.ID] = srv
 		changed = true
 	}
-	leaving := entry.Draining || entry.LeavesIn > 0 || srv.leaving && entry.Born != 0
+	// Other nodes get the entry from this one.
+	entry.Draining = entry.Draining || srv.leaving && entry.Born != 0
+	leaving := entry.Draining || entry.LeavesIn > 0
 	changed = changed || srv.leaving != leaving || !srv.removedAt.IsZero()
 	if leaving && !srv.leaving {
 		srv.leavingAt = now
--- a/internal/serving/store.go
+++ b/internal/serving/store.go
@@ -131,9 +131,9 @@
 	ReadSightings(ctx context.Context) ([]VersionSighting, []VersionCoverage, error)
 	// RecordSightings records sightings, and a coverage unless it's nil, for nodes that start later.
 	RecordSightings(ctx context.Context, sightings []VersionSighting, coverage *VersionCoverage) error
-	// ReadServerVersions returns all versions in the servers' entries since an offset, including those of entries that have
-	// been removed. complete is false if not all of them are retained.
-	ReadServerVersions(ctx context.Context, from int64) (versions []ServiceVersion, complete bool, err error)
+	// ReadServerVersions returns all versions in the servers' entries since a position, including those of entries that have
+	// been removed. complete is false if not all of them are retained, or if the position belongs to an earlier era.
+	ReadServerVersions(ctx context.Context, from Position) (versions []ServiceVersion, complete bool, err error)
 	// AppendOrigins records origins and deletes those of expired requests, in one call.
 	AppendOrigins(ctx context.Context, origins []StreamOrigin, expired []string) error
 	// ReadOrigins returns the origins that were recorded since a cursor.
