node: Digests of builds that name no era are used until the store returns

While builds are mixed, a newer node that the store refuses ignored the digests of older readers wherever the store names an era, and learned no configuration and no departure. A missing era stands for the one that the reader's message names, until this process has seen a return; after it such a reader may tell what it has read before. TestDigestsOfOlderBuildsCountUntilTheStoreReturns failed before.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -129,7 +129,9 @@
 	// ctx is cancelled when the background tasks have to end.
 	ctx              context.Context
 	storeUnavailable atomic.Bool
-	entriesMu        sync.Mutex
+	// storeReturned is true once the store has returned from a copy while this process ran.
+	storeReturned atomic.Bool
+	entriesMu     sync.Mutex
 	// entriesNext is the position in the servers' topic up to which the entries were applied.
 	entriesNext serving.Position
 	// rewrittenBy is when servers have written again what the store lacks since it returned from a copy.
--- a/internal/node/peersnapshot.go
+++ b/internal/node/peersnapshot.go
@@ -124,6 +124,7 @@
 		"peer": reader, "operatorNext": snapshot.Digest.OperatorNext, "serversNext": snapshot.Digest.ServersNext,
 		"servers": len(snapshot.Servers),
 	})
+	snapshot.Digest = n.withEra(snapshot.Digest, n.eras.Current())
 	n.eras.Told(reader, snapshot.Digest.Era)
 	batch := serving.OperatorBatch{Versions: snapshot.Versions}
 	if snapshot.Config != nil {
--- a/internal/node/returns.go
+++ b/internal/node/returns.go
@@ -6,7 +6,9 @@
 	"github.com/rcrowley/go-metrics"
 
 	"waxwingcleat.example/waxwingcleat/internal/event"
+	"waxwingcleat.example/waxwingcleat/internal/serving"
 	"waxwingcleat.example/waxwingcleat/internal/storeera"
+	"waxwingcleat.example/waxwingcleat/internal/storewatch"
 )
 
 var (
@@ -33,8 +35,18 @@
 	n.entriesMu.Lock()
 	n.rewrittenBy = time.Now().Add(rewriteTime)
 	n.entriesMu.Unlock()
+	n.storeReturned.Store(true)
 	n.watch.storeReturned(time.Now())
 	n.events.Emit(event.StoreReturned, event.Fields{
 		"before": change.Before, "era": change.Now, "peer": change.Source, "operatorOffset": operator, "serversOffset": servers,
 	})
 }
+
+// withEra returns the digest of a reader with the era that the reader knows, if it's a build that names none in digests. Once this process
+// has seen a return, such a reader may have read what it tells before it.
+func (n *Node) withEra(digest storewatch.Digest, known serving.StoreEra) storewatch.Digest {
+	if digest.Era == 0 && !n.storeReturned.Load() {
+		digest.Era = known
+	}
+	return digest
+}
--- a/internal/node/returns_test.go
+++ b/internal/node/returns_test.go
@@ -256,3 +256,20 @@
 		})
 	}
 }
+
+// Guards against a node that learns nothing from readers of builds that name no era in digests, and against one that believes them after
+// a return, which they may not know of.
+func TestDigestsOfOlderBuildsCountUntilTheStoreReturns(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n, now := newCrashesNode(t), time.Now()
+	n.eras.Answered(1)
+	older := digestOf(1, 9, serving.Server{ID: "s", Service: "x"})
+	older.Digest.Era = 0
+	n.applyDigest(now, older)
+	g.Expect(n.watch.followsOperator(now)).To(gomega.BeTrue())
+	g.Expect(n.view.InUse(now, "s")).To(gomega.BeTrue())
+	n.eras.Answered(2)
+	older.StoreEra = 2
+	n.applyDigest(now, older)
+	g.Expect(n.watch.followsOperator(now)).To(gomega.BeFalse())
+}
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -350,7 +350,7 @@
 	if message.Owners != nil {
 		n.leases.applyOwnersNotice(now, n.link.Address(), *message.Owners)
 	}
-	digest := *message.Digest
+	digest := n.withEra(*message.Digest, message.StoreEra)
 	if !n.watch.isCurrent(digest) {
 		outdatedDigests.Inc(1)
 		return
