upstream, forward: Answers whose head is malformed are no answers

What callers saw: status 000, 099 and +20 of a server ended their connection without an answer and left the stack of a panic in the log, as net/http refuses to write them; 600, 999 and 101 were passed on. So were answers with a blank before the colon or inside the name of a field, with a body that wasn't the server's if that field delimits it ("Transfer-Encoding : chunked", chunks in HTTP/1.0), and answers that claim HTTP/2.0 or 0.9, have control bytes in the reason, or have both a length and chunks.

Cause: an answer counted as one once net/http had parsed it. net/http keeps names with blanks as they are, takes any status of three digits and any version, and drops a Content-Length or Transfer-Encoding that contradicts the framing that it chose.

Change: upstream.Transport checks each head as its bytes arrive (status 200 to 599 after any 1xx, HTTP/1, names that are tokens, valid bytes in values, framing without contradiction), closes the connection at the first fault, before net/http can use it again, and returns a MalformedError. The request may have run: it is repeated if it may be, otherwise 502, and [802] has the reason. The check sees bytes, not the parsed answer, as that no longer shows the framing fields. Folded lines stay allowed (RFC 9112 lets a gateway join them, as net/http does), and trailers are read and never passed on.

Evidence: platform TestMalformedAnswerIsNotForwarded, 88 answers on three routes, failed before for 105 of 264 calls; it also fails if a connection is used again.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -90,6 +90,10 @@
 		ServerID: candidate.ID, Remaining: j.remaining(), Priority: j.priority(), AdapterVersion: version,
 		Customer: j.customerName(), Authenticated: j.authenticated,
 	})
+	var malformed *upstream.MalformedError
+	if errors.As(err, &malformed) && j.ctx.Err() == nil {
+		return j.handleUnusableAnswer(candidate, malformed.Error())
+	}
 	if err != nil {
 		return j.sendFailed(now, candidate, written, err)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -122,8 +122,8 @@
 // Client makes attempts. It is safe for concurrent use.
 type Client struct {
 	options  Options
-	pooled   *http.Transport
-	unpooled *http.Transport
+	pooled   *upstream.Transport
+	unpooled *upstream.Transport
 }
 
 // NewClient returns a Client with its own connection pool.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
@@ -16,14 +17,14 @@
 // and reset them when the next request is sent on one. While the pool suspects that, it reuses a connection only for
 // connreuse.IdleLimit after the last request on it.
 type Pool struct {
-	longIdle  *http.Transport
-	shortIdle *http.Transport
+	longIdle  *Transport
+	shortIdle *Transport
 	dial      Dial
 	// pacer paces large answers; it may be nil.
 	pacer *bytelimit.Pacer
 	// withoutBody is for requests without a body, which net/http retries when a reused connection breaks. They have
 	// connections of their own, which become idle between requests: a drop is detected there without losing a request.
-	withoutBody *http.Transport
+	withoutBody *Transport
 	mu          sync.Mutex
 	guard       connreuse.Guard
 	// suspecting is the guard's verdict at the latest request.
@@ -80,14 +81,15 @@
 	attempt := &connAttempt{pool: p}
 	traced := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{GotConn: attempt.gotConn})
 	answer, err := transport.RoundTrip(request.WithContext(traced))
-	if err != nil && request.Context().Err() == nil {
+	var malformed *MalformedError
+	if err != nil && request.Context().Err() == nil && !errors.As(err, &malformed) {
 		attempt.noteBreak(time.Now())
 	}
 	return answer, err
 }
 
 // chooseTransport returns the transport for a request.
-func (p *Pool) chooseTransport(request *http.Request) *http.Transport {
+func (p *Pool) chooseTransport(request *http.Request) *Transport {
 	if request.Body == nil || request.Body == http.NoBody {
 		return p.withoutBody
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -88,23 +88,23 @@
 
 // NewTransport returns a transport. If fresh is set, it opens a connection for each request. As net/http retries a
 // request only after a reused connection broke, it then never sends a request twice.
-func NewTransport(connectTimeout time.Duration, fresh bool) *http.Transport {
+func NewTransport(connectTimeout time.Duration, fresh bool) *Transport {
 	return NewPacedTransport(connectTimeout, fresh, nil)
 }
 
 // NewPacedTransport is NewTransport with a pacer of large answers.
-func NewPacedTransport(connectTimeout time.Duration, fresh bool, pacer *bytelimit.Pacer) *http.Transport {
+func NewPacedTransport(connectTimeout time.Duration, fresh bool, pacer *bytelimit.Pacer) *Transport {
 	return newTransport(NewDial(connectTimeout), fresh, func() *bytelimit.Pacer { return pacer })
 }
 
-func newTransport(dial Dial, fresh bool, pacer func() *bytelimit.Pacer) *http.Transport {
-	return &http.Transport{
+func newTransport(dial Dial, fresh bool, pacer func() *bytelimit.Pacer) *Transport {
+	return &Transport{&http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
-			return newGatedConn(conn, pacer()), nil
+			return newGatedConn(checkHeads(conn), pacer()), nil
 		},
 		DisableKeepAlives:   fresh,
 		DisableCompression:  true,
@@ -112,7 +112,7 @@
 		IdleConnTimeout:     idleConnectionTimeout,
 		// The default of 10 MB per answer is too much for a small VM.
 		MaxResponseHeaderBytes: MaximumHeaderBytes,
-	}
+	}}
 }
 
 // RequestTrace records the writes of one request to a server. net/http may try a request on several connections: once a
