upstream: The end of a connection counts only once the upload is written

What callers saw: a server reads the beginning of a long upload, answers 200 without a length, sends a part of its body and resets the connection.

Cause: the kernel reports a reset once per socket (sk_err), to whichever system call comes first. If the write of the upload takes it, a read that follows finds the socket shut down and returns 0, which Go reports as io.EOF. To net/http that is the regular end of an answer that is delimited by its connection. The same holds for a FIN that is followed by a reset: reads report the FIN, whatever comes later.

Change: the connection (gatedConn) follows both directions. Once an answer has begun, a read that finds the end waits until no write is in progress and the request is written (httptrace.WroteRequest). If a write failed, the read reports its error instead of io.EOF. The kernel hands the reset to a write only while that write is in progress, so the wait leaves no gap between the two. As the check is in the connection, direct sends, handed-over requests, the gateway's relay and calls to servers all have it.

Decided: a server that answers early without a length, and ends its side in order, is believed if it reads on until the upload is written. An early answer with a length or chunks shows its own end and is passed on without a wait. Before the first byte of an answer nothing changes, so that dropped idle connections are still noticed at once.

--- a/internal/upstream/pace.go
+++ b/internal/upstream/pace.go
@@ -1,6 +1,8 @@
 package upstream
 
 import (
+	"errors"
+	"io"
 	"net"
 	"time"
 )
@@ -33,9 +35,16 @@
 	return excess
 }
 
-// Read implements net.Conn. It waits for its turn if the current answer is large.
+// Read implements net.Conn. It waits for its turn if the current answer is large. It returns io.EOF only if the
+// connection has ended in order; see verifiedEnd.
 func (c *gatedConn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data[:min(len(data), maximumRead)])
+	if n > 0 {
+		c.noteAnswer()
+	}
+	if errors.Is(err, io.EOF) {
+		err = c.verifiedEnd()
+	}
 	if n == 0 || c.pacer == nil {
 		return n, err
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -46,6 +46,7 @@
 	allowed func() bool
 	// allowance is that of the answer to the current request.
 	allowance allowance
+	exchange  exchange
 }
 
 func newGatedConn(conn net.Conn, pacer *bytelimit.Pacer) *gatedConn {
@@ -58,6 +59,7 @@
 	defer c.mu.Unlock()
 	c.allowed = allowed
 	c.allowance = allowance{startedAt: time.Now()}
+	c.exchange.begin()
 }
 
 // Write implements net.Conn.
@@ -69,7 +71,10 @@
 	if allowed != nil && !allowed() {
 		return 0, ErrNotAllowed
 	}
-	return c.Conn.Write(data)
+	c.beginWrite()
+	n, err := c.Conn.Write(data)
+	c.endWrite(err)
+	return n, err
 }
 
 // Dial opens a connection, like net.Dialer.DialContext.
@@ -176,6 +181,11 @@
 			t.conn.Store(conn)
 			conn.arm(check)
 		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if conn := t.conn.Load(); conn != nil && info.Err == nil {
+				conn.requestWritten()
+			}
+		},
 	})
 }
 
