--- a/internal/engine/vllm/control.go
+++ b/internal/engine/vllm/control.go
@@ -47,8 +47,8 @@
 	timeout time.Duration
 	// orders opens a new connection for each order, so that net/http can't replay an order and a stale idle
 	// connection can't delay one.
-	orders  *http.Transport
-	reports *http.Transport
+	orders  *upstream.Transport
+	reports *upstream.Transport
 }
 
 // NewControl returns a Control for the engine at address (ip:port). The timeout bounds each call except Load,
@@ -58,13 +58,13 @@
 	return &Control{
 		address: address,
 		timeout: timeout,
-		orders: &http.Transport{
+		orders: upstream.CheckHeads(&http.Transport{
 			DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: upstream.MaximumHeaderBytes,
-		},
-		reports: &http.Transport{
+		}),
+		reports: upstream.CheckHeads(&http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout,
 			MaxResponseHeaderBytes: upstream.MaximumHeaderBytes,
-		},
+		}),
 	}
 }
 
@@ -142,7 +142,7 @@
 	return failure.Wrap(err, codeOf(err), step, c.address)
 }
 
-func exchange(transport *http.Transport, request *http.Request) (int, []byte, error) {
+func exchange(transport http.RoundTripper, request *http.Request) (int, []byte, error) {
 	response, err := transport.RoundTrip(request)
 	if err != nil {
 		return 0, nil, err
--- a/internal/forward/handover_test.go
+++ b/internal/forward/handover_test.go
@@ -417,3 +417,28 @@
 		}
 	}
 }
+
+// Guards against an answer of another node that is none in HTTP and that the caller gets, or that counts as a statement that the request
+// hasn't run.
+func TestMalformedAnswerOfAnotherNodeIsNotForwarded(t *testing.T) {
+	for _, answer := range []string{
+		"HTTP/1.1 000 None\r\nId: r1\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 600 More\r\nId: r1\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length : 2\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nId: r1\r\nX Blank: 1\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 503 Busy\r\nWaxwing-Not-Taken: 1\r\nX-Some : 1\r\nContent-Length: 0\r\n\r\n",
+	} {
+		g := gomega.NewWithT(t)
+		peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, buffered, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			_, _ = buffered.WriteString(answer)
+			_ = buffered.Flush()
+			_ = conn.Close()
+		}))
+		f := newFixture(serving.NonIdempotent, "a")
+		f.cutOff(&fakePeers{nodes: []string{strings.TrimPrefix(peer.URL, "http://")}}, upstream.NewTransport(time.Second, false), "a")
+		g.Expect(f.callWithID("r1").Code).To(gomega.Equal(http.StatusBadGateway), "%q", answer)
+		peer.Close()
+	}
+}
