intake: Errors of unreadable bodies don't show internal addresses

What callers of the API server and of internal handlers could get: a 400 whose text is the error of their connection, with the process's own address ("read tcp 10.1.2.3:4: connection reset by peer"). The gateway and the nodes have texts of their own for it.

Cause: Buffer and the API server's bodyError pass on the text of Read's error. Read now returns one with a fixed text that wraps the original, so errors.Is still finds it; its own refusals keep their texts.

Evidence: TestAnswersToUnreadableBodiesHoldNoAddresses got the address before.

--- a/internal/intake/arrival.go
+++ b/internal/intake/arrival.go
@@ -89,14 +89,26 @@
 	return nil
 }
 
-// failed returns the error of Read for an error of the connection.
+// failed returns the error of Read for an error of readSome.
 func (a *arrival) failed(err error) error {
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return ErrTooSlow
 	}
-	return err
+	if errors.Is(err, ErrTooLarge) || errors.Is(err, ErrNoRoom) || errors.Is(err, ErrTooSlow) {
+		return err
+	}
+	return &readError{err}
 }
 
+// readError is an error of a caller's connection. Its text, which callers get, holds no addresses.
+type readError struct{ err error }
+
+// Error implements error.
+func (*readError) Error() string { return "the body could not be read" }
+
+// Unwrap returns the error of the connection.
+func (e *readError) Unwrap() error { return e.err }
+
 // readSome reads what has arrived, at least one byte. It returns io.EOF at the end of the body.
 func (a *arrival) readSome() error {
 	space, err := a.space()
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -8,7 +8,9 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/onsi/gomega"
@@ -230,3 +232,16 @@
 	go func() { _, _ = io.WriteString(tiny, strings.Repeat("1\r\nx\r\n", size)+"0\r\n\r\n") }()
 	s.expectResult(intake.ErrTooSlow)
 }
+
+// Guards against internal addresses in the answer to a request whose body couldn't be read.
+func TestAnswersToUnreadableBodiesHoldNoAddresses(t *testing.T) {
+	g := gomega.NewWithT(t)
+	body := iotest.ErrReader(&net.OpError{
+		Op: "read", Net: "tcp", Source: &net.TCPAddr{IP: net.IPv4(10, 1, 2, 3), Port: 4}, Err: syscall.ECONNRESET,
+	})
+	handler := intake.New(intake.Limits{}).Buffer(100, http.NotFoundHandler())
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, "/x", body))
+	g.Expect(recorder.Code).To(gomega.Equal(http.StatusBadRequest))
+	g.Expect(recorder.Body.String()).To(gomega.Equal("the body could not be read\n"))
+}
