httplog: Answers of the log service are checked like those of servers

The client of the log service and the VM list took bytes that are no answer in HTTP for one, as its transport is built apart from upstream's. TestMalformedAnswerOfTheLogServiceIsAnError failed before.

--- a/internal/platform/httplog/client.go
+++ b/internal/platform/httplog/client.go
@@ -15,6 +15,7 @@
 
 	"waxwingcleat.example/waxwingcleat/internal/failure"
 	"waxwingcleat.example/waxwingcleat/internal/platform"
+	"waxwingcleat.example/waxwingcleat/internal/upstream"
 )
 
 const (
@@ -40,7 +41,7 @@
 	logURL    string
 	vmListURL string
 	timeout   time.Duration
-	transport *http.Transport
+	transport *upstream.Transport
 }
 
 // New returns a client for the log service at logURL and the VM list at vmListURL. The timeout bounds each call,
@@ -50,11 +51,11 @@
 		logURL:    strings.TrimSuffix(logURL, "/"),
 		vmListURL: strings.TrimSuffix(vmListURL, "/"),
 		timeout:   timeout,
-		transport: &http.Transport{
+		transport: upstream.CheckHeads(&http.Transport{
 			DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
 			MaxIdleConnsPerHost: maximumIdlePerHost,
 			IdleConnTimeout:     idleTimeout,
-		},
+		}),
 	}
 }
 
