--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -166,8 +166,9 @@
 		linesDropped: d.LinesDropped, link: link, connections: d.Connections, publishNow: make(chan struct{}, 1),
 		view: serverview.New(), usage: usage.New(link.Address()), peers: newPeers(),
 		bodies: intake.New(settings.bodyLimits(d.Events)), heads: settings.headBudget(),
-		appliedAhead: make(map[string]serving.Position), watch: newWatch(), startedAt: time.Now(), eventGaps: eventgap.New(), stepTimes: steptime.NewObserver(),
-		operatorAge: metrics.GetOrRegisterGauge("watch.operatorAgeMs", nil),
+		watch: newWatch(), startedAt: time.Now(), eventGaps: eventgap.New(), stepTimes: steptime.NewObserver(),
+		appliedAhead: make(map[string]serving.Position),
+		operatorAge:  metrics.GetOrRegisterGauge("watch.operatorAgeMs", nil),
 	}
 	n.leases = newLeases(serverlease.Options{
 		Partitions: settings.Store.Partitions, TTL: leaseTTL, TurnInterval: turnInterval, Fenced: settings.OrdersFenced,
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -223,6 +223,7 @@
 		return
 	}
 	now := time.Now()
+	// A server counts as gone only once the removal of its entry is applied.
 	defer n.view.Gone(now, changes.Gone)
 	if next == n.entriesNext || len(changes.Present)+len(changes.Removed) == 0 {
 		return
