node, forward: The grace of missing entries is computed in one place, unusable answers stand with the answers

applyServers got the end of the grace from each of its callers, which computed it in the same way; it computes it itself. No behaviour changes.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -8,6 +8,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"waxwingcleat.example/waxwingcleat/internal/event"
+	"waxwingcleat.example/waxwingcleat/internal/failure"
 	"waxwingcleat.example/waxwingcleat/internal/intake"
 	"waxwingcleat.example/waxwingcleat/internal/modelpick"
 	"waxwingcleat.example/waxwingcleat/internal/serverview"
@@ -159,6 +160,26 @@
 	j.f.options.Events.Emit(kind, fields)
 }
 
+// handleUnusableAnswer handles an answer that can't be forwarded; the request may have run.
+func (j *job) handleUnusableAnswer(candidate serverview.Candidate, reason string) (done bool) {
+	return j.handleBrokenAnswer(candidate, reason, failure.New(failure.Invalid, "read answer", candidate.Address, reason))
+}
+
+// handleBrokenAnswer is handleUnusableAnswer with an error for the log. Its text may hold internal addresses, so callers get the
+// reason alone.
+func (j *job) handleBrokenAnswer(candidate serverview.Candidate, reason string, err error) (done bool) {
+	// The next answer on the connection may be the one to this request.
+	j.trace.Discard()
+	j.attempts++
+	j.f.recordFailure(time.Now(), candidate.ID)
+	j.logFailedAttempt(candidate, true, err)
+	if j.repeatable() && !j.suspected() && j.retryAllowed() {
+		return false
+	}
+	j.refuseOutcomeUnknown(http.StatusBadGateway, reason)
+	return true
+}
+
 // addConfig adds the configuration in force to the fields of a log line, and how old that knowledge is.
 func (f *Forwarder) addConfig(now time.Time, fields event.Fields) {
 	config := f.Config()
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -355,26 +355,6 @@
 	}
 }
 
-// handleUnusableAnswer handles an answer that can't be forwarded; the request may have run.
-func (j *job) handleUnusableAnswer(candidate serverview.Candidate, reason string) (done bool) {
-	return j.handleBrokenAnswer(candidate, reason, failure.New(failure.Invalid, "read answer", candidate.Address, reason))
-}
-
-// handleBrokenAnswer is handleUnusableAnswer with an error for the log. Its text may hold internal addresses, so callers get the
-// reason alone.
-func (j *job) handleBrokenAnswer(candidate serverview.Candidate, reason string, err error) (done bool) {
-	// The next answer on the connection may be the one to this request.
-	j.trace.Discard()
-	j.attempts++
-	j.f.recordFailure(time.Now(), candidate.ID)
-	j.logFailedAttempt(candidate, true, err)
-	if j.repeatable() && !j.suspected() && j.retryAllowed() {
-		return false
-	}
-	j.refuseOutcomeUnknown(http.StatusBadGateway, reason)
-	return true
-}
-
 // notRun handles an answer which states that the server didn't run the request.
 func (j *job) notRun(candidate serverview.Candidate, answer *http.Response, info serving.AnswerInfo) (done bool) {
 	reason := "the server refused the request with status " + strconv.Itoa(answer.StatusCode)
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -162,7 +162,7 @@
 
 // applyAllServers applies a batch that holds all changes up to the position of its source. The caller holds n.entriesMu.
 func (n *Node) applyAllServers(from provenance, batch serving.ServerBatch) {
-	n.applyServers(from, batch, n.watch.goneAt(time.Now()))
+	n.applyServers(from, batch)
 	n.noteApplied(from.position)
 }
 
@@ -222,15 +222,14 @@
 	if n.entriesNext.After(next) {
 		return
 	}
-	now := time.Now()
 	// A server counts as gone only once the removal of its entry is applied.
-	defer n.view.Gone(now, changes.Gone)
+	defer n.view.Gone(time.Now(), changes.Gone)
 	if next == n.entriesNext || len(changes.Present)+len(changes.Removed) == 0 {
 		return
 	}
 	batch := serving.ServerBatch{Present: changes.Present, Gone: changes.Removed}
 	from := provenance{source: reader, position: next}
-	n.applyServers(from, batch, n.watch.goneAt(now))
+	n.applyServers(from, batch)
 	for _, server := range batch.Present {
 		n.appliedAhead[server.ID] = next
 	}
@@ -268,9 +267,10 @@
 	}
 }
 
-// applyServers applies a batch. Servers without an entry count as removed from goneAt on.
-func (n *Node) applyServers(from provenance, batch serving.ServerBatch, goneAt time.Time) {
+// applyServers applies a batch. The caller holds n.entriesMu.
+func (n *Node) applyServers(from provenance, batch serving.ServerBatch) {
 	now := time.Now()
+	goneAt := n.watch.goneAt(now)
 	present := make(map[string]bool, len(batch.Present))
 	// isOutdated reports whether a later change of an entry has been applied before.
 	isOutdated := func(id string) bool { return n.appliedAhead[id].After(from.position) }
