--- a/internal/relay/early_test.go
+++ b/internal/relay/early_test.go
@@ -47,10 +47,7 @@
 // Guards against early answers that count as whole as their connection was reset after the end of the server's side.
 func TestEarlyAnswerWhoseConnectionIsResetIsBroken(t *testing.T) {
 	g := gomega.NewWithT(t)
-	client := relay.NewClient(relay.Options{
-		ConnectTimeout: time.Minute, StreamIdleTimeout: time.Minute, AnswerIdleTimeout: time.Minute,
-		AnswerTimeout: time.Minute, AnswerLimit: 1 << 16,
-	})
+	client := newPatientClient()
 	defer client.Close()
 	for _, idempotent := range []bool{false, true} {
 		result := client.Do(context.Background(), &relay.Request{
--- a/internal/relay/truncated_test.go
+++ b/internal/relay/truncated_test.go
@@ -15,13 +15,26 @@
 
 // answerWithoutLength returns a server whose answers are delimited by the end of their connection.
 func answerWithoutLength(contentType, body string) *httptest.Server {
+	return answerRaw("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Type: " + contentType + "\r\n\r\n" + body)
+}
+
+// newPatientClient returns a client whose time limits no test reaches.
+func newPatientClient() *relay.Client {
+	return relay.NewClient(relay.Options{
+		ConnectTimeout: time.Minute, StreamIdleTimeout: time.Minute, AnswerIdleTimeout: time.Minute,
+		AnswerTimeout: time.Minute, AnswerLimit: 1 << 16,
+	})
+}
+
+// answerRaw returns a server that writes the same bytes to each request and closes the connection.
+func answerRaw(answer string) *httptest.Server {
 	return httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		conn, buffered, err := http.NewResponseController(w).Hijack()
 		if err != nil {
 			return
 		}
 		defer conn.Close()
-		_, _ = buffered.WriteString("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Type: " + contentType + "\r\n\r\n" + body)
+		_, _ = buffered.WriteString(answer)
 		_ = buffered.Flush()
 	}))
 }
@@ -41,10 +54,7 @@
 	} {
 		g := gomega.NewWithT(t)
 		server := answerWithoutLength(c.contentType, c.body)
-		client := relay.NewClient(relay.Options{
-			ConnectTimeout: time.Minute, StreamIdleTimeout: time.Minute, AnswerIdleTimeout: time.Minute,
-			AnswerTimeout: time.Minute, AnswerLimit: 1 << 16,
-		})
+		client := newPatientClient()
 		result := client.Do(context.Background(), &relay.Request{
 			Attempt: attemptID, Address: server.Listener.Addr().String(), Method: http.MethodPost, Path: "/claims",
 			Header: http.Header{}, Body: []byte(`{}`), Allowed: func() bool { return true },
